--- /dev/null
+++ b/hibiscuspoint/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The hibiscuspoint command line."""
--- /dev/null
+++ b/hibiscuspoint/components/__init__.py
@@ -0,0 +1,1 @@
+"""Circuits components that join the core to the network."""
--- /dev/null
+++ b/hibiscuspoint/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the proxy, free of I/O."""
--- /dev/null
+++ b/hibiscuspoint/core/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated log of the control group."""
--- /dev/null
+++ b/hibiscuspoint/core/control/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the control leader."""
--- /dev/null
+++ b/hibiscuspoint/core/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of entries and holders."""
--- /dev/null
+++ b/hibiscuspoint/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The hibiscuspointd daemon."""
--- /dev/null
+++ b/hibiscuspoint/document/__init__.py
@@ -0,0 +1,1 @@
+"""The document of an environment."""
--- /dev/null
+++ b/hibiscuspoint/drivers/__init__.py
@@ -0,0 +1,1 @@
+"""Drivers for kinds of targets."""
--- /dev/null
+++ b/hibiscuspoint/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tool."""
--- /dev/null
+++ b/hibiscuspoint/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of one process."""
--- /dev/null
+++ b/hibiscuspoint/standin/__init__.py
@@ -0,0 +1,1 @@
+"""A stand-in of a database target."""
--- /dev/null
+++ b/hibiscuspoint/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Files below the data folder."""
--- /dev/null
+++ b/hibiscuspoint/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Log events and metrics."""
--- /dev/null
+++ b/hibiscuspoint/util/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers."""
--- /dev/null
+++ b/hibiscuspoint/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Generated protocol code and conversions."""
