--- a/hibiscuspoint/core/control/__init__.py
+++ b/hibiscuspoint/core/control/__init__.py
@@ -1,1 +1,42 @@
 """Decisions of the control leader."""
+
+from __future__ import annotations
+
+from hibiscuspoint.core.control.configuration import SubmissionOutcome, judge_submission
+from hibiscuspoint.core.control.effects import (
+    Effect,
+    Follow,
+    MemberAddress,
+    PrimarySuspected,
+    Promote,
+    Propose,
+    PublishHolders,
+    PublishRoutes,
+    Seal,
+    Terminate,
+)
+from hibiscuspoint.core.control.group import RouteState
+from hibiscuspoint.core.control.leader import ControlLeader
+from hibiscuspoint.core.control.promotion import MemberReport
+from hibiscuspoint.core.control.state import ControlState, GroupPhase, GroupRecord
+
+__all__ = [
+    "ControlLeader",
+    "ControlState",
+    "Effect",
+    "Follow",
+    "GroupPhase",
+    "GroupRecord",
+    "MemberAddress",
+    "MemberReport",
+    "PrimarySuspected",
+    "Promote",
+    "Propose",
+    "PublishHolders",
+    "PublishRoutes",
+    "RouteState",
+    "Seal",
+    "SubmissionOutcome",
+    "Terminate",
+    "judge_submission",
+]
--- /dev/null
+++ b/hibiscuspoint/core/control/detector.py
@@ -0,0 +1,109 @@
+"""Detection of failed primaries from announcements and the traffic of holders."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from hibiscuspoint.ids import InstanceId, TargetId
+
+__all__ = ["FailureDetector", "Suspicion"]
+
+#: Silence in seconds after which a primary without successful requests is suspected.
+SILENCE_SECONDS = 0.6
+
+#: Silence in seconds that is enough when every holder is refused.
+SHORT_SILENCE_SECONDS = 0.25
+
+#: Time in seconds without any successful request at an announcing primary.
+UNREACHABLE_SECONDS = 3.0
+
+#: Gap between two ticks after which the process itself was stopped, so that its silence
+#: measurements say nothing about the targets.
+STALL_SECONDS = 0.3
+
+
+class Suspicion(Enum):
+    """Why a primary is considered failed."""
+
+    SILENT = "no announcement and no successful request"
+    REFUSED = "no announcement and connections of every holder are refused"
+    UNREACHABLE = "no holder reaches the primary"
+    STEPPED_DOWN = "the target no longer acts as primary"
+
+
+@dataclass
+class _HolderView:
+    last_success: float
+    refused: bool = False
+    failing: bool = False
+
+
+class FailureDetector:
+    """Watches the primary of one group.
+
+    :param primary: the watched target.
+    :param now: monotonic time in seconds at which watching starts.
+    """
+
+    def __init__(self, primary: TargetId, now: float) -> None:
+        self._primary = primary
+        self._started = now
+        self._last_announcement = now
+        self._last_success = now
+        self._last_tick = now
+        self._stepped_down = False
+        self._holders: dict[InstanceId, _HolderView] = {}
+
+    @property
+    def primary(self) -> TargetId:
+        """Return the watched target."""
+        return self._primary
+
+    def announced(self, is_primary: bool, now: float) -> None:
+        """Take an announcement of the watched target."""
+        self._last_announcement = now
+        self._stepped_down = not is_primary
+
+    def observed(
+        self, holder: InstanceId, successes: int, refusals: int, timeouts: int, now: float
+    ) -> None:
+        """Take what a holder saw on its connections since its last report."""
+        view = self._holders.setdefault(holder, _HolderView(self._started))
+        if successes:
+            view.last_success = now
+            self._last_success = now
+        if successes or refusals or timeouts:
+            view.refused = bool(refusals) and not successes
+            view.failing = bool(refusals or timeouts) and not successes
+
+    def suspicion(self, holders: set[InstanceId], now: float) -> Suspicion | None:
+        """Return why the primary is considered failed, or ``None``.
+
+        :param holders: live holders of the group.
+        """
+        self._forgive_stall(now)
+        silence = now - self._last_announcement
+        if self._stepped_down:
+            return Suspicion.STEPPED_DOWN
+        if silence >= SILENCE_SECONDS and now - self._last_success >= SILENCE_SECONDS:
+            return Suspicion.SILENT
+        views = [self._holders[holder] for holder in holders if holder in self._holders]
+        if not views or len(views) < len(holders):
+            return None
+        if silence >= SHORT_SILENCE_SECONDS and all(view.refused for view in views):
+            return Suspicion.REFUSED
+        stuck = all(view.failing for view in views)
+        if stuck and now - self._last_success >= UNREACHABLE_SECONDS:
+            return Suspicion.UNREACHABLE
+        return None
+
+    def _forgive_stall(self, now: float) -> None:
+        stalled = now - self._last_tick
+        self._last_tick = now
+        if stalled < STALL_SECONDS:
+            return
+        self._last_announcement += stalled
+        self._last_success += stalled
--- /dev/null
+++ b/hibiscuspoint/core/control/entries.py
@@ -0,0 +1,89 @@
+"""Entries that report to the control leader."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from hibiscuspoint.core.control.leases import CLOCK_MARGIN, LEASE_SECONDS
+from hibiscuspoint.ids import AvailabilityZone, Incarnation, InstanceId
+
+if TYPE_CHECKING:
+    from hibiscuspoint.wire import peer_pb2
+
+__all__ = ["EntryDirectory", "EntryInfo"]
+
+#: Seconds after which a silent entry loses its place as holder.
+ENTRY_LIVE_SECONDS = 1.0
+
+#: Seconds after which nothing is kept about a silent entry. Its leases have ended by then.
+ENTRY_FORGET_SECONDS = 60.0
+
+
+@dataclass(frozen=True)
+class EntryInfo:
+    """The last report of an entry; ``seen_at`` is monotonic time in seconds."""
+
+    instance: InstanceId
+    incarnation: Incarnation
+    availability_zone: AvailabilityZone
+    address: str
+    document_number: int
+    draining: bool
+    holders_version: int
+    seen_at: float
+
+    @classmethod
+    def from_message(cls, message: peer_pb2.EntryReport, now: float) -> EntryInfo:
+        """Return the content of a report that arrived at ``now``."""
+        return cls(
+            instance=InstanceId(message.instance),
+            incarnation=Incarnation(message.incarnation),
+            availability_zone=AvailabilityZone(message.availability_zone),
+            address=message.address,
+            document_number=message.document_number,
+            draining=message.draining,
+            holders_version=message.holders_version,
+            seen_at=now,
+        )
+
+
+class EntryDirectory:
+    """Soft state about all entries, rebuilt from reports."""
+
+    def __init__(self) -> None:
+        self._entries: dict[InstanceId, EntryInfo] = {}
+
+    @property
+    def all(self) -> list[EntryInfo]:
+        """Return the known entries, ordered by id."""
+        return sorted(self._entries.values(), key=lambda entry: entry.instance)
+
+    def record(self, info: EntryInfo) -> EntryInfo | None:
+        """Keep a report and return the one before it."""
+        previous = self._entries.get(info.instance)
+        self._entries[info.instance] = info
+        return previous
+
+    def get(self, instance: InstanceId) -> EntryInfo | None:
+        """Return the last report of an entry."""
+        return self._entries.get(instance)
+
+    def live(self, now: float) -> list[EntryInfo]:
+        """Return the entries that report."""
+        return [entry for entry in self.all if now - entry.seen_at < ENTRY_LIVE_SECONDS]
+
+    def serving(self, now: float) -> list[EntryInfo]:
+        """Return the live entries that are not draining."""
+        return [entry for entry in self.live(now) if not entry.draining]
+
+    def leases_ended(self, instance: InstanceId, now: float) -> bool:
+        """Tell whether every lease of an entry has run out since its last report."""
+        info = self._entries.get(instance)
+        return info is None or now - info.seen_at > LEASE_SECONDS * (1 + CLOCK_MARGIN)
+
+    def forget_silent(self, now: float) -> None:
+        """Drop entries that have been silent for long."""
+        for entry in self.all:
+            if now - entry.seen_at > ENTRY_FORGET_SECONDS:
+                del self._entries[entry.instance]
--- /dev/null
+++ b/hibiscuspoint/core/control/group.py
@@ -0,0 +1,326 @@
+"""The control leader's view of one group: when to promote, and which route entries may use."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from hibiscuspoint.core.control.detector import FailureDetector, Suspicion
+from hibiscuspoint.core.control.effects import (
+    Follow,
+    PrimarySuspected,
+    Promote,
+    PublishRoutes,
+)
+from hibiscuspoint.core.control.promotion import PromotionSteps
+from hibiscuspoint.core.control.state import GroupPhase
+from hibiscuspoint.core.control.switchover import Switchover, SwitchoverState
+
+if TYPE_CHECKING:
+    from hibiscuspoint.core.control.effects import Effect, MemberAddress
+    from hibiscuspoint.core.control.leases import LeaseLedger
+    from hibiscuspoint.core.control.promotion import MemberReport
+    from hibiscuspoint.core.control.state import GroupRecord
+    from hibiscuspoint.core.control.targets import TargetDirectory, TargetInfo
+    from hibiscuspoint.core.position import LogPosition
+    from hibiscuspoint.ids import InstanceId, TargetId
+
+__all__ = ["GroupController", "RouteState"]
+
+#: Seconds after a promotion in which only a refusing or demoted primary is replaced, so that a
+#: group does not change its primary back and forth.
+PROMOTION_COOLDOWN_SECONDS = 5.0
+
+#: Seconds between two questions for the positions of members during a switchover.
+CATCH_UP_POLL_SECONDS = 0.03
+
+#: Seconds between two requests to a member that does not follow the primary.
+REJOIN_RETRY_SECONDS = 0.5
+
+
+class RouteState(Enum):
+    """What entries may do with the primary of a group."""
+
+    #: Use it under a lease.
+    GRANTED = "granted"
+    #: Start no new work at it and hand the lease back when the work in progress is done.
+    PAUSED = "paused"
+    #: Do not use it and hand the lease back at once.
+    REVOKED = "revoked"
+
+
+@dataclass(frozen=True)
+class _Surroundings:
+    """What a group controller reads but does not own."""
+
+    targets: TargetDirectory
+    ledger: LeaseLedger
+
+
+class GroupController:
+    """Watches the primary of a group and leads promotions and switchovers.
+
+    :param record: durable record of the group; changes as commands are applied.
+    :param ack_quorum: members W that must hold a record before it is acknowledged.
+    :param now: monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        record: GroupRecord,
+        ack_quorum: int,
+        targets: TargetDirectory,
+        ledger: LeaseLedger,
+        now: float,
+    ) -> None:
+        self._record = record
+        self._ack_quorum = ack_quorum
+        self._around = _Surroundings(targets, ledger)
+        self._steps = PromotionSteps(record, ack_quorum, now)
+        self._detector: FailureDetector | None = None
+        self._suspected_term = 0
+        self._promoted_at = -math.inf
+        self._switchover: Switchover | None = None
+        self._idle_since: float | None = None
+        self._reports: dict[TargetId, tuple[LogPosition, float]] = {}
+        self._poll_at = 0.0
+        self._rejoin_attempts: dict[TargetId, float] = {}
+        self._published: tuple[int, RouteState] | None = None
+
+    @property
+    def record(self) -> GroupRecord:
+        """Return the durable record."""
+        return self._record
+
+    @property
+    def ack_quorum(self) -> int:
+        """Return the number of members that must hold a record before it is acknowledged."""
+        return self._ack_quorum
+
+    @property
+    def switchover(self) -> Switchover | None:
+        """Return the switchover in progress."""
+        return self._switchover
+
+    @property
+    def route_state(self) -> RouteState:
+        """Return what entries may do with the primary."""
+        record = self._record
+        if record.phase is not GroupPhase.STARTED or self._suspected_term == record.term:
+            return RouteState.REVOKED
+        switchover = self._switchover
+        if switchover is not None and switchover.state is not SwitchoverState.RESUMED:
+            return RouteState.PAUSED
+        return RouteState.GRANTED
+
+    def request_switchover(self, wanted: TargetId | None, now: float) -> bool:
+        """Start a switchover.
+
+        :returns: false when no primary is in force or another change is in progress.
+        """
+        if self._switchover is not None or self.route_state is not RouteState.GRANTED:
+            return False
+        self._switchover = Switchover(self._record.primary, wanted, now)
+        return True
+
+    def announced(self, info: TargetInfo, now: float) -> None:
+        """Take an announcement of a member."""
+        detector = self._detector
+        if detector is None or detector.primary != info.target:
+            return
+        if info.term >= self._record.term:
+            detector.announced(info.is_primary, now)
+
+    def observed(
+        self,
+        holder: InstanceId,
+        target: TargetId,
+        successes: int,
+        refusals: int,
+        timeouts: int,
+        now: float,
+    ) -> None:
+        """Take what a holder saw at a member."""
+        detector = self._detector
+        if detector is not None and detector.primary == target:
+            detector.observed(holder, successes, refusals, timeouts, now)
+
+    def sealed(self, report: MemberReport, now: float) -> None:
+        """Take the answer of a member to a seal."""
+        self._steps.sealed(report, now)
+
+    def joined(self, report: MemberReport, now: float) -> None:
+        """Take the answer of a member to a promotion or to following."""
+        self._steps.joined(report, now)
+        if report.accepted:
+            self._reports[report.target] = (report.last, now)
+
+    def tick(self, holders: set[InstanceId], now: float) -> list[Effect]:
+        """Advance and return the effects.
+
+        :param holders: live holders of the group.
+        """
+        effects = self._advance(holders, now)
+        return effects + self._publish()
+
+    def _advance(self, holders: set[InstanceId], now: float) -> list[Effect]:
+        phase = self._record.phase
+        if phase is GroupPhase.STARTED:
+            return self._watch(holders, now)
+        self._detector = None
+        self._promoted_at = now
+        if phase is GroupPhase.FORMED:
+            return self._steps.open_term(self._highest_announced_term(), now)
+        if phase is GroupPhase.SEALING:
+            return self._steps.seal_members(
+                self._addresses(), self._preference, self._live_members(now), now
+            )
+        return self._steps.promote_primary(self._addresses(), self._leases_clear(now), now)
+
+    def _watch(self, holders: set[InstanceId], now: float) -> list[Effect]:
+        record = self._record
+        if self._suspected_term == record.term:
+            return self._steps.open_term(0, now)
+        if self._detector is None:
+            self._begin_watching(now)
+        suspicion = self._detector.suspicion(holders, now)
+        if suspicion is not None and self._may_replace(suspicion, now):
+            self._suspected_term = record.term
+            suspected = PrimarySuspected(record.group, record.primary, suspicion)
+            return [suspected, *self._steps.open_term(0, now)]
+        return self._hand_over(now) + self._rejoin_members(now)
+
+    def _begin_watching(self, now: float) -> None:
+        self._detector = FailureDetector(self._record.primary, now)
+        self._switchover = None
+        self._idle_since = None
+
+    def _may_replace(self, suspicion: Suspicion, now: float) -> bool:
+        if suspicion in (Suspicion.REFUSED, Suspicion.STEPPED_DOWN):
+            return True
+        return now - self._promoted_at >= PROMOTION_COOLDOWN_SECONDS
+
+    def _hand_over(self, now: float) -> list[Effect]:
+        primary = self._around.targets.get(self._record.primary)
+        if primary is not None and primary.leaving and self._has_successor(now):
+            self.request_switchover(None, now)
+        if self._switchover is None:
+            return []
+        self._note_idle(now)
+        caught_up = self._idle_since is not None and self._has_caught_up()
+        state = self._switchover.tick(self._idle_since is not None, caught_up, now)
+        if state is SwitchoverState.READY:
+            return self._steps.open_term(0, now)
+        return self._poll_positions(now) if self._idle_since is not None else []
+
+    def _note_idle(self, now: float) -> None:
+        if not self._holders_idle(now):
+            self._idle_since = None
+        elif self._idle_since is None:
+            self._idle_since = now
+
+    def _poll_positions(self, now: float) -> list[Effect]:
+        if now - self._poll_at < CATCH_UP_POLL_SECONDS:
+            return []
+        self._poll_at = now
+        primary = self._around.targets.get(self._record.primary)
+        group, term = self._record.group, self._record.term
+        followers = [info for info in self._members() if info.target != primary.target]
+        effects: list[Effect] = [
+            Follow(group, info.member_address, term, primary.member_address) for info in followers
+        ]
+        return [*effects, *self.address_changed(now)]
+
+    def _rejoin_members(self, now: float) -> list[Effect]:
+        primary = self._around.targets.get(self._record.primary)
+        if primary is None:
+            return []
+        effects: list[Effect] = []
+        for info in self._members():
+            if info.term >= self._record.term or not self._may_retry_rejoin(info.target, now):
+                continue
+            group, term = self._record.group, self._record.term
+            effects.append(Follow(group, info.member_address, term, primary.member_address))
+        return effects
+
+    def address_changed(self, now: float) -> list[Effect]:
+        """Tell the primary the present addresses of the members."""
+        record = self._record
+        primary = self._around.targets.get(record.primary) if record.primary else None
+        if primary is None or record.phase is not GroupPhase.STARTED:
+            return []
+        members = tuple(info.member_address for info in self._members())
+        return [Promote(record.group, primary.member_address, record.term, members)]
+
+    def _publish(self) -> list[Effect]:
+        current = (self._record.term, self.route_state)
+        if current == self._published:
+            return []
+        self._published = current
+        return [PublishRoutes(self._record.group)]
+
+    def _members(self) -> list[TargetInfo]:
+        infos = self._around.targets.of_group(self._record.group)
+        return [info for info in infos if info.target in self._record.members]
+
+    def _addresses(self) -> dict[TargetId, MemberAddress]:
+        return {info.target: info.member_address for info in self._members()}
+
+    def _live_members(self, now: float) -> set[TargetId]:
+        targets = self._around.targets
+        return {member for member in self._record.members if targets.is_live(member, now)}
+
+    def _leases_clear(self, now: float) -> bool:
+        return self._around.ledger.is_clear(self._record.group, self._record.term, now)
+
+    def _holders_idle(self, now: float) -> bool:
+        return not self._around.ledger.held_by(self._record.group, now)
+
+    def _has_successor(self, now: float) -> bool:
+        primary = self._record.primary
+        return any(
+            info.target != primary and not info.leaving and info.target in self._live_members(now)
+            for info in self._members()
+        )
+
+    def _has_caught_up(self) -> bool:
+        """Tell whether a successor holds all that the primary held after the last work ended."""
+        primary = self._fresh_position(self._record.primary)
+        return primary is not None and any(
+            position is not None and position >= primary
+            for position in map(self._fresh_position, self._successors())
+        )
+
+    def _fresh_position(self, target: TargetId) -> LogPosition | None:
+        position, at = self._reports.get(target, (None, -math.inf))
+        return position if self._idle_since is not None and at > self._idle_since else None
+
+    def _successors(self) -> list[TargetId]:
+        wanted = self._switchover.wanted if self._switchover else None
+        return [
+            info.target
+            for info in self._members()
+            if info.target != self._record.primary
+            and not info.leaving
+            and wanted in (None, info.target)
+        ]
+
+    def _preference(self, target: TargetId) -> tuple[int, ...]:
+        info = self._around.targets.get(target)
+        switchover = self._switchover
+        wanted = switchover is not None and target == switchover.wanted
+        handing_over = switchover is not None and target == switchover.old_primary
+        leaving = info is not None and info.leaving
+        return (not handing_over, wanted, not leaving)
+
+    def _may_retry_rejoin(self, target: TargetId, now: float) -> bool:
+        last = self._rejoin_attempts.get(target)
+        if last is not None and now - last < REJOIN_RETRY_SECONDS:
+            return False
+        self._rejoin_attempts[target] = now
+        return True
+
+    def _highest_announced_term(self) -> int:
+        return max((info.term for info in self._members()), default=0)
--- /dev/null
+++ b/hibiscuspoint/core/control/holdings.py
@@ -0,0 +1,149 @@
+"""Holders of one group and their shares of the connections of its targets."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hibiscuspoint.core.control.effects import Propose, Terminate
+from hibiscuspoint.core.control.holders import choose_holders
+from hibiscuspoint.core.control.leases import CLOCK_MARGIN, LEASE_SECONDS
+from hibiscuspoint.core.control.shares import ShareLedger
+from hibiscuspoint.wire import record_pb2
+
+if TYPE_CHECKING:
+    from hibiscuspoint.core.control.effects import Effect
+    from hibiscuspoint.core.control.entries import EntryDirectory
+    from hibiscuspoint.core.control.state import GroupRecord
+    from hibiscuspoint.core.control.targets import TargetDirectory, TargetInfo
+    from hibiscuspoint.document.model import GroupModel
+    from hibiscuspoint.ids import InstanceId, TargetId
+    from hibiscuspoint.wire import peer_pb2
+
+__all__ = ["GroupHoldings"]
+
+#: Bits for the sequence of grants within one control term.
+SEQUENCE_BITS = 32
+
+#: Seconds after which a proposal or a termination is tried again.
+RETRY_SECONDS = 1.0
+
+
+class GroupHoldings:
+    """Decides which entries hold connections of a group, and how many each.
+
+    An entry is written to the control log before its first share is granted, so that a later
+    leader knows whose connections may still be open.
+
+    :param rules: the group in the document.
+    :param control_term: term of the control group; orders the sequences of grants.
+    :param since: time at which this instance became leader, in seconds.
+    """
+
+    def __init__(
+        self,
+        record: GroupRecord,
+        rules: GroupModel,
+        targets: TargetDirectory,
+        control_term: int,
+        since: float,
+    ) -> None:
+        self._record = record
+        self._rules = rules
+        self._targets = targets
+        self._first_sequence = control_term << SEQUENCE_BITS
+        self._leases_known_from = since + LEASE_SECONDS * (1 + CLOCK_MARGIN)
+        self._earlier = record.holders
+        self._holders: list[InstanceId] = []
+        self._ledgers: dict[TargetId, ShareLedger] = {}
+        self._proposed_at = -RETRY_SECONDS
+        self._terminated_at: dict[tuple[TargetId, InstanceId], float] = {}
+
+    @property
+    def holders(self) -> list[InstanceId]:
+        """Return the present holders, preferred first."""
+        return self._holders
+
+    def set_rules(self, rules: GroupModel) -> None:
+        """Take the rules of a new document over."""
+        self._rules = rules
+
+    def share(self, target: TargetId, instance: InstanceId) -> tuple[int, int]:
+        """Return the granted connections and the sequence of the grant."""
+        ledger = self._ledgers.get(target)
+        return ledger.granted(instance) if ledger is not None else (0, 0)
+
+    def charged(self, target: TargetId) -> int:
+        """Return the connections that all instances may have open at a target."""
+        ledger = self._ledgers.get(target)
+        return ledger.charged if ledger is not None else 0
+
+    def reported(self, instance: InstanceId, share: peer_pb2.ShareUse) -> None:
+        """Take the report of an entry about its share of a target."""
+        ledger = self._ledgers.get(share.target)
+        if ledger is not None:
+            ledger.reported(instance, share.allowance, share.open_connections, share.sequence)
+
+    def terminated(self, target: TargetId, instance: InstanceId) -> None:
+        """Take the confirmation that a target closed the connections of an instance."""
+        ledger = self._ledgers.get(target)
+        if ledger is not None:
+            ledger.terminated(instance)
+
+    def tick(self, entries: EntryDirectory, now: float) -> list[Effect]:
+        """Choose holders, divide connections and return the effects."""
+        members = self._members()
+        self._choose(entries, members, now)
+        effects: list[Effect] = []
+        for info in members:
+            effects += self._tick_target(info, entries, now)
+        return effects + self._record_holders(now)
+
+    def _choose(self, entries: EntryDirectory, members: list[TargetInfo], now: float) -> None:
+        zones = {info.availability_zone for info in members}
+        serving = entries.serving(now)
+        self._holders = choose_holders(self._record.group, serving, zones, self._rules.holders)
+
+    def _tick_target(self, info: TargetInfo, entries: EntryDirectory, now: float) -> list[Effect]:
+        ledger = self._ledger_of(info)
+        ledger.rebalance([holder for holder in self._holders if holder in self._record.holders])
+        effects: list[Effect] = []
+        for instance in ledger.instances:
+            if not self._is_lost(instance, entries, now):
+                continue
+            key = (info.target, instance)
+            if now - self._terminated_at.get(key, -RETRY_SECONDS) < RETRY_SECONDS:
+                continue
+            self._terminated_at[key] = now
+            entry = entries.get(instance)
+            incarnation = entry.incarnation if entry is not None else 0
+            effects.append(Terminate(info.target, info.address, instance, incarnation))
+        return effects
+
+    def _is_lost(self, instance: InstanceId, entries: EntryDirectory, now: float) -> bool:
+        if now < self._leases_known_from:
+            return False
+        return entries.leases_ended(instance, now)
+
+    def _ledger_of(self, info: TargetInfo) -> ShareLedger:
+        limit = min(info.max_connections, self._rules.connections or info.max_connections)
+        ledger = self._ledgers.get(info.target)
+        if ledger is None:
+            ledger = ShareLedger(limit, self._first_sequence, self._earlier)
+            self._ledgers[info.target] = ledger
+        ledger.set_limit(limit)
+        return ledger
+
+    def _record_holders(self, now: float) -> list[Effect]:
+        charged = {i for ledger in self._ledgers.values() for i in ledger.instances}
+        wanted = set(self._holders) | (charged & set(self._record.holders))
+        if len(self._ledgers) < len(self._record.members):
+            wanted |= set(self._record.holders)
+        if wanted == set(self._record.holders) or now - self._proposed_at < RETRY_SECONDS:
+            return []
+        self._proposed_at = now
+        body = record_pb2.SetHolders(group=self._record.group, instances=sorted(wanted))
+        return [Propose(record_pb2.Command(set_holders=body))]
+
+    def _members(self) -> list[TargetInfo]:
+        infos = self._targets.of_group(self._record.group)
+        return [info for info in infos if info.target in self._record.members]
--- /dev/null
+++ b/hibiscuspoint/core/control/leader.py
@@ -0,0 +1,213 @@
+"""The decisions of the control leader over all groups, entries and targets."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hibiscuspoint.core.control.effects import Propose, PublishHolders
+from hibiscuspoint.core.control.entries import EntryDirectory, EntryInfo
+from hibiscuspoint.core.control.group import GroupController
+from hibiscuspoint.core.control.holdings import GroupHoldings
+from hibiscuspoint.core.control.leases import LeaseLedger
+from hibiscuspoint.core.control.targets import TargetDirectory, TargetInfo
+from hibiscuspoint.core.control.updates import UpdateBuilder
+from hibiscuspoint.ids import GroupId, InstanceId, TargetId, Term
+from hibiscuspoint.wire import record_pb2
+
+if TYPE_CHECKING:
+    from hibiscuspoint.core.control.effects import Effect
+    from hibiscuspoint.core.control.promotion import MemberReport
+    from hibiscuspoint.core.control.state import ControlState
+    from hibiscuspoint.document import Document
+    from hibiscuspoint.wire import peer_pb2
+
+__all__ = ["ControlLeader"]
+
+#: Seconds after which a proposal that did not take effect is made again.
+PROPOSAL_RETRY_SECONDS = 1.0
+
+
+class ControlLeader:
+    """Soft state of one leadership; a new leader starts with an empty one.
+
+    :param instance: this instance.
+    :param control_term: term of the control group in which this instance leads.
+    :param state: replicated state.
+    :param now: monotonic time in seconds.
+    """
+
+    def __init__(
+        self, instance: InstanceId, control_term: int, state: ControlState, now: float
+    ) -> None:
+        self._state = state
+        self._control_term = control_term
+        self._targets = TargetDirectory()
+        self._entries = EntryDirectory()
+        self._ledger = LeaseLedger(now)
+        self._since = now
+        self._groups: dict[GroupId, GroupController] = {}
+        self._holdings: dict[GroupId, GroupHoldings] = {}
+        self._document: Document | None = None
+        self._forming: dict[GroupId, float] = {}
+        self._updates = UpdateBuilder(instance, control_term, state, self._targets, self._ledger)
+
+    @property
+    def entries(self) -> EntryDirectory:
+        """Return the entries that report."""
+        return self._entries
+
+    @property
+    def targets(self) -> TargetDirectory:
+        """Return the targets that announce themselves."""
+        return self._targets
+
+    @property
+    def groups(self) -> dict[GroupId, GroupController]:
+        """Return the controllers of the formed groups."""
+        return self._groups
+
+    @property
+    def holdings(self) -> dict[GroupId, GroupHoldings]:
+        """Return the holders and shares of the formed groups."""
+        return self._holdings
+
+    def set_document(self, document: Document) -> None:
+        """Take the document in force over."""
+        self._document = document
+        for group, rules in document.groups.items():
+            if group in self._holdings:
+                self._holdings[group].set_rules(rules)
+
+    def announced(self, message: peer_pb2.Announcement, now: float) -> list[Effect]:
+        """Take an announcement of a target."""
+        info = TargetInfo.from_message(message, now)
+        previous = self._targets.record(info)
+        controller = self._groups.get(info.group)
+        if controller is None:
+            return []
+        controller.announced(info, now)
+        effects: list[Effect] = []
+        if previous is not None and previous.address != info.address:
+            effects += controller.address_changed(now)
+        return effects + self._tick_group(controller, now)
+
+    def reported(self, message: peer_pb2.EntryReport, now: float) -> list[Effect]:
+        """Take a report of an entry."""
+        info = EntryInfo.from_message(message, now)
+        self._entries.record(info)
+        for released in message.released:
+            self._ledger.release(GroupId(released.group), info.instance, Term(released.term))
+        for share in message.shares:
+            self._share_reported(info.instance, share)
+        for observation in message.observations:
+            self._observed(info.instance, observation, now)
+        touched = {GroupId(released.group) for released in message.released}
+        effects: list[Effect] = []
+        for group in touched & self._groups.keys():
+            effects += self._tick_group(self._groups[group], now)
+        return effects
+
+    def sealed(self, group: GroupId, report: MemberReport, now: float) -> list[Effect]:
+        """Take the answer of a member to a seal."""
+        controller = self._groups[group]
+        controller.sealed(report, now)
+        return self._tick_group(controller, now)
+
+    def joined(self, group: GroupId, report: MemberReport, now: float) -> list[Effect]:
+        """Take the answer of a member to a promotion or to following."""
+        controller = self._groups[group]
+        controller.joined(report, now)
+        return self._tick_group(controller, now)
+
+    def terminated(self, target: TargetId, instance: InstanceId) -> None:
+        """Take the confirmation that a target closed the connections of an instance."""
+        for holdings in self._holdings.values():
+            holdings.terminated(target, instance)
+
+    def request_switchover(self, group: GroupId, wanted: TargetId | None, now: float) -> bool:
+        """Start a switchover; returns false when the group cannot change its primary now."""
+        controller = self._groups.get(group)
+        return controller is not None and controller.request_switchover(wanted, now)
+
+    def tick(self, now: float) -> list[Effect]:
+        """Advance all groups and return the effects."""
+        self._entries.forget_silent(now)
+        effects = self._form_groups(now)
+        for group in self._state.groups:
+            self._adopt(group, now)
+        for controller in self._groups.values():
+            effects += self._tick_group(controller, now)
+        for holdings in self._holdings.values():
+            effects += holdings.tick(self._entries, now)
+        if self._updates.refresh_holders(self._holdings, self._entries.serving(now)):
+            effects.append(PublishHolders())
+        return effects
+
+    def tick_group(self, group: GroupId, now: float) -> list[Effect]:
+        """Advance one group, after a command about it was applied."""
+        if group not in self._state.groups:
+            return []
+        self._adopt(group, now)
+        return self._tick_group(self._groups[group], now)
+
+    def update_for(self, instance: InstanceId, now: float) -> peer_pb2.ControlUpdate:
+        """Return the update for an entry; leases in it are recorded as granted."""
+        entry = self._entries.get(instance)
+        return self._updates.build(entry, self._groups, self._holdings, now)
+
+    def holders(self, group: GroupId) -> list[InstanceId]:
+        """Return the holders of a group."""
+        holdings = self._holdings.get(group)
+        return holdings.holders if holdings is not None else []
+
+    def _tick_group(self, controller: GroupController, now: float) -> list[Effect]:
+        holders = set(self.holders(controller.record.group))
+        live = {entry.instance for entry in self._entries.live(now)}
+        return controller.tick(holders & live, now)
+
+    def _adopt(self, group: GroupId, now: float) -> None:
+        rules = self._document.groups.get(group) if self._document else None
+        if group in self._groups or rules is None:
+            return
+        record = self._state.groups[group]
+        self._groups[group] = GroupController(
+            record, rules.quorum, self._targets, self._ledger, now
+        )
+        self._holdings[group] = GroupHoldings(
+            record, rules, self._targets, self._control_term, self._since
+        )
+
+    def _form_groups(self, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        for name, rules in (self._document.groups if self._document else {}).items():
+            group = GroupId(name)
+            announced = self._targets.of_group(group)
+            if group in self._state.groups or len(announced) < rules.members:
+                continue
+            if now - self._forming.get(group, -PROPOSAL_RETRY_SECONDS) < PROPOSAL_RETRY_SECONDS:
+                continue
+            self._forming[group] = now
+            members = [info.target for info in announced[: rules.members]]
+            body = record_pb2.FormGroup(group=group, members=members)
+            effects.append(Propose(record_pb2.Command(form_group=body)))
+        return effects
+
+    def _share_reported(self, instance: InstanceId, share: peer_pb2.ShareUse) -> None:
+        for holdings in self._holdings.values():
+            holdings.reported(instance, share)
+
+    def _observed(
+        self, instance: InstanceId, observation: peer_pb2.TargetObservation, now: float
+    ) -> None:
+        info = self._targets.get(TargetId(observation.target))
+        controller = self._groups.get(info.group) if info is not None else None
+        if controller is None:
+            return
+        controller.observed(
+            instance,
+            info.target,
+            observation.successes,
+            observation.refusals,
+            observation.timeouts,
+            now,
+        )
--- /dev/null
+++ b/hibiscuspoint/core/control/leases.py
@@ -0,0 +1,59 @@
+"""Route leases that the control leader granted to entries."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from hibiscuspoint.ids import GroupId, InstanceId, Term
+
+__all__ = ["CLOCK_MARGIN", "LEASE_SECONDS", "LeaseLedger"]
+
+#: Duration of a route lease in seconds. Longer than an election of the control group, so that the
+#: loss of the control leader does not interrupt writes.
+LEASE_SECONDS = 2.5
+
+#: Greatest relative difference of the rates of two monotonic clocks.
+CLOCK_MARGIN = 0.02
+
+
+@dataclass(frozen=True)
+class _Grant:
+    term: Term
+    until: float
+
+
+class LeaseLedger:
+    """Knows until when entries may use a primary of an old term.
+
+    :param leader_since: time at which this instance became leader. The previous leader may have
+        granted leases until then.
+    """
+
+    def __init__(self, leader_since: float) -> None:
+        self._unknown_until = leader_since + LEASE_SECONDS * (1 + CLOCK_MARGIN)
+        self._grants: dict[GroupId, dict[InstanceId, _Grant]] = {}
+
+    def grant(self, group: GroupId, instance: InstanceId, term: Term, now: float) -> None:
+        """Record a lease that is about to be sent."""
+        until = now + LEASE_SECONDS * (1 + CLOCK_MARGIN)
+        self._grants.setdefault(group, {})[instance] = _Grant(term, until)
+
+    def release(self, group: GroupId, instance: InstanceId, term: Term) -> None:
+        """Record that an entry handed back its lease of a term."""
+        grant = self._grants.get(group, {}).get(instance)
+        if grant is not None and grant.term <= term:
+            del self._grants[group][instance]
+
+    def is_clear(self, group: GroupId, term: Term, now: float) -> bool:
+        """Tell whether no entry can still use a primary of a term before ``term``."""
+        if now < self._unknown_until:
+            return False
+        grants = self._grants.get(group, {}).values()
+        return all(grant.term >= term or grant.until < now for grant in grants)
+
+    def held_by(self, group: GroupId, now: float) -> set[InstanceId]:
+        """Return the entries that may hold a lease of the group."""
+        grants = self._grants.get(group, {})
+        return {instance for instance, grant in grants.items() if grant.until >= now}
--- /dev/null
+++ b/hibiscuspoint/core/control/shares.py
@@ -0,0 +1,106 @@
+"""Division of the connections of a target among holders."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from hibiscuspoint.ids import InstanceId
+
+__all__ = ["ShareLedger"]
+
+
+@dataclass
+class _Charge:
+    """What an instance may have open, counted against the limit.
+
+    ``granted`` is the last share sent, with ``sequence``. ``charged`` is the largest share that
+    the instance may still act on.
+    """
+
+    granted: int = 0
+    sequence: int = 0
+    charged: int = 0
+
+
+class ShareLedger:
+    """Divides the connections of one target so that the sum never exceeds the limit.
+
+    A smaller share frees connections only when the instance reports that it acts on it. The share
+    of a lost instance stays charged until the target confirmed that its connections are closed.
+
+    :param limit: connections that the target accepts.
+    :param first_sequence: lower bound of the sequence of grants; higher than all sequences of
+        earlier leaders.
+    :param earlier: instances that earlier leaders may have granted a share. Each counts with the
+        whole limit until it reports or its connections are closed.
+    """
+
+    def __init__(
+        self, limit: int, first_sequence: int = 0, earlier: tuple[InstanceId, ...] = ()
+    ) -> None:
+        self._limit = limit
+        self._sequence = first_sequence
+        self._charges = {instance: _Charge(charged=limit) for instance in earlier}
+
+    @property
+    def charged(self) -> int:
+        """Return the connections that all instances together may have open."""
+        return sum(charge.charged for charge in self._charges.values())
+
+    @property
+    def instances(self) -> list[InstanceId]:
+        """Return the instances that may have connections."""
+        return list(self._charges)
+
+    def set_limit(self, limit: int) -> None:
+        """Change the limit; shares shrink with the next grants."""
+        self._limit = limit
+
+    def granted(self, instance: InstanceId) -> tuple[int, int]:
+        """Return the share of an instance and the sequence of its grant."""
+        charge = self._charges.get(instance, _Charge())
+        return charge.granted, charge.sequence
+
+    def reported(
+        self, instance: InstanceId, allowance: int, open_connections: int, sequence: int
+    ) -> None:
+        """Take the report of an instance about the share it acts on."""
+        charge = self._charges.setdefault(instance, _Charge())
+        in_use = max(allowance, open_connections)
+        if sequence >= charge.sequence:
+            charge.charged = max(in_use, charge.granted)
+        else:
+            charge.charged = max(charge.charged, in_use)
+        if charge.charged == 0 and charge.granted == 0:
+            del self._charges[instance]
+
+    def terminated(self, instance: InstanceId) -> None:
+        """Free the share of an instance whose connections the target closed."""
+        self._charges.pop(instance, None)
+
+    def rebalance(self, holders: list[InstanceId]) -> None:
+        """Grant each holder its part, as far as connections are free."""
+        wanted = self._wanted(holders)
+        for instance, charge in self._charges.items():
+            if charge.granted > wanted.get(instance, 0):
+                self._grant(charge, wanted.get(instance, 0))
+        for instance, part in wanted.items():
+            charge = self._charges.setdefault(instance, _Charge())
+            free = self._limit - self.charged
+            reachable = min(part, charge.charged + max(free, 0))
+            if reachable > charge.granted:
+                self._grant(charge, reachable)
+                charge.charged = max(charge.charged, reachable)
+
+    def _wanted(self, holders: list[InstanceId]) -> dict[InstanceId, int]:
+        if not holders:
+            return {}
+        base, rest = divmod(self._limit, len(holders))
+        return {holder: base + (place < rest) for place, holder in enumerate(holders)}
+
+    def _grant(self, charge: _Charge, connections: int) -> None:
+        self._sequence += 1
+        charge.granted = connections
+        charge.sequence = self._sequence
--- /dev/null
+++ b/hibiscuspoint/core/control/targets.py
@@ -0,0 +1,86 @@
+"""Targets as they announce themselves."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from hibiscuspoint.core.control.effects import MemberAddress
+from hibiscuspoint.core.position import LogPosition
+from hibiscuspoint.ids import AvailabilityZone, GroupId, TargetId, Term
+
+if TYPE_CHECKING:
+    from hibiscuspoint.wire import peer_pb2
+
+__all__ = ["TargetDirectory", "TargetInfo"]
+
+#: Seconds after which a silent target is not counted as live.
+TARGET_LIVE_SECONDS = 1.0
+
+
+@dataclass(frozen=True)
+class TargetInfo:
+    """The last announcement of a target; ``seen_at`` is monotonic time in seconds."""
+
+    target: TargetId
+    group: GroupId
+    availability_zone: AvailabilityZone
+    address: str
+    term: Term
+    is_primary: bool
+    received: LogPosition
+    applied: int
+    slots: int
+    max_connections: int
+    leaving: bool
+    seen_at: float
+
+    @property
+    def member_address(self) -> MemberAddress:
+        """Return where the target listens."""
+        return MemberAddress(self.target, self.address)
+
+    @classmethod
+    def from_message(cls, message: peer_pb2.Announcement, now: float) -> TargetInfo:
+        """Return the content of an announcement that arrived at ``now``."""
+        return cls(
+            target=TargetId(message.target),
+            group=GroupId(message.group),
+            availability_zone=AvailabilityZone(message.availability_zone),
+            address=message.address,
+            term=Term(message.term),
+            is_primary=message.primary,
+            received=LogPosition(Term(message.received.term), message.received.index),
+            applied=message.applied,
+            slots=message.slots,
+            max_connections=message.max_connections,
+            leaving=message.leaving,
+            seen_at=now,
+        )
+
+
+class TargetDirectory:
+    """Soft state about all targets, rebuilt from announcements."""
+
+    def __init__(self) -> None:
+        self._targets: dict[TargetId, TargetInfo] = {}
+
+    def record(self, info: TargetInfo) -> TargetInfo | None:
+        """Keep an announcement and return the one before it."""
+        previous = self._targets.get(info.target)
+        self._targets[info.target] = info
+        return previous
+
+    def get(self, target: TargetId) -> TargetInfo | None:
+        """Return the last announcement of a target."""
+        return self._targets.get(target)
+
+    def of_group(self, group: GroupId) -> list[TargetInfo]:
+        """Return the targets that announced themselves for a group, ordered by id."""
+        infos = (info for info in self._targets.values() if info.group == group)
+        return sorted(infos, key=lambda info: info.target)
+
+    def is_live(self, target: TargetId, now: float) -> bool:
+        """Tell whether a target announced itself recently."""
+        info = self._targets.get(target)
+        return info is not None and now - info.seen_at < TARGET_LIVE_SECONDS
--- /dev/null
+++ b/hibiscuspoint/core/control/updates.py
@@ -0,0 +1,185 @@
+"""Updates that the control leader sends to entries."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from hibiscuspoint.core.control.group import RouteState
+from hibiscuspoint.core.control.leases import LEASE_SECONDS
+from hibiscuspoint.core.control.state import GroupPhase
+from hibiscuspoint.wire import peer_pb2
+
+if TYPE_CHECKING:
+    from hibiscuspoint.core.control.entries import EntryInfo
+    from hibiscuspoint.core.control.group import GroupController
+    from hibiscuspoint.core.control.holdings import GroupHoldings
+    from hibiscuspoint.core.control.leases import LeaseLedger
+    from hibiscuspoint.core.control.state import ControlState, GroupRecord
+    from hibiscuspoint.core.control.targets import TargetDirectory
+    from hibiscuspoint.ids import GroupId, InstanceId
+
+__all__ = ["UpdateBuilder"]
+
+MILLISECONDS = 1000
+
+
+class UpdateBuilder:
+    """Builds the update of one entry; an update carries only what concerns that entry."""
+
+    def __init__(
+        self,
+        instance: InstanceId,
+        control_term: int,
+        state: ControlState,
+        targets: TargetDirectory,
+        ledger: LeaseLedger,
+    ) -> None:
+        self._instance = instance
+        self._control_term = control_term
+        self._state = state
+        self._targets = targets
+        self._ledger = ledger
+        self._holders: list[peer_pb2.GroupHolders] = []
+        self._holders_version = 0
+
+    def refresh_holders(
+        self, holdings: dict[GroupId, GroupHoldings], serving: list[EntryInfo]
+    ) -> bool:
+        """Compute the holder lists that all entries receive; returns whether they changed.
+
+        :param serving: live entries that are not draining.
+        """
+        addresses = {entry.instance: entry.address for entry in serving}
+        self._holders = [
+            _holders_message(group, holding.holders, addresses)
+            for group, holding in holdings.items()
+        ]
+        serialized = b"".join(
+            message.SerializeToString(deterministic=True) for message in self._holders
+        )
+        previous = self._holders_version
+        self._holders_version = xxhash.xxh64_intdigest(serialized)
+        return self._holders_version != previous
+
+    def build(
+        self,
+        entry: EntryInfo,
+        groups: dict[GroupId, GroupController],
+        holdings: dict[GroupId, GroupHoldings],
+        now: float,
+    ) -> peer_pb2.ControlUpdate:
+        """Return the update for an entry and record the leases in it as granted."""
+        update = peer_pb2.ControlUpdate(
+            control_term=self._control_term,
+            leader=self._instance,
+            holders_version=self._holders_version,
+        )
+        self._add_document(update, entry)
+        if entry.holders_version != self._holders_version:
+            update.holders.extend(self._holders)
+        for group, holding in holdings.items():
+            if self._concerns(group, holding, entry, now):
+                self._add_route(update, groups[group], holding, entry, now)
+                self._add_shares(update, groups[group].record, holding, entry)
+        return update
+
+    def _concerns(
+        self, group: GroupId, holding: GroupHoldings, entry: EntryInfo, now: float
+    ) -> bool:
+        if entry.instance in holding.holders or entry.instance in self._ledger.held_by(group, now):
+            return True
+        record = self._state.groups[group]
+        return entry.instance in record.holders
+
+    def _add_document(self, update: peer_pb2.ControlUpdate, entry: EntryInfo) -> None:
+        document = self._state.document
+        if document is None:
+            return
+        update.document_number = document.number
+        update.document_digest = document.digest
+        if entry.document_number < document.number:
+            update.document = document.text
+
+    def _add_route(
+        self,
+        update: peer_pb2.ControlUpdate,
+        controller: GroupController,
+        holding: GroupHoldings,
+        entry: EntryInfo,
+        now: float,
+    ) -> None:
+        record = controller.record
+        if record.primary is None or record.phase is not GroupPhase.STARTED:
+            return
+        state = controller.route_state
+        is_holder = entry.instance in holding.holders
+        route = peer_pb2.Route(
+            group=record.group,
+            term=record.term,
+            primary=record.primary,
+            ack_quorum=controller.ack_quorum,
+            paused=state is RouteState.PAUSED or not is_holder,
+        )
+        if self._may_use_primary(state, is_holder, record.group, entry, now):
+            route.lease_ms = int(LEASE_SECONDS * MILLISECONDS)
+            self._ledger.grant(record.group, entry.instance, record.term, now)
+        self._add_members(route, record)
+        for term, start in record.starts:
+            route.history.append(peer_pb2.TermStart(term=term, start=start))
+        update.routes.append(route)
+
+    def _may_use_primary(
+        self, state: RouteState, is_holder: bool, group: GroupId, entry: EntryInfo, now: float
+    ) -> bool:
+        """Tell whether an entry gets a lease; a former holder keeps it until it hands it back."""
+        if state is RouteState.REVOKED:
+            return False
+        if state is RouteState.GRANTED and is_holder:
+            return True
+        return entry.instance in self._ledger.held_by(group, now)
+
+    def _add_members(self, route: peer_pb2.Route, record: GroupRecord) -> None:
+        for member in record.members:
+            info = self._targets.get(member)
+            if info is not None:
+                route.members.append(
+                    peer_pb2.RouteMember(
+                        target=info.target,
+                        address=info.address,
+                        availability_zone=info.availability_zone,
+                        slots=info.slots,
+                        leaving=info.leaving,
+                    )
+                )
+
+    def _add_shares(
+        self,
+        update: peer_pb2.ControlUpdate,
+        record: GroupRecord,
+        holding: GroupHoldings,
+        entry: EntryInfo,
+    ) -> None:
+        for member in record.members:
+            connections, sequence = holding.share(member, entry.instance)
+            if sequence:
+                update.shares.append(
+                    peer_pb2.ShareGrant(
+                        target=member,
+                        connections=connections,
+                        lease_ms=int(LEASE_SECONDS * MILLISECONDS),
+                        sequence=sequence,
+                    )
+                )
+
+
+def _holders_message(
+    group: GroupId, holders: list[InstanceId], addresses: dict[InstanceId, str]
+) -> peer_pb2.GroupHolders:
+    listed = [
+        peer_pb2.Holder(instance=instance, address=addresses[instance])
+        for instance in holders
+        if instance in addresses
+    ]
+    return peer_pb2.GroupHolders(group=group, holders=listed)
