--- a/hibiscuspoint/core/entry/admission.py
+++ b/hibiscuspoint/core/entry/admission.py
@@ -17,6 +17,9 @@
 _MEAN_GAIN = 1 / 8
 _DEVIATION_GAIN = 1 / 4
 _DEVIATION_FACTOR = 2
+# Refusals on an idle group after which one request runs in spite of the estimate. Without it, an
+# estimate that a slow period raised above the deadlines would never be measured again.
+_REFUSALS_BEFORE_PROBE = 8
 
 
 @dataclass(frozen=True, slots=True, eq=False)
@@ -57,6 +60,7 @@
         self._dropped: list[QueuedRequest] = []
         self._mean: float | None = None
         self._deviation = 0.0
+        self._refusals = 0
 
     @property
     def running(self) -> int:
@@ -91,9 +95,8 @@
         """
         queue = self._queues.get(request.caller)
         depth = len(queue) if queue else 0
-        if now + self._wait_behind(self._ahead(request.caller, depth)) + self._cost > (
-            request.deadline
-        ):
+        starts_at = now + self._wait_behind(self._ahead(request.caller, depth))
+        if not self._can_finish(starts_at, request.deadline):
             raise OverloadError("The request cannot finish before its deadline.")
         if self._length >= self._max_length:
             self._make_room(request.caller, depth)
@@ -109,7 +112,7 @@
             return None
         while self._queues:
             request = self._pop_in_turn()
-            if now + self._cost <= request.deadline:
+            if self._can_finish(now, request.deadline):
                 self._running += 1
                 return request
             self._dropped.append(request)
@@ -146,6 +149,7 @@
         self._running -= 1
         if service_time is None:
             return
+        self._refusals = 0
         if self._mean is None:
             self._mean = service_time
             return
@@ -170,6 +174,14 @@
         """Time in seconds within which nearly all requests finish once they run."""
         return self.service_time + _DEVIATION_FACTOR * self._deviation
 
+    def _can_finish(self, starts_at: float, deadline: float) -> bool:
+        """Tell whether a request that starts then should run."""
+        if starts_at + self._cost <= deadline:
+            return True
+        self._refusals += 1
+        is_probe = self._running == 0 and self._refusals > _REFUSALS_BEFORE_PROBE
+        return is_probe and starts_at < deadline
+
     def _ahead(self, caller: CallerId, depth: int) -> int:
         """Return how many requests have their turn before the next one of a caller."""
         if depth == 0:
--- /dev/null
+++ b/hibiscuspoint/core/entry/outcome.py
@@ -0,0 +1,87 @@
+"""Recorded outcome of a non-idempotent request (design D8)."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from google.protobuf.message import DecodeError
+
+from hibiscuspoint.errors import IdempotencyConflictError
+from hibiscuspoint.verdict import Verdict
+from hibiscuspoint.wire import common_pb2
+from hibiscuspoint.wire.outcome_pb2 import OutcomeContent
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+__all__ = ["MAX_OUTCOME_BYTES", "Outcome"]
+
+#: Greatest size of a recorded outcome; larger ones are recorded without rows.
+MAX_OUTCOME_BYTES = 16 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """The results of a request that ran.
+
+    :param without_rows: true when the rows and columns were too large to be recorded. The counts
+        and digests still describe the complete results.
+    """
+
+    results: tuple[common_pb2.ResultSet, ...]
+    without_rows: bool = False
+
+    @property
+    def verdict(self) -> Verdict:
+        """Return the verdict of a replay: the request ran, with or without recorded rows."""
+        return Verdict.DONE
+
+    @property
+    def note(self) -> str:
+        """Return what a replay tells its caller; empty when the results are complete."""
+        if not self.without_rows:
+            return ""
+        return (
+            "The request ran before; its results were larger than "
+            f"{MAX_OUTCOME_BYTES} bytes, so their rows were not recorded."
+        )
+
+    @classmethod
+    def of(cls, results: Sequence[common_pb2.ResultSet]) -> Outcome:
+        """Return the outcome to record: without rows when it would be too large."""
+        complete = cls(tuple(results))
+        if complete._content().ByteSize() <= MAX_OUTCOME_BYTES:
+            return complete
+        return cls(tuple(_without_rows(result) for result in results), without_rows=True)
+
+    @classmethod
+    def decode(cls, encoded: bytes) -> Outcome:
+        """Return a recorded outcome.
+
+        :raises IdempotencyConflictError: the record is damaged; the request may have run.
+        """
+        try:
+            content = OutcomeContent.FromString(encoded)
+        except DecodeError:
+            raise IdempotencyConflictError(
+                "The recorded outcome of the request id is damaged.",
+                hint="Check the outcome in the database.",
+                verdict=Verdict.MAY_HAVE_RUN,
+            ) from None
+        return cls(tuple(content.results), content.without_rows)
+
+    def encode(self) -> bytes:
+        """Return the bytes to record."""
+        return self._content().SerializeToString()
+
+    def _content(self) -> OutcomeContent:
+        return OutcomeContent(results=self.results, without_rows=self.without_rows)
+
+
+def _without_rows(result: common_pb2.ResultSet) -> common_pb2.ResultSet:
+    return common_pb2.ResultSet(
+        row_count=result.row_count,
+        affected_rows=result.affected_rows,
+        digest=result.digest,
+    )
