--- /dev/null
+++ b/hibiscuspoint/telemetry/catalogue.py
@@ -0,0 +1,222 @@
+"""The catalogue of log events; numbers are grouped by hundreds and never reused."""
+
+from __future__ import annotations
+
+from logging import DEBUG, ERROR, INFO, WARNING
+
+from hibiscuspoint.telemetry.events import define_event
+
+# 100: process
+DAEMON_STARTED = define_event(
+    101, "daemon-started", INFO, "The daemon started.", "version", "address", "roles"
+)
+DAEMON_STOPPED = define_event(
+    102, "daemon-stopped", INFO, "The daemon stopped with status {status}.", "status"
+)
+SETTINGS_REFUSED = define_event(
+    103, "settings-refused", ERROR, "The settings are not valid: {reason}", "reason"
+)
+PLAIN_TEXT_IN_USE = define_event(
+    104, "plain-text-in-use", WARNING, "Connections are not encrypted on {address}.", "address"
+)
+CERTIFICATE_RELOADED = define_event(
+    105, "certificate-reloaded", INFO, "The certificate files were read again."
+)
+CERTIFICATE_REFUSED = define_event(
+    106,
+    "certificate-refused",
+    ERROR,
+    "The changed certificate files are not valid; the previous ones stay in use: {reason}",
+    "reason",
+)
+READINESS_CHANGED = define_event(
+    107, "readiness-changed", INFO, "Readiness is now {ready}: {reason}", "ready", "reason"
+)
+DRAIN_STARTED = define_event(
+    110, "drain-started", INFO, "{subject} started to drain.", "subject", "open_requests"
+)
+DRAIN_FINISHED = define_event(
+    111, "drain-finished", INFO, "{subject} finished draining.", "subject", "interrupted"
+)
+
+# 200: control group and documents
+LEADERSHIP_GAINED = define_event(
+    201, "leadership-gained", INFO, "This instance leads control term {term}.", "term"
+)
+LEADERSHIP_LOST = define_event(
+    202,
+    "leadership-lost",
+    WARNING,
+    "This instance no longer leads control term {term}: {reason}",
+    "term",
+    "reason",
+)
+DOCUMENT_ACCEPTED = define_event(
+    210, "document-accepted", INFO, "Document {document} was accepted.", "document", "digest"
+)
+DOCUMENT_IN_FORCE = define_event(
+    211, "document-in-force", INFO, "Document {document} is in force.", "document", "digest"
+)
+DOCUMENT_REFUSED = define_event(
+    212,
+    "document-refused",
+    WARNING,
+    "Document {document} was refused with {code}.",
+    "document",
+    "digest",
+    "code",
+)
+DISK_LOST = define_event(
+    220, "disk-lost", ERROR, "The control log on disk {disk} is lost: {reason}", "disk", "reason"
+)
+DISK_TAIL_TRUNCATED = define_event(
+    221,
+    "disk-tail-truncated",
+    WARNING,
+    "A torn record at the end of the control log was removed.",
+    "disk",
+    "bytes_removed",
+)
+REPAIR_STARTED = define_event(
+    230, "repair-started", INFO, "Repair of {subject} started.", "subject"
+)
+REPAIR_LEARNER_ADDED = define_event(
+    231, "repair-learner-added", INFO, "{subject} joined as a learner.", "subject", "disk"
+)
+REPAIR_CAUGHT_UP = define_event(
+    232, "repair-caught-up", INFO, "{subject} caught up to {index}.", "subject", "index"
+)
+REPAIR_VOTERS_CHANGED = define_event(
+    233, "repair-voters-changed", INFO, "The voters are now {voters}.", "voters"
+)
+REPAIR_FINISHED = define_event(
+    234, "repair-finished", INFO, "Repair of {subject} finished.", "subject"
+)
+
+# 300: groups and promotion
+GROUP_FORMED = define_event(
+    301, "group-formed", INFO, "Group {group} formed.", "group", "members", "primary"
+)
+PRIMARY_SUSPECTED = define_event(
+    310,
+    "primary-suspected",
+    WARNING,
+    "Primary {target} of group {group} is suspected: {reason}",
+    "group",
+    "target",
+    "term",
+    "reason",
+)
+TERM_OPENED = define_event(
+    311, "term-opened", INFO, "Term {term} of group {group} was opened.", "group", "term"
+)
+MEMBER_SEALED = define_event(
+    312,
+    "member-sealed",
+    INFO,
+    "{target} of group {group} is sealed at term {term}.",
+    "group",
+    "target",
+    "term",
+    "position",
+)
+PRIMARY_CHOSEN = define_event(
+    313,
+    "primary-chosen",
+    INFO,
+    "{target} was chosen as primary of group {group} in term {term}.",
+    "group",
+    "target",
+    "term",
+    "position",
+)
+PRIMARY_PROMOTED = define_event(
+    314,
+    "primary-promoted",
+    INFO,
+    "{target} is primary of group {group} in term {term}.",
+    "group",
+    "target",
+    "term",
+)
+ROUTES_GRANTED = define_event(
+    315,
+    "routes-granted",
+    INFO,
+    "Routes of group {group} are granted in term {term}.",
+    "group",
+    "target",
+    "term",
+    "elapsed_ms",
+)
+SWITCHOVER_STARTED = define_event(
+    316,
+    "switchover-started",
+    INFO,
+    "A switchover of group {group} to {target} started.",
+    "group",
+    "target",
+    "term",
+)
+
+# 400: leases, holders, shares, connections
+LEASE_EXPIRED = define_event(
+    401, "lease-expired", WARNING, "The route lease of group {group} ended.", "group", "term"
+)
+HOLDER_CHANGED = define_event(
+    402, "holder-changed", INFO, "The holders of group {group} changed.", "group", "holders"
+)
+SHARE_GRANTED = define_event(
+    403,
+    "share-granted",
+    DEBUG,
+    "{subject} was granted {connections} connections to {target}.",
+    "subject",
+    "target",
+    "connections",
+)
+SHARE_TERMINATED = define_event(
+    404,
+    "share-terminated",
+    WARNING,
+    "The connections of {subject} at {target} were terminated.",
+    "subject",
+    "target",
+    "connections",
+)
+CONNECTION_OPENED = define_event(
+    410, "connection-opened", DEBUG, "A connection to {target} was opened.", "target"
+)
+CONNECTION_LOST = define_event(
+    411,
+    "connection-lost",
+    WARNING,
+    "A connection to {target} was lost: {reason}",
+    "target",
+    "reason",
+)
+CONNECTION_SILENT = define_event(
+    412,
+    "connection-silent",
+    WARNING,
+    "A connection to {target} did not answer a ping and was closed.",
+    "target",
+    "silent_ms",
+)
+
+# 500: requests
+REQUEST_REFUSED = define_event(
+    501,
+    "request-refused",
+    INFO,
+    "A request was refused with {code} and verdict {verdict}.",
+    "group",
+    "code",
+    "verdict",
+)
+TOKEN_REFUSED = define_event(
+    502, "token-refused", WARNING, "A session token was refused: {reason}", "reason"
+)
+LIMIT_REACHED = define_event(
+    503, "limit-reached", WARNING, "A caller reached the limit {limit}.", "caller", "limit"
+)
--- /dev/null
+++ b/hibiscuspoint/telemetry/metrics.py
@@ -0,0 +1,109 @@
+"""Metrics of one process."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+__all__ = ["LATENCY_BUCKETS", "Metrics"]
+
+#: Bucket bounds in seconds; read_latency_ms of a service level is exact at these values.
+LATENCY_BUCKETS = (
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0,
+)  # fmt: skip
+LAG_BUCKETS = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0)
+
+
+class Metrics:
+    """All metrics of a process, in a registry of its own."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self._define_requests()
+        self._define_reads()
+        self._define_resources()
+        self._define_control()
+
+    def _define_requests(self) -> None:
+        self.requests = self._counter(
+            "requests",
+            "Requests by outcome.",
+            "group",
+            "kind",
+            "verdict",
+            "code",
+        )
+        self.latency = self._histogram(
+            "request_seconds",
+            "Time from the arrival of a request to its reply.",
+            LATENCY_BUCKETS,
+            "group",
+            "kind",
+        )
+        self.retries = self._counter("retries", "Requests sent again by the proxy.", "group")
+        self.ack_wait = self._histogram(
+            "ack_wait_seconds",
+            "Time from the target's response until a quorum held the position.",
+            LATENCY_BUCKETS,
+            "group",
+        )
+        self.queue_length = self._gauge("queue_length", "Requests that wait.", "group")
+
+    def _define_reads(self) -> None:
+        self.reads = self._counter(
+            "reads",
+            "Answered reads by the member that served them; stated_age is true or false.",
+            "group",
+            "served_by",
+            "stated_age",
+        )
+        self.freshness = self._counter(
+            "read_freshness",
+            "Reads with a maximum age; met is false when no data within that age was found.",
+            "group",
+            "met",
+        )
+
+    def _define_resources(self) -> None:
+        self.open_connections = self._gauge(
+            "open_connections", "Open connections of this instance.", "target"
+        )
+        self.connection_share = self._gauge(
+            "connection_share", "Connections granted to this instance.", "target"
+        )
+        self.open_transactions = self._gauge(
+            "open_transactions", "Open interactive transactions.", "group"
+        )
+        self.loop_lag = self._histogram(
+            "event_loop_lag_seconds", "Delay of a timer of the event loop.", LAG_BUCKETS
+        )
+
+    def _define_control(self) -> None:
+        self.lease_expiries = self._counter(
+            "lease_expiries", "Route leases that ended without renewal.", "group"
+        )
+        self.document_number = self._gauge("document_number", "Number of the document in force.")
+        self.leader = self._gauge("leader", "1 when this instance leads control, otherwise 0.")
+        self.control_bytes_sent = self._counter(
+            "control_sent_bytes", "Bytes of control messages sent."
+        )
+        self.control_bytes_received = self._counter(
+            "control_received_bytes", "Bytes of control messages received."
+        )
+
+    def _counter(self, name: str, text: str, *labels: str) -> Counter:
+        return Counter(name, text, labels, namespace="hibiscuspoint", registry=self.registry)
+
+    def _gauge(self, name: str, text: str, *labels: str) -> Gauge:
+        return Gauge(name, text, labels, namespace="hibiscuspoint", registry=self.registry)
+
+    def _histogram(
+        self, name: str, text: str, buckets: tuple[float, ...], *labels: str
+    ) -> Histogram:
+        return Histogram(
+            name,
+            text,
+            labels,
+            namespace="hibiscuspoint",
+            registry=self.registry,
+            buckets=buckets,
+        )
