--- /dev/null
+++ b/hibiscuspoint/components/events.py
@@ -0,0 +1,113 @@
+"""Events between the components."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from circuits import Event
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+
+    from hibiscuspoint.document import Document
+    from hibiscuspoint.ids import GroupId, TargetId
+    from hibiscuspoint.wire import caller_pb2, peer_pb2
+
+__all__ = [
+    "announcement_received",
+    "command_applied",
+    "document_in_force",
+    "draining_started",
+    "execute_requested",
+    "forward_requested",
+    "leadership_gained",
+    "leadership_lost",
+    "report_due",
+    "report_received",
+    "switchover_requested",
+    "update_received",
+]
+
+# circuits names an event after its class and calls the handler of that name, so the classes
+# are written in lower case.
+
+
+class request_event(Event):  # noqa: N801
+    """An event whose handler sets an awaitable reply."""
+
+    reply: Awaitable | None = None
+
+
+class execute_requested(request_event):  # noqa: N801
+    """A caller sent a request."""
+
+    def __init__(self, request: caller_pb2.ExecuteRequest) -> None:
+        super().__init__(request)
+
+
+class forward_requested(request_event):  # noqa: N801
+    """Another entry forwarded a request to this holder."""
+
+    def __init__(self, request: peer_pb2.ForwardRequest) -> None:
+        super().__init__(request)
+
+
+class announcement_received(Event):  # noqa: N801
+    """A target announced itself to the control leader."""
+
+    def __init__(self, announcement: peer_pb2.Announcement) -> None:
+        super().__init__(announcement)
+
+
+class report_received(Event):  # noqa: N801
+    """An entry reported to the control leader."""
+
+    def __init__(self, report: peer_pb2.EntryReport) -> None:
+        super().__init__(report)
+
+
+class update_received(Event):  # noqa: N801
+    """The control leader sent an update to this entry."""
+
+    def __init__(self, update: peer_pb2.ControlUpdate) -> None:
+        super().__init__(update)
+
+
+class report_due(Event):  # noqa: N801
+    """The entry has news that control must learn at once."""
+
+
+class document_in_force(Event):  # noqa: N801
+    """A document came into force at this entry."""
+
+    def __init__(self, document: Document) -> None:
+        super().__init__(document)
+
+
+class draining_started(Event):  # noqa: N801
+    """The entry stops taking new work."""
+
+
+class leadership_gained(Event):  # noqa: N801
+    """This instance leads the control group."""
+
+    def __init__(self, term: int) -> None:
+        super().__init__(term)
+
+
+class leadership_lost(Event):  # noqa: N801
+    """This instance no longer leads the control group."""
+
+
+class command_applied(Event):  # noqa: N801
+    """A command of the control log was applied to the replicated state."""
+
+    def __init__(self, name: str, group: GroupId | None) -> None:
+        super().__init__(name, group)
+
+
+class switchover_requested(Event):  # noqa: N801
+    """An operator asked for another primary."""
+
+    def __init__(self, group: GroupId, target: TargetId | None) -> None:
+        super().__init__(group, target)
--- /dev/null
+++ b/hibiscuspoint/components/holder/__init__.py
@@ -0,0 +1,8 @@
+"""The part of a holder that runs requests at targets."""
+
+from __future__ import annotations
+
+from hibiscuspoint.components.holder.context import GroupRequest, GroupResult, HolderContext
+from hibiscuspoint.components.holder.group import GroupHolder
+
+__all__ = ["GroupHolder", "GroupRequest", "GroupResult", "HolderContext"]
--- /dev/null
+++ b/hibiscuspoint/components/holder/group.py
@@ -0,0 +1,148 @@
+"""A holder's work for one group."""
+
+from __future__ import annotations
+
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+
+from hibiscuspoint.components.holder.lane import TargetLane
+from hibiscuspoint.components.holder.progress import GroupProgress
+from hibiscuspoint.components.holder.reads import ReadRunner
+from hibiscuspoint.components.holder.transactions import TransactionRunner
+from hibiscuspoint.components.holder.turns import Turns
+from hibiscuspoint.components.holder.writes import WriteRunner
+from hibiscuspoint.core.entry.retry import RetryBudget
+from hibiscuspoint.errors import NoPrimaryError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from hibiscuspoint.components.holder.context import GroupRequest, GroupResult, HolderContext
+    from hibiscuspoint.core.entry.routes import Route
+    from hibiscuspoint.document import Document
+    from hibiscuspoint.document.model import GroupModel
+    from hibiscuspoint.ids import GroupId, TargetId
+
+__all__ = ["GroupHolder"]
+
+#: Reads admitted at once for each slot of a replica. More than one, as a read also waits for a
+#: replica to catch up while it occupies no slot.
+READS_PER_SLOT = 4
+
+
+class GroupHolder:
+    """Queues, connections and log positions of one group.
+
+    :param rules: the group in the document in force.
+    """
+
+    def __init__(
+        self, context: HolderContext, group: GroupId, document: Document, rules: GroupModel
+    ) -> None:
+        self._context = context
+        self._group = group
+        self._rules = rules
+        self._lanes: dict[TargetId, TargetLane] = {}
+        self._primary_work = 0
+        self.progress = GroupProgress(context, group, rules.quorum)
+        self.primary_turns = Turns(context.clock, document.limits.queue_length, 1)
+        self.read_turns = Turns(context.clock, document.limits.queue_length, 1)
+        self.primary_turns.set_paused(True)
+        self.retries = RetryBudget(document.limits.retry_ratio)
+        self._writes = WriteRunner(self, document.limits.idempotency_retention_hours)
+        self._reads = ReadRunner(self)
+        self._transactions = TransactionRunner(self)
+
+    @property
+    def context(self) -> HolderContext:
+        """Return what all groups use."""
+        return self._context
+
+    @property
+    def group(self) -> GroupId:
+        """Return the group."""
+        return self._group
+
+    @property
+    def lanes(self) -> dict[TargetId, TargetLane]:
+        """Return the connections by target."""
+        return self._lanes
+
+    @property
+    def transactions(self) -> TransactionRunner:
+        """Return the runner of interactive transactions."""
+        return self._transactions
+
+    @property
+    def is_idle_at_primary(self) -> bool:
+        """Tell whether no request or transaction is in progress at the primary."""
+        return self._primary_work == 0
+
+    def set_route(self, route: Route) -> None:
+        """Follow the route that control sent."""
+        for member in route.members:
+            lane = self._lanes.get(member.target)
+            if lane is None:
+                lane = TargetLane(self._context, member.target, member.address)
+                self._lanes[member.target] = lane
+            lane.set_address(member.address)
+        self.progress.set_route(route)
+        self._set_slots(route)
+        self.refresh_pause()
+
+    def refresh_pause(self) -> None:
+        """Hold the queue of the primary while no lease is valid or control asked for a pause."""
+        route = self._context.routes.primary(self._group, self._context.clock.monotonic())
+        self.primary_turns.set_paused(route is None or route.paused)
+
+    def tick(self, now: float) -> None:
+        """Advance timers."""
+        self.refresh_pause()
+        self.primary_turns.tick(now)
+        self.read_turns.tick(now)
+        self.progress.tick(now)
+        for lane in self._lanes.values():
+            lane.tick(now)
+
+    async def execute(self, request: GroupRequest) -> GroupResult:
+        """Run a request.
+
+        :raises HibiscusError: with the verdict of the request.
+        """
+        if request.is_read:
+            return await self._reads.execute(request)
+        return await self._writes.execute(request)
+
+    def require_route(self) -> Route:
+        """Return the route under a valid lease.
+
+        :raises NoPrimaryError: there is none; nothing was sent.
+        """
+        route = self._context.routes.primary(self._group, self._context.clock.monotonic())
+        if route is None or route.primary not in self._lanes:
+            raise NoPrimaryError(f"group {self._group} has no primary under a valid lease")
+        return route
+
+    @contextmanager
+    def primary_work(self) -> Iterator[None]:
+        """Count work in progress at the primary, which delays a switchover."""
+        self._primary_work += 1
+        try:
+            yield
+        finally:
+            self._primary_work -= 1
+
+    def close(self) -> None:
+        """Close all connections and streams."""
+        self.progress.close()
+        for lane in self._lanes.values():
+            lane.close()
+
+    def _set_slots(self, route: Route) -> None:
+        slots = {member.target: self._slots(member.slots) for member in route.members}
+        self.primary_turns.set_concurrency(slots.get(route.primary, 1))
+        replica_slots = sum(count for target, count in slots.items() if target != route.primary)
+        self.read_turns.set_concurrency(READS_PER_SLOT * max(1, replica_slots))
+
+    def _slots(self, announced: int) -> int:
+        return max(1, min(announced, self._rules.slots or announced))
--- /dev/null
+++ b/hibiscuspoint/components/holder/lane.py
@@ -0,0 +1,201 @@
+"""Connections of a holder to one target."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from hibiscuspoint.core.entry.pool import (
+    CloseConnection,
+    ConnectionId,
+    ConnectionPool,
+    Lend,
+    OpenConnection,
+)
+from hibiscuspoint.drivers.standin import ConnectionLost
+from hibiscuspoint.errors import DeadlineError
+from hibiscuspoint.verdict import Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from hibiscuspoint.components.holder.context import HolderContext
+    from hibiscuspoint.core.entry.pool import PoolEffect
+    from hibiscuspoint.core.ports import Connection
+    from hibiscuspoint.ids import TargetId
+
+__all__ = ["LaneObservations", "LentConnection", "TargetLane"]
+
+
+@dataclass
+class LaneObservations:
+    """What happened at a target since the last report to control."""
+
+    successes: int = 0
+    refusals: int = 0
+    timeouts: int = 0
+
+
+@dataclass(frozen=True)
+class LentConnection:
+    """A connection that one request or transaction owns."""
+
+    connection_id: ConnectionId
+    connection: Connection
+
+
+class TargetLane:
+    """Opens, lends and closes the connections to one target within the granted share.
+
+    :param target: the target.
+    :param address: its address.
+    """
+
+    def __init__(self, context: HolderContext, target: TargetId, address: str) -> None:
+        self._context = context
+        self._target = target
+        self._address = address
+        self._pool = ConnectionPool()
+        self._connections: dict[ConnectionId, Connection] = {}
+        self._tasks: set[asyncio.Task] = set()
+        self._sequence = 0
+        self.in_flight = 0
+        self.observations = LaneObservations()
+
+    @property
+    def target(self) -> TargetId:
+        """Return the target."""
+        return self._target
+
+    @property
+    def pool(self) -> ConnectionPool:
+        """Return the pool of connections."""
+        return self._pool
+
+    @property
+    def share_sequence(self) -> int:
+        """Return the sequence of the grant that set the present share."""
+        return self._sequence
+
+    def set_address(self, address: str) -> None:
+        """Use another address for new connections."""
+        self._address = address
+
+    def set_share(self, connections: int, lease_ends: float, sequence: int) -> None:
+        """Apply a share granted by control; ``lease_ends`` is monotonic time in seconds."""
+        if sequence < self._sequence:
+            return
+        self._sequence = sequence
+        now = self._context.clock.monotonic()
+        self._carry_out(self._pool.set_share(connections, lease_ends, now))
+
+    def tick(self, now: float) -> None:
+        """Close idle connections and those beyond the share."""
+        self._carry_out(self._pool.tick(now))
+
+    def take_observations(self) -> LaneObservations:
+        """Return what happened since the last call."""
+        taken = self.observations
+        self.observations = LaneObservations()
+        return taken
+
+    async def acquire(self, deadline: float) -> LentConnection:
+        """Wait for a connection.
+
+        :param deadline: monotonic time in seconds.
+        :raises DeadlineError: no connection became free in time; nothing was sent.
+        """
+        waiter = asyncio.get_running_loop().create_future()
+        now = self._context.clock.monotonic()
+        self._carry_out(self._pool.acquire(waiter, now))
+        try:
+            async with asyncio.timeout(max(0.0, deadline - now)):
+                connection_id = await waiter
+        except (TimeoutError, asyncio.CancelledError) as error:
+            self._give_up(waiter)
+            if isinstance(error, asyncio.CancelledError):
+                raise
+            raise DeadlineError(
+                f"no connection to target {self._target} became free in time",
+                verdict=Verdict.NOT_RUN,
+            ) from None
+        return LentConnection(connection_id, self._connections[connection_id])
+
+    def release(self, lent: LentConnection) -> None:
+        """Take a connection back; one that is not clean is closed."""
+        is_clean = lent.connection.is_usable and not lent.connection.in_transaction
+        now = self._context.clock.monotonic()
+        self._carry_out(self._pool.release(lent.connection_id, is_clean, now))
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._carry_out(self._pool.set_share(0, 0.0, self._context.clock.monotonic()))
+        for connection in self._connections.values():
+            connection.close()
+        for task in self._tasks:
+            task.cancel()
+
+    def _give_up(self, waiter: asyncio.Future) -> None:
+        if self._pool.cancel(waiter):
+            return
+        if waiter.done() and not waiter.cancelled():
+            connection_id = waiter.result()
+            lent = LentConnection(connection_id, self._connections[connection_id])
+            self.release(lent)
+
+    def _carry_out(self, effects: Iterable[PoolEffect]) -> None:
+        pending = list(effects)
+        while pending:
+            effect = pending.pop(0)
+            match effect:
+                case OpenConnection(connection_id):
+                    self._start(self._open(connection_id))
+                case CloseConnection(connection_id):
+                    pending += self._close(connection_id)
+                case Lend(connection_id, waiter):
+                    pending += self._lend(connection_id, waiter)
+
+    def _lend(self, connection_id: ConnectionId, waiter: asyncio.Future) -> list[PoolEffect]:
+        if not waiter.done():
+            waiter.set_result(connection_id)
+            return []
+        return self._pool.release(connection_id, True, self._context.clock.monotonic())
+
+    def _close(self, connection_id: ConnectionId) -> list[PoolEffect]:
+        connection = self._connections.pop(connection_id, None)
+        if connection is None:
+            # The attempt to open it is still running and reports the end.
+            return []
+        connection.close()
+        return self._pool.lost(connection_id, self._context.clock.monotonic())
+
+    async def _open(self, connection_id: ConnectionId) -> None:
+        context = self._context
+        try:
+            connection = await context.driver.connect(
+                self._target,
+                self._address,
+                instance=context.instance,
+                instance_incarnation=context.incarnation,
+            )
+        except ConnectionLost:
+            self.observations.refusals += 1
+            self._carry_out(self._pool.lost(connection_id, context.clock.monotonic()))
+            return
+        self._connections[connection_id] = connection
+        now = context.clock.monotonic()
+        self._carry_out(self._pool.opened(connection_id, now))
+        if self._pool.state(connection_id) is None or self._is_closing(connection_id):
+            self._connections.pop(connection_id, None)
+            connection.close()
+            self._carry_out(self._pool.lost(connection_id, now))
+
+    def _is_closing(self, connection_id: ConnectionId) -> bool:
+        state = self._pool.state(connection_id)
+        return state is not None and state.value == "closing"
+
+    def _start(self, coroutine: object) -> None:
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/hibiscuspoint/components/holder/writes.py
@@ -0,0 +1,259 @@
+"""Writes at the primary, acknowledged by a quorum."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hibiscuspoint.components.holder.context import GroupResult
+from hibiscuspoint.core.entry import idempotency
+from hibiscuspoint.core.entry.idempotency import IdempotencyPolicy
+from hibiscuspoint.core.entry.outcome import decode_outcome, encode_outcome
+from hibiscuspoint.core.entry.retry import RetryDecision
+from hibiscuspoint.drivers.standin import ConnectionLost, TargetFailure
+from hibiscuspoint.errors import (
+    DeadlineError,
+    HibiscusError,
+    NoPrimaryError,
+    StatementError,
+    TargetLostError,
+)
+from hibiscuspoint.verdict import Verdict
+from hibiscuspoint.wire import target_pb2
+
+if TYPE_CHECKING:
+    from hibiscuspoint.components.holder.context import GroupRequest
+    from hibiscuspoint.components.holder.group import GroupHolder
+    from hibiscuspoint.components.holder.lane import LentConnection, TargetLane
+    from hibiscuspoint.core.entry.routes import Route
+    from hibiscuspoint.core.ports import RunResult
+    from hibiscuspoint.ids import Term
+
+__all__ = ["WriteRunner", "failure_to_error"]
+
+SECONDS_PER_HOUR = 3600.0
+
+#: Failures of a target that say only that another member is or will be primary.
+ROLE_FAILURES = (target_pb2.Failure.WRONG_TERM, target_pb2.Failure.NOT_PRIMARY)
+
+
+class WriteRunner:
+    """Runs writes of one group."""
+
+    def __init__(self, holder: GroupHolder, retention_hours: int) -> None:
+        self._holder = holder
+        self._policy = IdempotencyPolicy(retention=retention_hours * SECONDS_PER_HOUR)
+        self._table_known = False
+
+    async def execute(self, request: GroupRequest) -> GroupResult:
+        """Run a write and wait until the quorum holds it.
+
+        :raises HibiscusError: with the verdict of the request.
+        """
+        if request.request_id is not None:
+            unix_now = self._holder.context.clock.unix()
+            self._policy.check(request.request_id, request.issued_at_ms, unix_now)
+        self._holder.retries.request()
+        attempt = 0
+        while True:
+            attempt += 1
+            try:
+                return await self._attempt(request)
+            except HibiscusError as error:
+                decision = self._decide(request, error, attempt)
+                if decision is RetryDecision.GIVE_UP:
+                    raise
+                if decision is RetryDecision.LOOK_UP:
+                    return await self._look_up_after(request, error)
+
+    def _decide(
+        self, request: GroupRequest, error: HibiscusError, attempt: int
+    ) -> RetryDecision:
+        if error.verdict is Verdict.NOT_RUN and not isinstance(error, NoPrimaryError):
+            return RetryDecision.GIVE_UP
+        holder = self._holder
+        decision = holder.retries.decide(
+            error.verdict,
+            idempotent=False,
+            has_id=request.request_id is not None,
+            attempt=attempt,
+            deadline=request.deadline,
+            now=holder.context.clock.monotonic(),
+        )
+        if decision is RetryDecision.RETRY:
+            holder.context.metrics.retries.labels(holder.group).inc()
+        return decision
+
+    async def _attempt(self, request: GroupRequest) -> GroupResult:
+        if request.request_id is not None:
+            await self._ensure_table(request)
+        holder = self._holder
+        async with holder.primary_turns.turn(request.caller, request.deadline):
+            with holder.primary_work():
+                route = holder.require_route()
+                result, replayed = await self._run(request, route)
+        with holder.primary_work():
+            await self._confirm(result, route, request.deadline)
+        return GroupResult(
+            results=result.results,
+            position=result.position,
+            served_by=route.primary,
+            replayed=replayed,
+        )
+
+    async def _run(self, request: GroupRequest, route: Route) -> tuple[RunResult, bool]:
+        lane = self._holder.lanes[route.primary]
+        lent = await lane.acquire(request.deadline)
+        try:
+            # The lease may have ended while the request waited for a connection.
+            if self._holder.require_route().term != route.term:
+                raise NoPrimaryError("the primary changed before the request was sent")
+            if request.request_id is None:
+                return await self._run_once(request, route, lane, lent), False
+            return await self._run_with_id(request, route, lane, lent)
+        finally:
+            lane.release(lent)
+
+    async def _run_once(
+        self, request: GroupRequest, route: Route, lane: TargetLane, lent: LentConnection
+    ) -> RunResult:
+        run = target_pb2.Run(
+            term=route.term, begin=True, statements=request.statements, commit=True
+        )
+        return await self._send(lane, lent, run, request.deadline)
+
+    async def _run_with_id(
+        self, request: GroupRequest, route: Route, lane: TargetLane, lent: LentConnection
+    ) -> tuple[RunResult, bool]:
+        digest = idempotency.request_digest(request.statements)
+        claim = idempotency.claim(request.request_id, request.issued_at_ms, digest)
+        first = target_pb2.Run(
+            term=route.term, begin=True, statements=[claim, *request.statements]
+        )
+        try:
+            ran = await self._send(lane, lent, first, request.deadline)
+        except StatementError:
+            recorded = await self._recorded(request, digest, route.term, lane, lent)
+            if recorded is None:
+                raise
+            return recorded, True
+        results = ran.results[1:]
+        store = idempotency.store_outcome(request.request_id, encode_outcome(results))
+        second = target_pb2.Run(term=route.term, statements=[store], commit=True)
+        committed = await self._send(lane, lent, second, request.deadline)
+        return type(committed)(results=results, position=committed.position), False
+
+    async def _recorded(
+        self,
+        request: GroupRequest,
+        digest: bytes,
+        term: Term,
+        lane: TargetLane,
+        lent: LentConnection,
+    ) -> RunResult | None:
+        """Return the recorded answer of an id, at the position at which it was read."""
+        query = target_pb2.Run(
+            term=term, read_only=True, statements=[idempotency.lookup(request.request_id)]
+        )
+        found = await self._send(lane, lent, query, request.deadline)
+        rows = found.results[0].rows
+        if not rows:
+            return None
+        recorded_digest, outcome = rows[0].values
+        idempotency.check_digest(recorded_digest.blob, digest)
+        return type(found)(results=decode_outcome(outcome.blob), position=found.position)
+
+    async def _look_up_after(self, request: GroupRequest, error: HibiscusError) -> GroupResult:
+        """Resolve an unknown outcome by its id at the current primary."""
+        holder = self._holder
+        digest = idempotency.request_digest(request.statements)
+        try:
+            async with holder.primary_turns.turn(request.caller, request.deadline):
+                with holder.primary_work():
+                    route = holder.require_route()
+                    lane = holder.lanes[route.primary]
+                    lent = await lane.acquire(request.deadline)
+                    try:
+                        found = await self._recorded(request, digest, route.term, lane, lent)
+                    finally:
+                        lane.release(lent)
+                    if found is not None:
+                        await self._confirm(found, route, request.deadline)
+        except HibiscusError:
+            raise error from None
+        if found is None:
+            raise error
+        return GroupResult(
+            results=found.results, position=found.position, served_by=route.primary, replayed=True
+        )
+
+    async def _confirm(self, result: RunResult, route: Route, deadline: float) -> None:
+        holder = self._holder
+        started = holder.context.clock.monotonic()
+        confirmed = await holder.progress.wait_confirmed(result.position, deadline)
+        now = holder.context.clock.monotonic()
+        holder.context.metrics.ack_wait.labels(holder.group).observe(now - started)
+        if not confirmed:
+            raise TargetLostError("the quorum did not confirm the write in time")
+        if not holder.context.routes.is_current(holder.group, route.term, now):
+            raise TargetLostError("the primary was replaced before the write was acknowledged")
+
+    async def _ensure_table(self, request: GroupRequest) -> None:
+        """Create the table of request ids once for each process."""
+        if self._table_known:
+            return
+        holder = self._holder
+        async with holder.primary_turns.turn(request.caller, request.deadline):
+            with holder.primary_work():
+                route = holder.require_route()
+                lane = holder.lanes[route.primary]
+                lent = await lane.acquire(request.deadline)
+                run = target_pb2.Run(
+                    term=route.term,
+                    begin=True,
+                    statements=[idempotency.create_table()],
+                    commit=True,
+                )
+                try:
+                    await self._send(lane, lent, run, request.deadline)
+                except HibiscusError as error:
+                    # The request itself was not sent; creating the table is idempotent.
+                    raise NoPrimaryError("the table of request ids cannot be created") from error
+                finally:
+                    lane.release(lent)
+        self._table_known = True
+
+    async def _send(
+        self, lane: TargetLane, lent: LentConnection, run: target_pb2.Run, deadline: float
+    ) -> RunResult:
+        now = self._holder.context.clock.monotonic()
+        if now >= deadline:
+            verdict = Verdict.MAY_HAVE_RUN if lent.connection.in_transaction else Verdict.NOT_RUN
+            raise DeadlineError("the time of the request ended", verdict=verdict)
+        try:
+            result = await lent.connection.run(run, deadline - now)
+        except ConnectionLost as lost:
+            lane.observations.timeouts += 1
+            raise _lost_to_error(lost, run) from None
+        except TargetFailure as failure:
+            raise failure_to_error(failure) from None
+        lane.observations.successes += 1
+        return result
+
+
+def _lost_to_error(lost: ConnectionLost, run: target_pb2.Run) -> HibiscusError:
+    if not lost.sent and run.begin:
+        return NoPrimaryError(f"the connection to the primary failed: {lost}")
+    return TargetLostError(
+        f"the connection to the primary was lost: {lost}", rolled_back=not run.commit
+    )
+
+
+def failure_to_error(failure: TargetFailure) -> HibiscusError:
+    """Return the error of a request that a target rejected."""
+    if failure.kind in ROLE_FAILURES:
+        if failure.not_run:
+            return NoPrimaryError(failure.message)
+        return TargetLostError(failure.message)
+    if failure.not_run and failure.kind == target_pb2.Failure.LEAVING:
+        return NoPrimaryError(failure.message)
+    return StatementError(failure.message)
--- /dev/null
+++ b/hibiscuspoint/components/runtime.py
@@ -0,0 +1,57 @@
+"""The root of the component tree and the clock of the process."""
+
+from __future__ import annotations
+
+import logging
+import time
+from typing import TYPE_CHECKING
+
+from circuits import Component, handler
+
+from hibiscuspoint.telemetry.catalogue import COMPONENT_FAILED
+from hibiscuspoint.telemetry.events import log_event
+
+if TYPE_CHECKING:
+    from circuits import Event
+
+__all__ = ["Runtime", "SystemClock"]
+
+logger = logging.getLogger(__name__)
+
+
+class SystemClock:
+    """Time of the operating system."""
+
+    def monotonic(self) -> float:
+        """Return seconds of a clock that never steps."""
+        return time.monotonic()
+
+    def unix(self) -> float:
+        """Return seconds since 1970 in UTC."""
+        return time.time()
+
+
+class Runtime(Component):
+    """Root of the component tree; events are handled on the asyncio loop that fires them."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._dispatching = False
+
+    def dispatch(self, event: Event) -> Event:
+        """Fire an event and run its handlers, and those of the events that they fire."""
+        self.fire(event, "*")
+        if self._dispatching:
+            return event
+        self._dispatching = True
+        try:
+            while len(self._queue):
+                self.flush()
+        finally:
+            self._dispatching = False
+        return event
+
+    @handler("exception", channel="*")
+    def _on_exception(self, *args: object, **kwargs: object) -> None:
+        error = args[1] if len(args) > 1 else "unknown"
+        log_event(logger, COMPONENT_FAILED, reason=repr(error))
