Add the stand-in of a database target

Cause: tests, the demo and the benchmarks need a target that speaks the target protocol and can be made slow, silent or frozen.

--- /dev/null
+++ b/hibiscuspoint/standin/__main__.py
@@ -0,0 +1,7 @@
+"""Allow ``python -m hibiscuspoint.standin``."""
+
+from __future__ import annotations
+
+from hibiscuspoint.standin.main import main
+
+main()
