Add the driver for stand-in targets

Cause: holders and control need connections, watches and control calls. Change: one channel for each connection, whole-answer verification, pings for overdue answers, a watch that reconnects, control calls that drop a channel after a failure.

--- /dev/null
+++ b/hibiscuspoint/drivers/admin.py
@@ -0,0 +1,88 @@
+"""Control calls to targets over one shared channel for each address."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import grpc
+
+from hibiscuspoint.drivers.errors import AdminError
+from hibiscuspoint.util.channels import open_channel
+from hibiscuspoint.wire import target_pb2, target_pb2_grpc
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from google.protobuf.message import Message
+
+__all__ = ["AdminClient"]
+
+
+class AdminClient:
+    """Seals, promotes, follows and terminates.
+
+    A channel on which a call fails is dropped, because a silent TCP connection stays silent.
+    """
+
+    def __init__(self, credentials: grpc.ChannelCredentials | None = None) -> None:
+        self._credentials = credentials
+        self._channels: dict[str, grpc.aio.Channel] = {}
+        self._closing: set[asyncio.Task[None]] = set()
+
+    async def seal(self, address: str, term: int, *, timeout: float) -> target_pb2.SealReply:
+        """Raise the sealed term of a target."""
+        return await self._call(address, "Seal", target_pb2.SealRequest(term=term), timeout)
+
+    async def promote(
+        self, address: str, term: int, members: Iterable[target_pb2.Member], *, timeout: float
+    ) -> target_pb2.MemberState:
+        """Make a target primary; it ships its log to the other members."""
+        request = target_pb2.PromoteRequest(term=term, members=members)
+        return await self._call(address, "Promote", request, timeout)
+
+    async def follow(
+        self, address: str, term: int, primary: target_pb2.Member, *, timeout: float
+    ) -> target_pb2.MemberState:
+        """Make a target a replica."""
+        request = target_pb2.FollowRequest(term=term, primary=primary)
+        return await self._call(address, "Follow", request, timeout)
+
+    async def terminate(
+        self, address: str, instance: str, up_to_incarnation: int, *, timeout: float
+    ) -> int:
+        """Close the connections of an instance; return how many were closed."""
+        request = target_pb2.TerminateRequest(
+            instance=instance, up_to_incarnation=up_to_incarnation
+        )
+        reply = await self._call(address, "Terminate", request, timeout)
+        return reply.closed
+
+    async def close(self) -> None:
+        """Close all channels."""
+        channels = list(self._channels.values())
+        self._channels.clear()
+        for channel in channels:
+            await channel.close()
+
+    async def _call(self, address: str, method: str, request: Message, timeout: float) -> Message:
+        channel = self._channels.get(address)
+        if channel is None:
+            channel = self._channels[address] = open_channel(address, self._credentials)
+        stub = target_pb2_grpc.TargetStub(channel)
+        try:
+            return await getattr(stub, method)(request, timeout=timeout)
+        except grpc.aio.AioRpcError as error:
+            self._drop(address, channel)
+            raise AdminError(
+                f"{method} at {address} failed: {error.code().name}",
+                is_refused=error.code() is grpc.StatusCode.UNAVAILABLE,
+            ) from error
+
+    def _drop(self, address: str, channel: grpc.aio.Channel) -> None:
+        if self._channels.get(address) is not channel:
+            return
+        del self._channels[address]
+        task = asyncio.create_task(channel.close())
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
--- /dev/null
+++ b/hibiscuspoint/drivers/answer.py
@@ -0,0 +1,76 @@
+"""Assembly and verification of the answer to a run."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from hibiscuspoint.core.position import LogPosition
+from hibiscuspoint.ids import Term
+from hibiscuspoint.wire import common_pb2
+from hibiscuspoint.wire.digest import digest_rows
+
+if TYPE_CHECKING:
+    from hibiscuspoint.wire import target_pb2
+
+__all__ = ["AnswerError", "AnswerParts", "RunResult"]
+
+
+class AnswerError(Exception):
+    """An answer is incomplete, damaged or belongs to another request."""
+
+
+@dataclass(slots=True)
+class RunResult:
+    """The whole answer to a run.
+
+    :param results: one result for each statement.
+    :param position: commit position of a write, observed position of a read.
+    """
+
+    results: list[common_pb2.ResultSet]
+    position: LogPosition
+
+
+class AnswerParts:
+    """Rows of an answer that is not complete yet."""
+
+    __slots__ = ("_rows", "_statement_count")
+
+    def __init__(self, statement_count: int) -> None:
+        self._statement_count = statement_count
+        self._rows: dict[int, list[common_pb2.Row]] = {}
+
+    def add(self, part: target_pb2.RowsPart) -> None:
+        """Add rows of one statement."""
+        self._rows.setdefault(part.statement_index, []).extend(part.rows)
+
+    def finish(self, end: target_pb2.RunEnd) -> RunResult:
+        """Return the verified answer.
+
+        :raises AnswerError: rows are missing, surplus or damaged.
+        """
+        if len(end.statements) != self._statement_count:
+            raise AnswerError(
+                f"the answer has {len(end.statements)} results for {self._statement_count}"
+                " statements"
+            )
+        results = [self._result(index, e) for index, e in enumerate(end.statements)]
+        if self._rows:
+            raise AnswerError("the answer has rows of a statement that was not sent")
+        position = LogPosition(Term(end.position.term), end.position.index)
+        return RunResult(results, position)
+
+    def _result(self, index: int, end: target_pb2.StatementEnd) -> common_pb2.ResultSet:
+        rows = self._rows.pop(index, [])
+        if len(rows) != end.row_count:
+            raise AnswerError(f"statement {index} has {len(rows)} of {end.row_count} rows")
+        if digest_rows(rows) != end.digest:
+            raise AnswerError(f"the rows of statement {index} do not match their digest")
+        return common_pb2.ResultSet(
+            columns=end.columns,
+            rows=rows,
+            row_count=end.row_count,
+            affected_rows=end.affected_rows,
+            digest=end.digest,
+        )
--- /dev/null
+++ b/hibiscuspoint/drivers/connection.py
@@ -0,0 +1,181 @@
+"""One connection to a stand-in target."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import grpc
+
+from hibiscuspoint.drivers.answer import AnswerError, AnswerParts
+from hibiscuspoint.drivers.errors import ConnectionLost, TargetFailure
+from hibiscuspoint.drivers.liveness import LivenessTimer
+from hibiscuspoint.wire import target_pb2
+
+if TYPE_CHECKING:
+    from hibiscuspoint.drivers.answer import RunResult
+
+__all__ = ["StandinConnection"]
+
+
+class StandinConnection:
+    """A connection that belongs to one transaction at a time and runs one request at a time.
+
+    :param channel: channel of this connection alone; closed with it.
+    :param call: the ``Open`` stream after its welcome.
+    :param overdue: seconds by which an answer may be late before a ping is sent.
+    :param silence: seconds after a ping within which something must arrive.
+    """
+
+    def __init__(
+        self,
+        channel: grpc.aio.Channel,
+        call: grpc.aio.StreamStreamCall,
+        incarnation: int,
+        *,
+        overdue: float,
+        silence: float,
+    ) -> None:
+        self._channel = channel
+        self._call = call
+        self._incarnation = incarnation
+        self._request_id = 0
+        self._pending: asyncio.Future[RunResult] | None = None
+        self._parts = AnswerParts(0)
+        self._is_writing = False
+        self._is_closed = False
+        self._in_transaction = False
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._timer = LivenessTimer(
+            overdue=overdue, silence=silence, ping=self._send_ping, on_loss=self._lose
+        )
+        self._start(self._read())
+
+    @property
+    def is_usable(self) -> bool:
+        """Tell whether the connection is open and owes no answer."""
+        return not self._is_closed and self._pending is None and not self._call.done()
+
+    @property
+    def in_transaction(self) -> bool:
+        """Tell whether a transaction is open at the target."""
+        return self._in_transaction
+
+    async def run(self, run: target_pb2.Run, timeout: float, *, expected: float = 0.0) -> RunResult:
+        """Run statements and return the whole, verified answer.
+
+        :param timeout: seconds until the connection is given up.
+        :param expected: seconds that the answer usually takes; a ping is sent when it is overdue.
+        :raises TargetFailure: the target rejected the run.
+        :raises ConnectionLost: the stream ended, the time is over or the answer was not whole.
+        :raises RuntimeError: another run has no answer yet.
+        """
+        if self._pending is not None:
+            raise RuntimeError("the connection still waits for an answer")
+        if self._is_closed or self._call.done():
+            self.close()
+            raise ConnectionLost("the connection is closed", sent=False)
+        self._request_id += 1
+        pending = self._pending = asyncio.get_running_loop().create_future()
+        self._parts = AnswerParts(len(run.statements))
+        self._timer.start(timeout=timeout, expected=expected)
+        try:
+            await self._write(target_pb2.ConnectionRequest(request_id=self._request_id, run=run))
+            result = await pending
+        except TargetFailure:
+            self._in_transaction = False
+            raise
+        except BaseException:
+            # The connection owes an answer that nobody will read.
+            self._pending = None
+            self.close()
+            raise
+        finally:
+            self._pending = None
+            self._timer.stop()
+        self._in_transaction = not (run.commit or run.rollback) and (
+            run.begin or self._in_transaction
+        )
+        return result
+
+    def close(self) -> None:
+        """Close the connection; the target rolls back an open transaction."""
+        self._lose("the connection was closed")
+
+    async def _write(self, request: target_pb2.ConnectionRequest) -> None:
+        self._is_writing = True
+        try:
+            await self._call.write(request)
+        except (grpc.aio.AioRpcError, asyncio.InvalidStateError) as error:
+            self._lose(str(error))
+        except asyncio.CancelledError:
+            # Cancelling the call cancels its writes; only a cancelled task propagates it.
+            if not self._is_closed or asyncio.current_task().cancelling():
+                raise
+        finally:
+            self._is_writing = False
+
+    async def _read(self) -> None:
+        try:
+            while True:
+                reply = await self._call.read()
+                if reply is grpc.aio.EOF:
+                    self._lose("the target closed the connection")
+                    return
+                self._timer.heard()
+                self._take(reply)
+        except AnswerError as error:
+            self._lose(str(error))
+        except (grpc.aio.AioRpcError, asyncio.InvalidStateError) as error:
+            self._lose(f"the stream failed: {error}")
+
+    def _take(self, reply: target_pb2.ConnectionReply) -> None:
+        if reply.connection_incarnation != self._incarnation:
+            raise AnswerError("the answer belongs to another connection")
+        kind = reply.WhichOneof("body")
+        if kind == "pong":
+            return
+        if self._pending is None or reply.request_id != self._request_id:
+            raise AnswerError("the answer belongs to another request")
+        if kind == "rows":
+            self._parts.add(reply.rows)
+        elif kind == "end":
+            self._resolve(self._parts.finish(reply.end))
+        elif kind == "failure":
+            failure = reply.failure
+            self._reject(TargetFailure(failure.kind, failure.message, failure.not_run))
+        else:
+            raise AnswerError(f"unexpected reply {kind!r}")
+
+    def _resolve(self, result: RunResult) -> None:
+        if self._pending is not None and not self._pending.done():
+            self._pending.set_result(result)
+
+    def _reject(self, error: Exception) -> None:
+        if self._pending is not None and not self._pending.done():
+            self._pending.set_exception(error)
+
+    def _send_ping(self) -> None:
+        # While a write is blocked no ping can follow; its silence then counts like a lost ping.
+        if not self._is_writing:
+            request = target_pb2.ConnectionRequest(
+                request_id=self._request_id, ping=target_pb2.Ping()
+            )
+            self._start(self._write(request))
+
+    def _lose(self, message: str) -> None:
+        if self._is_closed:
+            return
+        self._is_closed = True
+        self._timer.stop()
+        self._reject(ConnectionLost(message, sent=True))
+        self._call.cancel()
+        self._start(self._close_channel())
+
+    async def _close_channel(self) -> None:
+        await self._channel.close()
+
+    def _start(self, work: object) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/hibiscuspoint/drivers/errors.py
@@ -0,0 +1,70 @@
+"""Errors of target drivers; the core turns them into verdicts."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from hibiscuspoint.wire import target_pb2
+
+__all__ = ["AdminError", "ConnectError", "ConnectFailure", "ConnectionLost", "TargetFailure"]
+
+
+class ConnectFailure(Enum):
+    """Why a connection could not be opened."""
+
+    #: The address refused or reset the connection.
+    REFUSED = "refused"
+    #: The target has no connection left.
+    LIMITED = "limited"
+    #: The target is leaving.
+    LEAVING = "leaving"
+    #: There was no answer in time.
+    TIMED_OUT = "timed_out"
+
+
+class ConnectError(Exception):
+    """A connection could not be opened; nothing ran.
+
+    :param failure: the reason.
+    """
+
+    def __init__(self, failure: ConnectFailure, message: str) -> None:
+        super().__init__(message)
+        self.failure = failure
+
+
+class TargetFailure(Exception):  # noqa: N818 - the name is part of the driver interface
+    """The target rejected a run; an open transaction is rolled back and the connection usable.
+
+    :param not_run: true when no statement of the transaction was executed.
+    """
+
+    def __init__(self, kind: target_pb2.Failure.Kind, message: str, not_run: bool) -> None:
+        super().__init__(message)
+        self.kind = kind
+        self.message = message
+        self.not_run = not_run
+
+
+class ConnectionLost(Exception):  # noqa: N818 - the name is part of the driver interface
+    """The connection ended before the whole answer arrived; it is never used again.
+
+    :param sent: false only when the request cannot have left the process.
+    """
+
+    def __init__(self, message: str, *, sent: bool) -> None:
+        super().__init__(message)
+        self.sent = sent
+
+
+class AdminError(Exception):
+    """A control call to a target had no answer; it may have taken effect.
+
+    :param is_refused: the address refused or reset the connection.
+    """
+
+    def __init__(self, message: str, *, is_refused: bool) -> None:
+        super().__init__(message)
+        self.is_refused = is_refused
--- /dev/null
+++ b/hibiscuspoint/drivers/standin.py
@@ -0,0 +1,142 @@
+"""The driver for stand-in targets."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass
+from itertools import count
+from typing import TYPE_CHECKING
+
+import grpc
+
+from hibiscuspoint.drivers.admin import AdminClient
+from hibiscuspoint.drivers.connection import StandinConnection
+from hibiscuspoint.drivers.errors import ConnectError, ConnectFailure
+from hibiscuspoint.drivers.registry import target_drivers
+from hibiscuspoint.drivers.watch import StandinWatch
+from hibiscuspoint.util.channels import open_channel
+from hibiscuspoint.wire import target_pb2, target_pb2_grpc
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from hibiscuspoint.ids import Incarnation, InstanceId, TargetId
+
+__all__ = ["StandinDriver", "StandinDriverConfig"]
+
+_FAILURES = {
+    target_pb2.Failure.LIMIT: ConnectFailure.LIMITED,
+    target_pb2.Failure.LEAVING: ConnectFailure.LEAVING,
+}
+
+
+@dataclass(frozen=True)
+class StandinDriverConfig:
+    """Settings of the driver.
+
+    :param connect_timeout: seconds until an attempt to connect is given up.
+    :param overdue: seconds by which an answer may be late before a ping is sent (D11).
+    :param silence: seconds after a ping within which something must arrive (D11).
+    :param credentials: TLS credentials; ``None`` for plain text.
+    """
+
+    connect_timeout: float = 1.0
+    overdue: float = 0.5
+    silence: float = 0.5
+    credentials: grpc.ChannelCredentials | None = None
+
+
+@target_drivers.register("standin")
+class StandinDriver:
+    """Connections, watches and control calls to stand-in targets."""
+
+    def __init__(self, config: StandinDriverConfig) -> None:
+        self._config = config
+        self._admin = AdminClient(config.credentials)
+        # Incarnations of an earlier process must not repeat.
+        self._incarnations = count(time.time_ns())
+
+    @classmethod
+    def from_config(cls, config: StandinDriverConfig | None = None) -> StandinDriver:
+        """Return a driver; without a configuration the defaults apply."""
+        return cls(config or StandinDriverConfig())
+
+    @property
+    def admin(self) -> AdminClient:
+        """Return the client for seal, promote, follow and terminate."""
+        return self._admin
+
+    async def connect(
+        self,
+        target: TargetId,
+        address: str,
+        *,
+        instance: InstanceId,
+        instance_incarnation: Incarnation,
+    ) -> StandinConnection:
+        """Open a connection.
+
+        :raises ConnectError: the target refused, is full, is leaving or did not answer in time.
+        """
+        hello = target_pb2.Hello(
+            instance=instance,
+            instance_incarnation=instance_incarnation,
+            connection_incarnation=next(self._incarnations),
+        )
+        channel = open_channel(address, self._config.credentials)
+        try:
+            call = target_pb2_grpc.TargetStub(channel).Open()
+            async with asyncio.timeout(self._config.connect_timeout):
+                await call.write(target_pb2.ConnectionRequest(hello=hello))
+                reply = await call.read()
+            self._check_welcome(target, address, hello, reply)
+        except BaseException as error:
+            await channel.close()
+            if isinstance(error, TimeoutError):
+                message = f"target {target} at {address} did not answer in time"
+                raise ConnectError(ConnectFailure.TIMED_OUT, message) from error
+            if isinstance(error, grpc.aio.AioRpcError | asyncio.InvalidStateError):
+                message = f"target {target} at {address} refused the connection: {error}"
+                raise ConnectError(ConnectFailure.REFUSED, message) from error
+            raise
+        return StandinConnection(
+            channel,
+            call,
+            hello.connection_incarnation,
+            overdue=self._config.overdue,
+            silence=self._config.silence,
+        )
+
+    def watch(
+        self,
+        address: str,
+        on_progress: Callable[[target_pb2.Progress], None],
+        *,
+        on_lost: Callable[[], None] | None = None,
+    ) -> StandinWatch:
+        """Follow the progress of a target until the watch is closed."""
+        return StandinWatch(
+            address, on_progress, on_lost=on_lost, credentials=self._config.credentials
+        )
+
+    async def close(self) -> None:
+        """Close the shared channels; connections and watches are closed by their owners."""
+        await self._admin.close()
+
+    @staticmethod
+    def _check_welcome(
+        target: TargetId,
+        address: str,
+        hello: target_pb2.Hello,
+        reply: target_pb2.ConnectionReply,
+    ) -> None:
+        if reply is grpc.aio.EOF:
+            raise ConnectError(ConnectFailure.REFUSED, f"target {target} closed the connection")
+        if reply.HasField("failure"):
+            failure = _FAILURES.get(reply.failure.kind, ConnectFailure.REFUSED)
+            raise ConnectError(failure, reply.failure.message)
+        is_ours = reply.connection_incarnation == hello.connection_incarnation
+        if not is_ours or reply.welcome.target != target:
+            message = f"{address} serves target {reply.welcome.target!r}, not {target!r}"
+            raise ConnectError(ConnectFailure.REFUSED, message)
--- /dev/null
+++ b/hibiscuspoint/drivers/watch.py
@@ -0,0 +1,143 @@
+"""Watch stream of a target: progress and tip samples."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import deque
+from typing import TYPE_CHECKING
+
+import grpc
+
+from hibiscuspoint.util.channels import open_channel
+from hibiscuspoint.wire import target_pb2, target_pb2_grpc
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ["StandinWatch"]
+
+logger = logging.getLogger(__name__)
+
+SAMPLE_INTERVAL_S = 0.5
+SILENCE_S = 1.0
+FIRST_BACKOFF_S = 0.05
+LAST_BACKOFF_S = 1.0
+# Sample ids from here up belong to the watch itself.
+FIRST_OWN_SAMPLE = 1 << 63
+KEEPALIVE_OPTIONS = (
+    ("grpc.keepalive_time_ms", 1000),
+    ("grpc.keepalive_timeout_ms", 1000),
+    ("grpc.keepalive_permit_without_calls", 1),
+    ("grpc.http2.max_pings_without_data", 0),
+)
+
+
+class StandinWatch:
+    """Follows the progress of one target and reconnects when the stream ends or goes silent.
+
+    Samples that have no answer when the stream ends are dropped; ``on_lost`` reports it.
+
+    :param on_progress: called for each progress; ``sample_id`` is 0 unless it answers a sample.
+    :param on_lost: called when an established stream ends.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        on_progress: Callable[[target_pb2.Progress], None],
+        *,
+        on_lost: Callable[[], None] | None = None,
+        credentials: grpc.ChannelCredentials | None = None,
+    ) -> None:
+        self._address = address
+        self._on_progress = on_progress
+        self._on_lost = on_lost
+        self._credentials = credentials
+        self._outgoing: deque[int] = deque()
+        self._wake = asyncio.Event()
+        self._is_connected = False
+        self._heard_at = 0.0
+        self._own_samples = 0
+        self._task = asyncio.create_task(self._run())
+
+    @property
+    def is_connected(self) -> bool:
+        """Tell whether progress arrived on the current stream."""
+        return self._is_connected
+
+    def sample(self, sample_id: int) -> None:
+        """Ask for the current position; ids are from 1 to 2**63 - 1."""
+        self._outgoing.append(sample_id)
+        self._wake.set()
+
+    def close(self) -> None:
+        """Stop watching."""
+        self._task.cancel()
+
+    async def _run(self) -> None:
+        backoff = FIRST_BACKOFF_S
+        while True:
+            channel = open_channel(self._address, self._credentials, KEEPALIVE_OPTIONS)
+            try:
+                await self._follow(target_pb2_grpc.TargetStub(channel).Watch())
+            except (grpc.aio.AioRpcError, asyncio.InvalidStateError, TimeoutError) as error:
+                logger.debug("watch of %s ended: %s", self._address, error)
+            finally:
+                await channel.close()
+            backoff = FIRST_BACKOFF_S if self._is_connected else min(2 * backoff, LAST_BACKOFF_S)
+            self._lose()
+            await asyncio.sleep(backoff)
+
+    def _lose(self) -> None:
+        was_connected = self._is_connected
+        self._is_connected = False
+        self._outgoing.clear()
+        if was_connected and self._on_lost is not None:
+            self._on_lost()
+
+    async def _follow(self, call: grpc.aio.StreamStreamCall) -> None:
+        self._heard_at = asyncio.get_running_loop().time()
+        tasks = [asyncio.create_task(c) for c in (self._receive(call), self._send(call))]
+        try:
+            done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                task.result()
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            call.cancel()
+
+    async def _receive(self, call: grpc.aio.StreamStreamCall) -> None:
+        loop = asyncio.get_running_loop()
+        while (progress := await call.read()) is not grpc.aio.EOF:
+            self._heard_at = loop.time()
+            self._is_connected = True
+            if progress.sample_id >= FIRST_OWN_SAMPLE:
+                progress.sample_id = 0
+            self._on_progress(progress)
+
+    async def _send(self, call: grpc.aio.StreamStreamCall) -> None:
+        loop = asyncio.get_running_loop()
+        own_due = loop.time()
+        while True:
+            if loop.time() >= own_due:
+                if loop.time() - self._heard_at > SILENCE_S:
+                    raise TimeoutError("the stream is silent")
+                own_due = loop.time() + SAMPLE_INTERVAL_S
+                self._own_samples += 1
+                self._outgoing.append(FIRST_OWN_SAMPLE + self._own_samples)
+            async with asyncio.timeout(SILENCE_S):
+                while self._outgoing:
+                    request = target_pb2.WatchRequest(sample_id=self._outgoing.popleft())
+                    await call.write(request)
+            await self._wait(own_due - loop.time())
+
+    async def _wait(self, seconds: float) -> None:
+        self._wake.clear()
+        try:
+            async with asyncio.timeout(max(seconds, 0.0)):
+                await self._wake.wait()
+        except TimeoutError:
+            return
