--- a/hibiscuspoint/core/entry/outcome.py
+++ b/hibiscuspoint/core/entry/outcome.py
@@ -26,7 +26,8 @@
     """The results of a request that ran.
 
     :param without_rows: true when the rows and columns were too large to be recorded. The counts
-        and digests still describe the complete results.
+        and digests still describe the complete results; a batch of so many statements that even
+        these are too large is recorded with no result.
     """
 
     results: tuple[common_pb2.ResultSet, ...]
@@ -51,9 +52,11 @@
     def of(cls, results: Sequence[common_pb2.ResultSet]) -> Outcome:
         """Return the outcome to record: without rows when it would be too large."""
         complete = cls(tuple(results))
-        if complete._content().ByteSize() <= MAX_OUTCOME_BYTES:
-            return complete
-        return cls(tuple(_without_rows(result) for result in results), without_rows=True)
+        counts = cls(tuple(_without_rows(result) for result in results), without_rows=True)
+        for outcome in (complete, counts):
+            if outcome._content().ByteSize() <= MAX_OUTCOME_BYTES:
+                return outcome
+        return cls((), without_rows=True)
 
     @classmethod
     def decode(cls, encoded: bytes) -> Outcome:
