Add TLS credentials that follow changed files

Cause: certificates are renewed while instances run; a restart per renewal would interrupt callers. Change: server credentials are read again at each handshake when the files changed, channel credentials when a channel is opened; files that do not fit together leave the previous ones in use.

--- /dev/null
+++ b/hibiscuspoint/components/tls.py
@@ -0,0 +1,172 @@
+"""gRPC credentials from certificate files, read again when the files change."""
+
+from __future__ import annotations
+
+import logging
+import ssl
+import threading
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import grpc
+
+from hibiscuspoint.errors import ConfigurationError
+from hibiscuspoint.settings import TlsMode
+from hibiscuspoint.telemetry import catalogue, log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from pathlib import Path
+
+    from hibiscuspoint.settings import TlsSettings
+
+__all__ = ["TlsContents", "TlsFiles", "Transport"]
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True)
+class TlsContents:
+    """PEM texts; ``None`` where no file is named."""
+
+    certificate: bytes | None
+    key: bytes | None
+    ca: bytes | None
+
+
+class TlsFiles:
+    """Certificate files of one process.
+
+    gRPC asks for the server's certificate from its own threads, so access is locked.
+
+    :param certificate: PEM file of the certificate chain.
+    :param key: PEM file of the private key.
+    :param ca: PEM file of the authorities that sign peers; the system's when ``None``.
+    :raises ConfigurationError: a file cannot be read or the key does not fit the certificate.
+    """
+
+    def __init__(self, certificate: Path | None, key: Path | None, ca: Path | None) -> None:
+        self._certificate = certificate
+        self._key = key
+        self._ca = ca
+        self._lock = threading.Lock()
+        self._seen: tuple[tuple[int, ...], ...] = ()
+        try:
+            self._seen = self._stamp()
+            self._contents = self._load()
+        except (OSError, ValueError) as error:
+            raise ConfigurationError(f"The TLS files cannot be used: {error}.") from error
+
+    def current(self) -> TlsContents:
+        """Return the contents; changed files that are not valid leave the previous ones in use."""
+        with self._lock:
+            try:
+                self._refresh()
+            except (OSError, ValueError) as error:
+                log_event(logger, catalogue.CERTIFICATE_REFUSED, reason=str(error))
+            return self._contents
+
+    def _refresh(self) -> None:
+        stamp = self._stamp()
+        if stamp == self._seen:
+            return
+        contents = self._load()
+        # Files that change while they are read may belong to different certificates.
+        if self._stamp() != stamp:
+            return
+        self._seen = stamp
+        self._contents = contents
+        log_event(logger, catalogue.CERTIFICATE_RELOADED)
+
+    def _stamp(self) -> tuple[tuple[int, ...], ...]:
+        stats = [path.stat() for path in (self._certificate, self._key, self._ca) if path]
+        return tuple((stat.st_mtime_ns, stat.st_size, stat.st_ino) for stat in stats)
+
+    def _load(self) -> TlsContents:
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+        if self._certificate is not None:
+            # An empty password makes an encrypted key an error instead of a prompt.
+            context.load_cert_chain(self._certificate, self._key, password="")
+        if self._ca is not None:
+            context.load_verify_locations(cafile=self._ca)
+        return TlsContents(_read(self._certificate), _read(self._key), _read(self._ca))
+
+
+def _read(path: Path | None) -> bytes | None:
+    return path.read_bytes() if path is not None else None
+
+
+class Transport:
+    """Opens server ports and channels with one kind of protection.
+
+    :param mode: protection of every connection.
+    :param files: certificate files; ``None`` only with plain text.
+    :param message_bytes: largest message in bytes, in both directions.
+    """
+
+    def __init__(self, mode: TlsMode, files: TlsFiles | None, message_bytes: int) -> None:
+        if (files is None) != (mode is TlsMode.PLAIN_TEXT):
+            raise ValueError("certificate files are needed except with plain text")
+        self._mode = mode
+        self._files = files
+        self._options = [
+            ("grpc.max_receive_message_length", message_bytes),
+            ("grpc.max_send_message_length", message_bytes),
+        ]
+
+    @property
+    def server_options(self) -> list[tuple[str, int]]:
+        """Return the options that ``grpc.aio.server`` takes."""
+        return list(self._options)
+
+    @classmethod
+    def from_settings(cls, tls: TlsSettings, message_bytes: int) -> Transport:
+        """Build from the settings of an instance.
+
+        :raises ConfigurationError: a file is not valid.
+        """
+        if tls.mode is TlsMode.PLAIN_TEXT:
+            return cls(tls.mode, None, message_bytes)
+        return cls(tls.mode, TlsFiles(tls.certificate, tls.key, tls.ca), message_bytes)
+
+    def bind(self, server: grpc.aio.Server, address: str) -> None:
+        """Add a port to a server that has not started.
+
+        :raises RuntimeError: the address is in use.
+        """
+        if self._files is None:
+            log_event(logger, catalogue.PLAIN_TEXT_IN_USE, address=address)
+            server.add_insecure_port(address)
+            return
+        server.add_secure_port(address, self._server_credentials(self._files))
+
+    def channel(self, address: str, options: Sequence[tuple[str, int]] = ()) -> grpc.aio.Channel:
+        """Open a channel with the certificate files as they are now.
+
+        :param options: gRPC channel options in addition to the message size.
+        """
+        merged = [*self._options, *options]
+        if self._files is None:
+            return grpc.aio.insecure_channel(address, options=merged)
+        contents = self._files.current()
+        is_mutual = self._mode is TlsMode.MUTUAL
+        credentials = grpc.ssl_channel_credentials(
+            root_certificates=contents.ca,
+            private_key=contents.key if is_mutual else None,
+            certificate_chain=contents.certificate if is_mutual else None,
+        )
+        return grpc.aio.secure_channel(address, credentials, options=merged)
+
+    def _server_credentials(self, files: TlsFiles) -> grpc.ServerCredentials:
+        return grpc.dynamic_ssl_server_credentials(
+            self._configuration(files),
+            lambda: self._configuration(files),
+            require_client_authentication=self._mode is TlsMode.MUTUAL,
+        )
+
+    def _configuration(self, files: TlsFiles) -> grpc.ServerCertificateConfiguration:
+        contents = files.current()
+        return grpc.ssl_server_certificate_configuration(
+            [(contents.key, contents.certificate)],
+            root_certificates=contents.ca if self._mode is TlsMode.MUTUAL else None,
+        )
