--- a/hibiscuspoint/cli/__init__.py
+++ b/hibiscuspoint/cli/__init__.py
@@ -1,1 +1,1 @@
-"""The hibiscuspoint command line."""
+"""The command line ``hibiscuspoint``."""
--- a/hibiscuspoint/telemetry/page.py
+++ b/hibiscuspoint/telemetry/page.py
@@ -12,6 +12,7 @@
 from markupsafe import Markup
 
 from hibiscuspoint.telemetry.burn import WINDOWS, Series, levels_of
+from hibiscuspoint.util.text import format_table
 
 if TYPE_CHECKING:
     from hibiscuspoint.document import Document
@@ -67,13 +68,8 @@
 def as_text(report: BurnReport) -> str:
     """Return the report as a table."""
     header = ["group", "service level", "objective", *WINDOWS, "budget spent", "page"]
-    rows = [header, *(_text_row(level) for level in report.levels)]
-    widths = [max(len(row[column]) for row in rows) for column in range(len(header))]
-    lines = [
-        "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip()
-        for row in rows
-    ]
-    return "\n".join([f"Burn rates of {report.environment} at {_time(report.at)}", *lines])
+    table = format_table(header, [_text_row(level) for level in report.levels])
+    return f"Burn rates of {report.environment} at {_time(report.at)}\n{table}"
 
 
 def _text_row(level: LevelReport) -> list[str]:
