Add the entry, router and attachment components

Cause: requests had no way from a caller to a holder. Change: conversions, routing to holders, the attachment to the control leader.

--- /dev/null
+++ b/hibiscuspoint/components/attachment.py
@@ -0,0 +1,131 @@
+"""The component that keeps this entry attached to the control leader."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from itertools import cycle
+from typing import TYPE_CHECKING
+
+import grpc
+from circuits import Component
+
+from hibiscuspoint.components.events import update_received
+from hibiscuspoint.wire import peer_pb2, peer_pb2_grpc
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from hibiscuspoint.components.peers import PeerChannels
+    from hibiscuspoint.components.runtime import Runtime
+
+__all__ = ["Attachment"]
+
+logger = logging.getLogger(__name__)
+
+#: Seconds between two reports.
+REPORT_INTERVAL_SECONDS = 0.25
+
+#: Shortest time in seconds between two reports when there is news.
+REPORT_SPACING_SECONDS = 0.005
+
+#: Seconds without an update after which another control instance is tried.
+SILENCE_SECONDS = 1.0
+
+#: Seconds before the next control instance is tried.
+RETRY_SECONDS = 0.1
+
+
+class Attachment(Component):
+    """Sends reports to the control leader and fires the updates that come back.
+
+    :param members: addresses of the control instances.
+    :param make_report: builds the report that is sent next.
+    """
+
+    channel = "attachment"
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        channels: PeerChannels,
+        members: list[str],
+        make_report: Callable[[], peer_pb2.EntryReport],
+    ) -> None:
+        super().__init__()
+        self._runtime = runtime
+        self._channels = channels
+        self._candidates = cycle(members)
+        self._make_report = make_report
+        self._redirect = ""
+        self._news = asyncio.Event()
+        self._heard_at = 0.0
+        self._task: asyncio.Task | None = None
+
+    def report_due(self) -> None:
+        """Send a report without waiting for the interval."""
+        self._news.set()
+
+    def start(self) -> None:
+        """Start to attach."""
+        self._task = asyncio.ensure_future(self._run())
+
+    async def stop(self) -> None:
+        """Detach."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self) -> None:
+        while True:
+            address = self._redirect or next(self._candidates)
+            self._redirect = ""
+            channel = self._channels.open(address)
+            try:
+                await self._attach(channel)
+            except (grpc.aio.AioRpcError, asyncio.InvalidStateError, TimeoutError) as error:
+                logger.debug("attachment to %s ended: %s", address, error)
+            finally:
+                await channel.close()
+            if not self._redirect:
+                await asyncio.sleep(RETRY_SECONDS)
+
+    async def _attach(self, channel: grpc.aio.Channel) -> None:
+        call = peer_pb2_grpc.ControlStub(channel).Attach()
+        self._heard_at = asyncio.get_running_loop().time()
+        tasks = [asyncio.ensure_future(self._receive(call)), asyncio.ensure_future(self._send(call))]
+        try:
+            done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                task.result()
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            call.cancel()
+
+    async def _receive(self, call: grpc.aio.StreamStreamCall) -> None:
+        loop = asyncio.get_running_loop()
+        while (update := await call.read()) is not grpc.aio.EOF:
+            if update.redirect:
+                self._redirect = update.redirect
+                return
+            if not update.control_term:
+                return
+            self._heard_at = loop.time()
+            self._runtime.dispatch(update_received(update))
+
+    async def _send(self, call: grpc.aio.StreamStreamCall) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            if loop.time() - self._heard_at > SILENCE_SECONDS:
+                raise TimeoutError("the control leader is silent")
+            self._news.clear()
+            async with asyncio.timeout(SILENCE_SECONDS):
+                await call.write(self._make_report())
+            await asyncio.sleep(REPORT_SPACING_SECONDS)
+            try:
+                async with asyncio.timeout(REPORT_INTERVAL_SECONDS):
+                    await self._news.wait()
+            except TimeoutError:
+                continue
--- /dev/null
+++ b/hibiscuspoint/components/entry.py
@@ -0,0 +1,219 @@
+"""The component that serves callers."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from circuits import Component
+
+from hibiscuspoint.components.forwarding import error_reply, request_from_message, result_reply
+from hibiscuspoint.core.position import LogPosition
+from hibiscuspoint.errors import HibiscusError, LimitError, NotReadyError, RequestError, TokenError
+from hibiscuspoint.ids import GroupId, Term
+from hibiscuspoint.telemetry import catalogue, log_event
+from hibiscuspoint.wire import common_pb2, peer_pb2
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from hibiscuspoint.components.entry_state import EntryState
+    from hibiscuspoint.components.events import execute_requested, forward_requested
+    from hibiscuspoint.components.holder import GroupRequest
+    from hibiscuspoint.components.holders import Holders
+    from hibiscuspoint.components.router import Router
+    from hibiscuspoint.core.entry.drain import DrainState
+    from hibiscuspoint.core.entry.session import SessionMarks, TokenCodec
+    from hibiscuspoint.core.ports import Clock
+    from hibiscuspoint.document.model import GroupModel
+    from hibiscuspoint.settings import LimitSettings
+    from hibiscuspoint.telemetry.metrics import Metrics
+    from hibiscuspoint.wire import caller_pb2
+
+__all__ = ["Entry"]
+
+logger = logging.getLogger(__name__)
+
+MILLISECONDS = 1000
+
+
+class Entry(Component):
+    """Checks requests of callers, keeps their sessions, and hands them to the router."""
+
+    channel = "entry"
+
+    def __init__(
+        self,
+        state: EntryState,
+        router: Router,
+        holders: Holders,
+        codec: TokenCodec,
+        drain: DrainState,
+        limits: LimitSettings,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        super().__init__()
+        self._state = state
+        self._router = router
+        self._holders = holders
+        self._codec = codec
+        self._drain = drain
+        self._limits = limits
+        self._clock = clock
+        self._metrics = metrics
+
+    @property
+    def drain(self) -> DrainState:
+        """Return the progress of a planned stop."""
+        return self._drain
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether the load balancer should send callers."""
+        return self._drain.is_ready and self._state.is_ready(self._clock.monotonic())
+
+    def execute_requested(self, event: execute_requested) -> None:
+        """Set the reply of a request."""
+
+    async def execute(self, message: caller_pb2.ExecuteRequest) -> caller_pb2.ExecuteReply:
+        """Run the request of a caller; errors become replies."""
+        started = self._clock.monotonic()
+        kind = "read" if message.HasField("read") else "write"
+        self._drain.begin_request()
+        try:
+            reply = await self._execute(message, started)
+        except HibiscusError as error:
+            reply = self.refuse(message.group, error)
+        finally:
+            self._drain.end_request()
+        reply.call_id = message.call_id
+        reply.go_elsewhere = not self._drain.is_ready
+        self._measure(message.group, kind, reply, started)
+        return reply
+
+    async def execute_forwarded(
+        self, message: peer_pb2.ForwardRequest
+    ) -> peer_pb2.ForwardReply:
+        """Run a request that another entry forwarded."""
+        request = self.forwarded_request(message)
+        self._drain.begin_request()
+        try:
+            result = await self._holders.execute(request)
+        except HibiscusError as error:
+            return peer_pb2.ForwardReply(reply=error_reply(error))
+        finally:
+            self._drain.end_request()
+        position = common_pb2.Position(term=result.position.term, index=result.position.index)
+        return peer_pb2.ForwardReply(reply=result_reply(result), position=position)
+
+    def forwarded_request(self, message: peer_pb2.ForwardRequest) -> GroupRequest:
+        """Return the request that another entry forwarded."""
+        inner = message.request
+        return request_from_message(
+            inner,
+            inner.statements,
+            LogPosition(Term(message.mark.term), message.mark.index),
+            self._clock.monotonic() + message.remaining_ms / MILLISECONDS,
+            inner.read.max_age_ms if inner.HasField("read") else None,
+        )
+
+    def admit(
+        self, message: caller_pb2.ExecuteRequest, started: float
+    ) -> tuple[GroupRequest, SessionMarks]:
+        """Check a request and return it with the marks of its session.
+
+        :param started: monotonic time of arrival in seconds.
+        :raises HibiscusError: with the verdict ``NOT_RUN``.
+        """
+        if not self._drain.accepts_new(started):
+            raise NotReadyError("this entry is stopping")
+        if not self._state.is_ready(started):
+            raise NotReadyError("this entry has no contact with control or no document")
+        rules = self._rules(message.group)
+        self._check_statements(message.statements)
+        marks = self._session(message)
+        timeout_ms = message.timeout_ms or rules.default_timeout_ms
+        request = request_from_message(
+            message,
+            message.statements,
+            marks.mark(GroupId(message.group)),
+            started + timeout_ms / MILLISECONDS,
+            self._max_age_ms(message, rules),
+        )
+        return request, marks
+
+    def refuse(self, group: str, error: HibiscusError) -> caller_pb2.ExecuteReply:
+        """Return the reply for an error and log it."""
+        log_event(
+            logger,
+            catalogue.REQUEST_REFUSED,
+            group=group,
+            code=error.code,
+            verdict=error.verdict.name,
+        )
+        return error_reply(error)
+
+    def new_token(self, marks: SessionMarks, group: GroupId, position: LogPosition) -> bytes:
+        """Return the token of a session that wrote or saw a position."""
+        return self._codec.encode(marks.advance(group, position))
+
+    def check_step(self, statements: Iterable[common_pb2.Statement]) -> None:
+        """Check the statements of one step of a transaction.
+
+        :raises LimitError: a statement is too long.
+        """
+        for statement in statements:
+            if len(statement.sql) > self._limits.statement_bytes:
+                raise LimitError(
+                    f"a statement is longer than {self._limits.statement_bytes} bytes"
+                )
+
+    async def _execute(
+        self, message: caller_pb2.ExecuteRequest, started: float
+    ) -> caller_pb2.ExecuteReply:
+        request, marks = self.admit(message, started)
+        result = await self._router.execute(request)
+        reply = result_reply(result)
+        reply.token = self.new_token(marks, request.group, result.position)
+        return reply
+
+    def _rules(self, group: str) -> GroupModel:
+        rules = self._state.document.groups.get(GroupId(group))
+        if rules is None:
+            raise RequestError(f"group {group!r} is not in the document in force")
+        return rules
+
+    def _check_statements(self, statements: Iterable[common_pb2.Statement]) -> None:
+        if not statements:
+            raise RequestError("the request has no statement")
+        self.check_step(statements)
+
+    def _session(self, message: caller_pb2.ExecuteRequest) -> SessionMarks:
+        try:
+            marks = self._codec.decode(message.token)
+        except TokenError as error:
+            log_event(logger, catalogue.TOKEN_REFUSED, reason=error.message)
+            raise
+        self._codec.ensure_room(marks, GroupId(message.group))
+        return marks
+
+    def _max_age_ms(
+        self, message: caller_pb2.ExecuteRequest, rules: GroupModel
+    ) -> int | None:
+        if not message.HasField("read"):
+            return None
+        max_age_ms = message.read.max_age_ms or rules.reads.default_max_age_ms
+        if rules.reads.max_age_ms_limit is not None:
+            return min(max_age_ms, rules.reads.max_age_ms_limit)
+        return max_age_ms
+
+    def _measure(
+        self, group: str, kind: str, reply: caller_pb2.ExecuteReply, started: float
+    ) -> None:
+        known = self._state.document is not None and group in self._state.document.groups
+        label = group if known else "unknown"
+        verdict = common_pb2.Verdict.Name(reply.verdict)
+        self._metrics.requests.labels(label, kind, verdict, reply.error.code).inc()
+        elapsed = self._clock.monotonic() - started
+        self._metrics.latency.labels(label, kind).observe(elapsed)
--- /dev/null
+++ b/hibiscuspoint/components/entry_state.py
@@ -0,0 +1,115 @@
+"""What an entry knows from control."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hibiscuspoint.core.entry.routes import (
+    ContactMonitor,
+    DocumentFence,
+    RouteGrant,
+    RouteMember,
+    RouteTable,
+)
+from hibiscuspoint.core.position import TermHistory
+from hibiscuspoint.document import Document
+from hibiscuspoint.errors import ConfigurationError
+from hibiscuspoint.ids import AvailabilityZone, GroupId, InstanceId, TargetId, Term
+
+if TYPE_CHECKING:
+    from hibiscuspoint.wire import peer_pb2
+
+__all__ = ["EntryState"]
+
+MILLISECONDS = 1000
+NANOSECONDS = 1_000_000_000
+
+
+class EntryState:
+    """Document, holders and routes in force at an entry.
+
+    :param environment: environment of this instance; documents of another one are refused.
+    """
+
+    def __init__(self, environment: str) -> None:
+        self._environment = environment
+        self._fence = DocumentFence()
+        self._contact = ContactMonitor()
+        self._holders: dict[GroupId, list[tuple[InstanceId, str]]] = {}
+        self.routes = RouteTable()
+        self.document: Document | None = None
+        self.holders_version = 0
+
+    @property
+    def document_number(self) -> int:
+        """Return the number of the document in force; 0 without one."""
+        return self.document.number if self.document is not None else 0
+
+    def holders(self, group: GroupId) -> list[tuple[InstanceId, str]]:
+        """Return the holders of a group with their addresses, preferred first."""
+        return self._holders.get(group, [])
+
+    def is_ready(self, now: float) -> bool:
+        """Tell whether the entry may serve: it has a document and recent contact with control."""
+        return self.document is not None and self._contact.is_ready(now)
+
+    def accept(self, update: peer_pb2.ControlUpdate) -> bool:
+        """Check an update against earlier ones and take document and holders over.
+
+        :returns: false when the update is older than what is in force; nothing of it is used.
+        """
+        if not self._fence.accept(update.control_term, update.document_number):
+            return False
+        self._contact.contact(update.echo_sent_at_ns / NANOSECONDS)
+        if update.document and update.document_number > self.document_number:
+            self._take_document(update.document)
+        if update.holders:
+            self._holders = {
+                GroupId(item.group): [(InstanceId(h.instance), h.address) for h in item.holders]
+                for item in update.holders
+            }
+        self.holders_version = update.holders_version
+        return True
+
+    def apply_routes(self, update: peer_pb2.ControlUpdate) -> list[GroupId]:
+        """Apply the routes of an update and return the groups whose route was taken over."""
+        asked_at = update.echo_sent_at_ns / NANOSECONDS
+        applied = []
+        for message in update.routes:
+            grant = _grant_from_message(message, asked_at)
+            if self.routes.apply(grant):
+                applied.append(grant.group)
+        return applied
+
+    def _take_document(self, text: str) -> None:
+        try:
+            document = Document.from_text(text, source="document in force")
+        except ConfigurationError:
+            # An instance of an older version keeps its document; status shows its number.
+            return
+        if document.environment == self._environment:
+            self.document = document
+
+
+def _grant_from_message(message: peer_pb2.Route, asked_at: float) -> RouteGrant:
+    members = tuple(
+        RouteMember(
+            TargetId(member.target),
+            member.address,
+            AvailabilityZone(member.availability_zone),
+            member.slots,
+            member.leaving,
+        )
+        for member in message.members
+    )
+    return RouteGrant(
+        group=GroupId(message.group),
+        term=Term(message.term),
+        primary=TargetId(message.primary),
+        members=members,
+        ack_quorum=message.ack_quorum,
+        lease_seconds=message.lease_ms / MILLISECONDS,
+        asked_at=asked_at,
+        history=TermHistory([(Term(item.term), item.start) for item in message.history]),
+        paused=message.paused,
+    )
--- /dev/null
+++ b/hibiscuspoint/components/forwarding.py
@@ -0,0 +1,120 @@
+"""Conversion between gRPC messages and requests of the core."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hibiscuspoint.components.holder import GroupRequest, GroupResult
+from hibiscuspoint.core.position import LogPosition
+from hibiscuspoint.errors import ERROR_CODES, HibiscusError
+from hibiscuspoint.ids import CallerId, GroupId, RequestId, TargetId, Term
+from hibiscuspoint.verdict import Verdict
+from hibiscuspoint.wire import caller_pb2, common_pb2, peer_pb2
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+__all__ = [
+    "error_from_reply",
+    "error_reply",
+    "forward_message",
+    "request_from_message",
+    "result_from_forward",
+    "result_reply",
+]
+
+MILLISECONDS = 1000
+
+
+def request_from_message(
+    message: caller_pb2.ExecuteRequest,
+    statements: Iterable[common_pb2.Statement],
+    mark: LogPosition,
+    deadline: float,
+    max_age_ms: int | None,
+) -> GroupRequest:
+    """Return the request that a message carries.
+
+    :param deadline: monotonic time in seconds.
+    :param max_age_ms: ``None`` for a write.
+    """
+    has_id = message.HasField("idempotency")
+    return GroupRequest(
+        group=GroupId(message.group),
+        caller=CallerId(message.caller),
+        statements=tuple(statements),
+        mark=mark,
+        deadline=deadline,
+        max_age=None if max_age_ms is None else max_age_ms / MILLISECONDS,
+        request_id=RequestId(message.idempotency.id) if has_id else None,
+        issued_at_ms=message.idempotency.issued_at_ms,
+    )
+
+
+def forward_message(request: GroupRequest, now: float) -> peer_pb2.ForwardRequest:
+    """Return the message that hands a request to a holder."""
+    message = caller_pb2.ExecuteRequest(
+        caller=request.caller, group=request.group, statements=request.statements
+    )
+    if request.max_age is not None:
+        message.read.max_age_ms = int(request.max_age * MILLISECONDS)
+    if request.request_id is not None:
+        message.idempotency.id = request.request_id
+        message.idempotency.issued_at_ms = request.issued_at_ms
+    return peer_pb2.ForwardRequest(
+        request=message,
+        mark=common_pb2.Position(term=request.mark.term, index=request.mark.index),
+        remaining_ms=max(0, int((request.deadline - now) * MILLISECONDS)),
+    )
+
+
+def result_reply(result: GroupResult) -> caller_pb2.ExecuteReply:
+    """Return the reply that carries a result."""
+    return caller_pb2.ExecuteReply(
+        results=result.results,
+        verdict=common_pb2.DONE,
+        served_by=result.served_by or "",
+        from_replica=result.from_replica,
+        replayed=result.replayed,
+    )
+
+
+def error_reply(error: HibiscusError) -> caller_pb2.ExecuteReply:
+    """Return the reply that carries an error."""
+    return caller_pb2.ExecuteReply(
+        verdict=error.verdict.value,
+        error=common_pb2.Error(
+            code=error.code,
+            message=error.message,
+            hint=error.hint,
+            rolled_back=error.rolled_back,
+        ),
+    )
+
+
+def error_from_reply(reply: caller_pb2.ExecuteReply) -> HibiscusError:
+    """Return the error of a reply."""
+    error_class = ERROR_CODES.get(reply.error.code, HibiscusError)
+    return error_class(
+        reply.error.message,
+        hint=reply.error.hint,
+        verdict=Verdict(reply.verdict),
+        rolled_back=reply.error.rolled_back,
+    )
+
+
+def result_from_forward(message: peer_pb2.ForwardReply) -> GroupResult:
+    """Return the result that a holder sent.
+
+    :raises HibiscusError: the holder sent an error.
+    """
+    reply = message.reply
+    if reply.error.code:
+        raise error_from_reply(reply)
+    return GroupResult(
+        results=list(reply.results),
+        position=LogPosition(Term(message.position.term), message.position.index),
+        served_by=TargetId(reply.served_by),
+        from_replica=reply.from_replica,
+        replayed=reply.replayed,
+    )
--- a/hibiscuspoint/components/holder/lane.py
+++ b/hibiscuspoint/components/holder/lane.py
@@ -10,10 +10,11 @@
     CloseConnection,
     ConnectionId,
     ConnectionPool,
+    ConnectionState,
     Lend,
     OpenConnection,
 )
-from hibiscuspoint.drivers.standin import ConnectionLost
+from hibiscuspoint.drivers import ConnectError, ConnectFailure
 from hibiscuspoint.errors import DeadlineError
 from hibiscuspoint.verdict import Verdict
 
@@ -27,6 +28,9 @@
 
 __all__ = ["LaneObservations", "LentConnection", "TargetLane"]
 
+#: Weight of the last run in the moving average of the service time.
+SERVICE_TIME_GAIN = 1 / 8
+
 
 @dataclass
 class LaneObservations:
@@ -61,6 +65,7 @@
         self._tasks: set[asyncio.Task] = set()
         self._sequence = 0
         self.in_flight = 0
+        self.service_time = 0.0
         self.observations = LaneObservations()
 
     @property
@@ -128,6 +133,11 @@
         now = self._context.clock.monotonic()
         self._carry_out(self._pool.release(lent.connection_id, is_clean, now))
 
+    def succeeded(self, seconds: float) -> None:
+        """Record the duration of a successful run."""
+        self.observations.successes += 1
+        self.service_time += SERVICE_TIME_GAIN * (seconds - self.service_time)
+
     def close(self) -> None:
         """Close all connections."""
         self._carry_out(self._pool.set_share(0, 0.0, self._context.clock.monotonic()))
@@ -179,8 +189,8 @@
                 instance=context.instance,
                 instance_incarnation=context.incarnation,
             )
-        except ConnectionLost:
-            self.observations.refusals += 1
+        except ConnectError as error:
+            self._observe_failure(error.failure)
             self._carry_out(self._pool.lost(connection_id, context.clock.monotonic()))
             return
         self._connections[connection_id] = connection
@@ -191,9 +201,14 @@
             connection.close()
             self._carry_out(self._pool.lost(connection_id, now))
 
+    def _observe_failure(self, failure: ConnectFailure) -> None:
+        if failure is ConnectFailure.REFUSED:
+            self.observations.refusals += 1
+        elif failure is ConnectFailure.TIMED_OUT:
+            self.observations.timeouts += 1
+
     def _is_closing(self, connection_id: ConnectionId) -> bool:
-        state = self._pool.state(connection_id)
-        return state is not None and state.value == "closing"
+        return self._pool.state(connection_id) is ConnectionState.CLOSING
 
     def _start(self, coroutine: object) -> None:
         task = asyncio.ensure_future(coroutine)
--- a/hibiscuspoint/components/holder/progress.py
+++ b/hibiscuspoint/components/holder/progress.py
@@ -200,9 +200,7 @@
         self._resolve_waiters()
         self.notify()
 
-    def _answer_sample(
-        self, target: TargetId, progress: target_pb2.Progress, now: float
-    ) -> None:
+    def _answer_sample(self, target: TargetId, progress: target_pb2.Progress, now: float) -> None:
         route = self._context.routes.primary(self._group, now)
         lease_valid = route is not None and route.primary == target and progress.primary
         term = Term(progress.term)
--- a/hibiscuspoint/components/holder/writes.py
+++ b/hibiscuspoint/components/holder/writes.py
@@ -7,9 +7,9 @@
 from hibiscuspoint.components.holder.context import GroupResult
 from hibiscuspoint.core.entry import idempotency
 from hibiscuspoint.core.entry.idempotency import IdempotencyPolicy
-from hibiscuspoint.core.entry.outcome import decode_outcome, encode_outcome
+from hibiscuspoint.core.entry.outcome import Outcome
 from hibiscuspoint.core.entry.retry import RetryDecision
-from hibiscuspoint.drivers.standin import ConnectionLost, TargetFailure
+from hibiscuspoint.drivers import ConnectionLost, TargetFailure
 from hibiscuspoint.errors import (
     DeadlineError,
     HibiscusError,
@@ -25,7 +25,7 @@
     from hibiscuspoint.components.holder.group import GroupHolder
     from hibiscuspoint.components.holder.lane import LentConnection, TargetLane
     from hibiscuspoint.core.entry.routes import Route
-    from hibiscuspoint.core.ports import RunResult
+    from hibiscuspoint.drivers.answer import RunResult
     from hibiscuspoint.ids import Term
 
 __all__ = ["WriteRunner", "failure_to_error"]
@@ -65,9 +65,7 @@
                 if decision is RetryDecision.LOOK_UP:
                     return await self._look_up_after(request, error)
 
-    def _decide(
-        self, request: GroupRequest, error: HibiscusError, attempt: int
-    ) -> RetryDecision:
+    def _decide(self, request: GroupRequest, error: HibiscusError, attempt: int) -> RetryDecision:
         if error.verdict is Verdict.NOT_RUN and not isinstance(error, NoPrimaryError):
             return RetryDecision.GIVE_UP
         holder = self._holder
@@ -126,9 +124,7 @@
     ) -> tuple[RunResult, bool]:
         digest = idempotency.request_digest(request.statements)
         claim = idempotency.claim(request.request_id, request.issued_at_ms, digest)
-        first = target_pb2.Run(
-            term=route.term, begin=True, statements=[claim, *request.statements]
-        )
+        first = target_pb2.Run(term=route.term, begin=True, statements=[claim, *request.statements])
         try:
             ran = await self._send(lane, lent, first, request.deadline)
         except StatementError:
@@ -137,7 +133,7 @@
                 raise
             return recorded, True
         results = ran.results[1:]
-        store = idempotency.store_outcome(request.request_id, encode_outcome(results))
+        store = idempotency.store_outcome(request.request_id, Outcome.of(results).encode())
         second = target_pb2.Run(term=route.term, statements=[store], commit=True)
         committed = await self._send(lane, lent, second, request.deadline)
         return type(committed)(results=results, position=committed.position), False
@@ -160,7 +156,8 @@
             return None
         recorded_digest, outcome = rows[0].values
         idempotency.check_digest(recorded_digest.blob, digest)
-        return type(found)(results=decode_outcome(outcome.blob), position=found.position)
+        recorded = Outcome.decode(outcome.blob)
+        return type(found)(results=list(recorded.results), position=found.position)
 
     async def _look_up_after(self, request: GroupRequest, error: HibiscusError) -> GroupResult:
         """Resolve an unknown outcome by its id at the current primary."""
--- /dev/null
+++ b/hibiscuspoint/components/holders.py
@@ -0,0 +1,147 @@
+"""The component that runs requests for the groups this entry holds."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from circuits import Component
+
+from hibiscuspoint.components.holder import GroupHolder, HolderContext
+from hibiscuspoint.errors import NoHolderError
+from hibiscuspoint.ids import GroupId, TargetId
+from hibiscuspoint.wire import peer_pb2
+
+if TYPE_CHECKING:
+    from hibiscuspoint.components.entry_state import EntryState
+    from hibiscuspoint.components.holder import GroupRequest, GroupResult
+    from hibiscuspoint.components.holder.lane import TargetLane
+    from hibiscuspoint.components.holder.transactions import OpenTransaction
+    from hibiscuspoint.ids import InstanceId
+
+__all__ = ["Holders"]
+
+MILLISECONDS = 1000
+NANOSECONDS = 1_000_000_000
+
+
+class Holders(Component):
+    """Holds connections for the groups that control assigned to this instance."""
+
+    channel = "holders"
+
+    def __init__(self, context: HolderContext, state: EntryState) -> None:
+        super().__init__()
+        self._context = context
+        self._state = state
+        self._groups: dict[GroupId, GroupHolder] = {}
+        self._drained = False
+
+    @property
+    def instance(self) -> InstanceId:
+        """Return this instance."""
+        return self._context.instance
+
+    def is_holder(self, group: GroupId) -> bool:
+        """Tell whether control lists this instance as holder of a group."""
+        return any(instance == self.instance for instance, _ in self._state.holders(group))
+
+    async def execute(self, request: GroupRequest) -> GroupResult:
+        """Run a request at a target.
+
+        :raises HibiscusError: with the verdict of the request.
+        """
+        return await self._require(request.group).execute(request)
+
+    async def begin(self, request: GroupRequest) -> OpenTransaction:
+        """Open an interactive transaction.
+
+        :raises HibiscusError: with the verdict ``NOT_RUN``.
+        """
+        return await self._require(request.group).transactions.begin(request)
+
+    def update_received(self, update: peer_pb2.ControlUpdate) -> None:
+        """Take routes and shares over."""
+        if not self._state.accept(update) or self._state.document is None:
+            return
+        for group in self._state.apply_routes(update):
+            holder = self._holder(group)
+            if holder is not None:
+                holder.set_route(self._state.routes.route(group))
+        lanes = self._lanes()
+        for share in update.shares:
+            lane = lanes.get(TargetId(share.target))
+            if lane is not None:
+                ends = update.echo_sent_at_ns / NANOSECONDS + share.lease_ms / MILLISECONDS
+                lane.set_share(share.connections, ends, share.sequence)
+
+    def tick(self, now: float) -> None:
+        """Advance the timers of all groups."""
+        for holder in self._groups.values():
+            holder.tick(now)
+
+    def fill_report(self, report: peer_pb2.EntryReport, now: float) -> None:
+        """Add observations, shares and handed back leases to a report that is sent now."""
+        for target, lane in self._lanes().items():
+            self._add_lane(report, target, lane)
+        for group in self._state.routes.groups:
+            if self._may_hand_back(group, now):
+                term = self._state.routes.release(group, now)
+                report.released.append(peer_pb2.RouteRelease(group=group, term=term))
+
+    def close(self) -> None:
+        """Close all connections."""
+        for holder in self._groups.values():
+            holder.close()
+
+    def _require(self, group: GroupId) -> GroupHolder:
+        holder = self._groups.get(group)
+        if holder is None or not self.is_holder(group):
+            raise NoHolderError(f"instance {self.instance} does not hold group {group}")
+        return holder
+
+    def _holder(self, group: GroupId) -> GroupHolder | None:
+        holder = self._groups.get(group)
+        document = self._state.document
+        if holder is None and group in document.groups:
+            holder = GroupHolder(self._context, group, document, document.groups[group])
+            self._groups[group] = holder
+        return holder
+
+    def _lanes(self) -> dict[TargetId, TargetLane]:
+        return {
+            target: lane for holder in self._groups.values() for target, lane in holder.lanes.items()
+        }
+
+    def _may_hand_back(self, group: GroupId, now: float) -> bool:
+        """Tell whether a lease is not needed: it has ended or control asked for it."""
+        route = self._state.routes.primary(group, now)
+        if route is None:
+            return True
+        holder = self._groups.get(group)
+        return route.paused and (holder is None or holder.is_idle_at_primary)
+
+    def _add_lane(
+        self, report: peer_pb2.EntryReport, target: TargetId, lane: TargetLane
+    ) -> None:
+        seen = lane.take_observations()
+        if seen.successes or seen.refusals or seen.timeouts:
+            report.observations.append(
+                peer_pb2.TargetObservation(
+                    target=target,
+                    successes=seen.successes,
+                    refusals=seen.refusals,
+                    timeouts=seen.timeouts,
+                )
+            )
+        report.shares.append(
+            peer_pb2.ShareUse(
+                target=target,
+                open_connections=lane.pool.open_connections,
+                demand=lane.pool.demand,
+                allowance=lane.pool.share,
+                sequence=lane.share_sequence,
+            )
+        )
+        metrics = self._context.metrics
+        metrics.open_connections.labels(target).set(lane.pool.open_connections)
+        metrics.connection_share.labels(target).set(lane.pool.share)
--- /dev/null
+++ b/hibiscuspoint/components/peers.py
@@ -0,0 +1,83 @@
+"""Channels to other processes of hibiscuspoint."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from hibiscuspoint.util.channels import CHANNEL_OPTIONS
+
+if TYPE_CHECKING:
+    import grpc
+
+    from hibiscuspoint.components.tls import Transport
+
+__all__ = ["PEER_SERVER_OPTIONS", "PeerChannels"]
+
+#: An unanswered keepalive closes a silent connection within two seconds.
+_KEEPALIVE_OPTIONS = (
+    ("grpc.keepalive_time_ms", 1000),
+    ("grpc.keepalive_timeout_ms", 1000),
+    ("grpc.keepalive_permit_without_calls", 1),
+    ("grpc.http2.max_pings_without_data", 0),
+)
+
+PEER_SERVER_OPTIONS = (
+    ("grpc.so_reuseport", 0),
+    ("grpc.http2.min_recv_ping_interval_without_data_ms", 300),
+    ("grpc.http2.max_ping_strikes", 0),
+    ("grpc.keepalive_permit_without_calls", 1),
+    *_KEEPALIVE_OPTIONS,
+)
+
+
+class PeerChannels:
+    """Opens one channel for each address and keeps it.
+
+    :param transport: TLS or plain text.
+    """
+
+    def __init__(self, transport: Transport) -> None:
+        self._transport = transport
+        self._channels: dict[str, grpc.aio.Channel] = {}
+        self._closing: set[asyncio.Task] = set()
+
+    def get(self, address: str) -> grpc.aio.Channel:
+        """Return the channel to an address."""
+        channel = self._channels.get(address)
+        if channel is None:
+            channel = self.open(address)
+            self._channels[address] = channel
+        return channel
+
+    def open(self, address: str) -> grpc.aio.Channel:
+        """Open a channel that the caller closes."""
+        options = [o for o in CHANNEL_OPTIONS if "message_length" not in o[0]]
+        return self._transport.channel(address, [*options, *_KEEPALIVE_OPTIONS])
+
+    async def is_ready(self, address: str, timeout: float) -> bool:
+        """Wait until the channel to an address is connected.
+
+        :param timeout: seconds.
+        """
+        try:
+            async with asyncio.timeout(timeout):
+                await self.get(address).channel_ready()
+        except TimeoutError:
+            self.discard(address)
+            return False
+        return True
+
+    def discard(self, address: str) -> None:
+        """Close the channel to an address; the next call opens a new one."""
+        channel = self._channels.pop(address, None)
+        if channel is not None:
+            task = asyncio.ensure_future(channel.close())
+            self._closing.add(task)
+            task.add_done_callback(self._closing.discard)
+
+    async def close(self) -> None:
+        """Close all channels."""
+        for channel in self._channels.values():
+            await channel.close()
+        self._channels.clear()
--- /dev/null
+++ b/hibiscuspoint/components/router.py
@@ -0,0 +1,108 @@
+"""Hands requests to a holder of their group, here or at another entry."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import grpc
+import xxhash
+
+from hibiscuspoint.components.forwarding import forward_message, result_from_forward
+from hibiscuspoint.errors import (
+    DeadlineError,
+    HibiscusError,
+    NoHolderError,
+    TargetLostError,
+)
+from hibiscuspoint.verdict import Verdict
+from hibiscuspoint.wire import peer_pb2_grpc
+
+if TYPE_CHECKING:
+    from hibiscuspoint.components.entry_state import EntryState
+    from hibiscuspoint.components.holder import GroupRequest, GroupResult
+    from hibiscuspoint.components.holders import Holders
+    from hibiscuspoint.components.peers import PeerChannels
+    from hibiscuspoint.core.ports import Clock
+    from hibiscuspoint.ids import InstanceId
+
+__all__ = ["Router"]
+
+#: Longest time in seconds to connect to a holder before the next one is tried.
+CONNECT_SECONDS = 0.5
+
+#: Seconds that an answer may take on its way back after the deadline of the request.
+GRACE_SECONDS = 0.2
+
+#: Seconds before the holders are tried again.
+RETRY_SECONDS = 0.05
+
+
+class Router:
+    """Chooses a holder for each request."""
+
+    def __init__(
+        self, state: EntryState, holders: Holders, channels: PeerChannels, clock: Clock
+    ) -> None:
+        self._state = state
+        self._holders = holders
+        self._channels = channels
+        self._clock = clock
+
+    def candidates(self, request: GroupRequest) -> list[tuple[InstanceId, str]]:
+        """Return the holders to try in order: this instance, then spread by caller."""
+        holders = self._state.holders(request.group)
+        mine = [holder for holder in holders if holder[0] == self._holders.instance]
+        others = [holder for holder in holders if holder[0] != self._holders.instance]
+        if others:
+            first = xxhash.xxh64_intdigest(request.caller) % len(others)
+            others = others[first:] + others[:first]
+        return mine + others
+
+    async def execute(self, request: GroupRequest) -> GroupResult:
+        """Run a request at the first holder that takes it.
+
+        :raises HibiscusError: with the verdict of the request.
+        """
+        error: HibiscusError = NoHolderError(f"group {request.group} has no holder")
+        for instance, address in self.candidates(request):
+            try:
+                if instance == self._holders.instance:
+                    return await self._holders.execute(request)
+                return await self._forward(request, address)
+            except NoHolderError as refused:
+                error = refused
+            except TargetLostError as lost:
+                if not self._may_repeat(request, lost):
+                    raise
+                error = lost
+        raise error
+
+    def _may_repeat(self, request: GroupRequest, lost: TargetLostError) -> bool:
+        """Tell whether a request whose holder was lost may go to another holder."""
+        has_time = self._clock.monotonic() < request.deadline
+        lost_holder = isinstance(lost, HolderLostError)
+        return has_time and lost_holder and (request.is_read or request.request_id is not None)
+
+    async def _forward(self, request: GroupRequest, address: str) -> GroupResult:
+        now = self._clock.monotonic()
+        remaining = request.deadline - now
+        if remaining <= 0:
+            raise DeadlineError("the time of the request ended", verdict=Verdict.NOT_RUN)
+        if not await self._channels.is_ready(address, min(CONNECT_SECONDS, remaining)):
+            raise NoHolderError(f"the holder at {address} cannot be reached")
+        stub = peer_pb2_grpc.PeerStub(self._channels.get(address))
+        message = forward_message(request, self._clock.monotonic())
+        try:
+            reply = await stub.Forward(message, timeout=remaining + GRACE_SECONDS)
+        except grpc.aio.AioRpcError as error:
+            self._channels.discard(address)
+            if error.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
+                raise DeadlineError("the holder did not answer in time") from None
+            raise HolderLostError(f"the connection to the holder at {address} failed") from None
+        return result_from_forward(reply)
+
+
+class HolderLostError(TargetLostError):
+    """The connection to a holder failed after the request was sent."""
+
+    code = "HP2014"
