--- a/hibiscuspoint/core/consensus/__init__.py
+++ b/hibiscuspoint/core/consensus/__init__.py
@@ -1,1 +1,27 @@
 """The replicated log of the control group."""
+
+from __future__ import annotations
+
+from hibiscuspoint.core.consensus.entries import Command, Entry, HardState, Recovered, Snapshot
+from hibiscuspoint.core.consensus.membership import Configuration, DiskId, Member
+from hibiscuspoint.core.consensus.messages import Message
+from hibiscuspoint.core.consensus.node import Node, Proposal
+from hibiscuspoint.core.consensus.repair import RepairPhase, RepairProgress
+from hibiscuspoint.core.consensus.state import Role
+
+__all__ = [
+    "Command",
+    "Configuration",
+    "DiskId",
+    "Entry",
+    "HardState",
+    "Member",
+    "Message",
+    "Node",
+    "Proposal",
+    "Recovered",
+    "RepairPhase",
+    "RepairProgress",
+    "Role",
+    "Snapshot",
+]
--- /dev/null
+++ b/hibiscuspoint/core/consensus/node.py
@@ -0,0 +1,247 @@
+"""The consensus node: one member of the control group, without I/O."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from hibiscuspoint.core.consensus.effects import SaveSnapshot
+from hibiscuspoint.core.consensus.election import Election
+from hibiscuspoint.core.consensus.entries import Command, Snapshot
+from hibiscuspoint.core.consensus.follower import Follower
+from hibiscuspoint.core.consensus.formation import Formation
+from hibiscuspoint.core.consensus.messages import (
+    REQUESTS,
+    AppendReply,
+    AppendRequest,
+    Probe,
+    ProbeReply,
+    SnapshotRequest,
+    VoteReply,
+    VoteRequest,
+)
+from hibiscuspoint.core.consensus.repair import Repair
+from hibiscuspoint.core.consensus.replication import Replication
+from hibiscuspoint.core.consensus.state import NodeState, Role
+from hibiscuspoint.errors import NotLeaderError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from hibiscuspoint.core.consensus.effects import Effect
+    from hibiscuspoint.core.consensus.entries import Recovered
+    from hibiscuspoint.core.consensus.log import Log
+    from hibiscuspoint.core.consensus.membership import Configuration, DiskId, Member
+    from hibiscuspoint.core.consensus.messages import Message
+    from hibiscuspoint.core.consensus.progress import Progress
+    from hibiscuspoint.core.consensus.repair import RepairProgress
+    from hibiscuspoint.ids import InstanceId
+
+__all__ = ["Node", "Proposal"]
+
+
+@dataclass(frozen=True, slots=True)
+class Proposal:
+    """Where proposed commands were appended; they are committed only when applied."""
+
+    first_index: int
+    term: int
+    effects: list[Effect]
+
+
+class Node:
+    """One member of the control group.
+
+    Every method returns effects; the runner performs them in order before the next call, with all
+    ``Save...`` effects made durable first.
+
+    :param me: this instance and its disk.
+    :param peers: all control instances, with this one.
+    :param recovered: content of the disk.
+    :param draw: returns a random number in [0, 1).
+    :param now: seconds of a monotonic clock.
+    """
+
+    def __init__(
+        self,
+        me: Member,
+        peers: frozenset[InstanceId],
+        recovered: Recovered,
+        draw: Callable[[], float],
+        now: float,
+    ) -> None:
+        self._state = NodeState(me, peers, recovered, now)
+        self._election = Election(self._state, draw, self._lead)
+        self._follower = Follower(self._state)
+        self._replication = Replication(self._state)
+        self._formation = Formation(self._state)
+        self._repair = Repair(self._state, self._replication)
+
+    @property
+    def me(self) -> Member:
+        """Return this member."""
+        return self._state.me
+
+    @property
+    def role(self) -> Role:
+        """Return the role in the current term."""
+        return self._state.role
+
+    @property
+    def term(self) -> int:
+        """Return the current term."""
+        return self._state.hard.term
+
+    @property
+    def leader(self) -> InstanceId | None:
+        """Return the leader as far as this member knows."""
+        return self._state.leader
+
+    @property
+    def commit_index(self) -> int:
+        """Return the index up to which entries are known to be committed."""
+        return self._state.commit_index
+
+    @property
+    def configuration(self) -> Configuration:
+        """Return the configuration in force."""
+        return self._state.configuration
+
+    @property
+    def log(self) -> Log:
+        """Return the log, for reading."""
+        return self._state.log
+
+    def is_leader(self, now: float) -> bool:
+        """Tell whether this member leads under a valid lease and knows all earlier commits."""
+        if self._state.role is not Role.LEADER:
+            return False
+        return self._replication.has_lease(now) and self._replication.has_committed_in_term
+
+    def disk_of(self, instance: InstanceId) -> DiskId | None:
+        """Return the latest disk that an instance used, or ``None`` when it was not heard from."""
+        return self._state.disks.get(instance)
+
+    def progress_of(self, member: Member) -> Progress | None:
+        """Return the replication progress of a member; ``None`` unless this member leads."""
+        if self._state.role is not Role.LEADER:
+            return None
+        return self._replication.progress_of(member)
+
+    def tick(self, now: float) -> list[Effect]:
+        """Let time pass."""
+        self._set_time(now)
+        if self._state.role is Role.LEADER:
+            self._replication.tick()
+        else:
+            self._formation.tick()
+            self._election.tick()
+        return self._state.take_effects()
+
+    def handle(self, message: Message, now: float) -> list[Effect]:
+        """Process a message from another member."""
+        self._set_time(now)
+        if self._accepts(message):
+            self._note_disk(message)
+            self._dispatch(message)
+        return self._state.take_effects()
+
+    def propose(self, commands: Sequence[bytes], now: float) -> Proposal:
+        """Append commands as one batch.
+
+        :raises NotLeaderError: this member holds no leadership lease; nothing was appended.
+        """
+        self._require_leadership(now)
+        first = self._replication.propose([Command(data) for data in commands])
+        return Proposal(first, self.term, self._state.take_effects())
+
+    def repair(self, instance: InstanceId, now: float) -> tuple[RepairProgress, list[Effect]]:
+        """Perform the next step of replacing the lost disk of an instance.
+
+        :raises NotLeaderError: this member holds no leadership lease.
+        :raises RequestError: the instance cannot be repaired by this member.
+        """
+        self._require_leadership(now)
+        progress = self._repair.advance(instance)
+        return progress, self._state.take_effects()
+
+    def compact(self, index: int, data: bytes) -> list[Effect]:
+        """Replace the entries up to an applied index by a snapshot of the state machine."""
+        state = self._state
+        term = state.log.term_at(index)
+        if term is None or not state.log.snapshot.index < index <= state.commit_index:
+            return []
+        snapshot = Snapshot(index, term, state.log.configuration_at(index), data)
+        state.log.compact(snapshot)
+        tail = state.log.between(index, state.log.last_index)
+        state.emit(SaveSnapshot(snapshot, state.hard, tail))
+        return state.take_effects()
+
+    def _lead(self) -> None:
+        self._replication.start(self._election.draw_timeout())
+
+    def _set_time(self, now: float) -> None:
+        """Advance the time; a leader without a quorum steps down before it does anything else."""
+        self._state.now = now
+        if self._state.role is Role.LEADER and self._replication.has_lost_quorum():
+            self._election.become_follower(self.term, leader=None)
+
+    def _require_leadership(self, now: float) -> None:
+        self._set_time(now)
+        if not self.is_leader(now):
+            raise NotLeaderError(f"Instance {self.me.instance} is not the control leader.")
+
+    def _accepts(self, message: Message) -> bool:
+        """Tell whether a message is meant for this disk and its group."""
+        state = self._state
+        if message.source.instance not in state.peers or message.target != state.me.instance:
+            return False
+        if message.target_disk not in ("", state.me.disk):
+            if isinstance(message.body, REQUESTS):
+                self._formation.reply(message)
+            return False
+        if isinstance(message.body, Probe | ProbeReply):
+            return True
+        return bool(message.group) and state.hard.group in ("", message.group)
+
+    def _note_disk(self, message: Message) -> None:
+        source = message.source
+        if source.instance != self._state.me.instance:
+            self._state.disks[source.instance] = source.disk
+
+    def _dispatch(self, message: Message) -> None:
+        match message.body:
+            case Probe():
+                self._formation.reply(message)
+            case ProbeReply() as reply:
+                self._formation.handle_reply(message, reply)
+            case VoteRequest() as request:
+                self._election.handle_request(message, request)
+            case AppendRequest() | SnapshotRequest():
+                self._handle_leader(message)
+            case VoteReply() | AppendReply():
+                self._handle_reply(message)
+
+    def _handle_leader(self, message: Message) -> None:
+        state = self._state
+        body = message.body
+        is_own_term = message.term == self.term and state.role is Role.LEADER
+        if message.term < self.term or is_own_term:
+            state.send(message.source, AppendReply(False, 0, body.sent_at))
+            return
+        self._election.become_follower(message.term, message.source.instance)
+        state.join_group(message.group)
+        state.last_contact = state.now
+        if isinstance(body, AppendRequest):
+            self._follower.handle_append(message, body)
+        else:
+            self._follower.handle_snapshot(message, body)
+
+    def _handle_reply(self, message: Message) -> None:
+        if message.term > self.term:
+            self._election.become_follower(message.term, leader=None)
+            return
+        if isinstance(message.body, VoteReply):
+            self._election.handle_reply(message, message.body)
+        elif message.term == self.term and self._state.role is Role.LEADER:
+            self._replication.handle_reply(message, message.body)
--- /dev/null
+++ b/hibiscuspoint/core/consensus/timing.py
@@ -0,0 +1,40 @@
+"""Time constants of the control group, in seconds, and size limits of its messages."""
+
+from __future__ import annotations
+
+__all__ = [
+    "CATCH_UP_ENTRIES",
+    "ELECTION_TIMEOUT_MAX",
+    "ELECTION_TIMEOUT_MIN",
+    "HEARTBEAT_INTERVAL",
+    "LEASE_DURATION",
+    "MAX_BATCH_BYTES",
+    "MAX_BATCH_ENTRIES",
+    "MAX_IN_FLIGHT_ENTRIES",
+    "PROBE_INTERVAL",
+    "RETAINED_ENTRIES",
+    "SNAPSHOT_RETRY",
+]
+
+HEARTBEAT_INTERVAL = 0.150
+ELECTION_TIMEOUT_MIN = 1.0
+ELECTION_TIMEOUT_MAX = 2.0
+
+#: A follower grants no vote within ELECTION_TIMEOUT_MIN of the last leader contact. The lease is
+#: shorter, so that it ends first even when the clock rates of two instances differ by 10%.
+LEASE_DURATION = 0.9
+
+PROBE_INTERVAL = 0.3
+SNAPSHOT_RETRY = 2.0
+
+MAX_BATCH_ENTRIES = 256
+#: Keeps a message below the default gRPC limit of 4 MiB.
+MAX_BATCH_BYTES = 512 * 1024
+MAX_IN_FLIGHT_ENTRIES = 4096
+
+#: Entries kept in memory before the snapshot index, so that a follower that is slightly behind
+#: does not need the snapshot.
+RETAINED_ENTRIES = 256
+
+#: A learner this close to the commit index may become a voter.
+CATCH_UP_ENTRIES = 64
