Add the caller library, the history checker and the launcher

Cause: nothing could drive or judge a running system. Change: sessions over several entries with verified answers, a typed history with an independent checker, and a launcher of daemons and stand-ins on loopback that ends what it started.

--- /dev/null
+++ b/hibiscuspoint/load/transaction.py
@@ -0,0 +1,143 @@
+"""Interactive transactions of a caller."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Self
+
+import grpc
+import grpc.aio
+
+from hibiscuspoint.errors import HibiscusError, TransactionStateError
+from hibiscuspoint.load.answers import Answer, verify
+from hibiscuspoint.load.errors import EntryLostError
+from hibiscuspoint.verdict import Verdict
+from hibiscuspoint.wire import caller_pb2
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from hibiscuspoint.load.caller import Session
+    from hibiscuspoint.load.entries import EntryConnection
+    from hibiscuspoint.wire import common_pb2
+
+__all__ = ["Transaction"]
+
+
+class Transaction:
+    """One interactive transaction; leaving its context rolls it back unless it ended before.
+
+    :param call: the open ``Transact`` stream.
+    :param next_call_id: source of call ids.
+    """
+
+    def __init__(
+        self,
+        session: Session,
+        call: grpc.aio.StreamStreamCall,
+        connection: EntryConnection,
+        next_call_id: Callable[[], int],
+    ) -> None:
+        self._session = session
+        self._call = call
+        self._connection = connection
+        self._next_call_id = next_call_id
+        self._commit_sent = False
+        self._ended = False
+
+    @property
+    def entry(self) -> str:
+        """Return ``ip:port`` of the entry that runs the transaction."""
+        return self._connection.address
+
+    async def begin(self, request: caller_pb2.ExecuteRequest) -> Answer:
+        """Send the first message; its statements run as the first step."""
+        step = caller_pb2.TransactRequest(begin=request)
+        return await self._step(step, request.call_id, len(request.statements))
+
+    async def run(self, *statements: common_pb2.Statement) -> Answer:
+        """Run statements inside the transaction.
+
+        :raises HibiscusError: the step failed; ``rolled_back`` tells that nothing takes effect.
+        """
+        call_id = self._next_call_id()
+        step = caller_pb2.TransactStep(call_id=call_id, statements=statements)
+        return await self._step(caller_pb2.TransactRequest(run=step), call_id, len(statements))
+
+    async def commit(self) -> Answer:
+        """Commit and end the transaction.
+
+        :raises HibiscusError: the commit failed; its verdict tells whether it ran.
+        """
+        return await self._end(commit=True)
+
+    async def rollback(self) -> Answer:
+        """Roll back and end the transaction."""
+        return await self._end(commit=False)
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(self, *_exc: object) -> None:
+        if self._ended:
+            return
+        try:
+            await self.rollback()
+        except HibiscusError:
+            self._finish(cancel=True)
+
+    async def _end(self, *, commit: bool) -> Answer:
+        call_id = self._next_call_id()
+        end = caller_pb2.TransactEnd(call_id=call_id, commit=commit)
+        self._check_open()
+        self._commit_sent = commit
+        answer = await self._step(caller_pb2.TransactRequest(end=end), call_id, None)
+        await self._call.done_writing()
+        self._finish(cancel=False)
+        return answer
+
+    def _check_open(self) -> None:
+        if self._ended:
+            raise TransactionStateError(
+                "the transaction has ended", verdict=Verdict.NOT_RUN, rolled_back=False
+            )
+
+    async def _step(
+        self, step: caller_pb2.TransactRequest, call_id: int, statements: int | None
+    ) -> Answer:
+        self._check_open()
+        reply = await self._exchange(step)
+        self._session.keep(reply)
+        try:
+            answer = verify(reply, call_id, statements, self.entry)
+        except HibiscusError as error:
+            if error.verdict is not Verdict.DONE:
+                self._finish(cancel=True)
+            raise
+        return answer
+
+    async def _exchange(self, step: caller_pb2.TransactRequest) -> caller_pb2.ExecuteReply:
+        try:
+            await self._call.write(step)
+            reply = await self._call.read()
+        except grpc.aio.AioRpcError as error:
+            self._ended = True
+            raise self._session.broken(
+                self._connection, error, rolled_back=not self._commit_sent
+            ) from error
+        if reply is grpc.aio.EOF:
+            self._ended = True
+            self._session.move()
+            raise EntryLostError(
+                f"{self.entry} ended the stream of a transaction without an answer",
+                rolled_back=not self._commit_sent,
+            )
+        return reply
+
+    def _finish(self, *, cancel: bool) -> None:
+        """End the transaction; later steps are refused."""
+        if self._ended:
+            return
+        self._ended = True
+        if cancel:
+            self._call.cancel()
+        self._session.after_request()
