--- a/hibiscuspoint/load/process.py
+++ b/hibiscuspoint/load/process.py
@@ -42,6 +42,7 @@
         self._command = [sys.executable, "-m", *arguments]
         self._output = directory / f"{name}.out"
         self._process: subprocess.Popen[bytes] | None = None
+        self._is_wanted = False
 
     @property
     def name(self) -> str:
@@ -73,16 +74,19 @@
                 stderr=subprocess.STDOUT,
                 env=_environment(),
             )
+        self._is_wanted = True
         _started.add(self)
 
     def kill(self) -> None:
         """End the process with SIGKILL and wait until it is gone."""
+        self._is_wanted = False
         if self._process is not None:
             self._process.kill()
             self._process.wait()
 
     def terminate(self) -> None:
         """Ask the process to stop with SIGTERM; it does not wait."""
+        self._is_wanted = False
         self._require().terminate()
 
     def suspend(self) -> None:
@@ -98,11 +102,11 @@
         return self._require().poll()
 
     def check(self) -> None:
-        """Check that the process runs.
+        """Check that the process did not end by itself.
 
-        :raises ProcessExitedError: it ended; the message repeats the end of its output.
+        :raises ProcessExitedError: it did; the message repeats the end of its output.
         """
-        if not self.is_running:
+        if self._is_wanted and not self.is_running:
             raise ProcessExitedError(
                 f"{self._name} ended with status {self.exit_status()}:\n{self.tail()}"
             )
