--- a/hibiscuspoint/components/attachment.py
+++ b/hibiscuspoint/components/attachment.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 import grpc
-from circuits import Component
+from circuits import Component, handler
 
 from hibiscuspoint.components.events import update_received
 from hibiscuspoint.wire import peer_pb2, peer_pb2_grpc
@@ -62,7 +62,8 @@
         self._heard_at = 0.0
         self._task: asyncio.Task | None = None
 
-    def report_due(self) -> None:
+    @handler("report_due", channel="*")
+    def _on_report_due(self) -> None:
         """Send a report without waiting for the interval."""
         self._news.set()
 
@@ -93,7 +94,10 @@
     async def _attach(self, channel: grpc.aio.Channel) -> None:
         call = peer_pb2_grpc.ControlStub(channel).Attach()
         self._heard_at = asyncio.get_running_loop().time()
-        tasks = [asyncio.ensure_future(self._receive(call)), asyncio.ensure_future(self._send(call))]
+        tasks = [
+            asyncio.ensure_future(self._receive(call)),
+            asyncio.ensure_future(self._send(call)),
+        ]
         try:
             done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
             for task in done:
--- /dev/null
+++ b/hibiscuspoint/components/control_service.py
@@ -0,0 +1,103 @@
+"""The gRPC service that entries and targets use to reach the control leader."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from hibiscuspoint.ids import InstanceId
+from hibiscuspoint.wire import peer_pb2, peer_pb2_grpc
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    import grpc
+
+    from hibiscuspoint.components.control import Control
+    from hibiscuspoint.components.leader_client import LeaderClient
+
+__all__ = ["ControlService"]
+
+
+class ControlService(peer_pb2_grpc.ControlServicer):
+    """Serves on every instance; only the leader takes reports and announcements itself.
+
+    :param control: ``None`` on an instance without the role control.
+    """
+
+    def __init__(self, control: Control | None, leader: LeaderClient) -> None:
+        self._control = control
+        self._leader = leader
+
+    async def Announce(
+        self, request: peer_pb2.Announcement, context: grpc.aio.ServicerContext
+    ) -> peer_pb2.AnnounceReply:
+        """Take an announcement of a target or forward it to the leader."""
+        if self._control is not None and self._control.announced(request):
+            return peer_pb2.AnnounceReply(accepted=True)
+        if request.forwarded and self._control is not None:
+            return peer_pb2.AnnounceReply(accepted=False)
+        return await self._leader.announce(request)
+
+    async def Attach(
+        self,
+        request_iterator: AsyncIterator[peer_pb2.EntryReport],
+        context: grpc.aio.ServicerContext,
+    ) -> AsyncIterator[peer_pb2.ControlUpdate]:
+        """Exchange reports and updates with an entry."""
+        if self._control is None:
+            return
+        stream = _AttachedStream(self._control)
+        reader = asyncio.ensure_future(stream.read(request_iterator))
+        try:
+            async for update in stream.updates():
+                yield update
+        finally:
+            reader.cancel()
+            stream.close()
+        redirect = self._control.log.leader_address
+        yield peer_pb2.ControlUpdate(redirect=redirect)
+
+
+class _AttachedStream:
+    """The stream of one entry; updates are built when they are sent."""
+
+    def __init__(self, control: Control) -> None:
+        self._control = control
+        self._due = asyncio.Event()
+        self._ended = False
+        self._instance: InstanceId | None = None
+        self._echo = 0
+
+    async def read(self, reports: AsyncIterator[peer_pb2.EntryReport]) -> None:
+        """Take the reports of the entry until its stream ends."""
+        try:
+            async for report in reports:
+                if not self._control.reported(report):
+                    break
+                if self._instance is None:
+                    self._instance = InstanceId(report.instance)
+                    self._control.attach(self._instance, self._due.set)
+                self._echo = report.sent_at_ns
+                self._due.set()
+        finally:
+            self._ended = True
+            self._due.set()
+
+    async def updates(self) -> AsyncIterator[peer_pb2.ControlUpdate]:
+        """Yield an update for each report and each change until this instance stops leading."""
+        while True:
+            await self._due.wait()
+            self._due.clear()
+            if self._ended or self._instance is None:
+                return
+            update = self._control.update_for(self._instance)
+            if update is None:
+                return
+            update.echo_sent_at_ns = self._echo
+            yield update
+
+    def close(self) -> None:
+        """Forget the stream."""
+        if self._instance is not None:
+            self._control.detach(self._instance, self._due.set)
--- a/hibiscuspoint/components/entry.py
+++ b/hibiscuspoint/components/entry.py
@@ -5,7 +5,7 @@
 import logging
 from typing import TYPE_CHECKING
 
-from circuits import Component
+from circuits import Component, handler
 
 from hibiscuspoint.components.forwarding import error_reply, request_from_message, result_reply
 from hibiscuspoint.core.position import LogPosition
@@ -73,8 +73,13 @@
         """Tell whether the load balancer should send callers."""
         return self._drain.is_ready and self._state.is_ready(self._clock.monotonic())
 
-    def execute_requested(self, event: execute_requested) -> None:
-        """Set the reply of a request."""
+    @handler("execute_requested", channel="*")
+    def _on_execute(self, event: execute_requested, message: caller_pb2.ExecuteRequest) -> None:
+        event.reply = self.execute(message)
+
+    @handler("forward_requested", channel="*")
+    def _on_forward(self, event: forward_requested, message: peer_pb2.ForwardRequest) -> None:
+        event.reply = self.execute_forwarded(message)
 
     async def execute(self, message: caller_pb2.ExecuteRequest) -> caller_pb2.ExecuteReply:
         """Run the request of a caller; errors become replies."""
@@ -92,9 +97,7 @@
         self._measure(message.group, kind, reply, started)
         return reply
 
-    async def execute_forwarded(
-        self, message: peer_pb2.ForwardRequest
-    ) -> peer_pb2.ForwardReply:
+    async def execute_forwarded(self, message: peer_pb2.ForwardRequest) -> peer_pb2.ForwardReply:
         """Run a request that another entry forwarded."""
         request = self.forwarded_request(message)
         self._drain.begin_request()
@@ -165,9 +168,7 @@
         """
         for statement in statements:
             if len(statement.sql) > self._limits.statement_bytes:
-                raise LimitError(
-                    f"a statement is longer than {self._limits.statement_bytes} bytes"
-                )
+                raise LimitError(f"a statement is longer than {self._limits.statement_bytes} bytes")
 
     async def _execute(
         self, message: caller_pb2.ExecuteRequest, started: float
@@ -198,12 +199,10 @@
         self._codec.ensure_room(marks, GroupId(message.group))
         return marks
 
-    def _max_age_ms(
-        self, message: caller_pb2.ExecuteRequest, rules: GroupModel
-    ) -> int | None:
+    def _max_age_ms(self, message: caller_pb2.ExecuteRequest, rules: GroupModel) -> int | None:
         if not message.HasField("read"):
             return None
-        max_age_ms = message.read.max_age_ms or rules.reads.default_max_age_ms
+        max_age_ms = message.read.max_age_ms
         if rules.reads.max_age_ms_limit is not None:
             return min(max_age_ms, rules.reads.max_age_ms_limit)
         return max_age_ms
--- a/hibiscuspoint/components/events.py
+++ b/hibiscuspoint/components/events.py
@@ -10,7 +10,7 @@
     from collections.abc import Awaitable
 
     from hibiscuspoint.document import Document
-    from hibiscuspoint.ids import GroupId, TargetId
+    from hibiscuspoint.ids import GroupId
     from hibiscuspoint.wire import caller_pb2, peer_pb2
 
 __all__ = [
@@ -20,11 +20,8 @@
     "draining_started",
     "execute_requested",
     "forward_requested",
-    "leadership_gained",
-    "leadership_lost",
     "report_due",
     "report_received",
-    "switchover_requested",
     "update_received",
 ]
 
@@ -88,26 +85,8 @@
     """The entry stops taking new work."""
 
 
-class leadership_gained(Event):  # noqa: N801
-    """This instance leads the control group."""
-
-    def __init__(self, term: int) -> None:
-        super().__init__(term)
-
-
-class leadership_lost(Event):  # noqa: N801
-    """This instance no longer leads the control group."""
-
-
 class command_applied(Event):  # noqa: N801
     """A command of the control log was applied to the replicated state."""
 
     def __init__(self, name: str, group: GroupId | None) -> None:
         super().__init__(name, group)
-
-
-class switchover_requested(Event):  # noqa: N801
-    """An operator asked for another primary."""
-
-    def __init__(self, group: GroupId, target: TargetId | None) -> None:
-        super().__init__(group, target)
--- a/hibiscuspoint/components/holders.py
+++ b/hibiscuspoint/components/holders.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from circuits import Component
+from circuits import Component, handler
 
 from hibiscuspoint.components.holder import GroupHolder, HolderContext
 from hibiscuspoint.errors import NoHolderError
@@ -59,7 +59,8 @@
         """
         return await self._require(request.group).transactions.begin(request)
 
-    def update_received(self, update: peer_pb2.ControlUpdate) -> None:
+    @handler("update_received", channel="*")
+    def _on_update(self, update: peer_pb2.ControlUpdate) -> None:
         """Take routes and shares over."""
         if not self._state.accept(update) or self._state.document is None:
             return
@@ -88,6 +89,11 @@
                 term = self._state.routes.release(group, now)
                 report.released.append(peer_pb2.RouteRelease(group=group, term=term))
 
+    def close_shares(self) -> None:
+        """Close the connections to all targets, so that their shares can go to other holders."""
+        for lane in self._lanes().values():
+            lane.close()
+
     def close(self) -> None:
         """Close all connections."""
         for holder in self._groups.values():
@@ -109,7 +115,9 @@
 
     def _lanes(self) -> dict[TargetId, TargetLane]:
         return {
-            target: lane for holder in self._groups.values() for target, lane in holder.lanes.items()
+            target: lane
+            for holder in self._groups.values()
+            for target, lane in holder.lanes.items()
         }
 
     def _may_hand_back(self, group: GroupId, now: float) -> bool:
@@ -120,9 +128,7 @@
         holder = self._groups.get(group)
         return route.paused and (holder is None or holder.is_idle_at_primary)
 
-    def _add_lane(
-        self, report: peer_pb2.EntryReport, target: TargetId, lane: TargetLane
-    ) -> None:
+    def _add_lane(self, report: peer_pb2.EntryReport, target: TargetId, lane: TargetLane) -> None:
         seen = lane.take_observations()
         if seen.successes or seen.refusals or seen.timeouts:
             report.observations.append(
--- /dev/null
+++ b/hibiscuspoint/components/leader_client.py
@@ -0,0 +1,96 @@
+"""Calls to the control leader from any instance."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import grpc
+
+from hibiscuspoint.errors import NotLeaderError
+from hibiscuspoint.verdict import Verdict
+from hibiscuspoint.wire import peer_pb2, peer_pb2_grpc
+
+if TYPE_CHECKING:
+    from google.protobuf.message import Message
+
+    from hibiscuspoint.components.consensus import ReplicatedLog
+    from hibiscuspoint.components.peers import PeerChannels
+
+__all__ = ["LeaderClient"]
+
+#: Longest time in seconds to connect to a control instance.
+CONNECT_SECONDS = 0.5
+
+#: Longest time in seconds to wait for the answer to a forwarded announcement.
+ANNOUNCE_SECONDS = 0.3
+
+
+class LeaderClient:
+    """Forwards calls to the leader.
+
+    A control instance forwards to the leader that it knows, at most once. Another instance asks
+    the control instances in turn, starting with the one that answered last.
+
+    :param log: ``None`` on an instance without the role control.
+    :param members: addresses of the control instances.
+    """
+
+    def __init__(
+        self, log: ReplicatedLog | None, members: list[str], channels: PeerChannels
+    ) -> None:
+        self._log = log
+        self._members = list(members)
+        self._channels = channels
+
+    async def announce(self, request: peer_pb2.Announcement) -> peer_pb2.AnnounceReply:
+        """Forward an announcement; a refused one is repeated by the target."""
+        forwarded = peer_pb2.Announcement()
+        forwarded.CopyFrom(request)
+        forwarded.forwarded = self._log is not None
+        for address in self._candidates():
+            stub = peer_pb2_grpc.ControlStub(self._channels.get(address))
+            try:
+                reply = await stub.Announce(forwarded, timeout=ANNOUNCE_SECONDS)
+            except grpc.aio.AioRpcError:
+                self._failed(address)
+                continue
+            if reply.accepted:
+                return reply
+        return peer_pb2.AnnounceReply(accepted=False)
+
+    async def call(self, method: str, request: Message, timeout: float) -> Message:
+        """Forward an operator's call.
+
+        :param method: name of a method of the Operator service.
+        :param timeout: seconds.
+        :raises NotLeaderError: ``NOT_RUN`` when no control instance could be reached,
+            ``MAY_HAVE_RUN`` when one was lost during the call.
+        """
+        forwarded = type(request)()
+        forwarded.CopyFrom(request)
+        forwarded.forwarded = self._log is not None
+        for address in self._candidates():
+            if not await self._channels.is_ready(address, CONNECT_SECONDS):
+                self._failed(address)
+                continue
+            stub = peer_pb2_grpc.OperatorStub(self._channels.get(address))
+            try:
+                return await getattr(stub, method)(forwarded, timeout=timeout)
+            except grpc.aio.AioRpcError as error:
+                self._failed(address)
+                raise NotLeaderError(
+                    f"the control instance at {address} did not answer: {error.code().name}",
+                    verdict=Verdict.MAY_HAVE_RUN,
+                ) from None
+        raise NotLeaderError("no control leader can be reached")
+
+    def _candidates(self) -> list[str]:
+        if self._log is not None:
+            return [self._log.leader_address] if self._log.leader_address else []
+        return list(self._members)
+
+    def _failed(self, address: str) -> None:
+        self._channels.discard(address)
+        if address in self._members:
+            self._members.remove(address)
+            self._members.append(address)
--- /dev/null
+++ b/hibiscuspoint/components/operator_service.py
@@ -0,0 +1,264 @@
+"""The gRPC service for operators."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from hibiscuspoint.components.status import build_status
+from hibiscuspoint.core.control import SubmissionOutcome, judge_submission
+from hibiscuspoint.document import Document
+from hibiscuspoint.errors import (
+    ConfigurationConflictError,
+    ConfigurationError,
+    HibiscusError,
+    NotLeaderError,
+    RequestError,
+)
+from hibiscuspoint.ids import GroupId, InstanceId, TargetId
+from hibiscuspoint.telemetry import catalogue, log_event
+from hibiscuspoint.wire import common_pb2, peer_pb2, peer_pb2_grpc, record_pb2
+
+if TYPE_CHECKING:
+    import grpc
+    from google.protobuf.message import Message
+
+    from hibiscuspoint.components.control import Control
+    from hibiscuspoint.components.leader_client import LeaderClient
+    from hibiscuspoint.core.control import ControlLeader
+
+__all__ = ["OperatorService"]
+
+logger = logging.getLogger(__name__)
+
+#: Seconds that a forwarded call may take; planned acts wait for their end.
+CALL_SECONDS = 40.0
+
+#: Longest time in seconds that a planned act is waited for before its progress is returned.
+ACT_SECONDS = 30.0
+
+#: Seconds between two looks at the progress of a planned act.
+POLL_SECONDS = 0.05
+
+MILLISECONDS = 1000
+
+
+class OperatorService(peer_pb2_grpc.OperatorServicer):
+    """Serves on every instance and forwards to the leader.
+
+    :param environment: environment of this instance.
+    :param control: ``None`` on an instance without the role control.
+    """
+
+    def __init__(self, environment: str, control: Control | None, leader: LeaderClient) -> None:
+        self._environment = environment
+        self._control = control
+        self._leader_client = leader
+
+    async def Submit(
+        self, request: peer_pb2.SubmitRequest, context: grpc.aio.ServicerContext
+    ) -> peer_pb2.SubmitReply:
+        """Accept a document by compare-and-set on its number."""
+        try:
+            if self._leader is None:
+                return await self._forward("Submit", request)
+            document = self._parse(request.document)
+            return await self._submit(document)
+        except HibiscusError as error:
+            return peer_pb2.SubmitReply(error=_error(error), verdict=error.verdict.value)
+
+    async def Status(
+        self, request: peer_pb2.StatusRequest, context: grpc.aio.ServicerContext
+    ) -> peer_pb2.StatusReply:
+        """Return the state of groups, entries, targets and control."""
+        try:
+            if self._leader is None:
+                return await self._forward("Status", request)
+            return build_status(self._environment, self._control)
+        except HibiscusError as error:
+            return peer_pb2.StatusReply(error=_error(error))
+
+    async def History(
+        self, request: peer_pb2.HistoryRequest, context: grpc.aio.ServicerContext
+    ) -> peer_pb2.HistoryReply:
+        """Return the accepted documents, newest first."""
+        try:
+            if self._leader is None:
+                return await self._forward("History", request)
+        except HibiscusError as error:
+            return peer_pb2.HistoryReply(error=_error(error))
+        documents = list(reversed(self._control.state.documents))
+        listed = documents[: request.limit] if request.limit else documents
+        return peer_pb2.HistoryReply(
+            entries=[
+                peer_pb2.HistoryEntry(
+                    number=document.number,
+                    digest=document.digest,
+                    accepted_at_ms=document.accepted_at_ms,
+                    document=document.text,
+                )
+                for document in listed
+            ]
+        )
+
+    async def Drain(
+        self, request: peer_pb2.DrainRequest, context: grpc.aio.ServicerContext
+    ) -> peer_pb2.ActReply:
+        """Drain an entry or a target."""
+        try:
+            leader = self._leader
+            if leader is None:
+                return await self._forward("Drain", request)
+            if leader.entries.get(InstanceId(request.subject)) is not None:
+                return await self._drain_entry(InstanceId(request.subject))
+            if leader.targets.get(TargetId(request.subject)) is not None:
+                return await self._drain_target(TargetId(request.subject))
+            raise RequestError(f"{request.subject!r} is no known instance or target")
+        except HibiscusError as error:
+            return peer_pb2.ActReply(error=_error(error))
+
+    async def Switchover(
+        self, request: peer_pb2.SwitchoverRequest, context: grpc.aio.ServicerContext
+    ) -> peer_pb2.ActReply:
+        """Change the primary of a group without interrupting a request."""
+        try:
+            if self._leader is None:
+                return await self._forward("Switchover", request)
+            wanted = TargetId(request.to_target) if request.to_target else None
+            return await self._switch_over(GroupId(request.group), wanted)
+        except HibiscusError as error:
+            return peer_pb2.ActReply(error=_error(error))
+
+    async def Repair(
+        self, request: peer_pb2.RepairRequest, context: grpc.aio.ServicerContext
+    ) -> peer_pb2.ActReply:
+        """Replace the lost disk of a control instance."""
+        try:
+            if self._leader is None:
+                return await self._forward("Repair", request)
+            instance = InstanceId(request.instance)
+            progress = ""
+            log_event(logger, catalogue.REPAIR_STARTED, subject=instance)
+            async for step in self._control.log.repair(instance):
+                progress = step.phase.value
+            log_event(logger, catalogue.REPAIR_FINISHED, subject=instance)
+            return peer_pb2.ActReply(accepted=True, finished=True, progress=progress)
+        except HibiscusError as error:
+            return peer_pb2.ActReply(error=_error(error))
+
+    @property
+    def _leader(self) -> ControlLeader | None:
+        return self._control.leader if self._control is not None else None
+
+    async def _forward(self, method: str, request: Message) -> Message:
+        if request.forwarded:
+            raise NotLeaderError("this instance does not lead the control group")
+        return await self._leader_client.call(method, request, CALL_SECONDS)
+
+    def _parse(self, text: str) -> Document:
+        document = Document.from_text(text, source="submitted document")
+        if document.environment != self._environment:
+            raise ConfigurationError(
+                f"the document is for environment {document.environment!r}, "
+                f"not {self._environment!r}"
+            )
+        return document
+
+    async def _submit(self, document: Document) -> peer_pb2.SubmitReply:
+        state = self._control.state
+        try:
+            outcome = judge_submission(state, document.number, document.digest)
+            if outcome is SubmissionOutcome.PROPOSE:
+                await self._propose(document)
+                # Another document with this number may have been committed first.
+                judge_submission(state, document.number, document.digest)
+        except ConfigurationConflictError as error:
+            self._log_refusal(document, error)
+            raise
+        return peer_pb2.SubmitReply(
+            accepted=True,
+            number=document.number,
+            digest=document.digest,
+            verdict=common_pb2.DONE,
+        )
+
+    async def _propose(self, document: Document) -> None:
+        body = record_pb2.AcceptDocument(
+            number=document.number,
+            digest=document.digest,
+            document=document.text,
+            accepted_at_ms=int(self._control.clock.unix() * MILLISECONDS),
+        )
+        await self._control.log.propose(record_pb2.Command(accept_document=body))
+        log_event(
+            logger,
+            catalogue.DOCUMENT_ACCEPTED,
+            document=document.number,
+            digest=document.digest,
+        )
+
+    def _log_refusal(self, document: Document, error: HibiscusError) -> None:
+        log_event(
+            logger,
+            catalogue.DOCUMENT_REFUSED,
+            document=document.number,
+            digest=document.digest,
+            code=error.code,
+        )
+
+    async def _drain_entry(self, instance: InstanceId) -> peer_pb2.ActReply:
+        self._control.request_drain(instance)
+
+        def is_drained() -> bool:
+            entry = self._require_leader().entries.get(instance)
+            return entry is not None and entry.drained
+
+        return await self._wait_for(is_drained, f"{instance} is finishing its work")
+
+    async def _drain_target(self, target: TargetId) -> peer_pb2.ActReply:
+        leader = self._require_leader()
+        info = leader.targets.get(target)
+        leader.targets.mark_leaving(target)
+
+        def has_left() -> bool:
+            record = self._control.state.groups.get(info.group)
+            return record is None or record.primary != target
+
+        return await self._wait_for(has_left, f"group {info.group} changes its primary")
+
+    async def _switch_over(self, group: GroupId, wanted: TargetId | None) -> peer_pb2.ActReply:
+        leader = self._require_leader()
+        controller = leader.groups.get(group)
+        if controller is None:
+            raise RequestError(f"group {group!r} is not formed")
+        record = controller.record
+        if wanted is not None and wanted not in record.members:
+            raise RequestError(f"target {wanted!r} is no member of group {group!r}")
+        if wanted is not None and wanted == record.primary:
+            return peer_pb2.ActReply(accepted=True, finished=True, progress="already primary")
+        term = record.term
+        leader.request_switchover(group, wanted, self._control.clock.monotonic())
+
+        def is_done() -> bool:
+            return record.term > term and self._require_leader().is_started(group)
+
+        return await self._wait_for(is_done, "the holders finish their work")
+
+    async def _wait_for(self, condition: object, progress: str) -> peer_pb2.ActReply:
+        deadline = self._control.clock.monotonic() + ACT_SECONDS
+        while not condition():
+            if self._control.clock.monotonic() >= deadline:
+                return peer_pb2.ActReply(accepted=True, progress=progress)
+            await asyncio.sleep(POLL_SECONDS)
+        return peer_pb2.ActReply(accepted=True, finished=True, progress="done")
+
+    def _require_leader(self) -> ControlLeader:
+        leader = self._leader
+        if leader is None:
+            raise NotLeaderError("the control leader changed; repeat the command")
+        return leader
+
+
+def _error(error: HibiscusError) -> common_pb2.Error:
+    return common_pb2.Error(code=error.code, message=error.message, hint=error.hint)
--- /dev/null
+++ b/hibiscuspoint/components/reporting.py
@@ -0,0 +1,102 @@
+"""The component that builds the reports of this entry."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from circuits import Component, handler
+
+from hibiscuspoint.components.events import report_due
+from hibiscuspoint.core.entry.drain import DrainPhase
+from hibiscuspoint.telemetry import catalogue, log_event
+from hibiscuspoint.wire import peer_pb2
+
+if TYPE_CHECKING:
+    from hibiscuspoint.components.entry_state import EntryState
+    from hibiscuspoint.components.holders import Holders
+    from hibiscuspoint.components.runtime import Runtime
+    from hibiscuspoint.core.entry.drain import DrainState
+    from hibiscuspoint.core.ports import Clock
+    from hibiscuspoint.ids import Incarnation
+    from hibiscuspoint.settings import NodeSettings
+
+__all__ = ["Reporting"]
+
+logger = logging.getLogger(__name__)
+
+NANOSECONDS = 1_000_000_000
+
+
+class Reporting(Component):
+    """Reports to control and follows its request to drain."""
+
+    channel = "reporting"
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        incarnation: Incarnation,
+        state: EntryState,
+        holders: Holders,
+        drain: DrainState,
+        clock: Clock,
+    ) -> None:
+        super().__init__()
+        self._settings = settings
+        self._incarnation = incarnation
+        self._state = state
+        self._holders = holders
+        self._drain = drain
+        self._clock = clock
+        self._reported_document = 0
+
+    def make_report(self) -> peer_pb2.EntryReport:
+        """Return the report that is sent now; leases that are not needed are handed back."""
+        now_ns = int(self._clock.monotonic() * NANOSECONDS)
+        document = self._state.document
+        report = peer_pb2.EntryReport(
+            instance=self._settings.node.instance,
+            incarnation=self._incarnation,
+            availability_zone=self._settings.node.availability_zone,
+            address=self._settings.listen.address,
+            sent_at_ns=now_ns,
+            document_number=self._state.document_number,
+            document_digest=document.digest if document is not None else "",
+            draining=not self._drain.is_ready,
+            drained=self._drain.phase is DrainPhase.DRAINED,
+            holders_version=self._state.holders_version,
+        )
+        self._holders.fill_report(report, now_ns / NANOSECONDS)
+        return report
+
+    async def hand_back(self, runtime: Runtime, seconds: float) -> None:
+        """Report the end of the work so that leases and shares can go to others.
+
+        :param seconds: time to wait for the report to be sent and answered.
+        """
+        runtime.dispatch(report_due())
+        await asyncio.sleep(seconds)
+        self._holders.close_shares()
+        runtime.dispatch(report_due())
+        await asyncio.sleep(seconds)
+
+    @handler("update_received", channel="*", priority=-1)
+    def _on_update(self, update: peer_pb2.ControlUpdate) -> None:
+        if update.drain and self._drain.is_ready:
+            self._drain.start(self._clock.monotonic())
+            log_event(
+                logger,
+                catalogue.DRAIN_STARTED,
+                subject=self._settings.node.instance,
+                open_requests=self._drain.in_progress,
+            )
+        number = self._state.document_number
+        if number != self._reported_document:
+            self._reported_document = number
+            digest = self._state.document.digest
+            log_event(logger, catalogue.DOCUMENT_IN_FORCE, document=number, digest=digest)
+            self.fire(report_due(), "*")
+        if any(not route.lease_ms or route.paused for route in update.routes):
+            self.fire(report_due(), "*")
--- a/hibiscuspoint/components/router.py
+++ b/hibiscuspoint/components/router.py
@@ -11,6 +11,7 @@
 from hibiscuspoint.errors import (
     DeadlineError,
     HibiscusError,
+    HolderLostError,
     NoHolderError,
     TargetLostError,
 )
@@ -100,9 +101,3 @@
                 raise DeadlineError("the holder did not answer in time") from None
             raise HolderLostError(f"the connection to the holder at {address} failed") from None
         return result_from_forward(reply)
-
-
-class HolderLostError(TargetLostError):
-    """The connection to a holder failed after the request was sent."""
-
-    code = "HP2014"
--- a/hibiscuspoint/components/runtime.py
+++ b/hibiscuspoint/components/runtime.py
@@ -10,6 +10,7 @@
 
 from hibiscuspoint.telemetry.catalogue import COMPONENT_FAILED
 from hibiscuspoint.telemetry.events import log_event
+from hibiscuspoint.util.clock import suspend_aware
 
 if TYPE_CHECKING:
     from circuits import Event
@@ -24,7 +25,7 @@
 
     def monotonic(self) -> float:
         """Return seconds of a clock that never steps."""
-        return time.monotonic()
+        return suspend_aware()
 
     def unix(self) -> float:
         """Return seconds since 1970 in UTC."""
--- a/hibiscuspoint/core/control/entries.py
+++ b/hibiscuspoint/core/control/entries.py
@@ -30,6 +30,7 @@
     address: str
     document_number: int
     draining: bool
+    drained: bool
     holders_version: int
     seen_at: float
 
@@ -43,6 +44,7 @@
             address=message.address,
             document_number=message.document_number,
             draining=message.draining,
+            drained=message.drained,
             holders_version=message.holders_version,
             seen_at=now,
         )
--- a/hibiscuspoint/core/control/leader.py
+++ b/hibiscuspoint/core/control/leader.py
@@ -6,7 +6,7 @@
 
 from hibiscuspoint.core.control.effects import Propose, PublishHolders
 from hibiscuspoint.core.control.entries import EntryDirectory, EntryInfo
-from hibiscuspoint.core.control.group import GroupController
+from hibiscuspoint.core.control.group import GroupController, RouteState
 from hibiscuspoint.core.control.holdings import GroupHoldings
 from hibiscuspoint.core.control.leases import LeaseLedger
 from hibiscuspoint.core.control.targets import TargetDirectory, TargetInfo
@@ -129,6 +129,11 @@
         controller = self._groups.get(group)
         return controller is not None and controller.request_switchover(wanted, now)
 
+    def is_started(self, group: GroupId) -> bool:
+        """Tell whether entries may use the primary of a group."""
+        controller = self._groups.get(group)
+        return controller is not None and controller.route_state is RouteState.GRANTED
+
     def tick(self, now: float) -> list[Effect]:
         """Advance all groups and return the effects."""
         self._entries.forget_silent(now)
--- a/hibiscuspoint/core/control/targets.py
+++ b/hibiscuspoint/core/control/targets.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.core.control.effects import MemberAddress
@@ -64,10 +64,18 @@
 
     def __init__(self) -> None:
         self._targets: dict[TargetId, TargetInfo] = {}
+        self._leaving: set[TargetId] = set()
+
+    def mark_leaving(self, target: TargetId) -> None:
+        """Treat a target as leaving, as an operator asked, whatever it announces."""
+        self._leaving.add(target)
+        self._targets[target] = replace(self._targets[target], leaving=True)
 
     def record(self, info: TargetInfo) -> TargetInfo | None:
         """Keep an announcement and return the one before it."""
         previous = self._targets.get(info.target)
+        if info.target in self._leaving:
+            info = replace(info, leaving=True)
         self._targets[info.target] = info
         return previous
 
--- /dev/null
+++ b/hibiscuspoint/daemon/main.py
@@ -0,0 +1,39 @@
+"""Command line of ``hibiscuspointd``."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import sys
+from typing import TYPE_CHECKING
+
+from hibiscuspoint import __version__
+from hibiscuspoint.daemon.node import Node
+from hibiscuspoint.errors import ConfigurationError
+from hibiscuspoint.settings import NodeSettings
+from hibiscuspoint.telemetry import setup_logging
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+__all__ = ["main"]
+
+EXIT_SETTINGS = 2
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run the daemon and return its exit code."""
+    parser = argparse.ArgumentParser(
+        prog="hibiscuspointd", description="Runs one instance of the hibiscuspoint proxy."
+    )
+    parser.add_argument("--settings", required=True, help="settings file of the instance (TOML)")
+    parser.add_argument("--version", action="version", version=__version__)
+    options = parser.parse_args(arguments)
+    try:
+        settings = NodeSettings.from_file(options.settings)
+        node = Node.from_settings(settings)
+    except ConfigurationError as error:
+        print(f"{error.code}: {error.message}\n{error.hint}", file=sys.stderr)
+        return EXIT_SETTINGS
+    setup_logging(settings.log.level.value, settings.log.file, settings.node.instance)
+    return asyncio.run(node.run())
--- a/hibiscuspoint/errors.py
+++ b/hibiscuspoint/errors.py
@@ -10,6 +10,7 @@
     "ConfigurationError",
     "DeadlineError",
     "HibiscusError",
+    "HolderLostError",
     "IdempotencyConflictError",
     "IdempotencyExpiredError",
     "LimitError",
@@ -185,3 +186,9 @@
     code = "HP2013"
     hint = "Try again; a new holder may be elected shortly."
     verdict = Verdict.NOT_RUN
+
+
+class HolderLostError(TargetLostError):
+    """The connection to a holder failed after the request was forwarded."""
+
+    code = "HP2014"
--- a/hibiscuspoint/telemetry/catalogue.py
+++ b/hibiscuspoint/telemetry/catalogue.py
@@ -39,6 +39,10 @@
     111, "drain-finished", INFO, "{subject} finished draining.", "subject", "interrupted"
 )
 
+COMPONENT_FAILED = define_event(
+    120, "component-failed", ERROR, "A handler of an event failed: {reason}", "reason"
+)
+
 # 200: control group and documents
 LEADERSHIP_GAINED = define_event(
     201, "leadership-gained", INFO, "This instance leads control term {term}.", "term"
