Add the benchmarks with bounds, and tests of tool, processes and bounds

Cause: the measures of the design page had no program that takes them. Change: failover, reads, overhead, overload, config and control, each with a baseline in the same run and bounds that name the goal they come from; byte counters of sockets from the kernel; the load tool is tested end to end over a database-backed fake entry.

--- /dev/null
+++ b/benchmarks/__main__.py
@@ -0,0 +1,63 @@
+"""Command line of the benchmarks."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import logging
+import sys
+from typing import TYPE_CHECKING
+
+from benchmarks import config, control, failover, overhead, overload, reads
+from benchmarks.bounds import missed
+from benchmarks.registry import BENCHMARKS, Options
+from hibiscuspoint.load.deployments import DEPLOYMENTS
+
+if TYPE_CHECKING:
+    from benchmarks.registry import Figures
+
+#: Modules that register benchmarks.
+MODULES = (config, control, failover, overhead, overload, reads)
+ALL = "all"
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(prog="benchmarks", description=__doc__)
+    parser.add_argument("name", choices=[*sorted(BENCHMARKS.names), ALL])
+    parser.add_argument("--check", action="store_true", help="exit 1 when a bound is missed")
+    parser.add_argument("--quick", action="store_true", help="small parameters")
+    parser.add_argument(
+        "--deployment",
+        choices=[*DEPLOYMENTS.names, "both"],
+        default="both",
+        help="sizes of section 1.4 of the design page",
+    )
+    return parser
+
+
+def _run(name: str, deployment: str, quick: bool) -> Figures:
+    options = Options(DEPLOYMENTS.get(deployment), quick)
+    figures = asyncio.run(BENCHMARKS.get(name)(options))
+    misses = missed(name, figures)
+    for miss in misses:
+        print(f"{name}, {deployment}: {miss}", file=sys.stderr)
+    return {"benchmark": name, "deployment": deployment, "misses": misses, "figures": figures}
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run benchmarks, print their figures as one JSON object and check the bounds."""
+    options = _parser().parse_args(arguments)
+    logging.basicConfig(level=logging.WARNING)
+    names = sorted(BENCHMARKS.names) if options.name == ALL else [options.name]
+    deployments = DEPLOYMENTS.names if options.deployment == "both" else [options.deployment]
+    results = [
+        _run(name, deployment, options.quick) for name in names for deployment in deployments
+    ]
+    has_missed = any(result["misses"] for result in results)
+    print(json.dumps({"quick": options.quick, "results": results}))
+    return 1 if options.check and has_missed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/hibiscuspoint/load/topology.py
+++ b/hibiscuspoint/load/topology.py
@@ -235,6 +235,24 @@
         await wait_until(has_leader, "control leader", timeout)
         return found[-1]
 
+    async def switch_over(self, group: GroupId, timeout: float = START_TIMEOUT_S) -> None:
+        """Start a planned change of the primary of a group, repeating until it is accepted."""
+
+        async def is_accepted() -> bool:
+            for plan in self._running_instances():
+                operator = Operator(plan.address)
+                try:
+                    await operator.switchover(group)
+                except (grpc.aio.AioRpcError, HibiscusError):
+                    continue
+                else:
+                    return True
+                finally:
+                    await operator.close()
+            return False
+
+        await wait_until(is_accepted, f"switchover of {group}", timeout)
+
     async def set_fault(self, target: TargetId, **switches: object) -> None:
         """Set switches of a stand-in, as ``FaultSettings`` names them."""
         address = self._targets[target].address
