Handle streams that end between steps, and statements that outlive their caller

Cause: gRPC raises InvalidStateError, not a call error, when a stream ended before a write; a timed out run of the direct baseline cancelled its database connection. Change: such a transaction ends with EntryLostError; the baseline finishes statements whose caller gave up, and takes a new group for each rate.

--- a/benchmarks/direct.py
+++ b/benchmarks/direct.py
@@ -90,6 +90,7 @@
         ]
         self._channels: list[grpc.aio.Channel] = []
         self._pools: list[asyncio.Queue[_Connection]] = []
+        self._tasks: set[asyncio.Task[None]] = set()
 
     async def __aenter__(self) -> Self:
         try:
@@ -105,16 +106,30 @@
     async def run(
         self, *statements: common_pb2.Statement, read_only: bool, member: int = 0
     ) -> None:
-        """Run statements at a member; the first member is the primary."""
+        """Run statements at a member; the first member is the primary.
+
+        A caller that gives up does not stop the statements, as with a database without a proxy.
+        """
+        task = asyncio.create_task(self._run(list(statements), read_only, member))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        await asyncio.shield(task)
+
+    async def _run(
+        self, statements: list[common_pb2.Statement], read_only: bool, member: int
+    ) -> None:
         pool = self._pools[member % len(self._pools)]
         connection = await pool.get()
         try:
-            await connection.run(list(statements), read_only=read_only)
+            await connection.run(statements, read_only=read_only)
         finally:
             pool.put_nowait(connection)
 
     async def close(self) -> None:
         """End everything that was started."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         await asyncio.gather(*(channel.close() for channel in self._channels))
         for process in self._processes:
             process.kill()
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -72,8 +72,11 @@
     return outcomes.figures(seconds)
 
 
-async def _direct(options: Options, capacity: float, seconds: float) -> Figures:
-    """Measure unlimited queues before the slots, the baseline without admission control."""
+async def _direct(options: Options, rate: float, seconds: float) -> Figures:
+    """Measure unlimited queues before the slots, the baseline without admission control.
+
+    Each rate gets a group of its own, because the queue of one would delay the next.
+    """
     layout = options.layout(groups=1, service_time_us=SERVICE_TIME_US, has_latency=False)
     read = statement(READ)
     async with DirectGroup(layout, options.deployment.slots) as group:
@@ -82,10 +85,7 @@
             async with asyncio.timeout(TIMEOUT_S):
                 await group.run(read, read_only=True, member=number)
 
-        return {
-            f"{multiple}x": await _measure(request, capacity * multiple, seconds)
-            for multiple in MULTIPLES
-        }
+        return await _measure(request, rate, seconds)
 
 
 async def _product(options: Options, capacity: float, seconds: float) -> Figures:
@@ -113,7 +113,10 @@
     slots = deployment.slots * deployment.targets_per_group
     capacity = slots / (SERVICE_TIME_US / 1e6)
     seconds = options.choose(10.0, 3.0)
-    direct = await _direct(options, capacity, seconds)
+    direct = {
+        f"{multiple}x": await _direct(options, capacity * multiple, seconds)
+        for multiple in MULTIPLES
+    }
     product = await _product(options, capacity, seconds)
     best = max(item["goodput_per_s"] for item in product.values())
     failed: Counter[str] = Counter()
--- a/hibiscuspoint/load/transaction.py
+++ b/hibiscuspoint/load/transaction.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING, Self
 
 import grpc
@@ -124,15 +125,21 @@
             raise self._session.broken(
                 self._connection, error, rolled_back=not self._commit_sent
             ) from error
+        except asyncio.InvalidStateError:
+            # gRPC reports in this way that the stream ended between two steps.
+            raise self._stream_ended() from None
         if reply is grpc.aio.EOF:
-            self._ended = True
-            self._session.move()
-            raise EntryLostError(
-                f"{self.entry} ended the stream of a transaction without an answer",
-                rolled_back=not self._commit_sent,
-            )
+            raise self._stream_ended()
         return reply
 
+    def _stream_ended(self) -> EntryLostError:
+        self._ended = True
+        self._session.move()
+        return EntryLostError(
+            f"{self.entry} ended the stream of a transaction without an answer",
+            rolled_back=not self._commit_sent,
+        )
+
     def _finish(self, *, cancel: bool) -> None:
         """End the transaction; later steps are refused."""
         if self._ended:
--- a/tests/load/fake_entry.py
+++ b/tests/load/fake_entry.py
@@ -38,6 +38,7 @@
         self.abort = False
         self.hang = False
         self.break_at = ""
+        self.break_after = ""
 
     async def Execute(self, request, context):
         self.requests.append(request)
@@ -55,6 +56,8 @@
                 await context.abort(grpc.StatusCode.UNAVAILABLE, "stopped")
             body = getattr(request, step)
             yield self._reply(body.call_id, 0 if step == "end" else len(body.statements))
+            if step == self.break_after:
+                await context.abort(grpc.StatusCode.UNAVAILABLE, "stopped")
             if step == "end":
                 return
 
--- a/tests/load/test_caller.py
+++ b/tests/load/test_caller.py
@@ -227,3 +227,17 @@
         assert caught.value.rolled_back is rolled_back
 
     run(test)
+
+
+def test_stream_that_ends_between_steps_is_a_typed_error():
+    """gRPC raises another exception when the entry is lost while no step is in progress."""
+
+    async def test(session, fake):
+        fake.break_after = "begin"
+        async with await session.transact(GROUP, READ) as transaction:
+            await transaction._call.code()
+            with pytest.raises(EntryLostError) as caught:
+                await transaction.run(READ)
+        assert caught.value.rolled_back
+
+    run(test)
