End the stream of a transaction that cannot begin

Cause: a rejected first step left the stream, and with it a connection of the target, open; a session did not leave an entry that refused a transaction because it stops. Change: the stream is cancelled, and NotReadyError moves the session, as for single requests.

--- a/hibiscuspoint/load/caller.py
+++ b/hibiscuspoint/load/caller.py
@@ -202,7 +202,11 @@
         request = self._request(group, statements, timeout)
         call = connection.stub.Transact(timeout=timeout + SILENCE_GRACE_S, wait_for_ready=False)
         transaction = Transaction(self, call, connection, self._caller.next_call_id)
-        await transaction.begin(request)
+        try:
+            await transaction.begin(request)
+        except HibiscusError:
+            transaction.abandon()
+            raise
         return transaction
 
     def _request(
--- a/hibiscuspoint/load/transaction.py
+++ b/hibiscuspoint/load/transaction.py
@@ -8,7 +8,7 @@
 import grpc
 import grpc.aio
 
-from hibiscuspoint.errors import HibiscusError, TransactionStateError
+from hibiscuspoint.errors import HibiscusError, NotReadyError, TransactionStateError
 from hibiscuspoint.load.answers import Answer, verify
 from hibiscuspoint.load.errors import EntryLostError
 from hibiscuspoint.verdict import Verdict
@@ -75,6 +75,10 @@
         """Roll back and end the transaction."""
         return await self._end(commit=False)
 
+    def abandon(self) -> None:
+        """Cancel the stream, which makes the entry roll back; no effect after the end."""
+        self._finish(cancel=True)
+
     async def __aenter__(self) -> Self:
         return self
 
@@ -84,7 +88,7 @@
         try:
             await self.rollback()
         except HibiscusError:
-            self._finish(cancel=True)
+            self.abandon()
 
     async def _end(self, *, commit: bool) -> Answer:
         call_id = self._next_call_id()
@@ -112,7 +116,7 @@
             answer = verify(reply, call_id, statements, self.entry)
         except HibiscusError as error:
             if error.verdict is not Verdict.DONE:
-                self._finish(cancel=True)
+                self._finish(cancel=True, failed=isinstance(error, NotReadyError))
             raise
         return answer
 
@@ -140,11 +144,11 @@
             rolled_back=not self._commit_sent,
         )
 
-    def _finish(self, *, cancel: bool) -> None:
+    def _finish(self, *, cancel: bool, failed: bool = False) -> None:
         """End the transaction; later steps are refused."""
         if self._ended:
             return
         self._ended = True
         if cancel:
             self._call.cancel()
-        self._session.after_request()
+        self._session.after_request(failed=failed)
--- a/tests/load/fake_entry.py
+++ b/tests/load/fake_entry.py
@@ -39,6 +39,20 @@
         self.hang = False
         self.break_at = ""
         self.break_after = ""
+        #: Set when a stream has ended.
+        self.ended = asyncio.Event()
+
+    async def start(self) -> None:
+        """Listen, after a stop on the same address again."""
+        self._server = grpc.aio.server()
+        caller_pb2_grpc.add_CallerServicer_to_server(self, self._server)
+        port = self._server.add_insecure_port(self.address or "127.0.0.1:0")
+        self.address = f"127.0.0.1:{port}"
+        await self._server.start()
+
+    async def stop(self) -> None:
+        """Close all connections and stop listening."""
+        await self._server.stop(0)
 
     async def Execute(self, request, context):
         self.requests.append(request)
@@ -49,6 +63,7 @@
         return self._reply(request.call_id, len(request.statements))
 
     async def Transact(self, requests, context):
+        context.add_done_callback(lambda _: self.ended.set())
         async for request in requests:
             step = request.WhichOneof("step")
             self.steps.append(step)
@@ -76,16 +91,10 @@
 @asynccontextmanager
 async def serve(count: int = 1) -> AsyncIterator[list[FakeEntry]]:
     """Run fake entries on loopback."""
-    servers, entries = [], []
-    for _ in range(count):
-        entry = FakeEntry()
-        server = grpc.aio.server()
-        caller_pb2_grpc.add_CallerServicer_to_server(entry, server)
-        entry.address = f"127.0.0.1:{server.add_insecure_port('127.0.0.1:0')}"
-        await server.start()
-        servers.append(server)
-        entries.append(entry)
+    entries = [FakeEntry() for _ in range(count)]
+    for entry in entries:
+        await entry.start()
     try:
         yield entries
     finally:
-        await asyncio.gather(*(server.stop(0) for server in servers))
+        await asyncio.gather(*(entry.stop() for entry in entries))
--- a/tests/load/test_caller.py
+++ b/tests/load/test_caller.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from hibiscuspoint.errors import HibiscusError, NotReadyError, OverloadError
+from hibiscuspoint.errors import HibiscusError, NotReadyError, OverloadError, StatementError
 from hibiscuspoint.ids import CallerId, GroupId, RequestId
 from hibiscuspoint.load import caller as caller_module
 from hibiscuspoint.load.answers import statement
@@ -241,3 +241,48 @@
         assert caught.value.rolled_back
 
     run(test)
+
+
+def test_transaction_that_cannot_begin_ends_its_stream():
+    """A stream left open would hold a connection of the target until its time ends."""
+
+    async def test(session, fake):
+        def reject(reply):
+            reply.error.code = "HP2008"
+
+        fake.change = reject
+        with pytest.raises(StatementError):
+            await session.transact(GROUP, READ)
+        async with asyncio.timeout(30):
+            await fake.ended.wait()
+
+    run(test)
+
+
+def test_restarted_entry_is_used_again():
+    """A session must not avoid an entry for ever after one refusal."""
+
+    async def main():
+        async with serve() as (fake,):
+            address = fake.address
+            async with Caller([address], CallerId("test")) as caller:
+                session = caller.session()
+                await session.read(GROUP, READ)
+                await fake.stop()
+                with pytest.raises(HibiscusError):
+                    await session.read(GROUP, READ)
+                await fake.start()
+                async with asyncio.timeout(30):
+                    assert await _until_answered(session)
+
+    asyncio.run(main())
+
+
+async def _until_answered(session) -> bool:
+    while True:
+        try:
+            await session.read(GROUP, READ)
+        except EntryUnreachableError:
+            await asyncio.sleep(0.05)
+        else:
+            return True
