Test settings and documents; list contradictions beside other problems

Cause: a contradiction between sections showed only after every key was corrected, and a file name that is too long raised OSError instead of ConfigurationError. Change: sections are checked against each other even when another key is refused; the name is reported as an absent file.

--- a/hibiscuspoint/cli/command.py
+++ b/hibiscuspoint/cli/command.py
@@ -30,8 +30,8 @@
         self.args = args
         self.output = output
 
-    @classmethod
-    def configure(cls, parser: argparse.ArgumentParser) -> None:  # noqa: B027  optional
+    @classmethod  # noqa: B027  a command without options of its own keeps it empty
+    def configure(cls, parser: argparse.ArgumentParser) -> None:
         """Add the options of the command."""
 
     @abstractmethod
--- a/hibiscuspoint/document/model.py
+++ b/hibiscuspoint/document/model.py
@@ -4,7 +4,7 @@
 
 from typing import Annotated
 
-from pydantic import StringConstraints, model_validator
+from pydantic import StringConstraints, field_validator, model_validator
 
 from hibiscuspoint.util.schema import StrictModel, option
 
@@ -133,10 +133,15 @@
         """Return the smallest number of members that is more than half."""
         return self.members // 2 + 1
 
+    @field_validator("members")
+    @classmethod
+    def _check_members(cls, members: int) -> int:
+        if members % 2 == 0:
+            raise ValueError("is even")
+        return members
+
     @model_validator(mode="after")
     def _check_quorum(self) -> GroupModel:
-        if self.members % 2 == 0:
-            raise ValueError(f"members is {self.members}; an odd number is needed")
         # A smaller quorum lets a promotion miss an acknowledged write (design D3 and D4).
         if not self.majority <= self.quorum <= self.members:
             raise ValueError(
--- a/hibiscuspoint/settings/model.py
+++ b/hibiscuspoint/settings/model.py
@@ -6,13 +6,21 @@
 from pathlib import Path
 from typing import Annotated
 
-from pydantic import Field, StringConstraints, model_validator
+from pydantic import Field, StringConstraints, field_validator, model_validator
 
 # pydantic evaluates the annotations at run time, so these imports are needed then.
 from hibiscuspoint.settings.paths import SettingsPath  # noqa: TC001
 from hibiscuspoint.settings.security import SessionSettings, TlsSettings  # noqa: TC001
 from hibiscuspoint.util.address import Address  # noqa: TC001
-from hibiscuspoint.util.schema import StrictModel, option, parse_toml, read_text, validate
+from hibiscuspoint.util.schema import (
+    Problem,
+    StrictModel,
+    configuration_error,
+    inspect,
+    option,
+    parse_toml,
+    read_text,
+)
 
 __all__ = [
     "ControlSettings",
@@ -70,13 +78,14 @@
         """Tell whether the instance votes in the control group."""
         return Role.CONTROL in self.roles
 
-    @model_validator(mode="after")
-    def _check_roles(self) -> NodeIdentity:
-        if Role.ENTRY not in self.roles:
-            raise ValueError("roles must contain 'entry'")
-        if len(set(self.roles)) != len(self.roles):
-            raise ValueError("roles names a role twice")
-        return self
+    @field_validator("roles")
+    @classmethod
+    def _check_roles(cls, roles: tuple[Role, ...]) -> tuple[Role, ...]:
+        if Role.ENTRY not in roles:
+            raise ValueError("does not contain 'entry'")
+        if len(set(roles)) != len(roles):
+            raise ValueError("names a role twice")
+        return roles
 
 
 class ListenSettings(StrictModel):
@@ -111,13 +120,14 @@
         allowed="path, relative to the settings file",
     )
 
-    @model_validator(mode="after")
-    def _check_members(self) -> ControlSettings:
-        if len(self.members) not in CONTROL_SIZES:
-            raise ValueError(f"members has {len(self.members)} entries; 1, 3 or 5 are allowed")
-        if len(set(self.members.values())) != len(self.members):
-            raise ValueError("members names an address twice")
-        return self
+    @field_validator("members")
+    @classmethod
+    def _check_members(cls, members: dict[str, str]) -> dict[str, str]:
+        if len(members) not in CONTROL_SIZES:
+            raise ValueError(f"has {len(members)} entries")
+        if len(set(members.values())) != len(members):
+            raise ValueError("names an address twice")
+        return members
 
 
 class LogSettings(StrictModel):
@@ -168,11 +178,12 @@
 
     kind: Name = option("standin", doc="Registered name of the target driver.", allowed="standin")
 
-    @model_validator(mode="after")
-    def _check_kind(self) -> TargetDriverSettings:
-        if self.kind != "standin":
-            raise ValueError(f"unknown target driver {self.kind!r}")
-        return self
+    @field_validator("kind")
+    @classmethod
+    def _check_kind(cls, kind: str) -> str:
+        if kind != "standin":
+            raise ValueError("is not the name of a target driver")
+        return kind
 
 
 class NodeSettings(StrictModel):
@@ -205,30 +216,37 @@
         :param directory: base of relative paths.
         :raises ConfigurationError: lists every problem of the text.
         """
-        return validate(cls, parse_toml(text, source), source, {"directory": directory})
-
-    @model_validator(mode="after")
-    def _check_control(self) -> NodeSettings:
-        problems = self._contradictions()
-        if problems:
-            raise ValueError("; ".join(problems))
-        return self
-
-    def _contradictions(self) -> list[str]:
-        instance = self.node.instance
-        listed = self.control.members.get(instance)
-        found = []
-        if self.node.is_control and listed is None:
-            found.append(f"role control, but control.members does not name {instance!r}")
-        if self.node.is_control and self.control.data_directory is None:
-            found.append("role control requires control.data_directory")
-        if not self.node.is_control and listed is not None:
-            found.append(f"control.members names {instance!r}, but node.roles has no 'control'")
-        if not self.node.is_control and self.control.data_directory is not None:
-            found.append("control.data_directory is set without the role control")
-        if listed is not None and listed != self.listen.address:
-            found.append(
-                f"control.members gives {listed} for {instance!r}, "
-                f"but listen.address is {self.listen.address}"
-            )
-        return found
+        data = parse_toml(text, source)
+        context = {"directory": directory}
+        settings, problems = inspect(cls, data, source, context)
+        # The sections are built one by one, so that a problem elsewhere hides no contradiction.
+        node, _ = inspect(NodeIdentity, data.get("node"), source)
+        listen, _ = inspect(ListenSettings, data.get("listen"), source)
+        control, _ = inspect(ControlSettings, data.get("control"), source, context)
+        if node is not None and control is not None:
+            found = _contradictions(node, control, listen)
+            problems += [Problem(source, key, reason) for key, reason in found]
+        if settings is None or problems:
+            raise configuration_error(problems)
+        return settings
+
+
+def _contradictions(
+    node: NodeIdentity, control: ControlSettings, listen: ListenSettings | None
+) -> list[tuple[str, str]]:
+    """Return key and reason of each contradiction between sections."""
+    instance = node.instance
+    listed = control.members.get(instance)
+    found = []
+    if node.is_control and listed is None:
+        found.append(("control.members", f"does not name {instance!r}, which has role 'control'"))
+    if node.is_control and control.data_directory is None:
+        found.append(("control.data_directory", "is required with role 'control'"))
+    if not node.is_control and listed is not None:
+        found.append(("control.members", f"names {instance!r}, which has no role 'control'"))
+    if not node.is_control and control.data_directory is not None:
+        found.append(("control.data_directory", "is only used with role 'control'"))
+    if listed is not None and listen is not None and listed != listen.address:
+        reason = f"gives {listed} for {instance!r}, but listen.address is {listen.address}"
+        found.append(("control.members", reason))
+    return found
--- a/hibiscuspoint/settings/security.py
+++ b/hibiscuspoint/settings/security.py
@@ -87,6 +87,14 @@
     PLAIN_TEXT = "plain-text"
 
 
+def _is_file(path: Path) -> bool:
+    try:
+        return path.is_file()
+    except OSError:
+        # Path.is_file raises for a name that is too long.
+        return False
+
+
 class TlsSettings(StrictModel):
     """Files of the certificate, its key and the authority."""
 
@@ -121,7 +129,7 @@
         stated = sorted(name for name, path in files.items() if path is not None)
         if self.mode is TlsMode.PLAIN_TEXT and stated:
             raise ValueError(f"mode 'plain-text' contradicts {', '.join(stated)}")
-        absent = [str(path) for path in files.values() if path is not None and not path.is_file()]
+        absent = [str(path) for path in files.values() if path is not None and not _is_file(path)]
         if absent:
             raise ValueError(f"does not exist or is not a file: {', '.join(absent)}")
         return self
--- a/hibiscuspoint/util/schema.py
+++ b/hibiscuspoint/util/schema.py
@@ -21,6 +21,7 @@
     "StrictModel",
     "allowed_values",
     "configuration_error",
+    "inspect",
     "nested_model",
     "option",
     "parse_toml",
@@ -112,14 +113,21 @@
 
     :raises ConfigurationError: lists every problem with key path, reason and allowed values.
     """
+    built, problems = inspect(model, data, source, context)
+    if built is None:
+        raise configuration_error(problems)
+    return built
+
+
+def inspect(
+    model: type[M], data: Any, source: str, context: dict[str, Any] | None = None
+) -> tuple[M | None, list[Problem]]:
+    """Return the model, or ``None`` and every problem."""
     try:
-        return model.model_validate(data, context=context)
+        return model.model_validate(data, context=context), []
     except ValidationError as error:
-        problems = [
-            _problem(model, details, source)
-            for details in error.errors(include_url=False, include_input=False)
-        ]
-        raise configuration_error(problems) from None
+        details = error.errors(include_url=False, include_input=False)
+        return None, [_problem(model, item, source) for item in details]
 
 
 def _problem(model: type[BaseModel], details: Any, source: str) -> Problem:
