--- a/hibiscuspoint/telemetry/samples.py
+++ b/hibiscuspoint/telemetry/samples.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import os
 import urllib.request
 from collections import defaultdict
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, BinaryIO
 
 from prometheus_client.parser import text_string_to_metric_families
 from pydantic import ValidationError
@@ -155,8 +156,16 @@
         :raises OSError: the file cannot be written.
         """
         lines = "".join(sample.model_dump_json(exclude_defaults=True) + "\n" for sample in samples)
-        with self._path.open("a", encoding="utf-8") as file:
-            file.write(lines)
+        with self._path.open("a+b") as file:
+            file.write(self._end_of_torn_line(file) + lines.encode())
+
+    @staticmethod
+    def _end_of_torn_line(file: BinaryIO) -> bytes:
+        """Return a line end when a crash cut off the last line, so that only that one is lost."""
+        if file.seek(0, os.SEEK_END) == 0:
+            return b""
+        file.seek(-1, os.SEEK_END)
+        return b"" if file.read(1) == b"\n" else b"\n"
 
     def read(self, since: float = 0.0) -> list[Sample]:
         """Return the samples in order of time.
