--- a/hibiscuspoint/cli/client.py
+++ b/hibiscuspoint/cli/client.py
@@ -28,6 +28,15 @@
 REPLY_GRACE_SECONDS = 1.0
 
 
+#: Without it, a new channel takes over the failed connection and the back-off of an earlier one.
+_CHANNEL_OPTIONS = [("grpc.use_local_subchannel_pool", 1)]
+_FINAL_STATES = {
+    grpc.ChannelConnectivity.READY,
+    grpc.ChannelConnectivity.TRANSIENT_FAILURE,
+    grpc.ChannelConnectivity.SHUTDOWN,
+}
+
+
 @dataclass(frozen=True)
 class _Failure:
     """Why an address gave no reply."""
@@ -116,11 +125,9 @@
 
     async def _call(self, address: str, method: str, request: Any, deadline: float) -> Any:
         """Return the reply or a :class:`_Failure`."""
-        async with self._transport.channel(address) as channel:
+        async with self._transport.channel(address, _CHANNEL_OPTIONS) as channel:
             left = max(deadline - time.monotonic(), 0.0)
-            try:
-                await asyncio.wait_for(channel.channel_ready(), min(CONNECT_SECONDS, left))
-            except TimeoutError:
+            if not await _is_ready(channel, min(CONNECT_SECONDS, left)):
                 return _Failure(address, "no connection", False)
             stub = _stub(channel, method)
             try:
@@ -131,6 +138,19 @@
                 return _Failure(address, reason, error.code() is not grpc.StatusCode.UNIMPLEMENTED)
 
 
+async def _is_ready(channel: grpc.aio.Channel, seconds: float) -> bool:
+    """Connect, and tell whether that succeeded; a refused connection ends the wait at once."""
+    try:
+        async with asyncio.timeout(seconds):
+            state = channel.get_state(try_to_connect=True)
+            while state not in _FINAL_STATES:
+                await channel.wait_for_state_change(state)
+                state = channel.get_state(try_to_connect=True)
+    except TimeoutError:
+        return False
+    return state is grpc.ChannelConnectivity.READY
+
+
 def _stub(channel: grpc.aio.Channel, method: str) -> Any:
     if method == "Execute":
         return caller_pb2_grpc.CallerStub(channel)
