--- a/hibiscuspoint/settings/model.py
+++ b/hibiscuspoint/settings/model.py
@@ -156,7 +156,11 @@
         65_536, doc="Longest statement text.", unit="bytes", ge=1_024, le=16_777_216
     )
     open_transactions_per_caller: int = option(
-        16, doc="Interactive transactions that one caller may have open.", ge=1, le=10_000
+        16,
+        doc="Interactive transactions that one caller may have open.",
+        unit="transactions",
+        ge=1,
+        le=10_000,
     )
     first_request_seconds: float = option(
         10.0,
--- a/hibiscuspoint/telemetry/metrics.py
+++ b/hibiscuspoint/telemetry/metrics.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
-__all__ = ["LATENCY_BUCKETS", "Metrics"]
+__all__ = ["LATENCY_BUCKETS", "MetricDescription", "Metrics"]
+
+NAMESPACE = "hibiscuspoint"
 
 #: Bucket bounds in seconds; read_latency_ms of a service level is exact at these values.
 LATENCY_BUCKETS = (
@@ -13,11 +17,23 @@
 LAG_BUCKETS = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0)
 
 
+@dataclass(frozen=True)
+class MetricDescription:
+    """What the reference page states about a metric."""
+
+    name: str
+    kind: str
+    text: str
+    labels: tuple[str, ...]
+
+
 class Metrics:
     """All metrics of a process, in a registry of its own."""
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
+        #: Every metric, in the order of the reference page.
+        self.descriptions: list[MetricDescription] = []
         self._define_requests()
         self._define_reads()
         self._define_resources()
@@ -26,7 +42,8 @@
     def _define_requests(self) -> None:
         self.requests = self._counter(
             "requests",
-            "Requests by outcome.",
+            "Requests of callers by outcome, counted once at the entry that the caller reached. "
+            "kind is read, write or transaction; code is empty without an error.",
             "group",
             "kind",
             "verdict",
@@ -34,7 +51,8 @@
         )
         self.latency = self._histogram(
             "request_seconds",
-            "Time from the arrival of a request to its reply.",
+            "Time from the arrival of a request to its reply, for requests with verdict DONE. "
+            "The burn report takes the reads in time from it.",
             LATENCY_BUCKETS,
             "group",
             "kind",
@@ -58,7 +76,8 @@
         )
         self.freshness = self._counter(
             "read_freshness",
-            "Reads with a maximum age; met is false when no data within that age was found.",
+            "Reads with a maximum age, at the entry that the caller reached. met is false when no "
+            "data within that age was found before the deadline.",
             "group",
             "met",
         )
@@ -91,19 +110,20 @@
         )
 
     def _counter(self, name: str, text: str, *labels: str) -> Counter:
-        return Counter(name, text, labels, namespace="hibiscuspoint", registry=self.registry)
+        self._describe(f"{name}_total", "counter", text, labels)
+        return Counter(name, text, labels, namespace=NAMESPACE, registry=self.registry)
 
     def _gauge(self, name: str, text: str, *labels: str) -> Gauge:
-        return Gauge(name, text, labels, namespace="hibiscuspoint", registry=self.registry)
+        self._describe(name, "gauge", text, labels)
+        return Gauge(name, text, labels, namespace=NAMESPACE, registry=self.registry)
 
     def _histogram(
         self, name: str, text: str, buckets: tuple[float, ...], *labels: str
     ) -> Histogram:
+        self._describe(name, "histogram", text, labels)
         return Histogram(
-            name,
-            text,
-            labels,
-            namespace="hibiscuspoint",
-            registry=self.registry,
-            buckets=buckets,
+            name, text, labels, namespace=NAMESPACE, registry=self.registry, buckets=buckets
         )
+
+    def _describe(self, name: str, kind: str, text: str, labels: tuple[str, ...]) -> None:
+        self.descriptions.append(MetricDescription(f"{NAMESPACE}_{name}", kind, text, labels))
