--- a/hibiscuspoint/drivers/liveness.py
+++ b/hibiscuspoint/drivers/liveness.py
@@ -11,6 +11,10 @@
 __all__ = ["LivenessTimer"]
 
 
+# A check that runs this late means that this process was held up and may have unread replies.
+HELD_UP_S = 0.1
+
+
 class LivenessTimer:
     """Timer of one pending answer.
 
@@ -23,6 +27,7 @@
 
     __slots__ = (
         "_deadline",
+        "_due",
         "_handle",
         "_last_heard",
         "_loop",
@@ -49,6 +54,7 @@
         self._last_heard = 0.0
         self._pinged_at: float | None = None
         self._deadline = 0.0
+        self._due = 0.0
         self._handle: asyncio.TimerHandle | None = None
 
     def start(self, *, timeout: float, expected: float) -> None:
@@ -68,8 +74,8 @@
             self._handle = None
 
     def _schedule(self, delay: float) -> None:
-        due = min(self._loop.time() + delay, self._deadline)
-        self._handle = self._loop.call_at(due, self._check)
+        self._due = min(self._loop.time() + delay, self._deadline)
+        self._handle = self._loop.call_at(self._due, self._check)
 
     def _check(self) -> None:
         now = self._loop.time()
@@ -77,6 +83,9 @@
             self._on_loss("the time for the answer is over")
             return
         if self._pinged_at is not None and self._last_heard < self._pinged_at:
+            if now - self._due > HELD_UP_S:
+                self._schedule(self._silence)
+                return
             self._on_loss("the connection is silent")
             return
         self._pinged_at = now
