--- a/hibiscuspoint/load/transaction.py
+++ b/hibiscuspoint/load/transaction.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING, Self
 
 import grpc
 import grpc.aio
 
-from hibiscuspoint.errors import HibiscusError, TransactionStateError
+from hibiscuspoint.errors import HibiscusError, NotReadyError, TransactionStateError
 from hibiscuspoint.load.answers import Answer, verify
 from hibiscuspoint.load.errors import EntryLostError
 from hibiscuspoint.verdict import Verdict
@@ -74,6 +75,10 @@
         """Roll back and end the transaction."""
         return await self._end(commit=False)
 
+    def abandon(self) -> None:
+        """Cancel the stream, which makes the entry roll back; no effect after the end."""
+        self._finish(cancel=True)
+
     async def __aenter__(self) -> Self:
         return self
 
@@ -83,7 +88,7 @@
         try:
             await self.rollback()
         except HibiscusError:
-            self._finish(cancel=True)
+            self.abandon()
 
     async def _end(self, *, commit: bool) -> Answer:
         call_id = self._next_call_id()
@@ -111,7 +116,7 @@
             answer = verify(reply, call_id, statements, self.entry)
         except HibiscusError as error:
             if error.verdict is not Verdict.DONE:
-                self._finish(cancel=True)
+                self._finish(cancel=True, failed=isinstance(error, NotReadyError))
             raise
         return answer
 
@@ -124,20 +129,26 @@
             raise self._session.broken(
                 self._connection, error, rolled_back=not self._commit_sent
             ) from error
+        except asyncio.InvalidStateError:
+            # gRPC reports in this way that the stream ended between two steps.
+            raise self._stream_ended() from None
         if reply is grpc.aio.EOF:
-            self._ended = True
-            self._session.move()
-            raise EntryLostError(
-                f"{self.entry} ended the stream of a transaction without an answer",
-                rolled_back=not self._commit_sent,
-            )
+            raise self._stream_ended()
         return reply
 
-    def _finish(self, *, cancel: bool) -> None:
+    def _stream_ended(self) -> EntryLostError:
+        self._ended = True
+        self._session.move()
+        return EntryLostError(
+            f"{self.entry} ended the stream of a transaction without an answer",
+            rolled_back=not self._commit_sent,
+        )
+
+    def _finish(self, *, cancel: bool, failed: bool = False) -> None:
         """End the transaction; later steps are refused."""
         if self._ended:
             return
         self._ended = True
         if cancel:
             self._call.cancel()
-        self._session.after_request()
+        self._session.after_request(failed=failed)
