--- a/hibiscuspoint/components/attachment.py
+++ b/hibiscuspoint/components/attachment.py
@@ -11,6 +11,7 @@
 from circuits import Component, handler
 
 from hibiscuspoint.components.events import update_received
+from hibiscuspoint.util.tasks import spawn
 from hibiscuspoint.wire import peer_pb2, peer_pb2_grpc
 
 if TYPE_CHECKING:
@@ -69,7 +70,7 @@
 
     def start(self) -> None:
         """Start to attach."""
-        self._task = asyncio.ensure_future(self._run())
+        self._task = spawn(self._run(), "attachment")
 
     async def stop(self) -> None:
         """Detach."""
--- a/hibiscuspoint/components/control.py
+++ b/hibiscuspoint/components/control.py
@@ -13,6 +13,7 @@
 from hibiscuspoint.document import Document
 from hibiscuspoint.errors import ConfigurationError
 from hibiscuspoint.telemetry import catalogue, log_event
+from hibiscuspoint.util.tasks import spawn
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -81,7 +82,7 @@
 
     def start(self) -> None:
         """Start the timer."""
-        self._task = asyncio.ensure_future(self._tick_forever())
+        self._task = spawn(self._tick_forever(), "control leader timer")
 
     async def stop(self) -> None:
         """Stop the timer and the calls in progress."""
--- a/hibiscuspoint/components/router.py
+++ b/hibiscuspoint/components/router.py
@@ -55,7 +55,7 @@
         mine = [holder for holder in holders if holder[0] == self._holders.instance]
         others = [holder for holder in holders if holder[0] != self._holders.instance]
         if others:
-            first = xxhash.xxh64_intdigest(request.caller) % len(others)
+            first = xxhash.xxh64_intdigest(request.caller.encode()) % len(others)
             others = others[first:] + others[:first]
         return mine + others
 
--- a/hibiscuspoint/core/control/holders.py
+++ b/hibiscuspoint/core/control/holders.py
@@ -26,7 +26,7 @@
     """
 
     def rank(entry: EntryInfo) -> tuple[bool, int]:
-        weight = xxhash.xxh64_intdigest(f"{group}\0{entry.instance}")
+        weight = xxhash.xxh64_intdigest(f"{group}\0{entry.instance}".encode())
         return entry.availability_zone in zones, weight
 
     ranked = sorted(entries, key=rank, reverse=True)
--- a/hibiscuspoint/daemon/node.py
+++ b/hibiscuspoint/daemon/node.py
@@ -35,6 +35,7 @@
 from hibiscuspoint.drivers import target_drivers
 from hibiscuspoint.ids import Incarnation, InstanceId
 from hibiscuspoint.telemetry import Metrics, catalogue, log_event
+from hibiscuspoint.util.tasks import spawn
 from hibiscuspoint.wire import caller_pb2_grpc, consensus_pb2_grpc, peer_pb2_grpc
 
 if TYPE_CHECKING:
@@ -84,7 +85,7 @@
             loop.add_signal_handler(number, self._stopping.set)
         self._build()
         await self._start()
-        ticker = asyncio.ensure_future(self._tick_forever())
+        ticker = spawn(self._tick_forever(), "holder timer")
         await self._stopping.wait()
         await self._drain_work()
         ticker.cancel()
