Limit the topologies of a test run with locked slots

Change: system tests keep their xdist group, and a fixture takes one of three file locks before it creates a topology; the wait does not count as time of the test.

--- a/tests/system/conftest.py
+++ b/tests/system/conftest.py
@@ -3,37 +3,52 @@
 from __future__ import annotations
 
 import asyncio
-from pathlib import Path
+import os
 from typing import TYPE_CHECKING
 
 import pytest
 
 from hibiscuspoint.load.topology import Topology
 from tests.system.fault_proxy import FaultProxy
+from tests.system.slots import CONCURRENT_TOPOLOGIES, slot
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
+    from pathlib import Path
 
     from hibiscuspoint.load.layout import Layout
 
-#: Topologies of a dozen processes each; more at once would starve each other on 10 cores.
-CONCURRENT_SYSTEM_TESTS = 3
+#: Time of a system test in seconds; the wait of its fixtures for a slot does not count.
+TIMEOUT_S = 120
+#: Modules of system tests in the order of their collection, which is equal in all workers.
+_modules: dict[Path, int] = {}
 
 
-@pytest.hookimpl(tryfirst=True)
-def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
-    """Put the modules of system tests into as many xdist groups as may run at once."""
-    here = Path(__file__).parent
-    system = [item for item in items if here in item.path.parents]
-    modules = sorted({item.path for item in system})
-    for item in system:
-        if item.get_closest_marker("xdist_group") is None:
-            number = modules.index(item.path) % CONCURRENT_SYSTEM_TESTS
-            item.add_marker(pytest.mark.xdist_group(f"system-{number}"))
+def pytest_itemcollected(item: pytest.Item) -> None:
+    """Put the modules of system tests into as many xdist groups as may run at once.
+
+    xdist 3.8.0 passes the group on in an attribute that pytest 9.2.0 no longer reads, so the groups
+    have no effect with these versions; the slots of :mod:`tests.system.slots` enforce the limit.
+    """
+    number = _modules.setdefault(item.path, len(_modules)) % CONCURRENT_TOPOLOGIES
+    if item.get_closest_marker("xdist_group") is None:
+        item.add_marker(pytest.mark.xdist_group(f"system-{number}"))
+    if item.get_closest_marker("timeout") is None:
+        item.add_marker(pytest.mark.timeout(TIMEOUT_S, func_only=True))
+
+
+@pytest.fixture
+def topology_slot(tmp_path_factory: pytest.TempPathFactory) -> Iterator[None]:
+    """Hold one of the slots of the run; a worker's base directory lies in that of the run."""
+    directory = tmp_path_factory.getbasetemp()
+    if "PYTEST_XDIST_WORKER" in os.environ:
+        directory = directory.parent
+    with slot(directory):
+        yield
 
 
 @pytest.fixture
-def launch(tmp_path: Path) -> Iterator[Callable[[Layout], Topology]]:
+def launch(tmp_path: Path, topology_slot: None) -> Iterator[Callable[[Layout], Topology]]:
     """Return a function that creates topologies, which end with the test."""
     topologies: list[Topology] = []
 
