Shorten the promotion: probe silent primaries and hand back waiting requests

Cause: requests waited for a connection to the dead primary until their deadline; the cooldown also held back a primary whose process was gone; steps were repeated only every 100 ms. Change: control calls a silent primary and takes a refused call as proof; waiters of a replaced primary are refused with NOT_RUN and queued again; groups in a promotion are looked at every 20 ms.

--- a/hibiscuspoint/components/control.py
+++ b/hibiscuspoint/components/control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import logging
 from typing import TYPE_CHECKING
 
@@ -30,8 +31,11 @@
 
 logger = logging.getLogger(__name__)
 
-#: Seconds between two ticks of the leader.
-TICK_SECONDS = 0.05
+#: Seconds between two ticks of the groups that change their primary.
+TICK_SECONDS = 0.02
+
+#: Ticks after which all groups are looked at.
+FULL_TICK_INTERVAL = 5
 
 
 class Control(Component):
@@ -179,10 +183,12 @@
         self._leader.set_document(document)
 
     async def _tick_forever(self) -> None:
-        while True:
+        for count in itertools.count():
             leader = self.leader
             if leader is not None:
-                self._run(leader.tick(self._clock.monotonic()))
+                is_full = count % FULL_TICK_INTERVAL == 0
+                tick = leader.tick if is_full else leader.tick_active
+                self._run(tick(self._clock.monotonic()))
             await asyncio.sleep(TICK_SECONDS)
 
     def _take_effects(self, decide: Callable[[ControlLeader], list[Effect]]) -> None:
--- a/hibiscuspoint/components/control_effects.py
+++ b/hibiscuspoint/components/control_effects.py
@@ -130,7 +130,13 @@
     ) -> None:
         listed = [target_pb2.Member(target=m.target, address=m.address) for m in members]
         admin = self._driver.admin
-        state = await admin.promote(member.address, term, listed, timeout=CALL_SECONDS)
+        try:
+            state = await admin.promote(member.address, term, listed, timeout=CALL_SECONDS)
+        except AdminError as error:
+            if error.is_refused:
+                now = self._clock.monotonic()
+                self._decide(lambda leader: leader.refused(group, member.target, now))
+            raise
         self._joined(group, member, state)
 
     async def _follow(
--- a/hibiscuspoint/components/holder/group.py
+++ b/hibiscuspoint/components/holder/group.py
@@ -43,6 +43,7 @@
         self._group = group
         self._rules = rules
         self._lanes: dict[TargetId, TargetLane] = {}
+        self._primary: TargetId | None = None
         self._primary_work = 0
         self.progress = GroupProgress(context, group, rules.quorum)
         self.primary_turns = Turns(context.clock, document.limits.queue_length, 1)
@@ -86,6 +87,9 @@
                 lane = TargetLane(self._context, member.target, member.address)
                 self._lanes[member.target] = lane
             lane.set_address(member.address)
+        if self._primary not in (None, route.primary):
+            self._lanes[self._primary].refuse_waiters()
+        self._primary = route.primary
         self.progress.set_route(route)
         self._set_slots(route)
         self.refresh_pause()
--- a/hibiscuspoint/components/holder/lane.py
+++ b/hibiscuspoint/components/holder/lane.py
@@ -15,7 +15,7 @@
     OpenConnection,
 )
 from hibiscuspoint.drivers import ConnectError, ConnectFailure
-from hibiscuspoint.errors import DeadlineError
+from hibiscuspoint.errors import DeadlineError, NoPrimaryError
 from hibiscuspoint.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -64,6 +64,7 @@
         self._connections: dict[ConnectionId, Connection] = {}
         self._tasks: set[asyncio.Task] = set()
         self._sequence = 0
+        self._waiters: set[asyncio.Future] = set()
         self.in_flight = 0
         self.service_time = 0.0
         self.observations = LaneObservations()
@@ -105,26 +106,39 @@
         self.observations = LaneObservations()
         return taken
 
+    def refuse_waiters(self) -> None:
+        """Refuse the requests that wait for a connection, as the target is no longer wanted."""
+        for waiter in self._waiters:
+            if not waiter.done():
+                waiter.set_exception(
+                    NoPrimaryError(f"target {self._target} is no longer the primary")
+                )
+
     async def acquire(self, deadline: float) -> LentConnection:
         """Wait for a connection.
 
         :param deadline: monotonic time in seconds.
         :raises DeadlineError: no connection became free in time; nothing was sent.
+        :raises NoPrimaryError: the target was given up meanwhile; nothing was sent.
         """
         waiter = asyncio.get_running_loop().create_future()
         now = self._context.clock.monotonic()
+        self._waiters.add(waiter)
         self._carry_out(self._pool.acquire(waiter, now))
         try:
             async with asyncio.timeout(max(0.0, deadline - now)):
                 connection_id = await waiter
-        except (TimeoutError, asyncio.CancelledError) as error:
+        except TimeoutError:
             self._give_up(waiter)
-            if isinstance(error, asyncio.CancelledError):
-                raise
             raise DeadlineError(
                 f"no connection to target {self._target} became free in time",
                 verdict=Verdict.NOT_RUN,
             ) from None
+        except (asyncio.CancelledError, NoPrimaryError):
+            self._give_up(waiter)
+            raise
+        finally:
+            self._waiters.discard(waiter)
         return LentConnection(connection_id, self._connections[connection_id])
 
     def release(self, lent: LentConnection) -> None:
@@ -149,7 +163,7 @@
     def _give_up(self, waiter: asyncio.Future) -> None:
         if self._pool.cancel(waiter):
             return
-        if waiter.done() and not waiter.cancelled():
+        if waiter.done() and not waiter.cancelled() and waiter.exception() is None:
             connection_id = waiter.result()
             lent = LentConnection(connection_id, self._connections[connection_id])
             self.release(lent)
--- a/hibiscuspoint/components/holders.py
+++ b/hibiscuspoint/components/holders.py
@@ -100,8 +100,8 @@
             holder.close()
 
     def _require(self, group: GroupId) -> GroupHolder:
-        holder = self._groups.get(group)
-        if holder is None or not self.is_holder(group):
+        holder = self._holder(group) if self.is_holder(group) else None
+        if holder is None:
             raise NoHolderError(f"instance {self.instance} does not hold group {group}")
         return holder
 
--- a/hibiscuspoint/components/reporting.py
+++ b/hibiscuspoint/components/reporting.py
@@ -60,7 +60,7 @@
             instance=self._settings.node.instance,
             incarnation=self._incarnation,
             availability_zone=self._settings.node.availability_zone,
-            address=self._settings.listen.address,
+            address=self._settings.listen.advertised,
             sent_at_ns=now_ns,
             document_number=self._state.document_number,
             document_digest=document.digest if document is not None else "",
--- a/hibiscuspoint/core/control/detector.py
+++ b/hibiscuspoint/core/control/detector.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -29,7 +30,7 @@
     """Why a primary is considered failed."""
 
     SILENT = "no announcement and no successful request"
-    REFUSED = "no announcement and connections of every holder are refused"
+    REFUSED = "no announcement and its address refuses connections"
     UNREACHABLE = "no holder reaches the primary"
     STEPPED_DOWN = "the target no longer acts as primary"
 
@@ -55,6 +56,7 @@
         self._last_success = now
         self._last_tick = now
         self._stepped_down = False
+        self._probe_refused_at = -math.inf
         self._holders: dict[InstanceId, _HolderView] = {}
 
     @property
@@ -79,6 +81,14 @@
             view.refused = bool(refusals) and not successes
             view.failing = bool(refusals or timeouts) and not successes
 
+    def needs_probe(self, now: float) -> bool:
+        """Tell whether control should call the primary itself, as it stopped announcing."""
+        return now - self._last_announcement >= SHORT_SILENCE_SECONDS
+
+    def probe_refused(self, now: float) -> None:
+        """Record that the address of the primary refused a call of control."""
+        self._probe_refused_at = now
+
     def suspicion(self, holders: set[InstanceId], now: float) -> Suspicion | None:
         """Return why the primary is considered failed, or ``None``.
 
@@ -90,6 +100,8 @@
             return Suspicion.STEPPED_DOWN
         if silence >= SILENCE_SECONDS and now - self._last_success >= SILENCE_SECONDS:
             return Suspicion.SILENT
+        if silence >= SHORT_SILENCE_SECONDS and self._is_probe_refused(now):
+            return Suspicion.REFUSED
         views = [self._holders[holder] for holder in holders if holder in self._holders]
         if not views or len(views) < len(holders):
             return None
@@ -100,6 +112,11 @@
             return Suspicion.UNREACHABLE
         return None
 
+    def _is_probe_refused(self, now: float) -> bool:
+        """Tell whether a probe was refused lately and no request succeeded since."""
+        refused_at = self._probe_refused_at
+        return now - refused_at < SILENCE_SECONDS and self._last_success < refused_at
+
     def _forgive_stall(self, now: float) -> None:
         stalled = now - self._last_tick
         self._last_tick = now
--- a/hibiscuspoint/core/control/group.py
+++ b/hibiscuspoint/core/control/group.py
@@ -33,6 +33,9 @@
 #: group does not change its primary back and forth.
 PROMOTION_COOLDOWN_SECONDS = 5.0
 
+#: Seconds between two calls to a primary that does not announce itself.
+PROBE_INTERVAL_SECONDS = 0.1
+
 #: Seconds between two questions for the positions of members during a switchover.
 CATCH_UP_POLL_SECONDS = 0.03
 
@@ -81,11 +84,13 @@
         self._steps = PromotionSteps(record, ack_quorum, now)
         self._detector: FailureDetector | None = None
         self._suspected_term = 0
+        self._suspect: TargetId | None = None
         self._promoted_at = -math.inf
         self._switchover: Switchover | None = None
         self._idle_since: float | None = None
         self._reports: dict[TargetId, tuple[LogPosition, float]] = {}
         self._poll_at = 0.0
+        self._probed_at = -math.inf
         self._rejoin_attempts: dict[TargetId, float] = {}
         self._published: tuple[int, RouteState] | None = None
 
@@ -104,6 +109,11 @@
         """Return the switchover in progress."""
         return self._switchover
 
+    @property
+    def is_active(self) -> bool:
+        """Tell whether a promotion or a switchover is in progress."""
+        return self.route_state is not RouteState.GRANTED
+
     @property
     def route_state(self) -> RouteState:
         """Return what entries may do with the primary."""
@@ -157,6 +167,11 @@
         if report.accepted:
             self._reports[report.target] = (report.last, now)
 
+    def refused(self, target: TargetId, now: float) -> None:
+        """Record that the address of a member refused a call of control."""
+        if self._detector is not None and self._detector.primary == target:
+            self._detector.probe_refused(now)
+
     def tick(self, holders: set[InstanceId], now: float) -> list[Effect]:
         """Advance and return the effects.
 
@@ -188,13 +203,22 @@
         suspicion = self._detector.suspicion(holders, now)
         if suspicion is not None and self._may_replace(suspicion, now):
             self._suspected_term = record.term
+            self._suspect = record.primary
             suspected = PrimarySuspected(record.group, record.primary, suspicion)
             return [suspected, *self._steps.open_term(0, now)]
-        return self._hand_over(now) + self._rejoin_members(now)
+        return self._probe(now) + self._hand_over(now) + self._rejoin_members(now)
+
+    def _probe(self, now: float) -> list[Effect]:
+        """Call a silent primary, because a refused call is proof that its process is gone."""
+        if not self._detector.needs_probe(now) or now - self._probed_at < PROBE_INTERVAL_SECONDS:
+            return []
+        self._probed_at = now
+        return self.promote_again()
 
     def _begin_watching(self, now: float) -> None:
         self._detector = FailureDetector(self._record.primary, now)
         self._switchover = None
+        self._suspect = None
         self._idle_since = None
 
     def _may_replace(self, suspicion: Suspicion, now: float) -> bool:
@@ -231,7 +255,7 @@
         effects: list[Effect] = [
             Follow(group, info.member_address, term, primary.member_address) for info in followers
         ]
-        return [*effects, *self.address_changed(now)]
+        return [*effects, *self.promote_again()]
 
     def _rejoin_members(self, now: float) -> list[Effect]:
         primary = self._around.targets.get(self._record.primary)
@@ -245,8 +269,8 @@
             effects.append(Follow(group, info.member_address, term, primary.member_address))
         return effects
 
-    def address_changed(self, now: float) -> list[Effect]:
-        """Tell the primary the present addresses of the members."""
+    def promote_again(self) -> list[Effect]:
+        """Repeat the promotion: it tells the primary the addresses of the members."""
         record = self._record
         primary = self._around.targets.get(record.primary) if record.primary else None
         if primary is None or record.phase is not GroupPhase.STARTED:
@@ -270,10 +294,15 @@
 
     def _live_members(self, now: float) -> set[TargetId]:
         targets = self._around.targets
-        return {member for member in self._record.members if targets.is_live(member, now)}
+        return {
+            member
+            for member in self._record.members
+            if member != self._suspect and targets.is_live(member, now)
+        }
 
     def _leases_clear(self, now: float) -> bool:
-        return self._around.ledger.is_clear(self._record.group, self._record.term, now)
+        record = self._record
+        return not record.starts or self._around.ledger.is_clear(record.group, record.term, now)
 
     def _holders_idle(self, now: float) -> bool:
         return not self._around.ledger.held_by(self._record.group, now)
--- a/hibiscuspoint/core/control/leader.py
+++ b/hibiscuspoint/core/control/leader.py
@@ -88,7 +88,7 @@
         controller.announced(info, now)
         effects: list[Effect] = []
         if previous is not None and previous.address != info.address:
-            effects += controller.address_changed(now)
+            effects += controller.promote_again()
         return effects + self._tick_group(controller, now)
 
     def reported(self, message: peer_pb2.EntryReport, now: float) -> list[Effect]:
@@ -119,6 +119,12 @@
         controller.joined(report, now)
         return self._tick_group(controller, now)
 
+    def refused(self, group: GroupId, target: TargetId, now: float) -> list[Effect]:
+        """Record that the address of a member refused a call."""
+        controller = self._groups[group]
+        controller.refused(target, now)
+        return self._tick_group(controller, now)
+
     def terminated(self, target: TargetId, instance: InstanceId) -> None:
         """Take the confirmation that a target closed the connections of an instance."""
         for holdings in self._holdings.values():
@@ -148,6 +154,14 @@
             effects.append(PublishHolders())
         return effects
 
+    def tick_active(self, now: float) -> list[Effect]:
+        """Advance the groups with a promotion or a switchover in progress."""
+        effects: list[Effect] = []
+        for controller in self._groups.values():
+            if controller.is_active:
+                effects += self._tick_group(controller, now)
+        return effects
+
     def tick_group(self, group: GroupId, now: float) -> list[Effect]:
         """Advance one group, after a command about it was applied."""
         if group not in self._state.groups:
--- a/hibiscuspoint/core/control/promotion.py
+++ b/hibiscuspoint/core/control/promotion.py
@@ -18,8 +18,11 @@
 
 __all__ = ["MemberReport", "PromotionSteps"]
 
-#: Seconds between two attempts of a step at the same member.
-STEP_RETRY_SECONDS = 0.1
+#: Seconds between two seals of the same member.
+SEAL_RETRY_SECONDS = 0.1
+
+#: Seconds between two questions whether a member holds the first record of the term.
+JOIN_RETRY_SECONDS = 0.03
 
 #: Seconds to wait for further sealed members once enough are sealed, so that the preferred member
 #: has a chance to answer.
@@ -124,7 +127,7 @@
         return [
             Seal(self._record.group, addresses[target], current.term)
             for target in missing
-            if target in addresses and self._is_due(target, now)
+            if target in addresses and self._is_due(target, SEAL_RETRY_SECONDS, now)
         ]
 
     def promote_primary(
@@ -149,7 +152,7 @@
             return []
         effects: list[Effect] = []
         for target in self._record.members:
-            if target not in addresses or not self._is_due(target, now):
+            if target not in addresses or not self._is_due(target, JOIN_RETRY_SECONDS, now):
                 continue
             effects.append(self._join_step(addresses[target], primary, addresses))
         return effects
@@ -201,9 +204,9 @@
         self._proposed[name] = now
         return [Propose(command)]
 
-    def _is_due(self, target: TargetId, now: float) -> bool:
+    def _is_due(self, target: TargetId, interval: float, now: float) -> bool:
         last = self._round.attempts.get(target)
-        if last is not None and now - last < STEP_RETRY_SECONDS:
+        if last is not None and now - last < interval:
             return False
         self._round.attempts[target] = now
         return True
--- a/hibiscuspoint/daemon/node.py
+++ b/hibiscuspoint/daemon/node.py
@@ -209,8 +209,7 @@
             subject=self._instance,
             open_requests=self._drain.in_progress,
         )
-        while self._drain.tick(self._clock.monotonic()) is not DrainPhase.DRAINED:
-            await asyncio.sleep(TICK_SECONDS)
+        await self._wait_drained()
         log_event(
             logger,
             catalogue.DRAIN_FINISHED,
@@ -219,6 +218,11 @@
         )
         await self._reporting.hand_back(self._runtime, HAND_BACK_SECONDS)
 
+    async def _wait_drained(self) -> None:
+        """Wait for the end of the work; a state without I/O cannot signal it."""
+        while self._drain.tick(self._clock.monotonic()) is not DrainPhase.DRAINED:  # noqa: ASYNC110
+            await asyncio.sleep(TICK_SECONDS)
+
     async def _stop(self) -> None:
         await self._attachment.stop()
         if self._log is not None:
--- a/hibiscuspoint/settings/model.py
+++ b/hibiscuspoint/settings/model.py
@@ -100,6 +100,17 @@
         allowed="ip:port with an IP number and a port within 1 to 65535",
     )
 
+    advertise: Address | None = option(
+        None,
+        doc="Address that other processes use to reach this one; the listen address by default.",
+        allowed="ip:port with an IP number and a port within 1 to 65535",
+    )
+
+    @property
+    def advertised(self) -> str:
+        """Return the address that other processes use."""
+        return self.advertise or self.address
+
     @model_validator(mode="after")
     def _check_distinct(self) -> ListenSettings:
         if self.address == self.http:
--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -41,7 +41,7 @@
     for place in ("node.region", "node.roles[1]", "listen.address", "listen.speed"):
         assert f"node.toml: {place}: " in message
     assert "limits.message_bytes: should be a valid integer (allowed: at least 65536" in message
-    assert "(allowed: address, http)" in message
+    assert "(allowed: address, http, advertise)" in message
 
 
 @pytest.mark.parametrize(
