Keep holders over a change of control leader and wait for holders

Cause: a new leader chose holders among the entries that had attached so far, so connections moved while the entries attached one after the other; a failed call closed the channel under other calls. Change: holders of the predecessor stay until they report or 2 s pass; requests wait for a holder until their deadline; channels are kept after a failed call.

--- a/hibiscuspoint/components/entry_state.py
+++ b/hibiscuspoint/components/entry_state.py
@@ -63,11 +63,9 @@
         self._contact.contact(update.echo_sent_at_ns / NANOSECONDS)
         if update.document and update.document_number > self.document_number:
             self._take_document(update.document)
-        if update.holders:
-            self._holders = {
-                GroupId(item.group): [(InstanceId(h.instance), h.address) for h in item.holders]
-                for item in update.holders
-            }
+        for item in update.holders:
+            listed = [(InstanceId(holder.instance), holder.address) for holder in item.holders]
+            self._holders[GroupId(item.group)] = listed
         self.holders_version = update.holders_version
         return True
 
--- a/hibiscuspoint/components/leader_client.py
+++ b/hibiscuspoint/components/leader_client.py
@@ -90,7 +90,7 @@
         return list(self._members)
 
     def _failed(self, address: str) -> None:
-        self._channels.discard(address)
+        """Ask the other control instances first next time."""
         if address in self._members:
             self._members.remove(address)
             self._members.append(address)
--- a/hibiscuspoint/components/peers.py
+++ b/hibiscuspoint/components/peers.py
@@ -34,13 +34,15 @@
 class PeerChannels:
     """Opens one channel for each address and keeps it.
 
+    A channel is never closed because a call on it failed: that would cancel the other calls on
+    it. gRPC connects again by itself, and keepalive ends connections that went silent.
+
     :param transport: TLS or plain text.
     """
 
     def __init__(self, transport: Transport) -> None:
         self._transport = transport
         self._channels: dict[str, grpc.aio.Channel] = {}
-        self._closing: set[asyncio.Task] = set()
 
     def get(self, address: str) -> grpc.aio.Channel:
         """Return the channel to an address."""
@@ -64,18 +66,9 @@
             async with asyncio.timeout(timeout):
                 await self.get(address).channel_ready()
         except TimeoutError:
-            self.discard(address)
             return False
         return True
 
-    def discard(self, address: str) -> None:
-        """Close the channel to an address; the next call opens a new one."""
-        channel = self._channels.pop(address, None)
-        if channel is not None:
-            task = asyncio.ensure_future(channel.close())
-            self._closing.add(task)
-            task.add_done_callback(self._closing.discard)
-
     async def close(self) -> None:
         """Close all channels."""
         for channel in self._channels.values():
--- a/hibiscuspoint/components/router.py
+++ b/hibiscuspoint/components/router.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import grpc
@@ -48,6 +49,7 @@
         self._holders = holders
         self._channels = channels
         self._clock = clock
+        self._waiting = 0
 
     def candidates(self, request: GroupRequest) -> list[tuple[InstanceId, str]]:
         """Return the holders to try in order: this instance, then spread by caller."""
@@ -60,10 +62,31 @@
         return mine + others
 
     async def execute(self, request: GroupRequest) -> GroupResult:
-        """Run a request at the first holder that takes it.
+        """Run a request at a holder, and wait for one while holders change.
 
         :raises HibiscusError: with the verdict of the request.
         """
+        while True:
+            try:
+                return await self._try_holders(request)
+            except NoHolderError as error:
+                await self.wait_for_holder(request, error)
+
+    async def wait_for_holder(self, request: GroupRequest, error: NoHolderError) -> None:
+        """Wait before the holders are tried again.
+
+        :raises NoHolderError: the time of the request ends or too many requests wait.
+        """
+        remaining = request.deadline - self._clock.monotonic()
+        if remaining <= RETRY_SECONDS or self._waiting >= self._state.document.limits.queue_length:
+            raise error
+        self._waiting += 1
+        try:
+            await asyncio.sleep(RETRY_SECONDS)
+        finally:
+            self._waiting -= 1
+
+    async def _try_holders(self, request: GroupRequest) -> GroupResult:
         error: HibiscusError = NoHolderError(f"group {request.group} has no holder")
         for instance, address in self.candidates(request):
             try:
@@ -96,7 +119,6 @@
         try:
             reply = await stub.Forward(message, timeout=remaining + GRACE_SECONDS)
         except grpc.aio.AioRpcError as error:
-            self._channels.discard(address)
             if error.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
                 raise DeadlineError("the holder did not answer in time") from None
             raise HolderLostError(f"the connection to the holder at {address} failed") from None
--- a/hibiscuspoint/components/transactions.py
+++ b/hibiscuspoint/components/transactions.py
@@ -191,6 +191,13 @@
         raise TransactionStateError("the transaction has begun before")
 
     async def _begin(self, request: GroupRequest) -> TransactionPath:
+        while True:
+            try:
+                return await self._try_holders(request)
+            except NoHolderError as error:
+                await self._router.wait_for_holder(request, error)
+
+    async def _try_holders(self, request: GroupRequest) -> TransactionPath:
         error: HibiscusError = NoHolderError(f"group {request.group} has no holder")
         for instance, address in self._router.candidates(request):
             try:
--- a/hibiscuspoint/core/control/holdings.py
+++ b/hibiscuspoint/core/control/holdings.py
@@ -27,6 +27,9 @@
 #: Seconds after which a proposal or a termination is tried again.
 RETRY_SECONDS = 1.0
 
+#: Longest time in seconds that a new leader waits for the holders of its predecessor.
+SETTLE_SECONDS = 2.0
+
 
 class GroupHoldings:
     """Decides which entries hold connections of a group, and how many each.
@@ -52,6 +55,7 @@
         self._targets = targets
         self._first_sequence = control_term << SEQUENCE_BITS
         self._leases_known_from = since + LEASE_SECONDS * (1 + CLOCK_MARGIN)
+        self._settled_from = since + SETTLE_SECONDS
         self._earlier = record.holders
         self._holders: list[InstanceId] = []
         self._ledgers: dict[TargetId, ShareLedger] = {}
@@ -63,6 +67,15 @@
         """Return the present holders, preferred first."""
         return self._holders
 
+    def is_settled(self, entries: EntryDirectory, now: float) -> bool:
+        """Tell whether holders may change.
+
+        After a change of leader the entries attach one after the other. Holders that are kept
+        until then do not lose their connections.
+        """
+        reported = all(entries.get(instance) is not None for instance in self._earlier)
+        return reported or now >= self._settled_from
+
     def set_rules(self, rules: GroupModel) -> None:
         """Take the rules of a new document over."""
         self._rules = rules
@@ -99,6 +112,9 @@
         return effects + self._record_holders(now)
 
     def _choose(self, entries: EntryDirectory, members: list[TargetInfo], now: float) -> None:
+        if not self.is_settled(entries, now):
+            self._holders = list(self._earlier)
+            return
         zones = {info.availability_zone for info in members}
         serving = entries.serving(now)
         self._holders = choose_holders(self._record.group, serving, zones, self._rules.holders)
--- a/hibiscuspoint/core/control/leader.py
+++ b/hibiscuspoint/core/control/leader.py
@@ -150,7 +150,12 @@
             effects += self._tick_group(controller, now)
         for holdings in self._holdings.values():
             effects += holdings.tick(self._entries, now)
-        if self._updates.refresh_holders(self._holdings, self._entries.serving(now)):
+        settled = {
+            group: holdings
+            for group, holdings in self._holdings.items()
+            if holdings.is_settled(self._entries, now)
+        }
+        if self._updates.refresh_holders(settled, self._entries.serving(now)):
             effects.append(PublishHolders())
         return effects
 
