Wait for a settled leader, compare canonical addresses, bypass proxies

Change: the reported numbers must hold for 1 s in one control term; addresses have one spelling and those of instances must be reachable; proxies are bypassed; Transport.generation tells the owner of a channel when to open a new one.

--- a/hibiscuspoint/cli/waiting.py
+++ b/hibiscuspoint/cli/waiting.py
@@ -22,6 +22,9 @@
 POLL_SECONDS = 0.2
 #: An entry without contact for this long serves nothing (design D13), so it is not waited for.
 LIVE_MS = 5_000
+#: A new leader learns which entries are live from their reports, one every 250 ms (design section
+#: 5), so the numbers count only after they held for several reports in one control term.
+SETTLE_SECONDS = 1.0
 
 
 async def wait_until(
@@ -64,9 +67,20 @@
 
     :raises WaitError: an instance does not report it within the time.
     """
+    settled_term: int | None = None
+    settled_since = 0.0
 
     async def step() -> tuple[bool, str]:
-        return _number_progress(await client.status(), number)
+        nonlocal settled_term, settled_since
+        status = await client.status()
+        is_reported, progress = _number_progress(status, number)
+        now = time.monotonic()
+        if not is_reported:
+            settled_term = None
+            return False, progress
+        if status.control_term != settled_term:
+            settled_term, settled_since = status.control_term, now
+        return now - settled_since >= SETTLE_SECONDS, progress
 
     await wait_until(step, output, seconds)
 
--- a/hibiscuspoint/components/tls.py
+++ b/hibiscuspoint/components/tls.py
@@ -51,12 +51,19 @@
         self._ca = ca
         self._lock = threading.Lock()
         self._seen: tuple[tuple[int, ...], ...] = ()
+        self._generation = 0
         try:
             self._seen = self._stamp()
             self._contents = self._load()
         except (OSError, ValueError) as error:
             raise ConfigurationError(f"The TLS files cannot be used: {error}.") from error
 
+    @property
+    def generation(self) -> int:
+        """Return a number that increases each time changed files come into use."""
+        self.current()
+        return self._generation
+
     def current(self) -> TlsContents:
         """Return the contents; changed files that are not valid leave the previous ones in use."""
         with self._lock:
@@ -76,6 +83,7 @@
             return
         self._seen = stamp
         self._contents = contents
+        self._generation += 1
         log_event(logger, catalogue.CERTIFICATE_RELOADED)
 
     def _stamp(self) -> tuple[tuple[int, ...], ...]:
@@ -119,6 +127,15 @@
         """Return the options that ``grpc.aio.server`` takes."""
         return list(self._options)
 
+    @property
+    def generation(self) -> int:
+        """Return a number that increases when the certificate files change.
+
+        A channel keeps the files with which it was opened, also when it connects again. The owner
+        of a channel opens a new one when this number has changed.
+        """
+        return self._files.generation if self._files is not None else 0
+
     @classmethod
     def from_settings(cls, tls: TlsSettings, message_bytes: int) -> Transport:
         """Build from the settings of an instance.
@@ -145,7 +162,8 @@
 
         :param options: gRPC channel options in addition to the message size.
         """
-        merged = [*self._options, *options]
+        # Addresses are those of the system itself; a proxy of the environment must not see them.
+        merged = [*self._options, ("grpc.enable_http_proxy", 0), *options]
         if self._files is None:
             return grpc.aio.insecure_channel(address, options=merged)
         contents = self._files.current()
--- a/hibiscuspoint/settings/model.py
+++ b/hibiscuspoint/settings/model.py
@@ -11,7 +11,7 @@
 # pydantic evaluates the annotations at run time, so these imports are needed then.
 from hibiscuspoint.settings.paths import SettingsPath  # noqa: TC001
 from hibiscuspoint.settings.security import SessionSettings, TlsSettings  # noqa: TC001
-from hibiscuspoint.util.address import Address  # noqa: TC001
+from hibiscuspoint.util.address import Address, PeerAddress  # noqa: TC001
 from hibiscuspoint.util.schema import (
     Problem,
     StrictModel,
@@ -91,9 +91,9 @@
 class ListenSettings(StrictModel):
     """Addresses on which the process listens."""
 
-    address: Address = option(
+    address: PeerAddress = option(
         doc="Address of all gRPC services (Caller, Peer, Control, Operator, Consensus).",
-        allowed="ip:port with an IP number and a port within 1 to 65535",
+        allowed="ip:port with the IP number that other instances use and a port within 1 to 65535",
     )
     http: Address = option(
         doc="Address of /metrics, /healthz and /readyz.",
@@ -110,7 +110,7 @@
 class ControlSettings(StrictModel):
     """The control group, as every instance knows it."""
 
-    members: dict[Name, Address] = option(
+    members: dict[Name, PeerAddress] = option(
         doc="Instance id and gRPC address of every control instance.",
         allowed='1, 3 or 5 entries of instance = "ip:port"',
     )
--- a/hibiscuspoint/telemetry/burn.py
+++ b/hibiscuspoint/telemetry/burn.py
@@ -114,8 +114,10 @@
         self._last[sample.source] = (sample.started, good, total)
         points = self._points.setdefault(sample.source, [])
         if last is None:
-            # All counters are zero at the start of the process.
-            baseline = (sample.started, 0.0, 0.0) if sample.started else (sample.at, good, total)
+            # All counters are zero at the start of the process. The two times come from two
+            # clocks, so the start can seem to be later than the sample.
+            started = min(sample.started, sample.at)
+            baseline = (started, 0.0, 0.0) if started else (sample.at, good, total)
             points.append(baseline)
             points.append((sample.at, good, total))
             return
--- a/hibiscuspoint/telemetry/samples.py
+++ b/hibiscuspoint/telemetry/samples.py
@@ -89,7 +89,9 @@
     except ValueError as error:
         raise ConfigurationError(f"{address!r} is not an address: {error}.") from None
     url = f"http://{address}/metrics"
-    with urllib.request.urlopen(url, timeout=SCRAPE_TIMEOUT) as reply:
+    # Addresses are those of the system itself; a proxy of the user's shell must not see them.
+    opener = urllib.request.build_opener(urllib.request.ProxyHandler({}))
+    with opener.open(url, timeout=SCRAPE_TIMEOUT) as reply:
         text = reply.read(MAX_SCRAPE_BYTES).decode("utf-8", "replace")
     try:
         return parse_metrics(text, address, at)
--- a/hibiscuspoint/util/address.py
+++ b/hibiscuspoint/util/address.py
@@ -7,7 +7,7 @@
 
 from pydantic import AfterValidator
 
-__all__ = ["Address", "parse_address"]
+__all__ = ["Address", "PeerAddress", "parse_address"]
 
 _MAX_PORT = 65535
 
@@ -31,12 +31,24 @@
     return literal, int(port)
 
 
-def _check(text: str) -> str:
+def _canonical(text: str) -> str:
+    """Return the one spelling of an address, so that addresses can be compared as text."""
     try:
-        parse_address(text)
+        host, port = parse_address(text)
     except ValueError as error:
         raise ValueError(f"is not an address of the form ip:port: {error}") from None
+    ip = ipaddress.ip_address(host)
+    return f"[{ip}]:{port}" if ip.version == 6 else f"{ip}:{port}"
+
+
+def _reachable(text: str) -> str:
+    ip = ipaddress.ip_address(parse_address(text)[0])
+    if ip.is_unspecified or ip.is_multicast:
+        raise ValueError(f"{ip} is not an address to which another instance can connect")
     return text
 
 
-Address = Annotated[str, AfterValidator(_check)]
+#: An address on which a process listens.
+Address = Annotated[str, AfterValidator(_canonical)]
+#: An address that other instances connect to.
+PeerAddress = Annotated[Address, AfterValidator(_reachable)]
--- a/hibiscuspoint/util/schema.py
+++ b/hibiscuspoint/util/schema.py
@@ -149,7 +149,11 @@
 def _key_path(location: tuple[int | str, ...]) -> str:
     path = ""
     for part in location:
-        path += f"[{part}]" if isinstance(part, int) else f".{part}" if path else part
+        if isinstance(part, int):
+            path += f"[{part}]"
+            continue
+        name = part if part.isprintable() else repr(part)
+        path += f".{name}" if path else name
     return path
 
 
--- a/tests/cli/environment.py
+++ b/tests/cli/environment.py
@@ -11,7 +11,9 @@
 import grpc
 import xxhash
 
+from hibiscuspoint.components.tls import Transport
 from hibiscuspoint.document import Document
+from hibiscuspoint.settings import TlsMode
 from hibiscuspoint.wire import caller_pb2, caller_pb2_grpc, common_pb2, peer_pb2, peer_pb2_grpc
 
 if TYPE_CHECKING:
@@ -37,8 +39,10 @@
     aborts the call after it was received.
     """
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, transport: Transport | None = None) -> None:
         self.name = name
+        self._transport = transport or Transport(TlsMode.PLAIN_TEXT, None, 65_536)
+        self.terms = [1]
         self.calls: list[tuple[str, Any]] = []
         self.answers: dict[str, list[Any]] = {}
         self.history: list[peer_pb2.HistoryEntry] = []
@@ -87,7 +91,7 @@
         server = grpc.aio.server()
         peer_pb2_grpc.add_OperatorServicer_to_server(self, server)
         caller_pb2_grpc.add_CallerServicer_to_server(self, server)
-        server.add_insecure_port(self.address)
+        self._transport.bind(server, self.address)
         await server.start()
         self._started.set()
         await self._stop.wait()
@@ -145,6 +149,7 @@
             environment=self.name,
             document_number=number,
             leader="ba-1",
+            control_term=self.terms.pop(0) if len(self.terms) > 1 else self.terms[0],
             groups=[
                 peer_pb2.GroupStatus(
                     group="ledger",
--- a/tests/cli/test_acts.py
+++ b/tests/cli/test_acts.py
@@ -5,9 +5,13 @@
 import json
 
 import grpc
+import trustme
 
+from hibiscuspoint.cli.main import main
+from hibiscuspoint.components.tls import TlsFiles, Transport
+from hibiscuspoint.settings import TlsMode
 from hibiscuspoint.wire import peer_pb2
-from tests.cli.environment import error
+from tests.cli.environment import Environment, error
 
 
 def test_acts_repeat_until_finished(run, trial):
@@ -62,6 +66,24 @@
     assert json.loads(err)["code"] == "HP1999"
 
 
+def test_mutual_tls_of_an_operator(tmp_path, capsys):
+    """Guards against TLS options that are not used."""
+    ca = trustme.CA()
+    issued = ca.issue_cert("127.0.0.1")
+    names = ("ca", "certificate", "key")
+    blobs = (ca.cert_pem, issued.cert_chain_pems[0], issued.private_key_pem)
+    paths = {name: tmp_path / f"{name}.pem" for name in names}
+    for name, blob in zip(names, blobs, strict=True):
+        blob.write_to_path(paths[name])
+    files = TlsFiles(paths["certificate"], paths["key"], paths["ca"])
+    options = [text for name in names for text in (f"--tls-{name}", str(paths[name]))]
+    with Environment("trial", Transport(TlsMode.MUTUAL, files, 65_536)) as trial:
+        arguments = ["status", "--connect", trial.address, "--timeout", "1"]
+        assert main([*arguments, *options]) == 0
+        assert main([*arguments, *options[:2]]) == 1
+        assert main([*arguments, "--plain-text"]) == 1
+
+
 def test_status_shows_targets_and_instances(run, trial):
     """Guards against a state that an operator cannot see."""
     status, out, _ = run("status", connect=trial)
--- a/tests/cli/test_documents.py
+++ b/tests/cli/test_documents.py
@@ -8,6 +8,7 @@
 import grpc
 import pytest
 
+from hibiscuspoint.cli.waiting import POLL_SECONDS, SETTLE_SECONDS
 from hibiscuspoint.document import Document, diff
 from hibiscuspoint.telemetry.samples import GroupCounters, Sample, SampleFile
 from hibiscuspoint.wire import peer_pb2
@@ -63,6 +64,15 @@
     assert "in force on every live instance" in out
 
 
+def test_wait_does_not_trust_a_leader_that_was_just_elected(run, trial, file):
+    """Guards against success while the new leader knows only the first entries that reported."""
+    trial.terms = [1, 1, 2]
+    trial.reported = {"ba-1": [1], "ba-2": [1, 1, 1, 0, 1]}
+    started = time.monotonic()
+    assert run("apply", file, "--wait", connect=trial)[0] == 0
+    assert time.monotonic() - started >= SETTLE_SECONDS + 4 * POLL_SECONDS
+
+
 def test_wait_that_ends_early_is_not_a_success(run, trial, file):
     """Guards against exit status 0 for a document that is not in force everywhere."""
     trial.reported = {"ba-2": [0]}
--- a/tests/components/test_tls.py
+++ b/tests/components/test_tls.py
@@ -105,6 +105,8 @@
     files = _write(tmp_path, ca)
     before = files.current()
     ca.issue_cert("127.0.0.1").private_key_pem.write_to_path(tmp_path / "key.pem")
-    assert files.current() == before
+    assert (files.current(), files.generation) == (before, 0)
     with pytest.raises(ConfigurationError, match="TLS files"):
         _files(tmp_path)
+    _write(tmp_path, ca)
+    assert (files.current() != before, files.generation) == (True, 1)
--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -56,6 +56,8 @@
         ({"listen": {"http": "127.0.0.1:7400"}}, "address and http are equal"),
         ({"listen": {"http": "127.0.0.1:0"}}, "port 0"),
         ({"listen": {"http": "127.0.0.1"}}, "not an address"),
+        ({"listen": {"address": "0.0.0.0:7400"}}, "can connect"),
+        ({"control": {"members": {"ba-1": "[::]:7400"}}}, "can connect"),
         ({"tls": {"mode": "mutual"}}, "requires ca, certificate, key"),
         ({"tls": {"ca": "ca.pem"}}, "contradicts ca"),
         ({"tls": {"mode": "server", "certificate": "c" * 300, "key": "k"}}, "does not exist"),
