Cover three changes that the tests did not notice

Cause: of 20 deliberate faults in a scratch copy the tests missed three: a text that differs from its accepted digest, a redundant line in exec, and an entry whose clock is ahead. Change: two tests, and the redundant line is removed.

--- a/hibiscuspoint/cli/commands/execute.py
+++ b/hibiscuspoint/cli/commands/execute.py
@@ -112,7 +112,6 @@
             request.statements.append(statement)
         if not args.write:
             request.read.max_age_ms = args.max_age_ms
-            request.read.SetInParent()
         if args.id is not None:
             request.idempotency.CopyFrom(request_identity(args.id))
         return request
--- a/tests/cli/test_documents.py
+++ b/tests/cli/test_documents.py
@@ -105,6 +105,15 @@
     assert run("history", connect=trial)[1].splitlines()[1].startswith("2 ")
 
 
+def test_document_that_does_not_match_its_digest_is_refused(run, trial, file):
+    """Guards against promoting or comparing a text that was never accepted."""
+    trial.accept(document().text)
+    trial.history[0].document = document(limits={"queue_length": 7}).text
+    status, out, err = run("show", connect=trial)
+    assert (status, out) == (1, "")
+    assert "HP3006" in err and "verdict: NOT_RUN" in err
+
+
 PROMOTION = {"minimum_age_seconds": 60, "max_burn_rate": 2.0}
 LEVELS = [{"name": "ledger", "service_levels": {"write_availability": 0.9}}]
 
--- a/tests/telemetry/test_burn.py
+++ b/tests/telemetry/test_burn.py
@@ -91,6 +91,13 @@
     assert (window.good, window.total) == (5, 5)
 
 
+def test_entry_whose_clock_is_ahead_is_counted():
+    """Guards against "no data" because the start seems later than the first sample."""
+    level = _writes(_sample(20, 9, 10, started=5), _sample(10, 18, 20, started=5))
+    assert level.window("5m").total == 20
+    assert level.window("5m").rate == pytest.approx(10.0)
+
+
 def test_entries_are_summed():
     """Guards against a burn rate of one entry only."""
     other = "10.0.0.2:7401"
