Serve test metrics with the library's own server

Cause: the test had a request handler of its own for what prometheus_client offers. Change: start_http_server replaces it; the checks are the same.

--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-import http.server
 import subprocess
-import threading
 
 import pytest
-from prometheus_client import generate_latest
+from prometheus_client import start_http_server
 
 from hibiscuspoint.cli.command import commands
 from hibiscuspoint.cli.main import main
@@ -61,22 +59,11 @@
         subprocess.run(["bash", "-n"], input=script, text=True, check=True)
 
 
-class _MetricsHandler(http.server.BaseHTTPRequestHandler):
-    def do_GET(self):
-        self.send_response(200)
-        self.end_headers()
-        self.wfile.write(generate_latest(self.server.metrics.registry))
-
-    def log_message(self, *arguments):
-        pass
-
-
 def test_report_scrapes_entries_and_keeps_samples(run, tmp_path):
     """Guards against a report that ends when one of the entries is down."""
-    server = http.server.HTTPServer(("127.0.0.1", 0), _MetricsHandler)
-    server.metrics = Metrics()
-    server.metrics.requests.labels("ledger", "write", "DONE", "").inc(5)
-    threading.Thread(target=server.serve_forever, daemon=True).start()
+    metrics = Metrics()
+    metrics.requests.labels("ledger", "write", "DONE", "").inc(5)
+    server, thread = start_http_server(0, "127.0.0.1", metrics.registry)
     levels = {"write_availability": 0.9}
     path = tmp_path / "trial.toml"
     path.write_text(document(group=[{"name": "ledger", "service_levels": levels}]).text)
@@ -89,6 +76,7 @@
         assert "No sample of 127.0.0.1:1" in err
         assert "write_availability" in out
     server.shutdown()
+    thread.join()
     server.server_close()
     assert len(samples.read_text().splitlines()) == 2
     assert "<svg" in page.read_text()
