--- a/tests/cli/test_documents.py
+++ b/tests/cli/test_documents.py
@@ -8,6 +8,7 @@
 import grpc
 import pytest
 
+from hibiscuspoint.cli.waiting import POLL_SECONDS, SETTLE_SECONDS
 from hibiscuspoint.document import Document, diff
 from hibiscuspoint.telemetry.samples import GroupCounters, Sample, SampleFile
 from hibiscuspoint.wire import peer_pb2
@@ -63,6 +64,15 @@
     assert "in force on every live instance" in out
 
 
+def test_wait_does_not_trust_a_leader_that_was_just_elected(run, trial, file):
+    """Guards against success while the new leader knows only the first entries that reported."""
+    trial.terms = [1, 1, 2]
+    trial.reported = {"ba-1": [1], "ba-2": [1, 1, 1, 0, 1]}
+    started = time.monotonic()
+    assert run("apply", file, "--wait", connect=trial)[0] == 0
+    assert time.monotonic() - started >= SETTLE_SECONDS + 4 * POLL_SECONDS
+
+
 def test_wait_that_ends_early_is_not_a_success(run, trial, file):
     """Guards against exit status 0 for a document that is not in force everywhere."""
     trial.reported = {"ba-2": [0]}
@@ -95,6 +105,15 @@
     assert run("history", connect=trial)[1].splitlines()[1].startswith("2 ")
 
 
+def test_document_that_does_not_match_its_digest_is_refused(run, trial, file):
+    """Guards against promoting or comparing a text that was never accepted."""
+    trial.accept(document().text)
+    trial.history[0].document = document(limits={"queue_length": 7}).text
+    status, out, err = run("show", connect=trial)
+    assert (status, out) == (1, "")
+    assert "HP3006" in err and "verdict: NOT_RUN" in err
+
+
 PROMOTION = {"minimum_age_seconds": 60, "max_burn_rate": 2.0}
 LEVELS = [{"name": "ledger", "service_levels": {"write_availability": 0.9}}]
 
