--- /dev/null
+++ b/hibiscuspoint/components/consensus_transport.py
@@ -0,0 +1,98 @@
+"""Exchange of consensus messages with all peers."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from hibiscuspoint.components.consensus_link import PeerLink
+from hibiscuspoint.components.consensus_servicer import ExchangeServicer
+from hibiscuspoint.core.consensus.messages import REQUESTS
+from hibiscuspoint.wire.consensus import decode_message, encode_message
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    import grpc
+
+    from hibiscuspoint.core.consensus.messages import Message
+    from hibiscuspoint.core.consensus.node import Node
+    from hibiscuspoint.ids import InstanceId
+    from hibiscuspoint.wire.consensus_pb2 import Envelope
+
+__all__ = ["Transport"]
+
+logger = logging.getLogger(__name__)
+
+#: A stream without traffic for this many seconds is tested with a probe, so that one that went
+#: silent is replaced before an election needs it.
+_IDLE_PROBE = 1.0
+
+
+class Transport:
+    """Sends requests on an own stream to each peer, and replies on the stream of the request.
+
+    :param instance: this instance.
+    :param peers: addresses ("ip:port") of all control instances, with this one.
+    :param channel_factory: creates a channel like ``grpc.aio.insecure_channel``.
+    :param receive: called with each message.
+    """
+
+    def __init__(
+        self,
+        instance: InstanceId,
+        peers: Mapping[InstanceId, str],
+        channel_factory: Callable[..., grpc.aio.Channel],
+        receive: Callable[[Message], None],
+    ) -> None:
+        self._receive = receive
+        self._channel_factory = channel_factory
+        self._addresses = {peer: address for peer, address in peers.items() if peer != instance}
+        self._links: dict[InstanceId, PeerLink] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+        self._servicer = ExchangeServicer(self._decode)
+
+    @property
+    def servicer(self) -> ExchangeServicer:
+        """Return the servicer to register with the gRPC server."""
+        return self._servicer
+
+    def start(self) -> None:
+        """Connect to all peers."""
+        for peer, address in self._addresses.items():
+            link = PeerLink(address, self._channel_factory, self._decode)
+            self._links[peer] = link
+            self._tasks.append(asyncio.create_task(link.run()))
+
+    async def stop(self) -> None:
+        """End all streams."""
+        self._servicer.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._tasks.clear()
+        self._links.clear()
+
+    def send(self, message: Message) -> None:
+        """Send a message without waiting; it may be lost."""
+        envelope = encode_message(message)
+        if not isinstance(message.body, REQUESTS) and self._servicer.reply(envelope):
+            return
+        link = self._links.get(message.target)
+        if link is not None:
+            link.send(envelope)
+
+    def probe_idle_peers(self, node: Node) -> None:
+        """Test the streams without traffic."""
+        for peer, link in self._links.items():
+            if link.is_idle(_IDLE_PROBE):
+                link.send(encode_message(node.probe(peer)))
+
+    def _decode(self, envelope: Envelope) -> None:
+        try:
+            message = decode_message(envelope)
+        except ValueError as error:
+            logger.warning("message discarded: %s", error)
+            return
+        self._receive(message)
--- a/hibiscuspoint/core/consensus/node.py
+++ b/hibiscuspoint/core/consensus/node.py
@@ -10,10 +10,12 @@
 from hibiscuspoint.core.consensus.entries import Command, Snapshot
 from hibiscuspoint.core.consensus.follower import Follower
 from hibiscuspoint.core.consensus.formation import Formation
+from hibiscuspoint.core.consensus.membership import DiskId
 from hibiscuspoint.core.consensus.messages import (
     REQUESTS,
     AppendReply,
     AppendRequest,
+    Message,
     Probe,
     ProbeReply,
     SnapshotRequest,
@@ -31,8 +33,7 @@
     from hibiscuspoint.core.consensus.effects import Effect
     from hibiscuspoint.core.consensus.entries import Recovered
     from hibiscuspoint.core.consensus.log import Log
-    from hibiscuspoint.core.consensus.membership import Configuration, DiskId, Member
-    from hibiscuspoint.core.consensus.messages import Message
+    from hibiscuspoint.core.consensus.membership import Configuration, Member
     from hibiscuspoint.core.consensus.progress import Progress
     from hibiscuspoint.core.consensus.repair import RepairProgress
     from hibiscuspoint.ids import InstanceId
@@ -52,8 +53,8 @@
 class Node:
     """One member of the control group.
 
-    Every method returns effects; the runner performs them in order before the next call, with all
-    ``Save...`` effects made durable first.
+    Methods return effects. The runner may join the effects of several calls, but performs them in
+    order and makes all ``Save...`` effects durable first.
 
     :param me: this instance and its disk.
     :param peers: all control instances, with this one.
@@ -128,6 +129,11 @@
             return None
         return self._replication.progress_of(member)
 
+    def probe(self, instance: InstanceId) -> Message:
+        """Return a message that an instance answers in any state."""
+        state = self._state
+        return Message(state.me, instance, DiskId(""), state.hard.group, self.term, Probe())
+
     def tick(self, now: float) -> list[Effect]:
         """Let time pass."""
         self._set_time(now)
@@ -155,14 +161,17 @@
         first = self._replication.propose([Command(data) for data in commands])
         return Proposal(first, self.term, self._state.take_effects())
 
-    def repair(self, instance: InstanceId, now: float) -> tuple[RepairProgress, list[Effect]]:
+    def repair(
+        self, instance: InstanceId, since: float, now: float
+    ) -> tuple[RepairProgress, list[Effect]]:
         """Perform the next step of replacing the lost disk of an instance.
 
+        :param since: when the repair was requested.
         :raises NotLeaderError: this member holds no leadership lease.
         :raises RequestError: the instance cannot be repaired by this member.
         """
         self._require_leadership(now)
-        progress = self._repair.advance(instance)
+        progress = self._repair.advance(instance, since)
         return progress, self._state.take_effects()
 
     def compact(self, index: int, data: bytes) -> list[Effect]:
@@ -202,7 +211,10 @@
             return False
         if isinstance(message.body, Probe | ProbeReply):
             return True
-        return bool(message.group) and state.hard.group in ("", message.group)
+        if not message.group:
+            # A new disk answers a pre-vote before it is bound to a group.
+            return isinstance(message.body, VoteReply)
+        return state.hard.group in ("", message.group)
 
     def _note_disk(self, message: Message) -> None:
         source = message.source
--- a/hibiscuspoint/core/consensus/repair.py
+++ b/hibiscuspoint/core/consensus/repair.py
@@ -54,9 +54,11 @@
         self._state = state
         self._replication = replication
 
-    def advance(self, instance: InstanceId) -> RepairProgress:
+    def advance(self, instance: InstanceId, since: float) -> RepairProgress:
         """Perform the next step that is possible.
 
+        :param since: when the repair was requested. The disk must answer a later request before
+            the repair is done, because an answer of a disk that was lost meanwhile proves nothing.
         :raises RequestError: the instance is no control instance, or is the leader itself.
         """
         state = self._state
@@ -65,30 +67,31 @@
         disk = state.disks.get(instance)
         if disk is None:
             return self._report(RepairPhase.WAITING, None)
-        return self._advance_to(Member(instance, disk))
+        return self._advance_to(Member(instance, disk), since)
 
-    def _advance_to(self, member: Member) -> RepairProgress:
+    def _advance_to(self, member: Member, since: float) -> RepairProgress:
         state = self._state
         if state.configuration.is_joint or state.log.configuration_index > state.commit_index:
             return self._report(RepairPhase.REPLACING, member)
         if member in state.configuration.voters:
-            return self._finish(member)
+            return self._finish(member, since)
         if member not in state.configuration.learners:
             self._replication.propose([state.configuration.with_learner(member)])
             return self._report(RepairPhase.CATCHING_UP, member)
-        if not self._has_caught_up(member, CATCH_UP_ENTRIES):
+        recent = self._state.now - LEASE_DURATION
+        if not self._has_caught_up(member, CATCH_UP_ENTRIES, recent):
             return self._report(RepairPhase.CATCHING_UP, member)
         self._replication.propose([state.configuration.joint_with(member)])
         return self._report(RepairPhase.REPLACING, member)
 
-    def _finish(self, member: Member) -> RepairProgress:
-        if self._has_caught_up(member, 0):
+    def _finish(self, member: Member, since: float) -> RepairProgress:
+        if self._has_caught_up(member, 0, since):
             return self._report(RepairPhase.DONE, member)
         return self._report(RepairPhase.CATCHING_UP, member)
 
-    def _has_caught_up(self, member: Member, distance: int) -> bool:
+    def _has_caught_up(self, member: Member, distance: int, since: float) -> bool:
         progress = self._replication.progress_of(member)
-        if progress is None or self._state.now - progress.contact > LEASE_DURATION:
+        if progress is None or progress.contact <= since:
             return False
         return progress.match_index + distance >= self._state.commit_index
 
