--- a/hibiscuspoint/components/consensus.py
+++ b/hibiscuspoint/components/consensus.py
@@ -180,19 +180,22 @@
         :raises NotLeaderError: this instance does not lead, or lost leadership meanwhile.
         :raises RequestError: the instance cannot be repaired by this one.
         """
+        since = self._clock()
         latest: RepairProgress | None = None
         while latest is None or latest.phase is not RepairPhase.DONE:
-            progress = self._advance_repair(instance, is_begun=latest is not None)
+            progress = self._advance_repair(instance, since, is_begun=latest is not None)
             if progress != latest:
                 yield progress
             latest = progress
             await asyncio.sleep(TICK_INTERVAL)
 
-    def _advance_repair(self, instance: InstanceId, *, is_begun: bool) -> RepairProgress:
+    def _advance_repair(
+        self, instance: InstanceId, since: float, *, is_begun: bool
+    ) -> RepairProgress:
         if self._node is None:
             raise self._not_leader()
         try:
-            progress, effects = self._node.repair(instance, self._clock())
+            progress, effects = self._node.repair(instance, since, self._clock())
         except NotLeaderError as error:
             verdict = Verdict.MAY_HAVE_RUN if is_begun else Verdict.NOT_RUN
             raise NotLeaderError(error.message, verdict=verdict) from error
--- a/hibiscuspoint/components/holder/group.py
+++ b/hibiscuspoint/components/holder/group.py
@@ -12,13 +12,13 @@
 from hibiscuspoint.components.holder.turns import Turns
 from hibiscuspoint.components.holder.writes import WriteRunner
 from hibiscuspoint.core.entry.retry import RetryBudget
-from hibiscuspoint.errors import NoPrimaryError
+from hibiscuspoint.errors import NoHolderError, NoPrimaryError
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
     from hibiscuspoint.components.holder.context import GroupRequest, GroupResult, HolderContext
-    from hibiscuspoint.core.entry.routes import Route
+    from hibiscuspoint.core.entry.routes import Route, RouteMember
     from hibiscuspoint.document import Document
     from hibiscuspoint.document.model import GroupModel
     from hibiscuspoint.ids import GroupId, TargetId
@@ -125,6 +125,8 @@
         route = self._context.routes.primary(self._group, self._context.clock.monotonic())
         if route is None or route.primary not in self._lanes:
             raise NoPrimaryError(f"group {self._group} has no primary under a valid lease")
+        if self._lanes[route.primary].pool.share == 0:
+            raise NoHolderError(f"this holder has no connections to target {route.primary} yet")
         return route
 
     @contextmanager
@@ -143,10 +145,12 @@
             lane.close()
 
     def _set_slots(self, route: Route) -> None:
-        slots = {member.target: self._slots(member.slots) for member in route.members}
+        slots = {member.target: self._slots(member) for member in route.members}
         self.primary_turns.set_concurrency(slots.get(route.primary, 1))
         replica_slots = sum(count for target, count in slots.items() if target != route.primary)
         self.read_turns.set_concurrency(READS_PER_SLOT * max(1, replica_slots))
 
-    def _slots(self, announced: int) -> int:
-        return max(1, min(announced, self._rules.slots or announced))
+    def _slots(self, member: RouteMember) -> int:
+        """Return how many statements may run at a member at once."""
+        share = self._lanes[member.target].pool.share or member.slots
+        return max(1, min(member.slots, self._rules.slots or member.slots, share))
--- a/hibiscuspoint/components/holder/reads.py
+++ b/hibiscuspoint/components/holder/reads.py
@@ -34,6 +34,7 @@
     from hibiscuspoint.components.holder.context import GroupRequest
     from hibiscuspoint.components.holder.group import GroupHolder
     from hibiscuspoint.components.holder.lane import TargetLane
+    from hibiscuspoint.components.holder.turns import Turn
     from hibiscuspoint.core.entry.routes import Route
     from hibiscuspoint.drivers.answer import RunResult
     from hibiscuspoint.ids import Term
@@ -60,8 +61,9 @@
         holder.retries.request()
         if max_age is not None:
             holder.progress.want_samples()
-        async with holder.read_turns.turn(request.caller, request.deadline):
+        async with holder.read_turns.turn(request.caller, request.deadline) as turn:
             result = await self._run_planned(request, read)
+            turn.service_time = holder.context.clock.monotonic() - arrived_at
         self._count(result, max_age)
         return result
 
@@ -160,11 +162,11 @@
 
     async def _at_primary(self, request: GroupRequest) -> GroupResult:
         holder = self._holder
-        async with holder.primary_turns.turn(request.caller, request.deadline):
+        async with holder.primary_turns.turn(request.caller, request.deadline) as turn:
             with holder.primary_work():
                 route = holder.require_route()
                 lane = holder.lanes[route.primary]
-                result = await self._run(request, lane, route.term)
+                result = await self._run(request, lane, route.term, turn)
         # What the read saw must survive a promotion before it is released.
         confirmed = await holder.progress.wait_confirmed(result.position, request.deadline)
         now = holder.context.clock.monotonic()
@@ -174,7 +176,9 @@
             raise TargetLostError("the primary was replaced before the read was answered")
         return GroupResult(result.results, result.position, route.primary)
 
-    async def _run(self, request: GroupRequest, lane: TargetLane, term: Term) -> RunResult:
+    async def _run(
+        self, request: GroupRequest, lane: TargetLane, term: Term, turn: Turn | None = None
+    ) -> RunResult:
         run = target_pb2.Run(term=term, read_only=True, statements=request.statements)
         clock = self._holder.context.clock
         with _in_flight(lane):
@@ -184,7 +188,10 @@
                 if started >= request.deadline:
                     raise DeadlineError("the time of the read ended", verdict=Verdict.NOT_RUN)
                 result = await lent.connection.run(run, request.deadline - started)
-                lane.succeeded(clock.monotonic() - started)
+                elapsed = clock.monotonic() - started
+                lane.succeeded(elapsed)
+                if turn is not None:
+                    turn.service_time = elapsed
                 return result
             except ConnectionLost as lost:
                 lane.observations.timeouts += 1
--- a/hibiscuspoint/components/holder/turns.py
+++ b/hibiscuspoint/components/holder/turns.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from contextlib import asynccontextmanager
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.core.entry.admission import GroupQueue, QueuedRequest
@@ -16,7 +17,18 @@
     from hibiscuspoint.core.ports import Clock
     from hibiscuspoint.ids import CallerId
 
-__all__ = ["Turns"]
+__all__ = ["Turn", "Turns"]
+
+
+@dataclass
+class Turn:
+    """A request that runs.
+
+    :param service_time: seconds that the target took; set by the body of the turn. Waits for a
+        connection are left out, as they would make the queue refuse requests after an outage.
+    """
+
+    service_time: float | None = None
 
 
 class Turns:
@@ -36,20 +48,18 @@
         return self._queue
 
     @asynccontextmanager
-    async def turn(self, caller: CallerId, deadline: float) -> AsyncIterator[None]:
+    async def turn(self, caller: CallerId, deadline: float) -> AsyncIterator[Turn]:
         """Wait for a turn and hold it while the body runs.
 
         :param deadline: monotonic time in seconds.
         :raises OverloadError: the request cannot finish in time or the queue is full.
         """
         await self._admit(caller, deadline)
-        started = self._clock.monotonic()
-        measured = None
+        turn = Turn()
         try:
-            yield
-            measured = self._clock.monotonic() - started
+            yield turn
         finally:
-            self._queue.finished(measured)
+            self._queue.finished(turn.service_time)
             self.pump()
 
     def pump(self) -> None:
--- a/hibiscuspoint/components/holder/writes.py
+++ b/hibiscuspoint/components/holder/writes.py
@@ -24,6 +24,7 @@
     from hibiscuspoint.components.holder.context import GroupRequest
     from hibiscuspoint.components.holder.group import GroupHolder
     from hibiscuspoint.components.holder.lane import LentConnection, TargetLane
+    from hibiscuspoint.components.holder.turns import Turn
     from hibiscuspoint.core.entry.routes import Route
     from hibiscuspoint.drivers.answer import RunResult
     from hibiscuspoint.ids import Term
@@ -85,10 +86,10 @@
         if request.request_id is not None:
             await self._ensure_table(request)
         holder = self._holder
-        async with holder.primary_turns.turn(request.caller, request.deadline):
+        async with holder.primary_turns.turn(request.caller, request.deadline) as turn:
             with holder.primary_work():
                 route = holder.require_route()
-                result, replayed = await self._run(request, route)
+                result, replayed = await self._run(request, route, turn)
         with holder.primary_work():
             await self._confirm(result, route, request.deadline)
         return GroupResult(
@@ -98,16 +99,20 @@
             replayed=replayed,
         )
 
-    async def _run(self, request: GroupRequest, route: Route) -> tuple[RunResult, bool]:
+    async def _run(self, request: GroupRequest, route: Route, turn: Turn) -> tuple[RunResult, bool]:
         lane = self._holder.lanes[route.primary]
         lent = await lane.acquire(request.deadline)
         try:
             # The lease may have ended while the request waited for a connection.
             if self._holder.require_route().term != route.term:
                 raise NoPrimaryError("the primary changed before the request was sent")
+            started = self._holder.context.clock.monotonic()
             if request.request_id is None:
-                return await self._run_once(request, route, lane, lent), False
-            return await self._run_with_id(request, route, lane, lent)
+                outcome = await self._run_once(request, route, lane, lent), False
+            else:
+                outcome = await self._run_with_id(request, route, lane, lent)
+            turn.service_time = self._holder.context.clock.monotonic() - started
+            return outcome
         finally:
             lane.release(lent)
 
--- a/hibiscuspoint/core/consensus/node.py
+++ b/hibiscuspoint/core/consensus/node.py
@@ -161,14 +161,17 @@
         first = self._replication.propose([Command(data) for data in commands])
         return Proposal(first, self.term, self._state.take_effects())
 
-    def repair(self, instance: InstanceId, now: float) -> tuple[RepairProgress, list[Effect]]:
+    def repair(
+        self, instance: InstanceId, since: float, now: float
+    ) -> tuple[RepairProgress, list[Effect]]:
         """Perform the next step of replacing the lost disk of an instance.
 
+        :param since: when the repair was requested.
         :raises NotLeaderError: this member holds no leadership lease.
         :raises RequestError: the instance cannot be repaired by this member.
         """
         self._require_leadership(now)
-        progress = self._repair.advance(instance)
+        progress = self._repair.advance(instance, since)
         return progress, self._state.take_effects()
 
     def compact(self, index: int, data: bytes) -> list[Effect]:
--- a/hibiscuspoint/core/control/holdings.py
+++ b/hibiscuspoint/core/control/holdings.py
@@ -67,6 +67,19 @@
         """Return the present holders, preferred first."""
         return self._holders
 
+    @property
+    def ready_holders(self) -> list[InstanceId]:
+        """Return the holders with connections to every known target, or else all of them.
+
+        A new holder gets its share only after the connections of a lost one have ended.
+        """
+        ready = [
+            holder
+            for holder in self._holders
+            if all(ledger.granted(holder)[0] for ledger in self._ledgers.values())
+        ]
+        return ready or self._holders
+
     def is_settled(self, entries: EntryDirectory, now: float) -> bool:
         """Tell whether holders may change.
 
--- a/hibiscuspoint/core/control/updates.py
+++ b/hibiscuspoint/core/control/updates.py
@@ -53,7 +53,7 @@
         """
         addresses = {entry.instance: entry.address for entry in serving}
         self._holders = [
-            _holders_message(group, holding.holders, addresses)
+            _holders_message(group, holding.ready_holders, addresses)
             for group, holding in holdings.items()
         ]
         serialized = b"".join(
