--- a/hibiscuspoint/components/holders.py
+++ b/hibiscuspoint/components/holders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from circuits import Component, handler
@@ -86,7 +87,8 @@
             self._add_lane(report, target, lane)
         for group in self._state.routes.groups:
             if self._may_hand_back(group, now):
-                term = self._state.routes.release(group, now)
+                # The reply to this report may grant the lease again; earlier replies may not.
+                term = self._state.routes.release(group, math.nextafter(now, 0.0))
                 report.released.append(peer_pb2.RouteRelease(group=group, term=term))
 
     def close_shares(self) -> None:
