Adjust the statements in flight to the travel time of answers

Cause: with only as many statements in flight as a target has slots, the slots idle while answers travel between zones. Change: a limit for each target that grows while few statements wait there, as TCP Vegas does; a free connection is lent without a pass over the pool.

--- a/hibiscuspoint/components/holder/group.py
+++ b/hibiscuspoint/components/holder/group.py
@@ -144,11 +144,17 @@
         for lane in self._lanes.values():
             lane.close()
 
+    def refresh_concurrency(self) -> None:
+        """Let as many requests run as the limits of the targets allow."""
+        primary = self._primary
+        replicas = (lane.limit.value for target, lane in self._lanes.items() if target != primary)
+        self.primary_turns.set_concurrency(self._lanes[primary].limit.value)
+        self.read_turns.set_concurrency(READS_PER_SLOT * max(1, sum(replicas)))
+
     def _set_slots(self, route: Route) -> None:
-        slots = {member.target: self._slots(member) for member in route.members}
-        self.primary_turns.set_concurrency(slots.get(route.primary, 1))
-        replica_slots = sum(count for target, count in slots.items() if target != route.primary)
-        self.read_turns.set_concurrency(READS_PER_SLOT * max(1, replica_slots))
+        for member in route.members:
+            self._lanes[member.target].limit.set_slots(self._slots(member))
+        self.refresh_concurrency()
 
     def _slots(self, member: RouteMember) -> int:
         """Return how many statements may run at a member at once."""
--- a/hibiscuspoint/components/holder/lane.py
+++ b/hibiscuspoint/components/holder/lane.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from hibiscuspoint.core.entry.concurrency import ConcurrencyLimit
 from hibiscuspoint.core.entry.pool import (
     CloseConnection,
     ConnectionId,
@@ -65,6 +66,7 @@
         self._tasks: set[asyncio.Task] = set()
         self._sequence = 0
         self._waiters: set[asyncio.Future] = set()
+        self.limit = ConcurrencyLimit(1)
         self.in_flight = 0
         self.service_time = 0.0
         self.observations = LaneObservations()
@@ -125,6 +127,9 @@
         now = self._context.clock.monotonic()
         self._waiters.add(waiter)
         self._carry_out(self._pool.acquire(waiter, now))
+        if waiter.done():
+            self._waiters.discard(waiter)
+            return self._lent(waiter.result())
         try:
             async with asyncio.timeout(max(0.0, deadline - now)):
                 connection_id = await waiter
@@ -139,6 +144,9 @@
             raise
         finally:
             self._waiters.discard(waiter)
+        return self._lent(connection_id)
+
+    def _lent(self, connection_id: ConnectionId) -> LentConnection:
         return LentConnection(connection_id, self._connections[connection_id])
 
     def release(self, lent: LentConnection) -> None:
@@ -147,9 +155,14 @@
         now = self._context.clock.monotonic()
         self._carry_out(self._pool.release(lent.connection_id, is_clean, now))
 
-    def succeeded(self, seconds: float) -> None:
-        """Record the duration of a successful run."""
+    def succeeded(self, seconds: float, in_flight: int) -> None:
+        """Record the duration of a successful run.
+
+        :param in_flight: runs in flight when it began, this one counted.
+        """
         self.observations.successes += 1
+        now = self._context.clock.monotonic()
+        self.limit.record(seconds, in_flight, max(1, self._pool.share), now)
         self.service_time += SERVICE_TIME_GAIN * (seconds - self.service_time)
 
     def close(self) -> None:
@@ -164,9 +177,7 @@
         if self._pool.cancel(waiter):
             return
         if waiter.done() and not waiter.cancelled() and waiter.exception() is None:
-            connection_id = waiter.result()
-            lent = LentConnection(connection_id, self._connections[connection_id])
-            self.release(lent)
+            self.release(self._lent(waiter.result()))
 
     def _carry_out(self, effects: Iterable[PoolEffect]) -> None:
         pending = list(effects)
--- a/hibiscuspoint/components/holder/reads.py
+++ b/hibiscuspoint/components/holder/reads.py
@@ -126,7 +126,7 @@
                     term=progress.log_term,
                     usable=not member.leaving and lane.pool.share > 0,
                     in_flight=lane.in_flight,
-                    slots=member.slots,
+                    slots=lane.limit.value,
                     apply_rate=progress.apply_rate,
                     service_time=lane.service_time,
                 )
@@ -181,7 +181,7 @@
     ) -> RunResult:
         run = target_pb2.Run(term=term, read_only=True, statements=request.statements)
         clock = self._holder.context.clock
-        with _in_flight(lane):
+        with _in_flight(lane) as in_flight:
             lent = await lane.acquire(request.deadline)
             try:
                 started = clock.monotonic()
@@ -189,7 +189,8 @@
                     raise DeadlineError("the time of the read ended", verdict=Verdict.NOT_RUN)
                 result = await lent.connection.run(run, request.deadline - started)
                 elapsed = clock.monotonic() - started
-                lane.succeeded(elapsed)
+                lane.succeeded(elapsed, in_flight)
+                self._holder.refresh_concurrency()
                 if turn is not None:
                     turn.service_time = elapsed
                 return result
@@ -230,9 +231,10 @@
 
 
 @contextmanager
-def _in_flight(lane: TargetLane) -> Iterator[None]:
+def _in_flight(lane: TargetLane) -> Iterator[int]:
+    """Count a run and yield how many are in flight."""
     lane.in_flight += 1
     try:
-        yield
+        yield lane.in_flight
     finally:
         lane.in_flight -= 1
--- a/hibiscuspoint/components/holder/turns.py
+++ b/hibiscuspoint/components/holder/turns.py
@@ -88,8 +88,9 @@
 
     def set_concurrency(self, slots: int) -> None:
         """Set how many requests may run at once."""
-        self._queue.set_concurrency(slots)
-        self.pump()
+        if slots != self._queue.concurrency:
+            self._queue.set_concurrency(slots)
+            self.pump()
 
     async def _admit(self, caller: CallerId, deadline: float) -> None:
         future = asyncio.get_running_loop().create_future()
--- a/hibiscuspoint/components/holder/writes.py
+++ b/hibiscuspoint/components/holder/writes.py
@@ -238,7 +238,9 @@
             raise _lost_to_error(lost, run) from None
         except TargetFailure as failure:
             raise failure_to_error(failure) from None
-        lane.observations.successes += 1
+        elapsed = self._holder.context.clock.monotonic() - now
+        lane.succeeded(elapsed, self._holder.primary_turns.queue.running)
+        self._holder.refresh_concurrency()
         return result
 
 
--- a/hibiscuspoint/core/entry/admission.py
+++ b/hibiscuspoint/core/entry/admission.py
@@ -69,6 +69,11 @@
         """Return the number of requests that run."""
         return self._running
 
+    @property
+    def concurrency(self) -> int:
+        """Return how many requests may run at once."""
+        return self._concurrency
+
     @property
     def is_paused(self) -> bool:
         """Tell whether requests are held for a switchover."""
--- a/hibiscuspoint/core/entry/pool.py
+++ b/hibiscuspoint/core/entry/pool.py
@@ -118,6 +118,8 @@
 
     def acquire(self, waiter: object, now: float) -> list[PoolEffect]:
         """Lend a connection to a waiter now or as soon as there is one."""
+        if self._idle and not self._waiting and now < self._lease_ends and self._excess() <= 0:
+            return [self._lend_idle(waiter)]
         self._waiting.append(waiter)
         return self.tick(now)
 
@@ -198,11 +200,14 @@
     def _lend(self) -> list[PoolEffect]:
         effects: list[PoolEffect] = []
         while self._idle and self._waiting:
-            connection = self._idle.pop()
-            self._connections[connection].state = ConnectionState.BUSY
-            effects.append(Lend(connection, self._waiting.popleft()))
+            effects.append(self._lend_idle(self._waiting.popleft()))
         return effects
 
+    def _lend_idle(self, waiter: object) -> Lend:
+        connection = self._idle.pop()
+        self._connections[connection].state = ConnectionState.BUSY
+        return Lend(connection, waiter)
+
     def _open(self, now: float) -> list[PoolEffect]:
         if now < self._open_not_before:
             return []
