Measure the lowest latency at the lowest limit

Cause: the test of a target without travel time failed: the baseline was measured anew under load and contained the wait at the target, so the limit grew every 10 s. Change: every 10 s the limit drops to the slots and the lowest latency is measured there. Result: tests/core/entry/test_concurrency.py passes.

--- a/hibiscuspoint/core/entry/concurrency.py
+++ b/hibiscuspoint/core/entry/concurrency.py
@@ -25,7 +25,6 @@
         self._slots = slots
         self._limit = float(slots)
         self._baseline = math.inf
-        self._next_baseline = math.inf
         self._baseline_until = -math.inf
 
     @property
@@ -58,9 +57,13 @@
         self._limit = max(float(self._slots), min(self._limit, float(maximum)))
 
     def _measure_baseline(self, latency: float, now: float) -> None:
+        """Follow the lowest latency.
+
+        It is measured anew at the lowest limit: measured under load, it would contain the wait
+        at the target, and the limit would grow with each new measurement.
+        """
         if now >= self._baseline_until:
-            self._baseline = min(self._next_baseline, latency)
-            self._next_baseline = latency
+            self._baseline = math.inf
             self._baseline_until = now + _BASELINE_SECONDS
+            self._limit = float(self._slots)
         self._baseline = min(self._baseline, latency)
-        self._next_baseline = min(self._next_baseline, latency)
