Let the state machine notice replaced confirmed records

Cause: a trial without the seal check passed, because a confirmed record that was replaced overwrote its earlier value in the model. Change: a confirmed record must never change; the soak profile raises the number of examples of this machine too.

--- a/tests/standin/test_engine.py
+++ b/tests/standin/test_engine.py
@@ -164,7 +164,8 @@
         if follower.received.term != primary.term:
             return
         held = records(follower)
-        self.confirmed.update(held)
+        changed = {i for i, r in held.items() if self.confirmed.setdefault(i, r) != r}
+        assert not changed, f"confirmed records {changed} were replaced"
         assert held.items() <= records(primary).items()
 
     @rule(member=MEMBERS, count=st.integers(1, 5))
@@ -205,4 +206,6 @@
 
 TestReplication = Replication.TestCase
 # Each example opens sqlite files, so fewer examples with more steps fit the time.
-TestReplication.settings = settings(max_examples=60, stateful_step_count=40)
+TestReplication.settings = settings(
+    max_examples=settings().max_examples * 3 // 5, stateful_step_count=40
+)
