--- /dev/null
+++ b/tests/components/test_consensus.py
@@ -0,0 +1,247 @@
+"""Tests of the replicated log over loopback with real disks."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import shutil
+import time
+from typing import TYPE_CHECKING
+
+import grpc
+import pytest
+from circuits import Component, handler
+
+from hibiscuspoint.components.consensus import ReplicatedLog
+from hibiscuspoint.components.consensus_link import PeerLink
+from hibiscuspoint.components.consensus_servicer import ExchangeServicer
+from hibiscuspoint.core.consensus import RepairPhase
+from hibiscuspoint.errors import NotLeaderError
+from hibiscuspoint.ids import InstanceId
+from hibiscuspoint.verdict import Verdict
+from hibiscuspoint.wire import consensus_pb2, record_pb2
+from hibiscuspoint.wire.consensus_pb2_grpc import add_ConsensusServicer_to_server
+from tests.core.consensus.cluster import History
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from pathlib import Path
+
+DEADLINE = 30.0
+
+
+class Observer(Component):
+    """Records the events of a replicated log."""
+
+    def init(self) -> None:
+        self.seen: list[str] = []
+
+    @handler("leadership_gained", "leadership_lost", "control_log_failed", channel="control_log")
+    def _record(self, event, *args) -> None:
+        self.seen.append(event.name)
+
+
+class Instance:
+    """One control instance that can be stopped, wiped and started again."""
+
+    def __init__(self, name: str, root: Path) -> None:
+        self.name = InstanceId(name)
+        self.directory = root / name
+        self.port = 0
+        self.server: grpc.aio.Server | None = None
+
+    async def bind(self) -> None:
+        self.server = grpc.aio.server()
+        self.port = self.server.add_insecure_port(f"127.0.0.1:{self.port}")
+
+    async def start(self, peers: dict[InstanceId, str], **options: object) -> None:
+        if self.server is None:
+            await self.bind()
+        self.machine = History()
+        self.log = ReplicatedLog(self.name, peers, self.directory, self.machine, **options)
+        self.events = Observer().register(self.log)
+        add_ConsensusServicer_to_server(self.log.servicer, self.server)
+        await self.server.start()
+        await self.log.start()
+
+    async def stop(self) -> None:
+        if self.server is not None:
+            await self.log.stop()
+            await self.server.stop(0)
+            self.server = None
+
+    def wipe(self) -> None:
+        shutil.rmtree(self.directory)
+
+
+class Group:
+    """Several instances on one loop."""
+
+    def __init__(self, root: Path, size: int, **options: object) -> None:
+        self.instances = [Instance(name, root) for name in "abc"[:size]]
+        self.options = options
+
+    async def __aenter__(self) -> Group:
+        for instance in self.instances:
+            await instance.bind()
+        for instance in self.instances:
+            await self.start(instance)
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        for instance in self.instances:
+            await instance.stop()
+
+    @property
+    def leader(self) -> Instance | None:
+        running = [i for i in self.instances if i.server is not None]
+        return next((i for i in running if i.log.is_leader), None)
+
+    async def start(self, instance: Instance) -> None:
+        peers = {i.name: f"127.0.0.1:{i.port}" for i in self.instances}
+        await instance.start(peers, **self.options)
+
+    async def elect(self) -> Instance:
+        await wait_until(lambda: self.leader is not None)
+        return self.leader
+
+    async def followers(self) -> list[Instance]:
+        leader = await self.elect()
+        return [i for i in self.instances if i is not leader]
+
+
+async def wait_until(condition: Callable[[], bool]) -> None:
+    deadline = time.monotonic() + DEADLINE
+    while not condition():
+        assert time.monotonic() < deadline, "the expected state was not reached"
+        await asyncio.sleep(0.01)
+
+
+def command(number: int) -> record_pb2.Command:
+    return record_pb2.Command(accept_document=record_pb2.AcceptDocument(number=number))
+
+
+def run(test: Callable) -> Callable:
+    """Run a coroutine test on a loop of its own."""
+
+    def wrapper(tmp_path: Path) -> None:
+        asyncio.run(test(tmp_path))
+
+    wrapper.__doc__ = test.__doc__
+    return wrapper
+
+
+@run
+async def test_restart_after_300_commands_returns_to_the_latest(tmp_path):
+    """Snapshots and the log after them must together give the latest state."""
+    async with Group(tmp_path, 1, compaction_entries=100) as group:
+        leader = await group.elect()
+        for number in range(300):
+            await leader.log.propose(command(number))
+        await leader.stop()
+        await group.start(leader)
+        await group.elect()
+        assert leader.machine.numbers == list(range(300))
+
+
+@run
+async def test_group_survives_the_loss_of_its_leader(tmp_path):
+    """Concurrent proposals must all be kept, and the old leader must follow when it returns."""
+    async with Group(tmp_path, 3) as group:
+        old = await group.elect()
+        indexes = await asyncio.gather(*(old.log.propose(command(n)) for n in range(50)))
+        assert sorted(indexes) == list(range(min(indexes), min(indexes) + 50))
+        await old.stop()
+        assert old.events.seen == ["leadership_gained", "leadership_lost"]
+        new = await group.elect()
+        assert new.machine.numbers == list(range(50))
+        await new.log.propose(command(50))
+        await group.start(old)
+        await wait_until(lambda: old.machine.numbers == list(range(51)))
+        assert old.log.leader_address == f"127.0.0.1:{new.port}"
+        with pytest.raises(NotLeaderError) as error:
+            await old.log.propose(command(51))
+        assert error.value.verdict is Verdict.NOT_RUN
+
+
+@run
+async def test_proposal_of_a_leader_without_quorum_may_have_run(tmp_path):
+    """The appended command may be committed by a later leader, so NOT_RUN would be wrong."""
+    async with Group(tmp_path, 3) as group:
+        leader = await group.elect()
+        for follower in await group.followers():
+            await follower.stop()
+        with pytest.raises(NotLeaderError) as error:
+            await leader.log.propose(command(1))
+        assert error.value.verdict is Verdict.MAY_HAVE_RUN
+        assert not leader.log.is_leader
+
+
+@run
+async def test_wiped_instance_is_repaired_and_a_second_loss_follows(tmp_path):
+    """A repaired instance must hold everything when another one is lost right afterwards."""
+    async with Group(tmp_path, 3) as group:
+        leader = await group.elect()
+        for number in range(20):
+            await leader.log.propose(command(number))
+        wiped = (await group.followers())[0]
+        await wiped.stop()
+        wiped.wipe()
+        await group.start(wiped)
+        leader = await group.elect()
+        await wait_until(lambda: wiped.log.leader == leader.name)
+        roles = {status.instance: status.role for status in leader.log.members()}
+        assert roles[wiped.name] == "learner"
+        progress = [step.phase async for step in leader.log.repair(wiped.name)]
+        assert progress[-1] is RepairPhase.DONE
+        await leader.stop()
+        leader.wipe()
+        new = await group.elect()
+        await new.log.propose(command(20))
+        assert new.machine.numbers == list(range(21))
+
+
+@run
+async def test_failed_sync_stops_the_log(tmp_path):
+    """After a failed fsync the content of the disk is unknown; continuing could lose commits."""
+    async with Group(tmp_path, 1) as group:
+        leader = await group.elect()
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(os, "fsync", lambda _: (_ for _ in ()).throw(OSError("disk failed")))
+            with pytest.raises(NotLeaderError) as error:
+                await leader.log.propose(command(1))
+        assert error.value.verdict is Verdict.MAY_HAVE_RUN
+        assert leader.events.seen[-1] == "control_log_failed"
+        assert leader.machine.numbers == []
+
+
+class SilentServicer(ExchangeServicer):
+    """Reads requests and never replies."""
+
+    def __init__(self) -> None:
+        super().__init__(lambda _: None)
+        self.peers: list[str] = []
+
+    async def Exchange(self, request_iterator, context):
+        self.peers.append(context.peer())
+        async for _ in request_iterator:
+            pass
+        yield consensus_pb2.Envelope()
+
+
+@run
+async def test_silent_stream_is_replaced_by_a_new_connection(tmp_path):
+    """An established connection may stay silent for good while new ones work."""
+    server, servicer = grpc.aio.server(), SilentServicer()
+    add_ConsensusServicer_to_server(servicer, server)
+    port = server.add_insecure_port("127.0.0.1:0")
+    await server.start()
+    link = PeerLink(f"127.0.0.1:{port}", grpc.aio.insecure_channel, lambda _: None)
+    task = asyncio.create_task(link.run())
+    try:
+        link.send(consensus_pb2.Envelope())
+        await wait_until(lambda: len(set(servicer.peers)) >= 2)
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await server.stop(0)
