Let the simulated target answer all statements in flight

Cause: the test gave one answer for each travel time however many statements were in flight. Change: as many answers as statements in flight.

--- a/tests/core/entry/test_concurrency.py
+++ b/tests/core/entry/test_concurrency.py
@@ -15,7 +15,7 @@
     for _ in range(2000):
         in_flight = limit.value
         latency = max(service + travel, in_flight * service / SLOTS)
-        now += latency
+        now += latency / in_flight
         limit.record(latency, in_flight, MAXIMUM, now)
         highest = max(highest, limit.value)
     return highest
