Fix the quorum of a group when it is formed and follow new documents

Cause: a holder kept the limits of the document with which it started, and a changed ack_quorum would let a promotion miss a write that a smaller quorum had acknowledged. Change: the quorum is part of the durable group record and of the route; a document that changes members or ack_quorum of a formed group is refused; holders follow changed limits.

--- a/hibiscuspoint/components/holder/group.py
+++ b/hibiscuspoint/components/holder/group.py
@@ -45,7 +45,7 @@
         self._lanes: dict[TargetId, TargetLane] = {}
         self._primary: TargetId | None = None
         self._primary_work = 0
-        self.progress = GroupProgress(context, group, rules.quorum)
+        self.progress = GroupProgress(context, group)
         self.primary_turns = Turns(context.clock, document.limits.queue_length, 1)
         self.read_turns = Turns(context.clock, document.limits.queue_length, 1)
         self.primary_turns.set_paused(True)
@@ -79,6 +79,14 @@
         """Tell whether no request or transaction is in progress at the primary."""
         return self._primary_work == 0
 
+    def set_rules(self, document: Document, rules: GroupModel) -> None:
+        """Take the rules of a new document over."""
+        self._rules = rules
+        self.primary_turns.set_max_length(document.limits.queue_length)
+        self.read_turns.set_max_length(document.limits.queue_length)
+        self.retries.set_ratio(document.limits.retry_ratio)
+        self._writes.set_retention(document.limits.idempotency_retention_hours)
+
     def set_route(self, route: Route) -> None:
         """Follow the route that control sent."""
         for member in route.members:
--- a/hibiscuspoint/components/holder/progress.py
+++ b/hibiscuspoint/components/holder/progress.py
@@ -70,10 +70,10 @@
 class GroupProgress:
     """Watches the members of a group, confirms positions and samples the primary's tip."""
 
-    def __init__(self, context: HolderContext, group: GroupId, quorum: int) -> None:
+    def __init__(self, context: HolderContext, group: GroupId) -> None:
         self._context = context
         self._group = group
-        self._acks = AckTracker(group, quorum)
+        self._acks: AckTracker | None = None
         self._samples = TipSamples()
         self._route: Route | None = None
         self._watches: dict[TargetId, tuple[str, TargetWatch]] = {}
@@ -94,6 +94,9 @@
 
     def set_route(self, route: Route) -> None:
         """Follow a route; a new term discards what depends on the old one."""
+        if self._acks is None:
+            # The quorum of a group is fixed when the group is formed.
+            self._acks = AckTracker(self._group, route.ack_quorum)
         self._route = route
         members = {member.target for member in route.members}
         self._acks.start_term(route.term, route.history, members)
--- a/hibiscuspoint/components/holder/turns.py
+++ b/hibiscuspoint/components/holder/turns.py
@@ -86,6 +86,10 @@
         self._queue.resume()
         self.pump()
 
+    def set_max_length(self, max_length: int) -> None:
+        """Set how many requests may wait."""
+        self._queue.set_max_length(max_length)
+
     def set_concurrency(self, slots: int) -> None:
         """Set how many requests may run at once."""
         if slots != self._queue.concurrency:
--- a/hibiscuspoint/components/holder/writes.py
+++ b/hibiscuspoint/components/holder/writes.py
@@ -42,8 +42,12 @@
 
     def __init__(self, holder: GroupHolder, retention_hours: int) -> None:
         self._holder = holder
-        self._policy = IdempotencyPolicy(retention=retention_hours * SECONDS_PER_HOUR)
         self._table_known = False
+        self.set_retention(retention_hours)
+
+    def set_retention(self, hours: int) -> None:
+        """Set for how long request ids are remembered."""
+        self._policy = IdempotencyPolicy(retention=hours * SECONDS_PER_HOUR)
 
     async def execute(self, request: GroupRequest) -> GroupResult:
         """Run a write and wait until the quorum holds it.
--- a/hibiscuspoint/components/holders.py
+++ b/hibiscuspoint/components/holders.py
@@ -63,8 +63,11 @@
     @handler("update_received", channel="*")
     def _on_update(self, update: peer_pb2.ControlUpdate) -> None:
         """Take routes and shares over."""
+        known = self._state.document_number
         if not self._state.accept(update) or self._state.document is None:
             return
+        if self._state.document_number != known:
+            self._take_rules()
         for group in self._state.apply_routes(update):
             holder = self._holder(group)
             if holder is not None:
@@ -115,6 +118,12 @@
             self._groups[group] = holder
         return holder
 
+    def _take_rules(self) -> None:
+        document = self._state.document
+        for group, holder in self._groups.items():
+            if group in document.groups:
+                holder.set_rules(document, document.groups[group])
+
     def _lanes(self) -> dict[TargetId, TargetLane]:
         return {
             target: lane
--- a/hibiscuspoint/components/operator_service.py
+++ b/hibiscuspoint/components/operator_service.py
@@ -7,7 +7,11 @@
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.components.status import build_status
-from hibiscuspoint.core.control import SubmissionOutcome, judge_submission
+from hibiscuspoint.core.control import (
+    SubmissionOutcome,
+    check_formed_groups,
+    judge_submission,
+)
 from hibiscuspoint.document import Document
 from hibiscuspoint.errors import (
     ConfigurationConflictError,
@@ -170,10 +174,11 @@
         try:
             outcome = judge_submission(state, document.number, document.digest)
             if outcome is SubmissionOutcome.PROPOSE:
+                check_formed_groups(state, document)
                 await self._propose(document)
                 # Another document with this number may have been committed first.
                 judge_submission(state, document.number, document.digest)
-        except ConfigurationConflictError as error:
+        except (ConfigurationConflictError, ConfigurationError) as error:
             self._log_refusal(document, error)
             raise
         return peer_pb2.SubmitReply(
--- a/hibiscuspoint/core/control/__init__.py
+++ b/hibiscuspoint/core/control/__init__.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
-from hibiscuspoint.core.control.configuration import SubmissionOutcome, judge_submission
+from hibiscuspoint.core.control.configuration import (
+    SubmissionOutcome,
+    check_formed_groups,
+    judge_submission,
+)
 from hibiscuspoint.core.control.effects import (
     Effect,
     Follow,
@@ -38,5 +42,6 @@
     "Seal",
     "SubmissionOutcome",
     "Terminate",
+    "check_formed_groups",
     "judge_submission",
 ]
--- a/hibiscuspoint/core/control/configuration.py
+++ b/hibiscuspoint/core/control/configuration.py
@@ -5,12 +5,13 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from hibiscuspoint.errors import ConfigurationConflictError
+from hibiscuspoint.errors import ConfigurationConflictError, ConfigurationError
 
 if TYPE_CHECKING:
     from hibiscuspoint.core.control.state import ControlState
+    from hibiscuspoint.document import Document
 
-__all__ = ["SubmissionOutcome", "judge_submission"]
+__all__ = ["SubmissionOutcome", "check_formed_groups", "judge_submission"]
 
 
 class SubmissionOutcome(Enum):
@@ -46,3 +47,25 @@
     raise ConfigurationConflictError(
         f"document number {number} is older than the kept history; {current} is in force"
     )
+
+
+def check_formed_groups(state: ControlState, document: Document) -> None:
+    """Check that a document keeps the quorums of the groups that are formed.
+
+    A write that was acknowledged by a smaller quorum could be missed by a promotion that counts
+    on a larger one.
+
+    :raises ConfigurationError: lists the groups whose members or ack_quorum would change.
+    """
+    problems = []
+    for group, record in state.groups.items():
+        rules = document.groups.get(group)
+        if rules is None:
+            continue
+        if (rules.members, rules.quorum) != (len(record.members), record.ack_quorum):
+            problems.append(
+                f"group {group!r} was formed with {len(record.members)} members and "
+                f"ack_quorum {record.ack_quorum}, which cannot change"
+            )
+    if problems:
+        raise ConfigurationError("; ".join(problems))
--- a/hibiscuspoint/core/control/group.py
+++ b/hibiscuspoint/core/control/group.py
@@ -66,22 +66,19 @@
     """Watches the primary of a group and leads promotions and switchovers.
 
     :param record: durable record of the group; changes as commands are applied.
-    :param ack_quorum: members W that must hold a record before it is acknowledged.
     :param now: monotonic time in seconds.
     """
 
     def __init__(
         self,
         record: GroupRecord,
-        ack_quorum: int,
         targets: TargetDirectory,
         ledger: LeaseLedger,
         now: float,
     ) -> None:
         self._record = record
-        self._ack_quorum = ack_quorum
         self._around = _Surroundings(targets, ledger)
-        self._steps = PromotionSteps(record, ack_quorum, now)
+        self._steps = PromotionSteps(record, now)
         self._detector: FailureDetector | None = None
         self._suspected_term = 0
         self._suspect: TargetId | None = None
@@ -99,11 +96,6 @@
         """Return the durable record."""
         return self._record
 
-    @property
-    def ack_quorum(self) -> int:
-        """Return the number of members that must hold a record before it is acknowledged."""
-        return self._ack_quorum
-
     @property
     def switchover(self) -> Switchover | None:
         """Return the switchover in progress."""
--- a/hibiscuspoint/core/control/leader.py
+++ b/hibiscuspoint/core/control/leader.py
@@ -194,9 +194,7 @@
         if group in self._groups or rules is None:
             return
         record = self._state.groups[group]
-        self._groups[group] = GroupController(
-            record, rules.quorum, self._targets, self._ledger, now
-        )
+        self._groups[group] = GroupController(record, self._targets, self._ledger, now)
         self._holdings[group] = GroupHoldings(
             record, rules, self._targets, self._control_term, self._since
         )
@@ -212,7 +210,7 @@
                 continue
             self._forming[group] = now
             members = [info.target for info in announced[: rules.members]]
-            body = record_pb2.FormGroup(group=group, members=members)
+            body = record_pb2.FormGroup(group=group, members=members, ack_quorum=rules.quorum)
             effects.append(Propose(record_pb2.Command(form_group=body)))
         return effects
 
--- a/hibiscuspoint/core/control/promotion.py
+++ b/hibiscuspoint/core/control/promotion.py
@@ -65,19 +65,17 @@
     The steps up to now are in the durable record; what is lost with the leader is asked again.
 
     :param record: durable record of the group; changes as commands are applied.
-    :param ack_quorum: members W that must hold a record before it is acknowledged.
     """
 
-    def __init__(self, record: GroupRecord, ack_quorum: int, now: float) -> None:
+    def __init__(self, record: GroupRecord, now: float) -> None:
         self._record = record
-        self._ack_quorum = ack_quorum
         self._round = _Round(record.term, now)
         self._proposed: dict[str, float] = {}
 
     @property
     def seal_quorum(self) -> int:
-        """Return how many sealed members intersect every set of W members."""
-        return len(self._record.members) - self._ack_quorum + 1
+        """Return how many sealed members intersect every set of ``ack_quorum`` members."""
+        return len(self._record.members) - self._record.ack_quorum + 1
 
     def open_term(self, above: int, now: float) -> list[Effect]:
         """Propose the next term, higher than ``above``."""
@@ -189,7 +187,7 @@
 
     def _may_start(self) -> bool:
         joined = self._round.joined
-        return self._record.primary in joined and len(joined) >= self._ack_quorum
+        return self._record.primary in joined and len(joined) >= self._record.ack_quorum
 
     def _start(self, now: float) -> list[Effect]:
         # No route of this term exists yet, so the primary holds only the first record of the term.
--- a/hibiscuspoint/core/control/state.py
+++ b/hibiscuspoint/core/control/state.py
@@ -37,6 +37,7 @@
 
     group: GroupId
     members: tuple[TargetId, ...]
+    ack_quorum: int
     term: Term = Term(0)
     primary: TargetId | None = None
     phase: GroupPhase = GroupPhase.FORMED
@@ -118,7 +119,7 @@
         group = GroupId(body.group)
         if group not in self._groups:
             members = tuple(TargetId(member) for member in body.members)
-            self._groups[group] = GroupRecord(group, members)
+            self._groups[group] = GroupRecord(group, members, body.ack_quorum)
 
     def _open_term(self, body: record_pb2.OpenTerm) -> None:
         record = self._groups.get(GroupId(body.group))
@@ -160,6 +161,7 @@
     return record_pb2.GroupState(
         group=record.group,
         members=record.members,
+        ack_quorum=record.ack_quorum,
         term=record.term,
         primary=record.primary or "",
         phase=record.phase.value,
@@ -174,6 +176,7 @@
     return GroupRecord(
         group=GroupId(message.group),
         members=tuple(TargetId(member) for member in message.members),
+        ack_quorum=message.ack_quorum,
         term=Term(message.term),
         primary=TargetId(message.primary) if message.primary else None,
         phase=GroupPhase(message.phase),
--- a/hibiscuspoint/core/control/updates.py
+++ b/hibiscuspoint/core/control/updates.py
@@ -119,7 +119,7 @@
             group=record.group,
             term=record.term,
             primary=record.primary,
-            ack_quorum=controller.ack_quorum,
+            ack_quorum=record.ack_quorum,
             paused=state is RouteState.PAUSED or not is_holder,
         )
         if self._may_use_primary(state, is_holder, record.group, entry, now):
--- a/hibiscuspoint/core/entry/admission.py
+++ b/hibiscuspoint/core/entry/admission.py
@@ -164,6 +164,10 @@
         self._mean += _MEAN_GAIN * error
         self._deviation += _DEVIATION_GAIN * (abs(error) - self._deviation)
 
+    def set_max_length(self, max_length: int) -> None:
+        """Set how many requests may wait; those that wait already stay."""
+        self._max_length = max_length
+
     def set_concurrency(self, concurrency: int) -> None:
         """Set how many requests may run at once; running ones are not affected."""
         self._concurrency = concurrency
--- a/hibiscuspoint/core/entry/retry.py
+++ b/hibiscuspoint/core/entry/retry.py
@@ -40,6 +40,10 @@
         """Return how many retries are available."""
         return self._saved
 
+    def set_ratio(self, ratio: float) -> None:
+        """Set how many retries one request earns."""
+        self._ratio = ratio
+
     def request(self) -> None:
         """Count a first attempt, which earns a share of a retry."""
         self._saved = min(self._burst, self._saved + self._ratio)
