Grant nothing to an earlier holder whose connections are unknown

Cause: a new leader charges each earlier holder with the whole limit. It then treated that bound as connections that the holder already had and granted the whole limit to the only remaining holder, while another one still acted on its old share. And a former holder that reported an inherited share was never sent a smaller one, so that its connections were lost to the group. Ruled out: updates of the old leader in flight; the entry drops them when it attaches to the new one. Change: a charge is unknown until the first report; an unknown charge is granted nothing, and an inherited share that is no longer wanted is withdrawn with a sequence of this leader. Two of the three tests fail without the change; the third fails when a report frees connections without regard to the sequence.

--- a/hibiscuspoint/core/control/shares.py
+++ b/hibiscuspoint/core/control/shares.py
@@ -16,12 +16,13 @@
     """What an instance may have open, counted against the limit.
 
     ``granted`` is the last share sent, with ``sequence``. ``charged`` is the largest share that
-    the instance may still act on.
+    the instance may still act on; while ``is_known`` is false it is only an upper bound.
     """
 
     granted: int = 0
     sequence: int = 0
     charged: int = 0
+    is_known: bool = True
 
 
 class ShareLedger:
@@ -42,7 +43,9 @@
     ) -> None:
         self._limit = limit
         self._sequence = first_sequence
-        self._charges = {instance: _Charge(charged=limit) for instance in earlier}
+        self._charges = {
+            instance: _Charge(charged=limit, is_known=False) for instance in earlier
+        }
 
     @property
     def charged(self) -> int:
@@ -69,10 +72,11 @@
         """Take the report of an instance about the share it acts on."""
         charge = self._charges.setdefault(instance, _Charge())
         in_use = max(allowance, open_connections)
-        if sequence >= charge.sequence:
+        if sequence >= charge.sequence or not charge.is_known:
             charge.charged = max(in_use, charge.granted)
         else:
             charge.charged = max(charge.charged, in_use)
+        charge.is_known = True
         if charge.charged == 0 and charge.granted == 0:
             del self._charges[instance]
 
@@ -81,13 +85,23 @@
         self._charges.pop(instance, None)
 
     def rebalance(self, holders: list[InstanceId]) -> None:
-        """Grant each holder its part, as far as connections are free."""
+        """Grant each holder its part, as far as connections are free.
+
+        An instance with an unknown charge is granted nothing: the bound on its charge is no claim
+        to connections, which another instance may have.
+        """
         wanted = self._wanted(holders)
         for instance, charge in self._charges.items():
-            if charge.granted > wanted.get(instance, 0):
-                self._grant(charge, wanted.get(instance, 0))
+            part = wanted.get(instance, 0)
+            # A share of an earlier leader is withdrawn by a grant of its own; otherwise the
+            # instance would keep it.
+            is_inherited = not charge.sequence and not part
+            if charge.granted > part or is_inherited:
+                self._grant(charge, part)
         for instance, part in wanted.items():
             charge = self._charges.setdefault(instance, _Charge())
+            if not charge.is_known:
+                continue
             free = self._limit - self.charged
             reachable = min(part, charge.charged + max(free, 0))
             if reachable > charge.granted:
--- /dev/null
+++ b/tests/core/control/test_shares.py
@@ -0,0 +1,54 @@
+"""Tests of holders and their shares of connections."""
+
+from __future__ import annotations
+
+from hibiscuspoint.core.control.shares import ShareLedger
+
+
+def test_smaller_share_is_freed_by_its_acknowledgement():
+    """A report that was sent before the smaller share arrived must not free connections."""
+    ledger = ShareLedger(8)
+    ledger.rebalance(["x"])
+    first = ledger.granted("x")
+    assert first[0] == 8
+    ledger.rebalance(["x", "y"])
+    assert ledger.granted("x")[0] == 4
+    ledger.reported("x", 4, 4, first[1])
+    ledger.rebalance(["x", "y"])
+    assert ledger.granted("y")[0] == 0
+    ledger.reported("x", 4, 6, ledger.granted("x")[1])
+    ledger.rebalance(["x", "y"])
+    assert ledger.granted("y")[0] == 2, "connections in use beyond the share are not free"
+    ledger.reported("x", 4, 4, ledger.granted("x")[1])
+    ledger.rebalance(["x", "y"])
+    assert ledger.granted("y")[0] == 4
+
+
+def test_earlier_holder_counts_with_the_whole_limit_and_is_granted_nothing():
+    """A new leader that grants before all earlier holders reported would exceed the limit."""
+    ledger = ShareLedger(8, 100, ("x", "y"))
+    ledger.rebalance(["x"])
+    assert ledger.granted("x") == (0, 0)
+    ledger.reported("x", 4, 4, 17)
+    ledger.rebalance(["x"])
+    assert ledger.granted("x")[0] == 4
+    ledger.reported("y", 4, 4, 18)
+    ledger.rebalance(["x"])
+    assert ledger.granted("x")[0] == 4
+    ledger.reported("y", 0, 0, ledger.granted("y")[1])
+    ledger.rebalance(["x"])
+    assert ledger.granted("x")[0] == 8
+
+
+def test_share_of_an_earlier_leader_is_withdrawn():
+    """A former holder that is never told of the change would keep its share for ever."""
+    ledger = ShareLedger(8, 100, ("x",))
+    ledger.reported("x", 8, 0, 17)
+    ledger.rebalance(["y"])
+    connections, sequence = ledger.granted("x")
+    assert connections == 0
+    assert sequence > 100
+    ledger.reported("x", 0, 0, sequence)
+    ledger.rebalance(["y"])
+    assert ledger.granted("y")[0] == 8
+    assert ledger.instances == ["y"]
