Delete request ids that are older than twice the retention

Cause: the table of request ids grew without bound. Change: the first holder of a group deletes old rows every 10 minutes.

--- a/hibiscuspoint/components/holder/group.py
+++ b/hibiscuspoint/components/holder/group.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
@@ -12,7 +13,7 @@
 from hibiscuspoint.components.holder.turns import Turns
 from hibiscuspoint.components.holder.writes import WriteRunner
 from hibiscuspoint.core.entry.retry import RetryBudget
-from hibiscuspoint.errors import NoHolderError, NoPrimaryError
+from hibiscuspoint.errors import HibiscusError, NoHolderError, NoPrimaryError
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -25,6 +26,8 @@
 
 __all__ = ["GroupHolder"]
 
+logger = logging.getLogger(__name__)
+
 #: Reads admitted at once for each slot of a replica. More than one, as a read also waits for a
 #: replica to catch up while it occupies no slot.
 READS_PER_SLOT = 4
@@ -116,6 +119,13 @@
         for lane in self._lanes.values():
             lane.tick(now)
 
+    async def purge_request_ids(self) -> None:
+        """Delete old request ids; a failure is left to the next time."""
+        try:
+            await self._writes.purge()
+        except HibiscusError as error:
+            logger.debug("request ids of group %s were not deleted: %s", self._group, error)
+
     async def execute(self, request: GroupRequest) -> GroupResult:
         """Run a request.
 
--- a/hibiscuspoint/components/holder/writes.py
+++ b/hibiscuspoint/components/holder/writes.py
@@ -17,6 +17,7 @@
     StatementError,
     TargetLostError,
 )
+from hibiscuspoint.ids import CallerId
 from hibiscuspoint.verdict import Verdict
 from hibiscuspoint.wire import target_pb2
 
@@ -28,11 +29,18 @@
     from hibiscuspoint.core.entry.routes import Route
     from hibiscuspoint.drivers.answer import RunResult
     from hibiscuspoint.ids import Term
+    from hibiscuspoint.wire import common_pb2
 
 __all__ = ["WriteRunner", "failure_to_error"]
 
 SECONDS_PER_HOUR = 3600.0
 
+#: Longest time in seconds of one deletion of old request ids.
+PURGE_SECONDS = 10.0
+
+#: Caller of the statements that the proxy runs for itself.
+INTERNAL_CALLER = CallerId("hibiscuspoint")
+
 #: Failures of a target that say only that another member is or will be primary.
 ROLE_FAILURES = (target_pb2.Failure.WRONG_TERM, target_pb2.Failure.NOT_PRIMARY)
 
@@ -88,7 +96,7 @@
 
     async def _attempt(self, request: GroupRequest) -> GroupResult:
         if request.request_id is not None:
-            await self._ensure_table(request)
+            await self._ensure_table(request.deadline)
         holder = self._holder
         async with holder.primary_turns.turn(request.caller, request.deadline) as turn:
             with holder.primary_work():
@@ -203,30 +211,43 @@
         if not holder.context.routes.is_current(holder.group, route.term, now):
             raise TargetLostError("the primary was replaced before the write was acknowledged")
 
-    async def _ensure_table(self, request: GroupRequest) -> None:
+    async def purge(self) -> None:
+        """Delete the request ids that are older than twice the retention.
+
+        :raises HibiscusError: the primary cannot be used now.
+        """
+        clock = self._holder.context.clock
+        deadline = clock.monotonic() + PURGE_SECONDS
+        await self._ensure_table(deadline)
+        before = self._policy.purge_before_ms(clock.unix())
+        await self._run_internal(idempotency.purge(before), deadline)
+
+    async def _ensure_table(self, deadline: float) -> None:
         """Create the table of request ids once for each process."""
         if self._table_known:
             return
+        try:
+            await self._run_internal(idempotency.create_table(), deadline)
+        except HibiscusError as error:
+            # The request itself was not sent; creating the table is idempotent.
+            raise NoPrimaryError("the table of request ids cannot be created") from error
+        self._table_known = True
+
+    async def _run_internal(self, statement: common_pb2.Statement, deadline: float) -> None:
+        """Run an idempotent statement of the proxy itself."""
         holder = self._holder
-        async with holder.primary_turns.turn(request.caller, request.deadline):
+        async with holder.primary_turns.turn(INTERNAL_CALLER, deadline):
             with holder.primary_work():
                 route = holder.require_route()
                 lane = holder.lanes[route.primary]
-                lent = await lane.acquire(request.deadline)
+                lent = await lane.acquire(deadline)
                 run = target_pb2.Run(
-                    term=route.term,
-                    begin=True,
-                    statements=[idempotency.create_table()],
-                    commit=True,
+                    term=route.term, begin=True, statements=[statement], commit=True
                 )
                 try:
-                    await self._send(lane, lent, run, request.deadline)
-                except HibiscusError as error:
-                    # The request itself was not sent; creating the table is idempotent.
-                    raise NoPrimaryError("the table of request ids cannot be created") from error
+                    await self._send(lane, lent, run, deadline)
                 finally:
                     lane.release(lent)
-        self._table_known = True
 
     async def _send(
         self, lane: TargetLane, lent: LentConnection, run: target_pb2.Run, deadline: float
--- a/hibiscuspoint/components/holders.py
+++ b/hibiscuspoint/components/holders.py
@@ -10,6 +10,7 @@
 from hibiscuspoint.components.holder import GroupHolder, HolderContext
 from hibiscuspoint.errors import NoHolderError
 from hibiscuspoint.ids import GroupId, TargetId
+from hibiscuspoint.util.tasks import spawn
 from hibiscuspoint.wire import peer_pb2
 
 if TYPE_CHECKING:
@@ -21,6 +22,9 @@
 
 __all__ = ["Holders"]
 
+#: Seconds between two deletions of old request ids.
+PURGE_INTERVAL_SECONDS = 600.0
+
 MILLISECONDS = 1000
 NANOSECONDS = 1_000_000_000
 
@@ -35,7 +39,7 @@
         self._context = context
         self._state = state
         self._groups: dict[GroupId, GroupHolder] = {}
-        self._drained = False
+        self._purge_at = context.clock.monotonic() + PURGE_INTERVAL_SECONDS
 
     @property
     def instance(self) -> InstanceId:
@@ -83,6 +87,9 @@
         """Advance the timers of all groups."""
         for holder in self._groups.values():
             holder.tick(now)
+        if now >= self._purge_at:
+            self._purge_at = now + PURGE_INTERVAL_SECONDS
+            self._purge_request_ids()
 
     def fill_report(self, report: peer_pb2.EntryReport, now: float) -> None:
         """Add observations, shares and handed back leases to a report that is sent now."""
@@ -118,6 +125,13 @@
             self._groups[group] = holder
         return holder
 
+    def _purge_request_ids(self) -> None:
+        """Delete old request ids of the groups of which this instance is the first holder."""
+        for group, holder in self._groups.items():
+            listed = self._state.holders(group)
+            if listed and listed[0][0] == self.instance:
+                spawn(holder.purge_request_ids(), f"purge of request ids of {group}")
+
     def _take_rules(self) -> None:
         document = self._state.document
         for group, holder in self._groups.items():
