Describe the driver interface as it is used

Cause: the protocols in core/ports.py lagged behind the driver. Change: ports follow the driver; the unused disk protocol is removed.

--- a/hibiscuspoint/core/ports.py
+++ b/hibiscuspoint/core/ports.py
@@ -5,10 +5,13 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
-    from hibiscuspoint.ids import TargetId
+    from collections.abc import Callable, Iterable
+
+    from hibiscuspoint.drivers.answer import RunResult
+    from hibiscuspoint.ids import Incarnation, InstanceId, TargetId
     from hibiscuspoint.wire import target_pb2
 
-__all__ = ["Clock", "Connection", "Disk", "TargetDriver", "TargetWatch"]
+__all__ = ["Clock", "Connection", "TargetAdmin", "TargetDriver", "TargetWatch"]
 
 
 class Clock(Protocol):
@@ -21,16 +24,6 @@
         """Return seconds since 1970 in UTC."""
 
 
-class Disk(Protocol):
-    """Append-only log and snapshot of one control instance."""
-
-    def append(self, records: list[bytes]) -> None:
-        """Append records; they are durable after :meth:`sync`."""
-
-    def sync(self) -> None:
-        """Make all appended records durable."""
-
-
 class Connection(Protocol):
     """One connection to a target; owned by one transaction at a time."""
 
@@ -38,8 +31,16 @@
     def is_usable(self) -> bool:
         """Tell whether the connection is open and owes no answer."""
 
-    async def run(self, run: target_pb2.Run, timeout: float) -> target_pb2.RunEnd:
-        """Run statements and wait for the whole answer."""
+    @property
+    def in_transaction(self) -> bool:
+        """Tell whether a transaction is open at the target."""
+
+    async def run(self, run: target_pb2.Run, timeout: float, *, expected: float = 0.0) -> RunResult:
+        """Run statements and wait for the whole answer.
+
+        :param timeout: seconds.
+        :param expected: usual seconds of the answer; a later one is asked for with a ping.
+        """
 
     def close(self) -> None:
         """Close the connection; the target rolls back an open transaction."""
@@ -51,9 +52,53 @@
     def sample(self, sample_id: int) -> None:
         """Ask for the current position."""
 
+    def close(self) -> None:
+        """Stop watching."""
+
+
+class TargetAdmin(Protocol):
+    """Calls of control to targets; ``timeout`` is in seconds."""
+
+    async def seal(self, address: str, term: int, *, timeout: float) -> target_pb2.SealReply:
+        """Raise the sealed term of a target."""
+
+    async def promote(
+        self, address: str, term: int, members: Iterable[target_pb2.Member], *, timeout: float
+    ) -> target_pb2.MemberState:
+        """Make a target primary."""
+
+    async def follow(
+        self, address: str, term: int, primary: target_pb2.Member, *, timeout: float
+    ) -> target_pb2.MemberState:
+        """Make a target a replica."""
+
+    async def terminate(
+        self, address: str, instance: str, up_to_incarnation: int, *, timeout: float
+    ) -> int:
+        """Close the connections of an instance and return how many there were."""
+
 
 class TargetDriver(Protocol):
     """Access to targets of one kind."""
 
-    async def connect(self, target: TargetId, address: str) -> Connection:
+    @property
+    def admin(self) -> TargetAdmin:
+        """Return the calls of control."""
+
+    async def connect(
+        self,
+        target: TargetId,
+        address: str,
+        *,
+        instance: InstanceId,
+        instance_incarnation: Incarnation,
+    ) -> Connection:
         """Open a connection."""
+
+    def watch(
+        self, address: str, on_progress: Callable[[target_pb2.Progress], None]
+    ) -> TargetWatch:
+        """Follow the progress of a target."""
+
+    async def close(self) -> None:
+        """Close what is shared between connections."""
