Share the loop that runs the two sides of a stream

Cause: four modules had the same code to run reader and writer of a stream until one ends. Change: run_until_first in util/tasks.py.

--- a/hibiscuspoint/components/attachment.py
+++ b/hibiscuspoint/components/attachment.py
@@ -11,7 +11,7 @@
 from circuits import Component, handler
 
 from hibiscuspoint.components.events import update_received
-from hibiscuspoint.util.tasks import spawn
+from hibiscuspoint.util.tasks import run_until_first, spawn
 from hibiscuspoint.wire import peer_pb2, peer_pb2_grpc
 
 if TYPE_CHECKING:
@@ -95,18 +95,9 @@
     async def _attach(self, channel: grpc.aio.Channel) -> None:
         call = peer_pb2_grpc.ControlStub(channel).Attach()
         self._heard_at = asyncio.get_running_loop().time()
-        tasks = [
-            asyncio.ensure_future(self._receive(call)),
-            asyncio.ensure_future(self._send(call)),
-        ]
         try:
-            done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-            for task in done:
-                task.result()
+            await run_until_first(self._receive(call), self._send(call))
         finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
             call.cancel()
 
     async def _receive(self, call: grpc.aio.StreamStreamCall) -> None:
--- a/hibiscuspoint/components/consensus_link.py
+++ b/hibiscuspoint/components/consensus_link.py
@@ -8,6 +8,7 @@
 
 import grpc
 
+from hibiscuspoint.util.tasks import run_until_first
 from hibiscuspoint.wire.consensus_pb2_grpc import ConsensusStub
 from hibiscuspoint.wire.parts import split_envelope
 
@@ -98,20 +99,10 @@
     async def _converse(self, call: grpc.aio.StreamStreamCall) -> None:
         """Run until the first of writer, reader and silence check ends."""
         self._unanswered = False
-        tasks = [
-            asyncio.create_task(self._write(call)),
-            asyncio.create_task(self._read(call)),
-            asyncio.create_task(self._check_silence()),
-        ]
         try:
-            done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-            for task in done:
-                task.result()
+            await run_until_first(self._write(call), self._read(call), self._check_silence())
         finally:
             call.cancel()
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _write(self, call: grpc.aio.StreamStreamCall) -> None:
         while True:
--- a/hibiscuspoint/drivers/watch.py
+++ b/hibiscuspoint/drivers/watch.py
@@ -10,6 +10,7 @@
 import grpc
 
 from hibiscuspoint.util.channels import open_channel
+from hibiscuspoint.util.tasks import run_until_first
 from hibiscuspoint.wire import target_pb2, target_pb2_grpc
 
 if TYPE_CHECKING:
@@ -98,15 +99,9 @@
 
     async def _follow(self, call: grpc.aio.StreamStreamCall) -> None:
         self._heard_at = asyncio.get_running_loop().time()
-        tasks = [asyncio.create_task(c) for c in (self._receive(call), self._send(call))]
         try:
-            done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-            for task in done:
-                task.result()
+            await run_until_first(self._receive(call), self._send(call))
         finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
             call.cancel()
 
     async def _receive(self, call: grpc.aio.StreamStreamCall) -> None:
--- a/hibiscuspoint/standin/replication.py
+++ b/hibiscuspoint/standin/replication.py
@@ -13,6 +13,7 @@
 from hibiscuspoint.ids import Term
 from hibiscuspoint.standin.arrivals import ChangeSignal
 from hibiscuspoint.util.channels import open_channel
+from hibiscuspoint.util.tasks import run_until_first
 from hibiscuspoint.wire import common_pb2, target_pb2, target_pb2_grpc
 
 if TYPE_CHECKING:
@@ -125,15 +126,9 @@
     async def _ship(self, call: grpc.aio.StreamStreamCall) -> None:
         await self._find_common(call)
         self._unanswered = 0
-        tasks = [asyncio.create_task(c) for c in (self._send(call), self._receive(call))]
         try:
-            done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-            for task in done:
-                task.result()
+            await run_until_first(self._send(call), self._receive(call))
         finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
             call.cancel()
 
     async def _find_common(self, call: grpc.aio.StreamStreamCall) -> None:
