--- a/hibiscuspoint/components/events.py
+++ b/hibiscuspoint/components/events.py
@@ -9,19 +9,14 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable
 
-    from hibiscuspoint.document import Document
     from hibiscuspoint.ids import GroupId
     from hibiscuspoint.wire import caller_pb2, peer_pb2
 
 __all__ = [
-    "announcement_received",
     "command_applied",
-    "document_in_force",
-    "draining_started",
     "execute_requested",
     "forward_requested",
     "report_due",
-    "report_received",
     "update_received",
 ]
 
@@ -49,20 +44,6 @@
         super().__init__(request)
 
 
-class announcement_received(Event):  # noqa: N801
-    """A target announced itself to the control leader."""
-
-    def __init__(self, announcement: peer_pb2.Announcement) -> None:
-        super().__init__(announcement)
-
-
-class report_received(Event):  # noqa: N801
-    """An entry reported to the control leader."""
-
-    def __init__(self, report: peer_pb2.EntryReport) -> None:
-        super().__init__(report)
-
-
 class update_received(Event):  # noqa: N801
     """The control leader sent an update to this entry."""
 
@@ -74,17 +55,6 @@
     """The entry has news that control must learn at once."""
 
 
-class document_in_force(Event):  # noqa: N801
-    """A document came into force at this entry."""
-
-    def __init__(self, document: Document) -> None:
-        super().__init__(document)
-
-
-class draining_started(Event):  # noqa: N801
-    """The entry stops taking new work."""
-
-
 class command_applied(Event):  # noqa: N801
     """A command of the control log was applied to the replicated state."""
 
--- a/hibiscuspoint/settings/model.py
+++ b/hibiscuspoint/settings/model.py
@@ -9,9 +9,9 @@
 from pydantic import Field, StringConstraints, field_validator, model_validator
 
 # pydantic evaluates the annotations at run time, so these imports are needed then.
-from hibiscuspoint.settings.paths import SettingsPath  # noqa: TC001
-from hibiscuspoint.settings.security import SessionSettings, TlsSettings  # noqa: TC001
-from hibiscuspoint.util.address import Address, PeerAddress  # noqa: TC001
+from hibiscuspoint.settings.paths import SettingsPath
+from hibiscuspoint.settings.security import SessionSettings, TlsSettings
+from hibiscuspoint.util.address import Address, PeerAddress
 from hibiscuspoint.util.schema import (
     Problem,
     StrictModel,
--- a/hibiscuspoint/settings/security.py
+++ b/hibiscuspoint/settings/security.py
@@ -8,7 +8,7 @@
 from pydantic import PrivateAttr, SecretStr, model_validator
 
 # pydantic evaluates the annotations at run time, so this import is needed then.
-from hibiscuspoint.settings.paths import SettingsPath  # noqa: TC001
+from hibiscuspoint.settings.paths import SettingsPath
 from hibiscuspoint.util.schema import StrictModel, option
 
 if TYPE_CHECKING:
