--- a/hibiscuspoint/load/history.py
+++ b/hibiscuspoint/load/history.py
@@ -10,6 +10,7 @@
 from pydantic import BaseModel, ConfigDict, Field, TypeAdapter
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
     from pathlib import Path
 
 __all__ = ["History", "Kind", "Operation", "Outcome", "Readout", "Recorder", "Version"]
@@ -155,6 +156,11 @@
         """Return the number of completed operations."""
         return len(self._closed)
 
+    @property
+    def operations(self) -> Sequence[Operation]:
+        """Return the completed operations in the order of their completion."""
+        return self._closed
+
     def invoke(self, **fields: object) -> Operation:
         """Record the invocation of an operation at the present time."""
         operation = Operation(op_id=next(self._ids), invoked_at=time.monotonic(), **fields)
--- a/hibiscuspoint/load/layout.py
+++ b/hibiscuspoint/load/layout.py
@@ -77,7 +77,8 @@
 class InstancePlan:
     """Identity and addresses of one instance.
 
-    :param members: address of each control instance as this instance knows it.
+    :param members: advertised address of each control instance.
+    :param advertised: address that other processes use; ``address`` when empty.
     """
 
     instance: InstanceId
@@ -85,6 +86,7 @@
     address: str
     http: str
     members: Mapping[InstanceId, str]
+    advertised: str = ""
 
     @property
     def is_control(self) -> bool:
@@ -97,6 +99,7 @@
     """Identity and address of one target.
 
     :param announce: addresses of the instances to which the target announces itself.
+    :param advertised: address that it announces; ``address`` when empty.
     """
 
     target: TargetId
@@ -104,6 +107,7 @@
     zone: AvailabilityZone
     address: str
     announce: tuple[str, ...]
+    advertised: str = ""
 
 
 def node_settings(layout: Layout, plan: InstancePlan) -> dict[str, Any]:
@@ -127,6 +131,8 @@
         "limits": {"open_transactions_per_caller": OPEN_TRANSACTIONS},
         "target_driver": {"kind": "standin"},
     }
+    if plan.advertised:
+        settings["listen"]["advertise"] = plan.advertised
     for section, keys in layout.node_options.items():
         settings[section] = {**settings.get(section, {}), **keys}
     return settings
@@ -161,6 +167,7 @@
         "group": plan.group,
         "zone": plan.zone,
         "listen": plan.address,
+        "advertise": plan.advertised,
         "data-directory": data_directory,
         "announce": ",".join(plan.announce),
         "slots": deployment.slots,
--- a/hibiscuspoint/load/runner.py
+++ b/hibiscuspoint/load/runner.py
@@ -50,12 +50,18 @@
         self._request_numbers = itertools.count(1)
         self._run = run
         self._latencies: dict[str, Latencies] = defaultdict(Latencies)
+        self._is_stopping = False
 
     @property
     def latencies(self) -> dict[str, Latencies]:
         """Return the latencies of successful operations by class of operation."""
         return self._latencies
 
+    @property
+    def recorder(self) -> Recorder:
+        """Return the recorder of all operations."""
+        return self._recorder
+
     async def prepare(self) -> None:
         """Create the tables in all groups."""
         session = self._caller.session()
@@ -69,6 +75,10 @@
             for number in range(self._load.sessions):
                 group.create_task(self._run_session(number, end))
 
+    def stop(self) -> None:
+        """Let each session end after its operation in progress."""
+        self._is_stopping = True
+
     async def history(self) -> History:
         """Return the history with the final contents of all groups."""
         history = self._recorder.history()
@@ -85,7 +95,7 @@
         source = random.Random(f"{self._load.seed}/{number}")
         interval = self._load.sessions / self._load.rate if self._load.rate else 0.0
         due = time.monotonic() + interval * source.random()
-        while max(due, time.monotonic()) < end:
+        while not self._is_stopping and max(due, time.monotonic()) < end:
             await asyncio.sleep(max(0.0, due - time.monotonic()))
             # With a stated rate, latency counts from the time at which the operation was due, so
             # that a stall of the system is not hidden by a late start.
--- a/hibiscuspoint/load/topology.py
+++ b/hibiscuspoint/load/topology.py
@@ -78,10 +78,18 @@
     """Processes of one environment; leaving its context ends all of them.
 
     :param directory: directory of settings, data and output; a temporary one when ``None``.
+    :param advertise: returns the address under which others reach a process, given its name and
+        listen address; others use the listen address when ``None``.
     """
 
-    def __init__(self, layout: Layout, directory: Path | None = None) -> None:
+    def __init__(
+        self,
+        layout: Layout,
+        directory: Path | None = None,
+        advertise: Callable[[str, str], str] | None = None,
+    ) -> None:
         self._layout = layout
+        self._advertise = advertise
         self._is_temporary = directory is None
         self._directory = directory or Path(tempfile.mkdtemp(prefix="hibiscuspoint-"))
         self._ports = PortAllocator()
@@ -293,7 +301,10 @@
     def _plan_instances(self) -> dict[InstanceId, InstancePlan]:
         names = self._layout.instance_ids
         addresses = {name: self._ports.address() for name in names}
-        members = {name: addresses[name] for name in names[: self._layout.control]}
+        advertised = {name: self._advertised(name, addresses[name]) for name in names}
+        members = {
+            name: advertised[name] or addresses[name] for name in names[: self._layout.control]
+        }
         return {
             name: InstancePlan(
                 instance=name,
@@ -301,24 +312,32 @@
                 address=addresses[name],
                 http=self._ports.address(),
                 members=members,
+                advertised=advertised[name],
             )
             for number, name in enumerate(names)
         }
 
     def _plan_targets(self) -> dict[TargetId, TargetPlan]:
-        announce = tuple(self.addresses)
         return {
-            target: TargetPlan(
-                target=target,
-                group=group,
-                zone=self._layout.zone(number),
-                address=self._ports.address(),
-                announce=announce,
-            )
+            target: self._plan_target(target, group, number)
             for group in self._layout.group_ids
             for number, target in enumerate(self._layout.target_ids(group))
         }
 
+    def _plan_target(self, target: TargetId, group: GroupId, number: int) -> TargetPlan:
+        address = self._ports.address()
+        return TargetPlan(
+            target=target,
+            group=group,
+            zone=self._layout.zone(number),
+            address=address,
+            announce=tuple(plan.advertised or plan.address for plan in self._instances.values()),
+            advertised=self._advertised(target, address),
+        )
+
+    def _advertised(self, name: str, address: str) -> str:
+        return "" if self._advertise is None else self._advertise(name, address)
+
     def _add_instance(self, plan: InstancePlan) -> None:
         directory = self._directory / plan.instance
         directory.mkdir(parents=True, exist_ok=True)
--- a/hibiscuspoint/settings/model.py
+++ b/hibiscuspoint/settings/model.py
@@ -261,7 +261,8 @@
         found.append(("control.members", f"names {instance!r}, which has no role 'control'"))
     if not node.is_control and control.data_directory is not None:
         found.append(("control.data_directory", "is only used with role 'control'"))
-    if listed is not None and listen is not None and listed != listen.address:
-        reason = f"gives {listed} for {instance!r}, but listen.address is {listen.address}"
+    if listed is not None and listen is not None and listed != listen.advertised:
+        key = "listen.advertise" if listen.advertise else "listen.address"
+        reason = f"gives {listed} for {instance!r}, but {key} is {listen.advertised}"
         found.append(("control.members", reason))
     return found
--- a/hibiscuspoint/standin/config.py
+++ b/hibiscuspoint/standin/config.py
@@ -27,6 +27,7 @@
     listen: str
     data_directory: Path
     announce: tuple[str, ...] = ()
+    advertise: str = ""
     slots: int = 2
     connections: int = 16
     service_time: float = 0.0
@@ -49,6 +50,7 @@
             listen=flags.listen,
             data_directory=flags.data_directory,
             announce=tuple(address for address in flags.announce.split(",") if address),
+            advertise=flags.advertise,
             slots=flags.slots,
             connections=flags.connections,
             service_time=flags.service_time_us / 1e6,
@@ -72,6 +74,12 @@
     parser.add_argument(
         "--announce", default="", metavar="IP:PORT,...", help="hibiscuspoint instances"
     )
+    parser.add_argument(
+        "--advertise",
+        default="",
+        metavar="IP:PORT",
+        help="announced address, if not the listen one",
+    )
     parser.add_argument("--slots", type=_positive, default=2, help="statements executed at once")
     parser.add_argument("--connections", type=_positive, default=16, help="connection limit")
     for name, help_text, default in (
--- a/hibiscuspoint/standin/connection.py
+++ b/hibiscuspoint/standin/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -22,6 +23,8 @@
 
 __all__ = ["ServerConnection", "Workplace"]
 
+logger = logging.getLogger(__name__)
+
 MAX_PART_ROWS = 256
 MAX_PART_BYTES = 64 * 1024
 
@@ -204,6 +207,7 @@
 
     async def _begin(self, run: target_pb2.Run) -> None:
         if self._faults.refuses_new_work:
+            logger.warning("run refused: the target is leaving")
             raise _RunError(Failure.LEAVING, "the target is leaving")
         is_write = not run.read_only and (run.begin or self._has_writes(run))
         self._check_role(run, is_write=is_write)
--- a/hibiscuspoint/standin/main.py
+++ b/hibiscuspoint/standin/main.py
@@ -32,7 +32,7 @@
         config,
         server.engine,
         faults,
-        address=server.address,
+        address=config.advertise or server.address,
         incarnation=time.time_ns(),
     )
     announcing = asyncio.create_task(announcer.run())
--- a/hibiscuspoint/standin/server.py
+++ b/hibiscuspoint/standin/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from typing import TYPE_CHECKING
 
 import grpc
@@ -23,6 +24,8 @@
 
 __all__ = ["StandinServer"]
 
+logger = logging.getLogger(__name__)
+
 PROGRESS_INTERVAL_S = 0.005
 
 Failure = target_pb2.Failure
@@ -227,6 +230,7 @@
             return Failure(kind=Failure.LEAVING, message="the target is leaving", not_run=True)
         if len(self._connections) >= self._config.connections:
             message = f"all {self._config.connections} connections are in use"
+            logger.warning("connection refused: %s", message)
             return Failure(kind=Failure.LIMIT, message=message, not_run=True)
         return None
 
--- /dev/null
+++ b/tests/system/builders.py
@@ -0,0 +1,44 @@
+"""Builders of topologies and callers for system tests."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+import tomli_w
+
+from hibiscuspoint.ids import CallerId
+from hibiscuspoint.load.caller import Caller
+from hibiscuspoint.load.deployments import LEDGER
+from hibiscuspoint.load.layout import Layout, document
+
+if TYPE_CHECKING:
+    from hibiscuspoint.load.topology import Topology
+
+__all__ = ["caller", "index_of", "layout", "scarce_layout", "submission"]
+
+
+def layout(**changes: object) -> Layout:
+    """Return a small topology: five entries, three of them with control, and three targets."""
+    return Layout(**{"entries": 5, "control": 3, **changes})
+
+
+def scarce_layout(connections: int) -> Layout:
+    """Return a topology whose targets accept few connections, so that holders use all of them."""
+    deployment = replace(LEDGER, slots=connections, connections=connections)
+    return layout(deployment=deployment, service_time_us=10_000)
+
+
+def submission(topology: Topology, number: int, **options: object) -> str:
+    """Return the text of a document; options make it differ from others of its number."""
+    return tomli_w.dumps(document(topology.layout, number, **options))
+
+
+def caller(topology: Topology, name: str = "test") -> Caller:
+    """Return a caller of all entries."""
+    return Caller(topology.addresses, CallerId(name))
+
+
+def index_of(topology: Topology, instance: str) -> int:
+    """Return the index of an instance among the entries of a caller."""
+    return list(topology.instances).index(instance)
--- a/tests/system/conftest.py
+++ b/tests/system/conftest.py
@@ -10,6 +10,7 @@
 
 from hibiscuspoint.load.topology import Topology
 from tests.system.fault_proxy import FaultProxy
+from tests.system.network import Network
 from tests.system.slots import CONCURRENT_TOPOLOGIES, slot
 
 if TYPE_CHECKING:
@@ -48,12 +49,16 @@
 
 
 @pytest.fixture
-def launch(tmp_path: Path, topology_slot: None) -> Iterator[Callable[[Layout], Topology]]:
+def launch(tmp_path: Path, topology_slot: None) -> Iterator[Callable[..., Topology]]:
     """Return a function that creates topologies, which end with the test."""
     topologies: list[Topology] = []
 
-    def create(layout: Layout) -> Topology:
-        topologies.append(Topology(layout, tmp_path / f"topology-{len(topologies)}"))
+    def create(layout: Layout, network: Network | None = None) -> Topology:
+        directory = tmp_path / f"topology-{len(topologies)}"
+        advertise = None if network is None else network.advertise
+        topologies.append(Topology(layout, directory, advertise))
+        if network is not None:
+            network.connect(topologies[-1])
         return topologies[-1]
 
     yield create
@@ -61,6 +66,14 @@
         asyncio.run(topology.close())
 
 
+@pytest.fixture
+def network() -> Iterator[Network]:
+    """Return a network with a fault proxy before each process; it ends with the test."""
+    created = Network()
+    yield created
+    created.stop()
+
+
 @pytest.fixture
 def link() -> Iterator[Callable[[str], FaultProxy]]:
     """Return a function that puts a fault proxy before an address; it ends with the test."""
--- a/tests/system/fault_proxy.py
+++ b/tests/system/fault_proxy.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING, Self, TypeVar
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
 __all__ = ["Direction", "FaultProxy"]
 
@@ -42,11 +42,13 @@
         proxy: FaultProxy,
         client: tuple[asyncio.StreamReader, asyncio.StreamWriter],
         server: tuple[asyncio.StreamReader, asyncio.StreamWriter],
+        source: str,
     ) -> None:
         self._proxy = proxy
         self._writers = (client[1], server[1])
         self._passes = asyncio.Event()
         self._passes.set()
+        self.source = source
         self._tasks = [
             *self._start(Direction.TO_SERVER, client[0], server[1]),
             *self._start(Direction.TO_CLIENT, server[0], client[1]),
@@ -83,6 +85,7 @@
             due, chunk = await queue.get()
             await asyncio.sleep(max(0.0, due - time.monotonic()))
             await self._proxy.passage(direction).wait()
+            await self._proxy.source_passage(self.source).wait()
             await self._passes.wait()
             if not chunk:
                 break
@@ -127,11 +130,19 @@
 
     :param upstream: ``ip:port`` of the server.
     :param host: loopback address to listen on; the kernel chooses the port.
+    :param identify: returns the name of the process that opened a connection, given the addresses
+        of client and proxy; without it, all sources are one.
     """
 
-    def __init__(self, upstream: str, host: str = "127.0.0.1") -> None:
+    def __init__(
+        self,
+        upstream: str,
+        host: str = "127.0.0.1",
+        identify: Callable[[tuple[str, int], tuple[str, int]], str] = lambda *_: "",
+    ) -> None:
         self._upstream = upstream
         self._host = host
+        self._identify = identify
         self._port = 0
         self._delay_s = 0.0
         self._loop = asyncio.new_event_loop()
@@ -140,6 +151,7 @@
         self._connections: set[_Connection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._passages = {direction: asyncio.Event() for direction in Direction}
+        self._source_passages: dict[str, asyncio.Event] = {}
 
     @property
     def address(self) -> str:
@@ -160,6 +172,13 @@
         """Return the event that is set while bytes may pass in a direction."""
         return self._passages[direction]
 
+    def source_passage(self, source: str) -> asyncio.Event:
+        """Return the event that is set while bytes from and to a source may pass."""
+        if source not in self._source_passages:
+            self._source_passages[source] = asyncio.Event()
+            self._source_passages[source].set()
+        return self._source_passages[source]
+
     def start(self) -> None:
         """Listen."""
         self._thread.start()
@@ -178,13 +197,22 @@
         """Pass no bytes in the given directions, or in both; new connections stay silent too."""
         self._call(lambda: [self._passages[d].clear() for d in directions or Direction])
 
+    def cut_sources(self, sources: Iterable[str]) -> None:
+        """Pass no bytes from or to some sources, on old and new connections."""
+        self._call(lambda: [self.source_passage(source).clear() for source in sources])
+
     def delay(self, seconds: float) -> None:
         """Delay each chunk that arrives from now on."""
         self._delay_s = seconds
 
-    def blackhole_established(self) -> None:
-        """Silence the established connections for ever; new ones work."""
-        self._call(lambda: [connection.silence() for connection in self._connections])
+    def blackhole_established(self, sources: Iterable[str] | None = None) -> int:
+        """Silence the established connections for ever; new ones work.
+
+        :param sources: silence only the connections of these sources.
+        :return: number of silenced connections.
+        """
+        wanted = None if sources is None else set(sources)
+        return self._call(lambda: self._silence(wanted))
 
     def reset(self) -> None:
         """Reset the established connections; new ones work."""
@@ -197,7 +225,7 @@
     def heal(self) -> None:
         """End cuts, delay and refusal; silenced connections stay silent."""
         self._delay_s = 0.0
-        self._call(lambda: [passage.set() for passage in self._passages.values()])
+        self._call(self._open_passages)
         self._run(self._listen())
 
     def __enter__(self) -> Self:
@@ -226,6 +254,16 @@
             self._server.close()
             self._server = None
 
+    def _open_passages(self) -> None:
+        for passage in (*self._passages.values(), *self._source_passages.values()):
+            passage.set()
+
+    def _silence(self, sources: set[str] | None) -> int:
+        found = [c for c in self._connections if sources is None or c.source in sources]
+        for connection in found:
+            connection.silence()
+        return len(found)
+
     def _cancel_tasks(self) -> None:
         for task in self._tasks:
             task.cancel()
@@ -242,7 +280,9 @@
             _linger_zero(writer)
             writer.transport.abort()
             return
-        connection = _Connection(self, (reader, writer), server)
+        ends = writer.get_extra_info("peername"), writer.get_extra_info("sockname")
+        source = self._identify(*ends)
+        connection = _Connection(self, (reader, writer), server, source)
         self._connections.add(connection)
         try:
             await connection.finished()
