Keep the version of the holder lists with the lists themselves

Cause: control sends holder lists only when the version that an entry reported differs from the present one. The version is a digest, so it returns when the lists return to an earlier state. An update without lists then set that version at an entry which had received other lists meanwhile, and the entry kept those for ever. A former holder queued requests for a lease that never came.

Ruled out: the route lease and the share of the entry were right in control, and no other entry was affected.

Change: an update without lists does not change the version of an entry.

--- a/hibiscuspoint/components/entry_state.py
+++ b/hibiscuspoint/components/entry_state.py
@@ -68,7 +68,9 @@
                 GroupId(item.group): [(InstanceId(h.instance), h.address) for h in item.holders]
                 for item in update.holders
             }
-        self.holders_version = update.holders_version
+            # The version is a digest of the lists. An update without lists may repeat a version
+            # that was in force before the lists that this entry has, so it does not set it.
+            self.holders_version = update.holders_version
         return True
 
     def apply_routes(self, update: peer_pb2.ControlUpdate) -> list[GroupId]:
--- /dev/null
+++ b/tests/system/test_control.py
@@ -0,0 +1,254 @@
+"""Failures of the control group under load, and its documents."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+import grpc
+import pytest
+
+from hibiscuspoint.errors import ConfigurationConflictError, HibiscusError, NotReadyError
+from hibiscuspoint.load.answers import statement
+from hibiscuspoint.load.operator_client import Operator
+from hibiscuspoint.verdict import Verdict
+from tests.system.builders import caller, index_of, layout, submission
+from tests.system.fault_proxy import Direction
+from tests.system.trial import Trial, first_status, trial
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from hibiscuspoint.load.topology import Topology
+
+#: Documents accepted before all processes restart.
+CHANGES = 300
+ROUNDS = 10
+
+
+def test_old_leader_returns_after_long_isolation(launch, network):
+    """A leader that still believes it leads would accept or spread an old document (G9)."""
+
+    async def scenario() -> None:
+        topology = launch(layout(), network)
+        async with trial(topology) as load, _numbers_never_fall(topology):
+            old = await topology.leader()
+            network.isolate([old])
+            await load.status(lambda status: status.leader != old, "a new leader")
+            await load.ready(old, expected=False)
+            await _accepts_nothing(topology, old)
+            numbers = [await topology.submit() for _ in range(3)]
+            await load.progress()
+            network.heal()
+            await load.ready(old)
+            await _is_in_force(topology, load, numbers[-1])
+            assert (await topology.status()).leader != ""
+            await load.served_everywhere()
+
+    asyncio.run(scenario())
+
+
+@asynccontextmanager
+async def _numbers_never_fall(topology: Topology) -> AsyncIterator[None]:
+    """Check all the time that no instance reports a lower document than before."""
+    highest: dict[str, int] = {}
+    fallen: list[str] = []
+
+    async def watch() -> None:
+        while True:
+            status = await first_status(topology)
+            for instance in status.instances if status is not None else ():
+                if instance.document_number < highest.get(instance.instance, 0):
+                    fallen.append(instance.instance)
+                highest[instance.instance] = instance.document_number
+            await asyncio.sleep(0.1)
+
+    task = asyncio.create_task(watch())
+    try:
+        yield
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+    assert not fallen
+    assert highest
+
+
+async def _accepts_nothing(topology: Topology, instance: str) -> None:
+    """Check that an isolated leader neither accepts a document nor reports a status."""
+    operator = Operator(topology.instances[instance].address)
+    text = submission(topology, topology.document_number + 1, holders=1)
+    try:
+        for call in (operator.submit(text), operator.status()):
+            with pytest.raises((HibiscusError, grpc.aio.AioRpcError)):
+                await call
+    finally:
+        await operator.close()
+
+
+async def _is_in_force(topology: Topology, load: Trial, number: int) -> None:
+    """Wait until all entries report a document."""
+    count = len(topology.instances)
+    await load.status(
+        lambda status: (
+            status.document_number == number
+            and [i.document_number for i in status.instances] == [number] * count
+        ),
+        f"document {number} in force everywhere",
+    )
+
+
+@pytest.mark.parametrize("fault", ["kill", "freeze"])
+def test_writes_go_on_without_the_control_leader(launch, fault):
+    """Writes that need the control leader would stop with it."""
+
+    async def scenario() -> None:
+        topology = launch(layout())
+        async with trial(topology) as load:
+            primary, leader = await load.primary(), await topology.leader()
+            process = topology.process(leader)
+            process.kill() if fault == "kill" else process.suspend()
+            await load.progress()
+            await load.status(lambda status: status.leader != leader, "a new leader")
+            await load.progress()
+            assert await load.primary() == primary
+            process.start() if fault == "kill" else process.resume()
+            await load.ready(leader)
+            await load.served_everywhere()
+
+    asyncio.run(scenario())
+
+
+def test_operators_race_and_repeat(launch, link):
+    """Two documents accepted with one number, or one accepted twice, would break G9."""
+
+    async def scenario() -> None:
+        topology = launch(layout())
+        async with trial(topology) as load:
+            addresses = topology.addresses
+            number = topology.document_number
+            for _ in range(ROUNDS):
+                number += 1
+                await _race(topology, number, addresses)
+            number += 1
+            await _lose_answer(topology, number, link(addresses[0]), addresses)
+            await _is_in_force(topology, load, number)
+
+    asyncio.run(scenario())
+
+
+async def _race(topology: Topology, number: int, addresses: list[str]) -> None:
+    """Submit documents of one number through all instances; exactly one must be accepted."""
+    texts = [
+        submission(topology, number, default_timeout_ms=5000 + n) for n in range(len(addresses))
+    ]
+    operators = [Operator(address) for address in addresses]
+    calls = [o.submit(text) for o, text in zip(operators, texts, strict=True)]
+    results = await asyncio.gather(*calls, return_exceptions=True)
+    accepted = [result for result in results if not isinstance(result, BaseException)]
+    refused = [result for result in results if isinstance(result, ConfigurationConflictError)]
+    assert len(accepted) == 1
+    assert len(refused) == len(addresses) - 1, results
+    assert all(accepted[0].digest in f"{error.message} {error.hint}" for error in refused)
+    winner = results.index(accepted[0])
+    again = await operators[winner - 1].submit(texts[winner])
+    assert again.digest == accepted[0].digest
+    await asyncio.gather(*(operator.close() for operator in operators))
+
+
+async def _lose_answer(topology: Topology, number: int, proxy, addresses: list[str]) -> None:
+    """Lose the answer to a submission, and send the document again through another instance."""
+    text = submission(topology, number)
+    operator = Operator(proxy.address)
+    await operator.status()
+    proxy.cut(Direction.TO_CLIENT)
+    with pytest.raises(grpc.aio.AioRpcError):
+        await operator.submit(text)
+    await operator.close()
+    second = Operator(addresses[1])
+    assert (await second.status()).document_number == number
+    assert (await second.submit(text)).number == number
+    await second.close()
+
+
+def test_all_processes_restart_after_many_changes(launch):
+    """A snapshot or log that loses the tail would return to an earlier document (G9)."""
+
+    async def scenario() -> None:
+        topology = launch(layout())
+        async with trial(topology) as load:
+            operator = Operator(topology.addresses[0])
+            last = topology.document_number + CHANGES
+            for number in range(topology.document_number + 1, last + 1):
+                text = submission(topology, number, default_timeout_ms=5000 + number)
+                accepted = await operator.submit(text)
+            await operator.close()
+            names = [*topology.instances, *topology.targets]
+            for name in names:
+                topology.process(name).kill()
+            for name in names:
+                topology.process(name).start()
+            await _is_in_force(topology, load, last)
+            assert (await first_status(topology)).document_digest == accepted.digest
+            await load.ready(*topology.instances)
+            await load.served_everywhere()
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("second", ["leader", "other"])
+def test_repair_and_loss_of_a_second_instance(launch, second):
+    """A repair reported done too early would lose the log with the next instance (D12)."""
+
+    async def scenario() -> None:
+        topology = launch(layout())
+        async with trial(topology) as load:
+            leader = await topology.leader()
+            control = [name for name, plan in topology.instances.items() if plan.is_control]
+            wiped, other = (name for name in control if name != leader)
+            topology.process(wiped).kill()
+            topology.wipe(wiped)
+            number = await topology.submit()
+            topology.process(wiped).start()
+            await _repair(topology, wiped, topology.instances[leader].address)
+            topology.process(leader if second == "leader" else other).kill()
+            assert await topology.submit() == number + 1
+            await load.status(lambda s: s.document_number == number + 1, "the document is kept")
+            await load.progress()
+
+    asyncio.run(scenario())
+
+
+async def _repair(topology: Topology, instance: str, address: str) -> None:
+    """Repair an instance, repeating the call until it is reported done."""
+    operator = Operator(address)
+    try:
+        while True:
+            try:
+                if (await operator.repair(instance)).finished:
+                    return
+            except (HibiscusError, grpc.aio.AioRpcError):
+                await asyncio.sleep(0.2)
+    finally:
+        await operator.close()
+
+
+def test_entries_without_control_stop_serving(launch, network):
+    """An entry that serves without contact would act on outdated documents (D13, G5)."""
+
+    async def scenario() -> None:
+        topology = launch(layout(), network)
+        async with trial(topology) as load, caller(topology) as program:
+            control = [name for name, plan in topology.instances.items() if plan.is_control]
+            network.cut(topology.instances, control)
+            await load.ready(*topology.instances, expected=False)
+            for instance in topology.instances:
+                session = program.session(entry=index_of(topology, instance))
+                with pytest.raises(NotReadyError) as caught:
+                    await session.write(load.group, statement("DROP TABLE missing"))
+                assert caught.value.verdict is Verdict.NOT_RUN
+            network.heal()
+            await load.ready(*topology.instances)
+            await load.served_everywhere()
+
+    asyncio.run(scenario())
--- a/tests/system/test_holders.py
+++ b/tests/system/test_holders.py
@@ -53,7 +53,8 @@
     topology: Topology, load: Trial, program: Caller, holder: str
 ) -> None:
     """Kill a holder while a transaction through it and one that is forwarded to it are open."""
-    beside = next(name for name in topology.instances if name not in await load.holders())
+    holders = await load.holders()
+    beside = next(name for name in topology.instances if name not in holders)
     transactions = [
         await program.session(entry=index_of(topology, name)).transact(
             load.group, statement(INSERT, name), timeout=30.0
--- /dev/null
+++ b/tests/system/test_planned.py
@@ -0,0 +1,101 @@
+"""Planned changes under load: leaving targets, switchover and stops of entries."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+
+from hibiscuspoint.ids import GroupId
+from hibiscuspoint.load.answers import statement
+from hibiscuspoint.load.history import Outcome
+from tests.system.builders import caller, index_of, layout
+from tests.system.trial import eventually, trial
+
+if TYPE_CHECKING:
+    from hibiscuspoint.load.topology import Topology
+
+CREATE = "CREATE TABLE IF NOT EXISTS planned (name TEXT NOT NULL)"
+INSERT = "INSERT INTO planned (name) VALUES (?)"
+SELECT = "SELECT name FROM planned"
+#: Writes acknowledged after the leave that show that the grace of 2 s is over at this rate.
+AFTER_GRACE = 400
+
+
+@pytest.mark.parametrize("is_primary", [False, True])
+def test_target_leaves(launch, is_primary):
+    """New work at a leaving target after 2 s, or a request refused with time left (G7)."""
+
+    async def scenario() -> None:
+        topology = launch(layout())
+        async with trial(topology) as load:
+            primary = await load.primary()
+            others = (name for name in topology.targets if name != primary)
+            leaving = primary if is_primary else next(others)
+            await topology.set_fault(leaving, leaving=True)
+            if is_primary:
+                await load.replaced(primary)
+            await load.progress(AFTER_GRACE)
+        assert load.failures() == []
+        assert "run refused" not in (topology.directory / f"{leaving}.out").read_text()
+
+    asyncio.run(scenario())
+
+
+def test_switchover(launch):
+    """A planned change of the primary that refuses a request with time left (measure 1)."""
+
+    async def scenario() -> None:
+        topology = launch(layout())
+        async with trial(topology) as load:
+            for _ in range(3):
+                primary = await load.primary()
+                await topology.switch_over(load.group)
+                await load.replaced(primary)
+                await load.progress()
+        assert load.failures() == []
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("is_holder", [True, False])
+def test_entry_stops(launch, is_holder):
+    """A planned stop that cuts a request or a transaction off (G8)."""
+
+    async def scenario() -> None:
+        topology = launch(layout())
+        async with trial(topology, transaction_share=0.4) as load:
+            holders = await load.holders()
+            others = [name for name in topology.instances if name not in holders]
+            stopping = holders[0] if is_holder else others[0]
+            await _stop_inside_transaction(topology, load.group, stopping)
+            await load.progress()
+            topology.process(stopping).start()
+            await load.ready(stopping)
+            await load.served_everywhere()
+        # A request that reaches a stopping entry may be sent back; none may be interrupted.
+        assert load.failures(Outcome.NOT_RUN) == []
+
+    asyncio.run(scenario())
+
+
+async def _stop_inside_transaction(topology: Topology, group: GroupId, instance: str) -> None:
+    """Stop an entry with SIGTERM while a transaction is open in it, which must still commit."""
+    async with caller(topology) as program:
+        await program.session().write(group, statement(CREATE))
+        session = program.session(entry=index_of(topology, instance))
+        transaction = await session.transact(group, statement(INSERT, "first"), timeout=30.0)
+        process = topology.process(instance)
+        process.terminate()
+        await eventually(lambda: _has_event(topology, instance, "drain"), "the stop has begun")
+        await transaction.run(statement(INSERT, "second"))
+        await transaction.commit()
+        await eventually(lambda: process.exit_status() is not None, "the entry has stopped")
+        assert process.exit_status() == 0
+        answer = await session.read(group, statement(SELECT))
+        assert answer.rows == (("first",), ("second",))
+
+
+def _has_event(topology: Topology, instance: str, word: str) -> bool:
+    return word in (topology.directory / instance / "events.jsonl").read_text()
--- a/tests/system/trial.py
+++ b/tests/system/trial.py
@@ -195,12 +195,12 @@
         runner.stop()
         await running
         tested.history = await runner.history()
-        tested.history.write(topology.directory / "history.jsonl")
         _judge(tested.history)
     finally:
         if running is not None:
             running.cancel()
             await asyncio.gather(running, return_exceptions=True)
+        runner.recorder.history().write(topology.directory / "history.jsonl")
         await runner.close()
 
 
