Let holders keep the leases of a previous control leader until they hand them back

Cause: a new leader starts with an empty list of entries. A holder that attached later than others was no holder for a moment, and the first update ended its lease at once, because the leases of the previous leader were not listed. Its writes in progress then failed with MAY_HAVE_RUN.

Change: while leases of the previous leader may be in use, an entry that the control log lists as holder gets a paused lease, as any former holder does.

--- a/hibiscuspoint/core/control/updates.py
+++ b/hibiscuspoint/core/control/updates.py
@@ -122,7 +122,7 @@
             ack_quorum=controller.ack_quorum,
             paused=state is RouteState.PAUSED or not is_holder,
         )
-        if self._may_use_primary(state, is_holder, record.group, entry, now):
+        if self._may_use_primary(state, is_holder, record, entry, now):
             route.lease_ms = int(LEASE_SECONDS * MILLISECONDS)
             self._ledger.grant(record.group, entry.instance, record.term, now)
         self._add_members(route, record)
@@ -131,14 +131,20 @@
         update.routes.append(route)
 
     def _may_use_primary(
-        self, state: RouteState, is_holder: bool, group: GroupId, entry: EntryInfo, now: float
+        self, state: RouteState, is_holder: bool, record: GroupRecord, entry: EntryInfo, now: float
     ) -> bool:
-        """Tell whether an entry gets a lease; a former holder keeps it until it hands it back."""
+        """Tell whether an entry gets a lease; a former holder keeps it until it hands it back.
+
+        That includes the holders of the previous leader: their work in progress must not end
+        because some entries attach to the new leader before others do.
+        """
         if state is RouteState.REVOKED:
             return False
         if state is RouteState.GRANTED and is_holder:
             return True
-        return entry.instance in self._ledger.held_by(group, now)
+        if self._ledger.may_hold_earlier(now) and entry.instance in record.holders:
+            return True
+        return entry.instance in self._ledger.held_by(record.group, now)
 
     def _add_members(self, route: peer_pb2.Route, record: GroupRecord) -> None:
         for member in record.members:
