Plan a read again when a member refuses its term

Cause: during a switchover the members are sealed before the new route arrives.

Change: a refusal that ran nothing waits 10 ms and plans the read again until its deadline. It takes nothing from the budget of retries, as the pause bounds the number of attempts.

--- a/hibiscuspoint/components/holder/reads.py
+++ b/hibiscuspoint/components/holder/reads.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
@@ -40,6 +41,9 @@
 
 __all__ = ["ReadRunner"]
 
+#: Seconds before a read that a member refused because of its term or role is planned again.
+ROUTE_POLL_SECONDS = 0.01
+
 
 class ReadRunner:
     """Runs reads of one group where the planner decides."""
@@ -81,6 +85,11 @@
                     step = self._at_primary(request)
             try:
                 result = await step
+            except NoPrimaryError:
+                # Nothing ran, and a switchover ends within the time of the read. The pause bounds
+                # the attempts, so they take nothing from the budget of retries.
+                await asyncio.sleep(ROUTE_POLL_SECONDS)
+                continue
             except HibiscusError as error:
                 attempt += 1
                 if not self._may_retry(request, error, attempt):
@@ -195,7 +204,7 @@
                 lane.release(lent)
 
     def _may_retry(self, request: GroupRequest, error: HibiscusError, attempt: int) -> bool:
-        if not isinstance(error, NoPrimaryError | TargetLostError):
+        if not isinstance(error, TargetLostError):
             return False
         holder = self._holder
         decision = holder.retries.decide(
