Hand waiting requests to the present holders when a holder is replaced

Cause: requests that waited for the primary at an entry that lost the group stayed in its paused queue until their deadline, although another entry held the group. The router tried each holder once and had an unused retry interval.

Change: the queue of a former holder is refused as NoHolderError, which ran nothing, and the router tries the holders again until the deadline.

--- a/hibiscuspoint/components/holder/group.py
+++ b/hibiscuspoint/components/holder/group.py
@@ -12,7 +12,7 @@
 from hibiscuspoint.components.holder.turns import Turns
 from hibiscuspoint.components.holder.writes import WriteRunner
 from hibiscuspoint.core.entry.retry import RetryBudget
-from hibiscuspoint.errors import NoPrimaryError
+from hibiscuspoint.errors import NoHolderError, NoPrimaryError
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -94,6 +94,12 @@
         self._set_slots(route)
         self.refresh_pause()
 
+    def hand_back_waiting(self) -> None:
+        """Refuse the requests that wait for the primary, so that a present holder runs them."""
+        self.primary_turns.refuse_all(
+            NoHolderError(f"this instance no longer holds group {self._group}")
+        )
+
     def refresh_pause(self) -> None:
         """Hold the queue of the primary while no lease is valid or control asked for a pause."""
         route = self._context.routes.primary(self._group, self._context.clock.monotonic())
--- a/hibiscuspoint/components/holder/turns.py
+++ b/hibiscuspoint/components/holder/turns.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
@@ -68,6 +69,13 @@
             self._queue.expire(now)
             self.pump()
 
+    def refuse_all(self, error: Exception) -> None:
+        """Refuse all waiting requests."""
+        self._queue.expire(math.inf)
+        for request in self._queue.take_expired():
+            if not request.payload.done():
+                request.payload.set_exception(error)
+
     def set_paused(self, paused: bool) -> None:
         """Hold or serve waiting requests."""
         if paused:
--- a/hibiscuspoint/components/holders.py
+++ b/hibiscuspoint/components/holders.py
@@ -64,6 +64,9 @@
         """Take routes and shares over."""
         if not self._state.accept(update) or self._state.document is None:
             return
+        for group, holder in self._groups.items():
+            if not self.is_holder(group):
+                holder.hand_back_waiting()
         for group in self._state.apply_routes(update):
             holder = self._holder(group)
             if holder is not None:
--- a/hibiscuspoint/components/router.py
+++ b/hibiscuspoint/components/router.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import grpc
@@ -64,6 +65,15 @@
 
         :raises HibiscusError: with the verdict of the request.
         """
+        while True:
+            try:
+                return await self._try_holders(request)
+            except NoHolderError:
+                if self._clock.monotonic() + RETRY_SECONDS >= request.deadline:
+                    raise
+            await asyncio.sleep(RETRY_SECONDS)
+
+    async def _try_holders(self, request: GroupRequest) -> GroupResult:
         error: HibiscusError = NoHolderError(f"group {request.group} has no holder")
         for instance, address in self.candidates(request):
             try:
