Keep all sessions of a caller away from an entry that is stopping

Cause: only the session that received go_elsewhere moved. Other sessions of the same program reached the entry while its server closed, and a call that arrives at that moment breaks, so its outcome is unknown to the caller.

Change: the connections of a caller avoid an entry for 5 s after it asked to go elsewhere.

--- a/hibiscuspoint/load/caller.py
+++ b/hibiscuspoint/load/caller.py
@@ -146,6 +146,8 @@
         if reply.token:
             self._token = reply.token
         self._go_elsewhere = self._go_elsewhere or reply.go_elsewhere
+        if reply.go_elsewhere:
+            self._connection.avoid()
 
     def after_request(self, *, failed: bool = False) -> None:
         """Move at the end of a request when the entry, the policy or a failure asks for it."""
@@ -221,8 +223,16 @@
             timeout_ms=max(1, int(timeout * 1000)),
         )
 
+    def _pass_avoided(self) -> None:
+        """Move past entries that are stopping, unless all are."""
+        for _ in range(len(self._caller.pool) - 1):
+            if not self._connection.is_avoided:
+                return
+            self.move()
+
     async def _reachable(self, deadline: float) -> EntryConnection:
         """Return an established connection, trying each entry once."""
+        self._pass_avoided()
         for attempt in range(len(self._caller.pool)):
             connection = self._connection
             remaining = deadline - time.monotonic()
--- a/hibiscuspoint/load/entries.py
+++ b/hibiscuspoint/load/entries.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import math
+import time
 from typing import TYPE_CHECKING
 
 import grpc
@@ -20,6 +22,8 @@
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 #: Time in which calls in progress may end on a connection that is replaced, in seconds.
 REPLACE_GRACE_S = 5.0
+#: Time for which an entry that asked its callers to go elsewhere is avoided, in seconds.
+AVOID_S = 5.0
 
 #: gRPC must not repeat a call by itself, because that would hide whether it ran. A local subchannel
 #: pool gives each pool its own TCP connections. Short backoffs make a restarted entry usable soon.
@@ -46,6 +50,7 @@
         self._address = address
         self._credentials = credentials
         self._closing: set[asyncio.Task[None]] = set()
+        self._avoided_until = -math.inf
         self._open()
 
     @property
@@ -58,6 +63,15 @@
         """Return the stub of the current connection."""
         return self._stub
 
+    @property
+    def is_avoided(self) -> bool:
+        """Tell whether the entry asked its callers to go elsewhere a short time ago."""
+        return time.monotonic() < self._avoided_until
+
+    def avoid(self) -> None:
+        """Keep all sessions away from the entry for a while, because it is stopping."""
+        self._avoided_until = time.monotonic() + AVOID_S
+
     def _open(self) -> None:
         if self._credentials is None:
             self._channel = grpc.aio.insecure_channel(self._address, options=CHANNEL_OPTIONS)
