--- a/tests/system/test_planned.py
+++ b/tests/system/test_planned.py
@@ -7,13 +7,13 @@
 
 import pytest
 
-from hibiscuspoint.ids import GroupId
 from hibiscuspoint.load.answers import statement
 from hibiscuspoint.load.history import Outcome
 from tests.system.builders import caller, index_of, layout
 from tests.system.trial import eventually, trial
 
 if TYPE_CHECKING:
+    from hibiscuspoint.ids import GroupId
     from hibiscuspoint.load.topology import Topology
 
 CREATE = "CREATE TABLE IF NOT EXISTS planned (name TEXT NOT NULL)"
