--- a/hibiscuspoint/components/entry_state.py
+++ b/hibiscuspoint/components/entry_state.py
@@ -66,7 +66,10 @@
         for item in update.holders:
             listed = [(InstanceId(holder.instance), holder.address) for holder in item.holders]
             self._holders[GroupId(item.group)] = listed
-        self.holders_version = update.holders_version
+        if update.holders:
+            # The version is a digest of the lists. An update without lists may repeat a version
+            # that was in force before the lists that this entry has, so it does not set it.
+            self.holders_version = update.holders_version
         return True
 
     def apply_routes(self, update: peer_pb2.ControlUpdate) -> list[GroupId]:
--- a/hibiscuspoint/components/holders.py
+++ b/hibiscuspoint/components/holders.py
@@ -72,6 +72,9 @@
             return
         if self._state.document_number != known:
             self._take_rules()
+        for group, holder in self._groups.items():
+            if not self.is_holder(group):
+                holder.hand_back_waiting()
         for group in self._state.apply_routes(update):
             holder = self._holder(group)
             if holder is not None:
