Start a switchover only when it can finish

Cause: a switchover to the primary itself, to a stranger or to a member that is gone paused writes for 2 of every 3 s without end; one that was asked for before the primary announced itself to a new leader raised AttributeError. A new leader knows no leases, took that for idle holders, and opened a term in the middle of requests. Change: a switchover needs a live successor and known leases and ends when the successor is gone. The operator service asks again while the change is refused.

--- a/hibiscuspoint/components/operator_service.py
+++ b/hibiscuspoint/components/operator_service.py
@@ -238,10 +238,14 @@
         if wanted is not None and wanted == record.primary:
             return peer_pb2.ActReply(accepted=True, finished=True, progress="already primary")
         term = record.term
-        leader.request_switchover(group, wanted, self._control.clock.monotonic())
 
         def is_done() -> bool:
-            return record.term > term and self._require_leader().is_started(group)
+            current = self._require_leader()
+            if record.term == term:
+                # Refused while another change is in progress, so it is asked for again.
+                current.request_switchover(group, wanted, self._control.clock.monotonic())
+                return False
+            return current.is_started(group)
 
         return await self._wait_for(is_done, "the holders finish their work")
 
--- a/hibiscuspoint/core/control/group.py
+++ b/hibiscuspoint/core/control/group.py
@@ -128,11 +128,18 @@
     def request_switchover(self, wanted: TargetId | None, now: float) -> bool:
         """Start a switchover.
 
-        :returns: false when no primary is in force or another change is in progress.
+        A new leader starts none while entries may hold leases of its predecessor, as it could not
+        tell whether they have finished their work.
+
+        :returns: false when no primary is in force, another change is in progress, no successor
+            is live, or this instance became leader a moment ago.
         """
         if self._switchover is not None or self.route_state is not RouteState.GRANTED:
             return False
+        if not self._around.ledger.is_known(now) or not self._successors(wanted, now):
+            return False
         self._switchover = Switchover(self._record.primary, wanted, now)
+        self._idle_since = None
         return True
 
     def announced(self, info: TargetInfo, now: float) -> None:
@@ -228,12 +235,19 @@
 
     def _hand_over(self, now: float) -> list[Effect]:
         primary = self._around.targets.get(self._record.primary)
-        if primary is not None and primary.leaving and self._has_successor(now):
+        if primary is None:
+            return []
+        if primary.leaving:
             self.request_switchover(None, now)
         if self._switchover is None:
             return []
+        successors = self._successors(self._switchover.wanted, now)
+        if not successors:
+            # Pauses for a successor that is gone would delay writes for as long as it is away.
+            self._switchover = None
+            return []
         self._note_idle(now)
-        caught_up = self._idle_since is not None and self._has_caught_up()
+        caught_up = self._idle_since is not None and self._has_caught_up(successors)
         state = self._switchover.tick(self._idle_since is not None, caught_up, now)
         if state is SwitchoverState.READY:
             return self._steps.open_term(0, now)
@@ -307,33 +321,24 @@
     def _holders_idle(self, now: float) -> bool:
         return not self._around.ledger.held_by(self._record.group, now)
 
-    def _has_successor(self, now: float) -> bool:
-        primary = self._record.primary
-        return any(
-            info.target != primary and not info.leaving and info.target in self._live_members(now)
-            for info in self._members()
-        )
-
-    def _has_caught_up(self) -> bool:
+    def _has_caught_up(self, successors: list[TargetId]) -> bool:
         """Tell whether a successor holds all that the primary held after the last work ended."""
         primary = self._fresh_position(self._record.primary)
         return primary is not None and any(
             position is not None and position >= primary
-            for position in map(self._fresh_position, self._successors())
+            for position in map(self._fresh_position, successors)
         )
 
     def _fresh_position(self, target: TargetId) -> LogPosition | None:
         position, at = self._reports.get(target, (None, -math.inf))
         return position if self._idle_since is not None and at > self._idle_since else None
 
-    def _successors(self) -> list[TargetId]:
-        wanted = self._switchover.wanted if self._switchover else None
+    def _successors(self, wanted: TargetId | None, now: float) -> list[TargetId]:
+        live = self._live_members(now) - {self._record.primary}
         return [
             info.target
             for info in self._members()
-            if info.target != self._record.primary
-            and not info.leaving
-            and wanted in (None, info.target)
+            if info.target in live and not info.leaving and wanted in (None, info.target)
         ]
 
     def _preference(self, target: TargetId) -> tuple[int, ...]:
--- a/hibiscuspoint/core/control/leases.py
+++ b/hibiscuspoint/core/control/leases.py
@@ -48,11 +48,15 @@
 
     def is_clear(self, group: GroupId, term: Term, now: float) -> bool:
         """Tell whether no entry can still use a primary of a term before ``term``."""
-        if now < self._unknown_until:
+        if not self.is_known(now):
             return False
         grants = self._grants.get(group, {}).values()
         return all(grant.term >= term or grant.until < now for grant in grants)
 
+    def is_known(self, now: float) -> bool:
+        """Tell whether the leases that an earlier leader granted have ended."""
+        return now >= self._unknown_until
+
     def held_by(self, group: GroupId, now: float) -> set[InstanceId]:
         """Return the entries that may hold a lease of the group."""
         grants = self._grants.get(group, {})
