Ignore reports that arrive late or twice

Cause: a report is taken whenever it arrives. One of a stream that the entry gave up can arrive after those of the new stream; the release in it removed a lease that was granted since, and a promotion would not wait for that lease. The same holds for a report of a former process of the instance. Change: the directory orders reports by incarnation and send time and drops all but newer ones.

--- a/hibiscuspoint/core/control/entries.py
+++ b/hibiscuspoint/core/control/entries.py
@@ -32,8 +32,14 @@
     draining: bool
     drained: bool
     holders_version: int
+    sent_at_ns: int
     seen_at: float
 
+    @property
+    def order(self) -> tuple[Incarnation, int]:
+        """Return the order in which the instance sent its reports."""
+        return self.incarnation, self.sent_at_ns
+
     @classmethod
     def from_message(cls, message: peer_pb2.EntryReport, now: float) -> EntryInfo:
         """Return the content of a report that arrived at ``now``."""
@@ -46,6 +52,7 @@
             draining=message.draining,
             drained=message.drained,
             holders_version=message.holders_version,
+            sent_at_ns=message.sent_at_ns,
             seen_at=now,
         )
 
@@ -61,11 +68,16 @@
         """Return the known entries, ordered by id."""
         return sorted(self._entries.values(), key=lambda entry: entry.instance)
 
-    def record(self, info: EntryInfo) -> EntryInfo | None:
-        """Keep a report and return the one before it."""
+    def record(self, info: EntryInfo) -> bool:
+        """Keep a report; returns false for one that was sent before the last, or repeats it.
+
+        Reports of a stream that the entry gave up may arrive after those of its new stream.
+        """
         previous = self._entries.get(info.instance)
+        if previous is not None and info.order <= previous.order:
+            return False
         self._entries[info.instance] = info
-        return previous
+        return True
 
     def get(self, instance: InstanceId) -> EntryInfo | None:
         """Return the last report of an entry."""
--- a/hibiscuspoint/core/control/leader.py
+++ b/hibiscuspoint/core/control/leader.py
@@ -94,7 +94,8 @@
     def reported(self, message: peer_pb2.EntryReport, now: float) -> list[Effect]:
         """Take a report of an entry."""
         info = EntryInfo.from_message(message, now)
-        self._entries.record(info)
+        if not self._entries.record(info):
+            return []
         for released in message.released:
             self._ledger.release(GroupId(released.group), info.instance, Term(released.term))
         for share in message.shares:
