Grant no share to a holder whose removal is proposed

Cause: a holder that came back while the command that removes it was on its way was granted a share, because the applied record still listed it. The removal then took effect, and a new leader would not have charged the connections of that holder. Change: a holder gets a share when the record lists it and no open proposal leaves it out.

--- a/hibiscuspoint/core/control/holdings.py
+++ b/hibiscuspoint/core/control/holdings.py
@@ -60,6 +60,7 @@
         self._holders: list[InstanceId] = []
         self._ledgers: dict[TargetId, ShareLedger] = {}
         self._proposed_at = -RETRY_SECONDS
+        self._proposed: list[tuple[InstanceId, ...]] = []
         self._terminated_at: dict[tuple[TargetId, InstanceId], float] = {}
 
     @property
@@ -134,7 +135,8 @@
 
     def _tick_target(self, info: TargetInfo, entries: EntryDirectory, now: float) -> list[Effect]:
         ledger = self._ledger_of(info)
-        ledger.rebalance([holder for holder in self._holders if holder in self._record.holders])
+        recorded = self._recorded_holders()
+        ledger.rebalance([holder for holder in self._holders if holder in recorded])
         effects: list[Effect] = []
         for instance in ledger.instances:
             if not self._is_lost(instance, entries, now):
@@ -162,6 +164,13 @@
         ledger.set_limit(limit)
         return ledger
 
+    def _recorded_holders(self) -> set[InstanceId]:
+        """Return the entries that are in the control log and that no open proposal removes."""
+        if self._record.holders in self._proposed:
+            applied = self._proposed.index(self._record.holders)
+            del self._proposed[: applied + 1]
+        return set(self._record.holders).intersection(*self._proposed)
+
     def _record_holders(self, now: float) -> list[Effect]:
         charged = {i for ledger in self._ledgers.values() for i in ledger.instances}
         wanted = set(self._holders) | (charged & set(self._record.holders))
