Ignore a confirmation of Terminate after the entry returned

Cause: the answer to Terminate freed the share of an instance whenever it arrived. An entry that woke up between the request and its answer may have opened connections that were not closed. Change: the answer counts only when the entry has not reported since the request. The driver gives a call up after 0.5 s and the leader asks again after 1 s, so an answer belongs to the last request. The test of an earlier process now fails when late reports are taken.

--- a/hibiscuspoint/core/control/holdings.py
+++ b/hibiscuspoint/core/control/holdings.py
@@ -110,10 +110,18 @@
         if ledger is not None:
             ledger.reported(instance, share.allowance, share.open_connections, share.sequence)
 
-    def terminated(self, target: TargetId, instance: InstanceId) -> None:
-        """Take the confirmation that a target closed the connections of an instance."""
+    def terminated(
+        self, target: TargetId, instance: InstanceId, entries: EntryDirectory
+    ) -> None:
+        """Take the confirmation that a target closed the connections of an instance.
+
+        It frees nothing if the instance reported since the request, as it may have opened new ones.
+        """
         ledger = self._ledgers.get(target)
-        if ledger is not None:
+        asked_at = self._terminated_at.get((target, instance))
+        entry = entries.get(instance)
+        has_returned = entry is not None and asked_at is not None and entry.seen_at >= asked_at
+        if ledger is not None and not has_returned:
             ledger.terminated(instance)
 
     def tick(self, entries: EntryDirectory, now: float) -> list[Effect]:
@@ -179,7 +187,8 @@
         if wanted == set(self._record.holders) or now - self._proposed_at < RETRY_SECONDS:
             return []
         self._proposed_at = now
-        body = record_pb2.SetHolders(group=self._record.group, instances=sorted(wanted))
+        self._proposed.append(tuple(sorted(wanted)))
+        body = record_pb2.SetHolders(group=self._record.group, instances=self._proposed[-1])
         return [Propose(record_pb2.Command(set_holders=body))]
 
     def _members(self) -> list[TargetInfo]:
--- a/hibiscuspoint/core/control/leader.py
+++ b/hibiscuspoint/core/control/leader.py
@@ -129,7 +129,7 @@
     def terminated(self, target: TargetId, instance: InstanceId) -> None:
         """Take the confirmation that a target closed the connections of an instance."""
         for holdings in self._holdings.values():
-            holdings.terminated(target, instance)
+            holdings.terminated(target, instance, self._entries)
 
     def request_switchover(self, group: GroupId, wanted: TargetId | None, now: float) -> bool:
         """Start a switchover; returns false when the group cannot change its primary now."""
--- a/tests/builders_control.py
+++ b/tests/builders_control.py
@@ -110,6 +110,8 @@
         self.targets: dict[str, dict] = {name: {} for name in MEMBERS}
         self.entries: dict[str, dict] = {"e1": {}, "e2": {}}
         self.updates: dict[str, peer_pb2.ControlUpdate] = {}
+        #: Share and sequence by entry and target, which the entry reports as in force.
+        self.shares: dict[tuple[str, str], tuple[int, int]] = {}
 
     @property
     def group(self):
@@ -134,10 +136,14 @@
 
     def report(self, name: str, **changes: object) -> peer_pb2.ControlUpdate:
         """Deliver a report and return the update that answers it."""
-        message = report(name, self.now, **{**self.entries.get(name, {}), **changes})
-        self.effects += self.leader.reported(message, self.now)
-        self.updates[name] = self.leader.update_for(InstanceId(name), self.now)
-        return self.updates[name]
+        shares = [share(target, *self.shares.get((name, target), (0, 0))) for target in MEMBERS]
+        values = {"shares": shares, **self.entries.get(name, {}), **changes}
+        self.effects += self.leader.reported(report(name, self.now, **values), self.now)
+        update = self.leader.update_for(InstanceId(name), self.now)
+        for item in update.shares:
+            self.shares[name, item.target] = (item.connections, item.sequence)
+        self.updates[name] = update
+        return update
 
     def run(self, seconds: float) -> None:
         """Let time pass."""
--- a/tests/core/control/test_leader.py
+++ b/tests/core/control/test_leader.py
@@ -49,6 +49,75 @@
 def test_report_of_an_earlier_process_is_ignored():
     """An entry that was restarted must not lose its lease to its former process."""
     control = running_control()
+    control.now += 0.01
     control.report("e1", incarnation=2)
-    control.report("e1", incarnation=1, released=release(1), sent_at_ns=10**18)
+    late = report("e1", control.now + 1.0, incarnation=1, released=release(1))
+    control.leader.reported(late, control.now)
     assert "e1" in control.leader._ledger.held_by(GROUP, control.now)
+
+
+def lose_holder(control: Control) -> Terminate:
+    """Let the entry ``e1`` fall silent until its connections at ``a`` are to be closed."""
+    control.entries["e3"] = {}
+    del control.entries["e1"]
+    for _ in range(40):
+        control.step()
+        control.commit()
+        for effect in control.take(Terminate):
+            if effect.target == "a":
+                return effect
+    raise AssertionError("no connections are terminated")
+
+
+def test_share_of_a_lost_holder_is_free_only_after_terminate():
+    """A frozen process cannot close its connections itself, so the end of its lease is not enough."""
+    control = running_control()
+    terminate = lose_holder(control)
+    assert (terminate.instance, terminate.incarnation) == ("e1", 1)
+    control.run(5.0)
+    control.commit()
+    assert control.holdings.share("a", "e3")[0] == 0
+    control.leader.terminated("a", "e1")
+    control.run(0.2)
+    assert control.holdings.share("a", "e3")[0] == 4
+
+
+def test_late_confirmation_of_terminate_does_not_free_new_connections():
+    """An entry that woke up meanwhile has opened connections that were never closed."""
+    control = running_control()
+    lose_holder(control)
+    control.now += 0.1
+    control.report("e1", shares=[share("a", 4, 0, 4)])
+    control.leader.terminated("a", "e1")
+    assert "e1" in control.holdings._ledgers["a"].instances
+
+
+def test_holder_is_recorded_before_its_share():
+    """A later leader must know every instance that may have connections."""
+    control = Control(started_state(holders=()))
+    control.step()
+    assert [p.command.set_holders.instances for p in control.take(Propose)] == [["e1", "e2"]]
+    control.run(0.5)
+    assert control.holdings.charged("a") == 0
+    control.run(1.0)
+    control.commit()
+    control.run(0.2)
+    assert control.holdings.charged("a") == 8
+
+
+def test_holder_whose_removal_is_under_way_gets_no_share():
+    """The removal would take effect after the grant, and a new leader would not know the holder."""
+    control = running_control()
+    control.entries["e2"]["draining"] = True
+    control.run(1.5)
+    removal = control.take(Propose)
+    assert [list(p.command.set_holders.instances) for p in removal] == [["e1"]] * len(removal)
+    assert removal
+    del control.entries["e2"]["draining"]
+    control.run(0.5)
+    assert control.holdings.share("a", "e2")[0] == 0
+    control.state.apply(0, removal[0].command)
+    control.run(1.5)
+    assert control.commit() == ["set_holders"]
+    control.run(0.5)
+    assert control.holdings.share("a", "e2")[0] == 4
