Keep the holders after a stall of the control process

Cause: entries count as live while their last report is less than 1 s old. A leader that did not run for 0.8 s, less than its leadership lease, found none, closed the connections of every group and published empty holder lists. Change: a gap of 0.3 s between ticks is not counted as silence, as the detector already does.

--- a/hibiscuspoint/core/control/entries.py
+++ b/hibiscuspoint/core/control/entries.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.core.control.leases import CLOCK_MARGIN, LEASE_SECONDS
@@ -96,6 +96,12 @@
         info = self._entries.get(instance)
         return info is None or now - info.seen_at > LEASE_SECONDS * (1 + CLOCK_MARGIN)
 
+    def forgive_stall(self, stalled: float, now: float) -> None:
+        """Count a time in which this process did not run not as silence of the entries."""
+        for entry in self.all:
+            seen_at = min(now, entry.seen_at + stalled)
+            self._entries[entry.instance] = replace(entry, seen_at=seen_at)
+
     def forget_silent(self, now: float) -> None:
         """Drop entries that have been silent for long."""
         for entry in self.all:
--- a/hibiscuspoint/core/control/leader.py
+++ b/hibiscuspoint/core/control/leader.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from hibiscuspoint.core.control.detector import STALL_SECONDS
 from hibiscuspoint.core.control.effects import Propose, PublishHolders
 from hibiscuspoint.core.control.entries import EntryDirectory, EntryInfo
 from hibiscuspoint.core.control.group import GroupController, RouteState
@@ -45,6 +46,7 @@
         self._entries = EntryDirectory()
         self._ledger = LeaseLedger(now)
         self._since = now
+        self._last_tick = now
         self._groups: dict[GroupId, GroupController] = {}
         self._holdings: dict[GroupId, GroupHoldings] = {}
         self._document: Document | None = None
@@ -143,6 +145,9 @@
 
     def tick(self, now: float) -> list[Effect]:
         """Advance all groups and return the effects."""
+        if now - self._last_tick >= STALL_SECONDS:
+            self._entries.forgive_stall(now - self._last_tick, now)
+        self._last_tick = now
         self._entries.forget_silent(now)
         effects = self._form_groups(now)
         for group in self._state.groups:
