Suspect a primary only for failures that are recent

Cause: the last failure of a holder counted until its next success. A group without traffic kept it for hours: a single lost announcement then gave REFUSED, and UNREACHABLE needed no 3 s of failures, as the last success was long ago. Both replace a healthy primary, the first within the cooldown. After a stall the detector moved its times into the future and counted the stall twice. Change: a refusal counts when it is newer than the last announcement; a holder is stuck when it failed for 3 s and still tries; times move to now at most.

--- a/hibiscuspoint/core/control/detector.py
+++ b/hibiscuspoint/core/control/detector.py
@@ -37,9 +37,11 @@
 
 @dataclass
 class _HolderView:
-    last_success: float
-    refused: bool = False
-    failing: bool = False
+    """Failures of one holder since its last success; times in seconds."""
+
+    refused_at: float = -math.inf
+    failing_since: float = math.inf
+    failed_at: float = -math.inf
 
 
 class FailureDetector:
@@ -51,7 +53,6 @@
 
     def __init__(self, primary: TargetId, now: float) -> None:
         self._primary = primary
-        self._started = now
         self._last_announcement = now
         self._last_success = now
         self._last_tick = now
@@ -73,13 +74,14 @@
         self, holder: InstanceId, successes: int, refusals: int, timeouts: int, now: float
     ) -> None:
         """Take what a holder saw on its connections since its last report."""
-        view = self._holders.setdefault(holder, _HolderView(self._started))
+        view = self._holders.setdefault(holder, _HolderView())
         if successes:
-            view.last_success = now
             self._last_success = now
-        if successes or refusals or timeouts:
-            view.refused = bool(refusals) and not successes
-            view.failing = bool(refusals or timeouts) and not successes
+            self._holders[holder] = _HolderView()
+        elif refusals or timeouts:
+            view.refused_at = now if refusals else -math.inf
+            view.failing_since = min(view.failing_since, now)
+            view.failed_at = now
 
     def needs_probe(self, now: float) -> bool:
         """Tell whether control should call the primary itself, as it stopped announcing."""
@@ -105,13 +107,19 @@
         views = [self._holders[holder] for holder in holders if holder in self._holders]
         if not views or len(views) < len(holders):
             return None
-        if silence >= SHORT_SILENCE_SECONDS and all(view.refused for view in views):
+        # A refusal before the last announcement says nothing about the silence since.
+        refused = all(view.refused_at >= self._last_announcement for view in views)
+        if silence >= SHORT_SILENCE_SECONDS and refused:
             return Suspicion.REFUSED
-        stuck = all(view.failing for view in views)
-        if stuck and now - self._last_success >= UNREACHABLE_SECONDS:
+        if all(self._is_stuck(view, now) for view in views):
             return Suspicion.UNREACHABLE
         return None
 
+    def _is_stuck(self, view: _HolderView, now: float) -> bool:
+        """Tell whether a holder has failed for long and still tries."""
+        is_trying = now - view.failed_at < UNREACHABLE_SECONDS
+        return is_trying and now - view.failing_since >= UNREACHABLE_SECONDS
+
     def _is_probe_refused(self, now: float) -> bool:
         """Tell whether a probe was refused lately and no request succeeded since."""
         refused_at = self._probe_refused_at
@@ -122,5 +130,7 @@
         self._last_tick = now
         if stalled < STALL_SECONDS:
             return
-        self._last_announcement += stalled
-        self._last_success += stalled
+        self._last_announcement = min(now, self._last_announcement + stalled)
+        self._last_success = min(now, self._last_success + stalled)
+        for view in self._holders.values():
+            view.failing_since += stalled
