Seal at least a majority of the members

Cause: the seal quorum N-W+1 comes from the W that the leader read when it adopted the group. Entries take W from their own document: after a change from W = 3 to 2 of 3 they acknowledge on two members, while the leader sealed one and could choose a member without the acknowledged record. Change: the quorum is never less than a majority. W is a majority or more, and a term starts only when W members are available, so a promotion waits for nothing new.

--- a/hibiscuspoint/core/control/promotion.py
+++ b/hibiscuspoint/core/control/promotion.py
@@ -76,8 +76,13 @@
 
     @property
     def seal_quorum(self) -> int:
-        """Return how many sealed members intersect every set of W members."""
-        return len(self._record.members) - self._ack_quorum + 1
+        """Return how many sealed members intersect every set of W members.
+
+        At least a majority, because entries may still act on a document with a smaller W. It costs
+        nothing: a term starts only when W members are available, which is a majority or more.
+        """
+        members = len(self._record.members)
+        return max(members - self._ack_quorum + 1, members // 2 + 1)
 
     def open_term(self, above: int, now: float) -> list[Effect]:
         """Propose the next term, higher than ``above``."""
