Tell the primary about members that appear after a promotion

Cause: the primary ships its log to the members listed in Promote. A list was sent again only when a known member changed its address, so a member that a new leader had not heard of at the promotion was told to follow but was never sent the log; the next failure then blocked all writes. A list without a quorum, which a new leader could send with a probe, stopped the shipping that writes need. Change: the group controller sends the list when it differs from the one that the primary confirmed, and sends none with fewer than W members.

--- a/hibiscuspoint/core/control/group.py
+++ b/hibiscuspoint/core/control/group.py
@@ -42,6 +42,9 @@
 #: Seconds between two requests to a member that does not follow the primary.
 REJOIN_RETRY_SECONDS = 0.5
 
+#: Seconds between two attempts to tell the primary the addresses of the members.
+TELL_RETRY_SECONDS = 0.5
+
 
 class RouteState(Enum):
     """What entries may do with the primary of a group."""
@@ -93,6 +96,9 @@
         self._probed_at = -math.inf
         self._rejoin_attempts: dict[TargetId, float] = {}
         self._published: tuple[int, RouteState] | None = None
+        self._sent_members: tuple[MemberAddress, ...] = ()
+        self._sent_members_at = -math.inf
+        self._told_members: tuple[MemberAddress, ...] = ()
 
     @property
     def record(self) -> GroupRecord:
@@ -173,6 +179,8 @@
         self._steps.joined(report, now)
         if report.accepted:
             self._reports[report.target] = (report.last, now)
+        if report.accepted and report.target == self._record.primary:
+            self._told_members = self._sent_members
 
     def refused(self, target: TargetId, now: float) -> None:
         """Record that the address of a member refused a call of control."""
@@ -213,17 +221,29 @@
             self._suspect = record.primary
             suspected = PrimarySuspected(record.group, record.primary, suspicion)
             return [suspected, *self._steps.open_term(0, now)]
-        return self._probe(now) + self._hand_over(now) + self._rejoin_members(now)
+        effects = self._probe(now) + self._tell_members(now)
+        return effects + self._hand_over(now) + self._rejoin_members(now)
 
     def _probe(self, now: float) -> list[Effect]:
         """Call a silent primary, because a refused call is proof that its process is gone."""
         if not self._detector.needs_probe(now) or now - self._probed_at < PROBE_INTERVAL_SECONDS:
             return []
         self._probed_at = now
-        return self.promote_again()
+        return self._promote_again(now)
+
+    def _tell_members(self, now: float) -> list[Effect]:
+        """Tell the primary about members that appeared or moved, as it ships its log to them."""
+        members = tuple(info.member_address for info in self._members())
+        if members == self._told_members:
+            return []
+        is_new = members != self._sent_members
+        if not is_new and now - self._sent_members_at < TELL_RETRY_SECONDS:
+            return []
+        return self._promote_again(now)
 
     def _begin_watching(self, now: float) -> None:
         self._detector = FailureDetector(self._record.primary, now)
+        self._sent_members = self._told_members = ()
         self._switchover = None
         self._suspect = None
         self._idle_since = None
@@ -269,7 +289,7 @@
         effects: list[Effect] = [
             Follow(group, info.member_address, term, primary.member_address) for info in followers
         ]
-        return [*effects, *self.promote_again()]
+        return [*effects, *self._promote_again(now)]
 
     def _rejoin_members(self, now: float) -> list[Effect]:
         primary = self._around.targets.get(self._record.primary)
@@ -283,13 +303,21 @@
             effects.append(Follow(group, info.member_address, term, primary.member_address))
         return effects
 
-    def promote_again(self) -> list[Effect]:
-        """Repeat the promotion: it tells the primary the addresses of the members."""
+    def _promote_again(self, now: float) -> list[Effect]:
+        """Repeat the promotion: it tells the primary the addresses of the members.
+
+        The primary ships its log to these members only, so a new leader waits until it knows
+        enough of them for the quorum.
+        """
         record = self._record
         primary = self._around.targets.get(record.primary) if record.primary else None
         if primary is None or record.phase is not GroupPhase.STARTED:
             return []
         members = tuple(info.member_address for info in self._members())
+        if len(members) < self._ack_quorum:
+            return []
+        self._sent_members = members
+        self._sent_members_at = now
         return [Promote(record.group, primary.member_address, record.term, members)]
 
     def _publish(self) -> list[Effect]:
--- a/hibiscuspoint/core/control/leader.py
+++ b/hibiscuspoint/core/control/leader.py
@@ -83,15 +83,12 @@
     def announced(self, message: peer_pb2.Announcement, now: float) -> list[Effect]:
         """Take an announcement of a target."""
         info = TargetInfo.from_message(message, now)
-        previous = self._targets.record(info)
+        self._targets.record(info)
         controller = self._groups.get(info.group)
         if controller is None:
             return []
         controller.announced(info, now)
-        effects: list[Effect] = []
-        if previous is not None and previous.address != info.address:
-            effects += controller.promote_again()
-        return effects + self._tick_group(controller, now)
+        return self._tick_group(controller, now)
 
     def reported(self, message: peer_pb2.EntryReport, now: float) -> list[Effect]:
         """Take a report of an entry."""
--- a/hibiscuspoint/core/control/targets.py
+++ b/hibiscuspoint/core/control/targets.py
@@ -71,13 +71,11 @@
         self._leaving.add(target)
         self._targets[target] = replace(self._targets[target], leaving=True)
 
-    def record(self, info: TargetInfo) -> TargetInfo | None:
-        """Keep an announcement and return the one before it."""
-        previous = self._targets.get(info.target)
+    def record(self, info: TargetInfo) -> None:
+        """Keep an announcement."""
         if info.target in self._leaving:
             info = replace(info, leaving=True)
         self._targets[info.target] = info
-        return previous
 
     def get(self, target: TargetId) -> TargetInfo | None:
         """Return the last announcement of a target."""
--- /dev/null
+++ b/tests/core/control/test_promotion.py
@@ -0,0 +1,191 @@
+"""Tests of promotions, their resumption by a new leader, and the replicated state."""
+
+from __future__ import annotations
+
+import pytest
+
+from hibiscuspoint.core.control import (
+    ControlState,
+    Follow,
+    GroupPhase,
+    Promote,
+    PublishRoutes,
+    Seal,
+    SubmissionOutcome,
+    judge_submission,
+)
+from hibiscuspoint.errors import ConfigurationConflictError
+from hibiscuspoint.wire import record_pb2
+from tests.builders_control import (
+    GROUP,
+    MEMBERS,
+    Control,
+    accept_document,
+    command,
+    member_report,
+    started_state,
+)
+
+
+def opened(term: int = 2, chosen: str = "", **group: object) -> Control:
+    """Return a new leader over a promotion that its predecessor began."""
+    state = started_state()
+    state.apply(9, command(open_term=record_pb2.OpenTerm(group=GROUP, term=term)))
+    if chosen:
+        body = record_pb2.ChoosePrimary(group=GROUP, term=term, primary=chosen)
+        state.apply(10, command(choose_primary=body))
+    control = Control(state, **group)
+    control.targets = {name: {"term": 1} for name in MEMBERS}
+    control.step()
+    return control
+
+
+def seal(control: Control, **indexes: int) -> None:
+    """Members answer that they are sealed at the present term."""
+    term = control.state.groups[GROUP].term
+    for target, index in indexes.items():
+        answer = member_report(target, 1, index, sealed_term=term)
+        control.effects += control.leader.sealed(GROUP, answer, control.now)
+
+
+def test_new_leader_resumes_sealing_and_chooses_the_longest_log():
+    """A candidate that lacks an acknowledged record would lose it (G2)."""
+    control = opened()
+    assert {effect.member.target for effect in control.take(Seal)} == set(MEMBERS)
+    seal(control, b=7)
+    control.run(0.3)
+    assert control.commit() == [], "one sealed member does not meet every quorum"
+    assert {effect.member.target for effect in control.take(Seal)} == {"a", "c"}
+    seal(control, c=8)
+    control.run(0.2)
+    assert control.commit() == ["choose_primary"]
+    assert control.state.groups[GROUP].primary == "c"
+
+
+def test_answers_of_other_terms_do_not_count():
+    """A member sealed at a lower term still accepts the log of the old primary."""
+    control = opened(term=3)
+    for target in MEMBERS:
+        answer = member_report(target, 1, 7, sealed_term=2)
+        control.effects += control.leader.sealed(GROUP, answer, control.now)
+    control.run(0.3)
+    assert control.commit() == []
+    ahead = member_report("a", 1, 7, sealed_term=8, accepted=False)
+    control.effects += control.leader.sealed(GROUP, ahead, control.now)
+    assert control.commit() == ["open_term"]
+    assert control.state.groups[GROUP].term == 9
+
+
+def test_seal_meets_the_quorum_of_entries_with_an_earlier_document():
+    """Entries of a document with W = 2 acknowledge on two members while control counts W = 3."""
+    control = opened(ack_quorum=3)
+    seal(control, b=7)
+    control.run(0.5)
+    assert control.commit() == []
+    seal(control, c=7)
+    control.run(0.2)
+    assert control.commit() == ["choose_primary"]
+
+
+def join(control: Control, target: str, index: int) -> None:
+    """A member answers that it holds the first record of term 2."""
+    answer = member_report(target, 2, index, sealed_term=2)
+    control.effects += control.leader.joined(GROUP, answer, control.now)
+
+
+def test_new_leader_resumes_a_chosen_primary_and_waits_for_old_leases():
+    """Leases of the predecessor may be in use until 2.55 s after it lost its leadership."""
+    control = opened(chosen="b")
+    assert {effect.member.target for effect in control.take(Promote)} == {"b"}
+    assert {effect.member.target for effect in control.take(Follow)} == {"a", "c"}
+    join(control, "b", 8)
+    control.run(0.3)
+    assert control.commit() == [], "the quorum does not hold the record"
+    while control.now < 2.5:
+        join(control, "b", 8)
+        join(control, "c", 8)
+        control.step()
+        assert control.commit() == []
+    control.run(0.2)
+    assert control.commit() == ["start_term"]
+    record = control.state.groups[GROUP]
+    assert record.phase is GroupPhase.STARTED
+    assert record.starts[-1] == (2, 8)
+    assert control.take(PublishRoutes)
+
+
+def test_chosen_primary_that_does_not_answer_is_replaced():
+    """A promotion must not wait for ever for a member that died in it."""
+    control = opened(chosen="b")
+    control.run(0.9)
+    assert control.commit() == []
+    control.run(0.3)
+    assert control.commit() == ["open_term"]
+
+
+def test_primary_learns_of_a_member_that_appears_later():
+    """The primary ships only to the members it was told, so a late one would never catch up."""
+    control = Control(started_state())
+    late = control.targets.pop("c")
+    control.step()
+    listed = [{m.target for m in effect.members} for effect in control.take(Promote)]
+    assert listed == [{"a", "b"}], "a list without a quorum would stop the writes"
+    control.run(1.0)
+    control.targets["c"] = late
+    control.step()
+    assert {m.target for m in control.take(Promote)[-1].members} == set(MEMBERS)
+
+
+def test_member_of_a_lower_term_is_told_to_follow():
+    """A member that missed the promotion would otherwise stay outside of the quorum."""
+    control = Control(started_state(term=3))
+    control.targets["c"] = {"term": 2}
+    control.run(0.4)
+    assert [(e.member.target, e.term) for e in control.take(Follow)] == [("c", 3)]
+
+
+def test_commands_that_no_longer_fit_change_nothing():
+    """Commands of an earlier leader may be applied late; terms only grow."""
+    state = started_state(term=4)
+    before = state.snapshot()
+    late = [
+        {"form_group": record_pb2.FormGroup(group=GROUP, members=["x"])},
+        {"open_term": record_pb2.OpenTerm(group=GROUP, term=4)},
+        {"choose_primary": record_pb2.ChoosePrimary(group=GROUP, term=4, primary="b")},
+        {"start_term": record_pb2.StartTerm(group=GROUP, term=4, start=9)},
+        {"start_term": record_pb2.StartTerm(group=GROUP, term=3, start=9)},
+        {"accept_document": record_pb2.AcceptDocument(number=2, digest="x")},
+    ]
+    for body in late:
+        state.apply(99, command(**body))
+    assert state.snapshot() == before
+
+
+def test_snapshot_restores_everything():
+    """A member that restarts from a snapshot must decide as the others do."""
+    state = started_state(term=4)
+    for number in range(1, 70):
+        state.apply(number, accept_document(number, f"d{number}"))
+    restored = ControlState()
+    restored.restore(state.snapshot())
+    assert restored.groups == state.groups
+    assert restored.documents == state.documents
+    assert restored.document.number == 69
+    assert len(restored.documents) == 64
+
+
+def test_documents_are_accepted_by_compare_and_set():
+    """Two operators with equal numbers must not overwrite each other (D13)."""
+    state = ControlState()
+    assert judge_submission(state, 1, "x") is SubmissionOutcome.PROPOSE
+    state.apply(1, accept_document(1, "x"))
+    state.apply(2, accept_document(1, "y"))
+    assert state.document.digest == "x"
+    state.apply(3, accept_document(2, "y"))
+    assert judge_submission(state, 1, "x") is SubmissionOutcome.ACCEPTED
+    assert judge_submission(state, 2, "y") is SubmissionOutcome.ACCEPTED
+    with pytest.raises(ConfigurationConflictError, match="digest x"):
+        judge_submission(state, 1, "y")
+    for number in (0, 4):
+        with pytest.raises(ConfigurationConflictError):
+            judge_submission(state, number, "x")
