--- a/hibiscuspoint/core/control/group.py
+++ b/hibiscuspoint/core/control/group.py
@@ -42,6 +42,9 @@
 #: Seconds between two requests to a member that does not follow the primary.
 REJOIN_RETRY_SECONDS = 0.5
 
+#: Seconds between two attempts to tell the primary the addresses of the members.
+TELL_RETRY_SECONDS = 0.5
+
 
 class RouteState(Enum):
     """What entries may do with the primary of a group."""
@@ -90,6 +93,9 @@
         self._probed_at = -math.inf
         self._rejoin_attempts: dict[TargetId, float] = {}
         self._published: tuple[int, RouteState] | None = None
+        self._sent_members: tuple[MemberAddress, ...] = ()
+        self._sent_members_at = -math.inf
+        self._told_members: tuple[MemberAddress, ...] = ()
 
     @property
     def record(self) -> GroupRecord:
@@ -120,11 +126,18 @@
     def request_switchover(self, wanted: TargetId | None, now: float) -> bool:
         """Start a switchover.
 
-        :returns: false when no primary is in force or another change is in progress.
+        A new leader starts none while entries may hold leases of its predecessor, as it could not
+        tell whether they have finished their work.
+
+        :returns: false when no primary is in force, another change is in progress, no successor
+            is live, or this instance became leader a moment ago.
         """
         if self._switchover is not None or self.route_state is not RouteState.GRANTED:
             return False
+        if not self._around.ledger.is_known(now) or not self._successors(wanted, now):
+            return False
         self._switchover = Switchover(self._record.primary, wanted, now)
+        self._idle_since = None
         return True
 
     def announced(self, info: TargetInfo, now: float) -> None:
@@ -158,6 +171,8 @@
         self._steps.joined(report, now)
         if report.accepted:
             self._reports[report.target] = (report.last, now)
+        if report.accepted and report.target == self._record.primary:
+            self._told_members = self._sent_members
 
     def refused(self, target: TargetId, now: float) -> None:
         """Record that the address of a member refused a call of control."""
@@ -198,17 +213,29 @@
             self._suspect = record.primary
             suspected = PrimarySuspected(record.group, record.primary, suspicion)
             return [suspected, *self._steps.open_term(0, now)]
-        return self._probe(now) + self._hand_over(now) + self._rejoin_members(now)
+        effects = self._probe(now) + self._tell_members(now)
+        return effects + self._hand_over(now) + self._rejoin_members(now)
 
     def _probe(self, now: float) -> list[Effect]:
         """Call a silent primary, because a refused call is proof that its process is gone."""
         if not self._detector.needs_probe(now) or now - self._probed_at < PROBE_INTERVAL_SECONDS:
             return []
         self._probed_at = now
-        return self.promote_again()
+        return self._promote_again(now)
+
+    def _tell_members(self, now: float) -> list[Effect]:
+        """Tell the primary about members that appeared or moved, as it ships its log to them."""
+        members = tuple(info.member_address for info in self._members())
+        if members == self._told_members:
+            return []
+        is_new = members != self._sent_members
+        if not is_new and now - self._sent_members_at < TELL_RETRY_SECONDS:
+            return []
+        return self._promote_again(now)
 
     def _begin_watching(self, now: float) -> None:
         self._detector = FailureDetector(self._record.primary, now)
+        self._sent_members = self._told_members = ()
         self._switchover = None
         self._suspect = None
         self._idle_since = None
@@ -220,12 +247,19 @@
 
     def _hand_over(self, now: float) -> list[Effect]:
         primary = self._around.targets.get(self._record.primary)
-        if primary is not None and primary.leaving and self._has_successor(now):
+        if primary is None:
+            return []
+        if primary.leaving:
             self.request_switchover(None, now)
         if self._switchover is None:
             return []
+        successors = self._successors(self._switchover.wanted, now)
+        if not successors:
+            # Pauses for a successor that is gone would delay writes for as long as it is away.
+            self._switchover = None
+            return []
         self._note_idle(now)
-        caught_up = self._idle_since is not None and self._has_caught_up()
+        caught_up = self._idle_since is not None and self._has_caught_up(successors)
         state = self._switchover.tick(self._idle_since is not None, caught_up, now)
         if state is SwitchoverState.READY:
             return self._steps.open_term(0, now)
@@ -247,7 +281,7 @@
         effects: list[Effect] = [
             Follow(group, info.member_address, term, primary.member_address) for info in followers
         ]
-        return [*effects, *self.promote_again()]
+        return [*effects, *self._promote_again(now)]
 
     def _rejoin_members(self, now: float) -> list[Effect]:
         primary = self._around.targets.get(self._record.primary)
@@ -261,13 +295,21 @@
             effects.append(Follow(group, info.member_address, term, primary.member_address))
         return effects
 
-    def promote_again(self) -> list[Effect]:
-        """Repeat the promotion: it tells the primary the addresses of the members."""
+    def _promote_again(self, now: float) -> list[Effect]:
+        """Repeat the promotion: it tells the primary the addresses of the members.
+
+        The primary ships its log to these members only, so a new leader waits until it knows
+        enough of them for the quorum.
+        """
         record = self._record
         primary = self._around.targets.get(record.primary) if record.primary else None
         if primary is None or record.phase is not GroupPhase.STARTED:
             return []
         members = tuple(info.member_address for info in self._members())
+        if len(members) < self._record.ack_quorum:
+            return []
+        self._sent_members = members
+        self._sent_members_at = now
         return [Promote(record.group, primary.member_address, record.term, members)]
 
     def _publish(self) -> list[Effect]:
@@ -299,33 +341,24 @@
     def _holders_idle(self, now: float) -> bool:
         return not self._around.ledger.held_by(self._record.group, now)
 
-    def _has_successor(self, now: float) -> bool:
-        primary = self._record.primary
-        return any(
-            info.target != primary and not info.leaving and info.target in self._live_members(now)
-            for info in self._members()
-        )
-
-    def _has_caught_up(self) -> bool:
+    def _has_caught_up(self, successors: list[TargetId]) -> bool:
         """Tell whether a successor holds all that the primary held after the last work ended."""
         primary = self._fresh_position(self._record.primary)
         return primary is not None and any(
             position is not None and position >= primary
-            for position in map(self._fresh_position, self._successors())
+            for position in map(self._fresh_position, successors)
         )
 
     def _fresh_position(self, target: TargetId) -> LogPosition | None:
         position, at = self._reports.get(target, (None, -math.inf))
         return position if self._idle_since is not None and at > self._idle_since else None
 
-    def _successors(self) -> list[TargetId]:
-        wanted = self._switchover.wanted if self._switchover else None
+    def _successors(self, wanted: TargetId | None, now: float) -> list[TargetId]:
+        live = self._live_members(now) - {self._record.primary}
         return [
             info.target
             for info in self._members()
-            if info.target != self._record.primary
-            and not info.leaving
-            and wanted in (None, info.target)
+            if info.target in live and not info.leaving and wanted in (None, info.target)
         ]
 
     def _preference(self, target: TargetId) -> tuple[int, ...]:
--- a/hibiscuspoint/core/control/holdings.py
+++ b/hibiscuspoint/core/control/holdings.py
@@ -60,6 +60,7 @@
         self._holders: list[InstanceId] = []
         self._ledgers: dict[TargetId, ShareLedger] = {}
         self._proposed_at = -RETRY_SECONDS
+        self._proposed: list[tuple[InstanceId, ...]] = []
         self._terminated_at: dict[tuple[TargetId, InstanceId], float] = {}
 
     @property
@@ -109,10 +110,16 @@
         if ledger is not None:
             ledger.reported(instance, share.allowance, share.open_connections, share.sequence)
 
-    def terminated(self, target: TargetId, instance: InstanceId) -> None:
-        """Take the confirmation that a target closed the connections of an instance."""
+    def terminated(self, target: TargetId, instance: InstanceId, entries: EntryDirectory) -> None:
+        """Take the confirmation that a target closed the connections of an instance.
+
+        It frees nothing if the instance reported since the request, as it may have opened new ones.
+        """
         ledger = self._ledgers.get(target)
-        if ledger is not None:
+        asked_at = self._terminated_at.get((target, instance))
+        entry = entries.get(instance)
+        has_returned = entry is not None and asked_at is not None and entry.seen_at >= asked_at
+        if ledger is not None and not has_returned:
             ledger.terminated(instance)
 
     def tick(self, entries: EntryDirectory, now: float) -> list[Effect]:
@@ -134,7 +141,8 @@
 
     def _tick_target(self, info: TargetInfo, entries: EntryDirectory, now: float) -> list[Effect]:
         ledger = self._ledger_of(info)
-        ledger.rebalance([holder for holder in self._holders if holder in self._record.holders])
+        recorded = self._recorded_holders()
+        ledger.rebalance([holder for holder in self._holders if holder in recorded])
         effects: list[Effect] = []
         for instance in ledger.instances:
             if not self._is_lost(instance, entries, now):
@@ -162,6 +170,13 @@
         ledger.set_limit(limit)
         return ledger
 
+    def _recorded_holders(self) -> set[InstanceId]:
+        """Return the entries that are in the control log and that no open proposal removes."""
+        if self._record.holders in self._proposed:
+            applied = self._proposed.index(self._record.holders)
+            del self._proposed[: applied + 1]
+        return set(self._record.holders).intersection(*self._proposed)
+
     def _record_holders(self, now: float) -> list[Effect]:
         charged = {i for ledger in self._ledgers.values() for i in ledger.instances}
         wanted = set(self._holders) | (charged & set(self._record.holders))
@@ -170,7 +185,8 @@
         if wanted == set(self._record.holders) or now - self._proposed_at < RETRY_SECONDS:
             return []
         self._proposed_at = now
-        body = record_pb2.SetHolders(group=self._record.group, instances=sorted(wanted))
+        self._proposed.append(tuple(sorted(wanted)))
+        body = record_pb2.SetHolders(group=self._record.group, instances=self._proposed[-1])
         return [Propose(record_pb2.Command(set_holders=body))]
 
     def _members(self) -> list[TargetInfo]:
--- a/hibiscuspoint/core/control/leader.py
+++ b/hibiscuspoint/core/control/leader.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from hibiscuspoint.core.control.detector import STALL_SECONDS
 from hibiscuspoint.core.control.effects import Propose, PublishHolders
 from hibiscuspoint.core.control.entries import EntryDirectory, EntryInfo
 from hibiscuspoint.core.control.group import GroupController, RouteState
@@ -45,6 +46,7 @@
         self._entries = EntryDirectory()
         self._ledger = LeaseLedger(now)
         self._since = now
+        self._last_tick = now
         self._groups: dict[GroupId, GroupController] = {}
         self._holdings: dict[GroupId, GroupHoldings] = {}
         self._document: Document | None = None
@@ -81,20 +83,18 @@
     def announced(self, message: peer_pb2.Announcement, now: float) -> list[Effect]:
         """Take an announcement of a target."""
         info = TargetInfo.from_message(message, now)
-        previous = self._targets.record(info)
+        self._targets.record(info)
         controller = self._groups.get(info.group)
         if controller is None:
             return []
         controller.announced(info, now)
-        effects: list[Effect] = []
-        if previous is not None and previous.address != info.address:
-            effects += controller.promote_again()
-        return effects + self._tick_group(controller, now)
+        return self._tick_group(controller, now)
 
     def reported(self, message: peer_pb2.EntryReport, now: float) -> list[Effect]:
         """Take a report of an entry."""
         info = EntryInfo.from_message(message, now)
-        self._entries.record(info)
+        if not self._entries.record(info):
+            return []
         for released in message.released:
             self._ledger.release(GroupId(released.group), info.instance, Term(released.term))
         for share in message.shares:
@@ -128,7 +128,7 @@
     def terminated(self, target: TargetId, instance: InstanceId) -> None:
         """Take the confirmation that a target closed the connections of an instance."""
         for holdings in self._holdings.values():
-            holdings.terminated(target, instance)
+            holdings.terminated(target, instance, self._entries)
 
     def request_switchover(self, group: GroupId, wanted: TargetId | None, now: float) -> bool:
         """Start a switchover; returns false when the group cannot change its primary now."""
@@ -142,6 +142,9 @@
 
     def tick(self, now: float) -> list[Effect]:
         """Advance all groups and return the effects."""
+        if now - self._last_tick >= STALL_SECONDS:
+            self._entries.forgive_stall(now - self._last_tick, now)
+        self._last_tick = now
         self._entries.forget_silent(now)
         effects = self._form_groups(now)
         for group in self._state.groups:
