Print the summary of hibiscuspoint load

Cause: the command passed the result object of the load tool to int(). Before: every run of 'hibiscuspoint load' ended with a TypeError after the load. After: it prints the summary and exits with 1 when a guarantee was violated.

--- a/hibiscuspoint/cli/commands/load.py
+++ b/hibiscuspoint/cli/commands/load.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import importlib
+import json
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.cli.command import Command, commands
+from hibiscuspoint.cli.errors import ExitStatus
 from hibiscuspoint.cli.options import add_file_argument
 
 if TYPE_CHECKING:
@@ -27,7 +29,9 @@
         add_file_argument(parser, "file", "load description")
 
     def run(self) -> int:
-        """Run the load tool and return its status."""
+        """Run the load tool; a violated guarantee is a failure."""
         # The load tool imports much that the other commands do not need.
         tool = importlib.import_module("hibiscuspoint.load.tool")
-        return int(tool.run(self.args.file) or 0)
+        result = tool.run(self.args.file)
+        self.output.result(result.summary, json.dumps(result.summary, indent=2))
+        return int(ExitStatus.SUCCESS if result.holds else ExitStatus.FAILURE)
