--- a/hibiscuspoint/cli/client.py
+++ b/hibiscuspoint/cli/client.py
@@ -24,6 +24,8 @@
 #: Time to open one connection; a reachable instance needs a few milliseconds.
 CONNECT_SECONDS = 2.0
 RETRY_SECONDS = 0.25
+#: Time to find out why a connection failed.
+PROBE_SECONDS = 0.5
 #: Time for a reply after the timeout of a request, so that the entry's own verdict arrives.
 REPLY_GRACE_SECONDS = 1.0
 
@@ -128,7 +130,7 @@
         async with self._transport.channel(address, _CHANNEL_OPTIONS) as channel:
             left = max(deadline - time.monotonic(), 0.0)
             if not await _is_ready(channel, min(CONNECT_SECONDS, left)):
-                return _Failure(address, "no connection", False)
+                return _Failure(address, await _why_not_ready(address), False)
             stub = _stub(channel, method)
             try:
                 left = max(deadline - time.monotonic(), 0.0)
@@ -151,6 +153,18 @@
     return state is grpc.ChannelConnectivity.READY
 
 
+async def _why_not_ready(address: str) -> str:
+    """Tell a port that is not reached from one that speaks with another protection."""
+    host, _, port = address.rpartition(":")
+    try:
+        async with asyncio.timeout(PROBE_SECONDS):
+            _, writer = await asyncio.open_connection(host.strip("[]"), int(port))
+    except (OSError, TimeoutError) as error:
+        return (getattr(error, "strerror", None) or "no connection").lower()
+    writer.close()
+    return "the port is open, but the TLS handshake or the plain-text connection failed"
+
+
 def _stub(channel: grpc.aio.Channel, method: str) -> Any:
     if method == "Execute":
         return caller_pb2_grpc.CallerStub(channel)
