--- a/hibiscuspoint/cli/errors.py
+++ b/hibiscuspoint/cli/errors.py
@@ -10,6 +10,7 @@
     ConfigurationError,
     HibiscusError,
     IdempotencyConflictError,
+    RequestError,
 )
 from hibiscuspoint.verdict import Verdict
 
@@ -93,6 +94,7 @@
 _STATUS_BY_CODE = {
     ConfigurationError.code: ExitStatus.USAGE,
     UsageError.code: ExitStatus.USAGE,
+    RequestError.code: ExitStatus.USAGE,
     ConfigurationConflictError.code: ExitStatus.CONFLICT,
     IdempotencyConflictError.code: ExitStatus.CONFLICT,
 }
--- a/hibiscuspoint/cli/main.py
+++ b/hibiscuspoint/cli/main.py
@@ -23,7 +23,7 @@
 _EXIT_TEXT = """exit status:
   0  success
   1  failure; the request did not run, or a target refused the statement
-  2  wrong usage or configuration that is not valid
+  2  wrong usage, a request that is not valid, or configuration that is not valid
   3  the outcome is unknown; the request may have run
   4  conflict with another submission
 """
--- a/hibiscuspoint/core/consensus/repair.py
+++ b/hibiscuspoint/core/consensus/repair.py
@@ -62,8 +62,11 @@
         :raises RequestError: the instance is no control instance, or is the leader itself.
         """
         state = self._state
-        if instance not in state.peers or instance == state.me.instance:
-            raise RequestError(f"Instance {instance} cannot be repaired by {state.me.instance}.")
+        if instance not in state.peers:
+            known = ", ".join(sorted(state.peers))
+            raise RequestError(f"{instance!r} is no control instance; known ones: {known}")
+        if instance == state.me.instance:
+            raise RequestError(f"{instance!r} leads the control group, so its disk is not lost")
         disk = state.disks.get(instance)
         if disk is None:
             return self._report(RepairPhase.WAITING, None)
