Return the progress of planned acts and show connections in the status

Cause: the leader held a drain for 30 s and a repair until its end, longer than any client waits; the status sent the instance of a share in the field of the target and 0 open connections. After: an act returns its progress within 3 s and a repair goes on after the call; a drain of a target waits until no entry reports a request there; TargetShare carries instance, granted, open and used connections; ActReply carries the verdict.

--- a/hibiscuspoint/cli/commands/status.py
+++ b/hibiscuspoint/cli/commands/status.py
@@ -99,16 +99,33 @@
             f"{target.received.term}:{target.received.index}",
             target.applied,
             f"{target.silent_ms} ms",
-            sum(share.open_connections for share in target.shares),
+            _shares(target),
             "leaving" if target.leaving else "",
         )
         for group in status.groups
         for target in group.targets
     ]
-    header = ["target", "group", "zone", "role", "received", "applied", "silent", "open", ""]
+    header = [
+        "target",
+        "group",
+        "zone",
+        "role",
+        "received",
+        "applied",
+        "silent",
+        "open/granted",
+        "",
+    ]
     return format_table(header, rows)
 
 
+def _shares(target: peer_pb2.TargetStatus) -> str:
+    """Return the open and the granted connections of each holder."""
+    return " ".join(
+        f"{share.instance}:{share.open_connections}/{share.granted}" for share in target.shares
+    )
+
+
 def _instances(status: peer_pb2.StatusReply) -> str:
     rows = [
         (
--- a/hibiscuspoint/components/operator_service.py
+++ b/hibiscuspoint/components/operator_service.py
@@ -6,6 +6,7 @@
 import logging
 from typing import TYPE_CHECKING
 
+from hibiscuspoint.components.repairs import Repairs
 from hibiscuspoint.components.status import build_status
 from hibiscuspoint.core.control import SubmissionOutcome, judge_submission
 from hibiscuspoint.document import Document
@@ -32,15 +33,20 @@
 
 logger = logging.getLogger(__name__)
 
-#: Seconds that a forwarded call may take; planned acts wait for their end.
-CALL_SECONDS = 40.0
+#: Seconds that a forwarded call may take; longer than the wait for a planned act.
+CALL_SECONDS = 5.0
 
-#: Longest time in seconds that a planned act is waited for before its progress is returned.
-ACT_SECONDS = 30.0
+#: Longest time in seconds that a planned act is waited for before its progress is returned. Below
+#: the 5 s after which operator clients of this repository give up a call.
+ACT_SECONDS = 3.0
 
 #: Seconds between two looks at the progress of a planned act.
 POLL_SECONDS = 0.05
 
+#: Seconds after which every live entry has reported that a target takes no new work;
+#: an entry reports every 0.25 s.
+SETTLE_SECONDS = 1.0
+
 MILLISECONDS = 1000
 
 
@@ -55,6 +61,7 @@
         self._environment = environment
         self._control = control
         self._leader_client = leader
+        self._repairs = Repairs(control.log) if control is not None else None
 
     async def Submit(
         self, request: peer_pb2.SubmitRequest, context: grpc.aio.ServicerContext
@@ -116,7 +123,7 @@
                 return await self._drain_target(TargetId(request.subject))
             raise RequestError(f"{request.subject!r} is no known instance or target")
         except HibiscusError as error:
-            return peer_pb2.ActReply(error=_error(error))
+            return _refused(error)
 
     async def Switchover(
         self, request: peer_pb2.SwitchoverRequest, context: grpc.aio.ServicerContext
@@ -128,7 +135,7 @@
             wanted = TargetId(request.to_target) if request.to_target else None
             return await self._switch_over(GroupId(request.group), wanted)
         except HibiscusError as error:
-            return peer_pb2.ActReply(error=_error(error))
+            return _refused(error)
 
     async def Repair(
         self, request: peer_pb2.RepairRequest, context: grpc.aio.ServicerContext
@@ -137,15 +144,11 @@
         try:
             if self._leader is None:
                 return await self._forward("Repair", request)
-            instance = InstanceId(request.instance)
-            progress = ""
-            log_event(logger, catalogue.REPAIR_STARTED, subject=instance)
-            async for step in self._control.log.repair(instance):
-                progress = step.phase.value
-            log_event(logger, catalogue.REPAIR_FINISHED, subject=instance)
-            return peer_pb2.ActReply(accepted=True, finished=True, progress=progress)
+            repair = self._repairs.start(InstanceId(request.instance))
+            await repair.wait(ACT_SECONDS)
+            return _acted(repair.is_done, repair.progress)
         except HibiscusError as error:
-            return peer_pb2.ActReply(error=_error(error))
+            return _refused(error)
 
     @property
     def _leader(self) -> ControlLeader | None:
@@ -220,12 +223,19 @@
         leader = self._require_leader()
         info = leader.targets.get(target)
         leader.targets.mark_leaving(target)
+        # Reads chosen before the entries learned of it may still be on their way to the target.
+        quiet_from = self._control.clock.monotonic() + SETTLE_SECONDS
 
         def has_left() -> bool:
             record = self._control.state.groups.get(info.group)
-            return record is None or record.primary != target
+            if record is None:
+                return True
+            holdings = self._require_leader().holdings.get(info.group)
+            is_unused = holdings is None or holdings.is_unused(target)
+            is_settled = self._control.clock.monotonic() >= quiet_from
+            return record.primary != target and is_unused and is_settled
 
-        return await self._wait_for(has_left, f"group {info.group} changes its primary")
+        return await self._wait_for(has_left, f"work at {target} is finishing")
 
     async def _switch_over(self, group: GroupId, wanted: TargetId | None) -> peer_pb2.ActReply:
         leader = self._require_leader()
@@ -236,7 +246,7 @@
         if wanted is not None and wanted not in record.members:
             raise RequestError(f"target {wanted!r} is no member of group {group!r}")
         if wanted is not None and wanted == record.primary:
-            return peer_pb2.ActReply(accepted=True, finished=True, progress="already primary")
+            return _acted(True, "already primary")
         term = record.term
         leader.request_switchover(group, wanted, self._control.clock.monotonic())
 
@@ -249,9 +259,9 @@
         deadline = self._control.clock.monotonic() + ACT_SECONDS
         while not condition():
             if self._control.clock.monotonic() >= deadline:
-                return peer_pb2.ActReply(accepted=True, progress=progress)
+                return _acted(False, progress)
             await asyncio.sleep(POLL_SECONDS)
-        return peer_pb2.ActReply(accepted=True, finished=True, progress="done")
+        return _acted(True, "done")
 
     def _require_leader(self) -> ControlLeader:
         leader = self._leader
@@ -262,3 +272,13 @@
 
 def _error(error: HibiscusError) -> common_pb2.Error:
     return common_pb2.Error(code=error.code, message=error.message, hint=error.hint)
+
+
+def _acted(is_finished: bool, progress: str) -> peer_pb2.ActReply:
+    return peer_pb2.ActReply(
+        accepted=True, finished=is_finished, progress=progress, verdict=common_pb2.DONE
+    )
+
+
+def _refused(error: HibiscusError) -> peer_pb2.ActReply:
+    return peer_pb2.ActReply(error=_error(error), verdict=error.verdict.value)
--- a/hibiscuspoint/components/status.py
+++ b/hibiscuspoint/components/status.py
@@ -86,8 +86,14 @@
     )
     holdings = leader.holdings.get(record.group)
     for instance in record.holders if holdings is not None else ():
-        connections, _ = holdings.share(info.target, instance)
+        granted, _ = holdings.share(info.target, instance)
+        use = holdings.use(info.target, instance)
         status.shares.append(
-            peer_pb2.ShareUse(target=instance, open_connections=0, allowance=connections)
+            peer_pb2.TargetShare(
+                instance=instance,
+                granted=granted,
+                open_connections=use.open_connections,
+                demand=use.demand,
+            )
         )
     return status
--- a/hibiscuspoint/core/control/holdings.py
+++ b/hibiscuspoint/core/control/holdings.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.core.control.effects import Propose, Terminate
 from hibiscuspoint.core.control.holders import choose_holders
 from hibiscuspoint.core.control.leases import CLOCK_MARGIN, LEASE_SECONDS
 from hibiscuspoint.core.control.shares import ShareLedger
+from hibiscuspoint.ids import TargetId
 from hibiscuspoint.wire import record_pb2
 
 if TYPE_CHECKING:
@@ -16,10 +18,10 @@
     from hibiscuspoint.core.control.state import GroupRecord
     from hibiscuspoint.core.control.targets import TargetDirectory, TargetInfo
     from hibiscuspoint.document.model import GroupModel
-    from hibiscuspoint.ids import InstanceId, TargetId
+    from hibiscuspoint.ids import InstanceId
     from hibiscuspoint.wire import peer_pb2
 
-__all__ = ["GroupHoldings"]
+__all__ = ["ConnectionUse", "GroupHoldings"]
 
 #: Bits for the sequence of grants within one control term.
 SEQUENCE_BITS = 32
@@ -31,6 +33,17 @@
 SETTLE_SECONDS = 2.0
 
 
+@dataclass(frozen=True)
+class ConnectionUse:
+    """Connections of an entry to a target, as it reported them last.
+
+    :param demand: connections that requests used or waited for.
+    """
+
+    open_connections: int = 0
+    demand: int = 0
+
+
 class GroupHoldings:
     """Decides which entries hold connections of a group, and how many each.
 
@@ -59,6 +72,7 @@
         self._earlier = record.holders
         self._holders: list[InstanceId] = []
         self._ledgers: dict[TargetId, ShareLedger] = {}
+        self._uses: dict[tuple[TargetId, InstanceId], ConnectionUse] = {}
         self._proposed_at = -RETRY_SECONDS
         self._terminated_at: dict[tuple[TargetId, InstanceId], float] = {}
 
@@ -98,6 +112,14 @@
         ledger = self._ledgers.get(target)
         return ledger.granted(instance) if ledger is not None else (0, 0)
 
+    def use(self, target: TargetId, instance: InstanceId) -> ConnectionUse:
+        """Return what an entry reported last about its connections to a target."""
+        return self._uses.get((target, instance), ConnectionUse())
+
+    def is_unused(self, target: TargetId) -> bool:
+        """Tell whether no entry reported a request that uses or waits for a connection."""
+        return all(not use.demand for (used, _), use in self._uses.items() if used == target)
+
     def charged(self, target: TargetId) -> int:
         """Return the connections that all instances may have open at a target."""
         ledger = self._ledgers.get(target)
@@ -108,12 +130,15 @@
         ledger = self._ledgers.get(share.target)
         if ledger is not None:
             ledger.reported(instance, share.allowance, share.open_connections, share.sequence)
+            use = ConnectionUse(share.open_connections, share.demand)
+            self._uses[TargetId(share.target), instance] = use
 
     def terminated(self, target: TargetId, instance: InstanceId) -> None:
         """Take the confirmation that a target closed the connections of an instance."""
         ledger = self._ledgers.get(target)
         if ledger is not None:
             ledger.terminated(instance)
+            self._uses.pop((target, instance), None)
 
     def tick(self, entries: EntryDirectory, now: float) -> list[Effect]:
         """Choose holders, divide connections and return the effects."""
--- a/hibiscuspoint/load/operator_client.py
+++ b/hibiscuspoint/load/operator_client.py
@@ -90,7 +90,7 @@
 
 def _acted(reply: peer_pb2.ActReply) -> peer_pb2.ActReply:
     if not reply.accepted:
-        raise _error(reply.error, 0)
+        raise _error(reply.error, reply.verdict)
     return reply
 
 
