Restrict the internal services to listed certificates and give callers a port of their own

Cause: one port carried Caller, Peer, Control, Operator and Consensus. Change: [listen] callers serves Caller alone with server TLS. With mode mutual, [tls] instances is required and operators and targets are optional; names are compared with the subject alternative names. A refused call gets PERMISSION_DENIED and event 108 peer-refused; the command line reports it as HP3008. Stand-ins announce with TLS when they have certificate files.

--- a/hibiscuspoint/cli/client.py
+++ b/hibiscuspoint/cli/client.py
@@ -9,7 +9,12 @@
 
 import grpc
 
-from hibiscuspoint.cli.errors import OutcomeUnknownError, UnreachableError, error_from_wire
+from hibiscuspoint.cli.errors import (
+    AccessRefusedError,
+    OutcomeUnknownError,
+    UnreachableError,
+    error_from_wire,
+)
 from hibiscuspoint.errors import NotLeaderError
 from hibiscuspoint.wire import caller_pb2_grpc, peer_pb2, peer_pb2_grpc
 
@@ -136,6 +141,9 @@
                 left = max(deadline - time.monotonic(), 0.0)
                 return await getattr(stub, method)(request, timeout=left)
             except grpc.aio.AioRpcError as error:
+                if error.code() is grpc.StatusCode.PERMISSION_DENIED:
+                    message = f"{address} refused the call: {error.details()}."
+                    raise AccessRefusedError(message) from None
                 reason = f"{error.code().name} {error.details() or ''}".strip()
                 return _Failure(address, reason, error.code() is not grpc.StatusCode.UNIMPLEMENTED)
 
--- a/hibiscuspoint/cli/errors.py
+++ b/hibiscuspoint/cli/errors.py
@@ -15,6 +15,7 @@
 from hibiscuspoint.verdict import Verdict
 
 __all__ = [
+    "AccessRefusedError",
     "ExitStatus",
     "IncompleteAnswerError",
     "OutcomeUnknownError",
@@ -61,6 +62,14 @@
     hint = "Check the outcome before you repeat the command."
 
 
+class AccessRefusedError(HibiscusError):
+    """The instance does not let the certificate call the service."""
+
+    code = "HP3008"
+    hint = "Use a certificate with a name of [tls] operators in the settings of the instances."
+    verdict = Verdict.NOT_RUN
+
+
 class PromotionRefusedError(HibiscusError):
     """The conditions of the promotion are not met."""
 
--- a/hibiscuspoint/components/attachment.py
+++ b/hibiscuspoint/components/attachment.py
@@ -84,7 +84,7 @@
             self._redirect = ""
             channel = self._channels.open(address)
             try:
-                await self._attach(channel)
+                await self._attach(channel, address)
             except (grpc.aio.AioRpcError, asyncio.InvalidStateError, TimeoutError) as error:
                 logger.debug("attachment to %s ended: %s", address, error)
             finally:
@@ -92,12 +92,12 @@
             if not self._redirect:
                 await asyncio.sleep(RETRY_SECONDS)
 
-    async def _attach(self, channel: grpc.aio.Channel) -> None:
+    async def _attach(self, channel: grpc.aio.Channel, address: str) -> None:
         call = peer_pb2_grpc.ControlStub(channel).Attach()
         self._heard_at = asyncio.get_running_loop().time()
         tasks = [
             asyncio.ensure_future(self._receive(call)),
-            asyncio.ensure_future(self._send(call)),
+            asyncio.ensure_future(self._send(call, address)),
         ]
         try:
             done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
@@ -120,11 +120,16 @@
             self._heard_at = loop.time()
             self._runtime.dispatch(update_received(update))
 
-    async def _send(self, call: grpc.aio.StreamStreamCall) -> None:
+    async def _send(self, call: grpc.aio.StreamStreamCall, address: str) -> None:
         loop = asyncio.get_running_loop()
+        generation = self._channels.generation
         while True:
             if loop.time() - self._heard_at > SILENCE_SECONDS:
                 raise TimeoutError("the control leader is silent")
+            if self._channels.generation != generation:
+                # Attaches again at once, with the changed certificate.
+                self._redirect = address
+                return
             self._news.clear()
             async with asyncio.timeout(SILENCE_SECONDS):
                 await call.write(self._make_report())
--- a/hibiscuspoint/components/consensus.py
+++ b/hibiscuspoint/components/consensus.py
@@ -61,6 +61,7 @@
     :param data_directory: directory of the disk log.
     :param state_machine: receives committed commands.
     :param channel_factory: creates a channel like ``grpc.aio.insecure_channel``.
+    :param channel_generation: returns a number whose change asks for new channels.
     :param clock: returns seconds of a clock that never steps.
     :param compaction_entries: applied entries after which a snapshot replaces them.
     """
@@ -75,6 +76,7 @@
         state_machine: StateMachine,
         *,
         channel_factory: Callable[..., grpc.aio.Channel] = grpc.aio.insecure_channel,
+        channel_generation: Callable[[], int] = lambda: 0,
         clock: Callable[[], float] = suspend_aware,
         compaction_entries: int = COMPACTION_ENTRIES,
     ) -> None:
@@ -84,7 +86,9 @@
         self._state_machine = state_machine
         self._clock = clock
         self._compaction_entries = compaction_entries
-        self._transport = Transport(instance, peers, channel_factory, self._receive)
+        self._transport = Transport(
+            instance, peers, channel_factory, self._receive, channel_generation
+        )
         self._proposals = Proposals()
         self._inbox: list[Message] = []
         self._node: Node | None = None
--- a/hibiscuspoint/components/consensus_link.py
+++ b/hibiscuspoint/components/consensus_link.py
@@ -51,6 +51,7 @@
     :param address: "ip:port" of the peer.
     :param channel_factory: creates a channel like ``grpc.aio.insecure_channel``.
     :param receive: called with each reply.
+    :param generation: returns a number whose change asks for a new channel.
     """
 
     def __init__(
@@ -58,10 +59,12 @@
         address: str,
         channel_factory: Callable[..., grpc.aio.Channel],
         receive: Callable[[Envelope], None],
+        generation: Callable[[], int],
     ) -> None:
         self._address = address
         self._channel_factory = channel_factory
         self._receive = receive
+        self._generation = generation
         self._queue: asyncio.Queue[Envelope] = asyncio.Queue(_QUEUE_LENGTH)
         self._backoff = _BACKOFF_MIN
         self._unanswered = False
@@ -96,12 +99,12 @@
             await channel.close()
 
     async def _converse(self, call: grpc.aio.StreamStreamCall) -> None:
-        """Run until the first of writer, reader and silence check ends."""
+        """Run until the first of writer, reader and check ends."""
         self._unanswered = False
         tasks = [
             asyncio.create_task(self._write(call)),
             asyncio.create_task(self._read(call)),
-            asyncio.create_task(self._check_silence()),
+            asyncio.create_task(self._check()),
         ]
         try:
             done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
@@ -126,9 +129,12 @@
             self._backoff = _BACKOFF_MIN
             self._receive(envelope)
 
-    async def _check_silence(self) -> None:
+    async def _check(self) -> None:
         silent_checks = 0
+        generation = self._generation()
         while silent_checks < _SILENT_CHECKS:
             await asyncio.sleep(_CHECK_INTERVAL)
+            if self._generation() != generation:
+                return
             silent_checks = silent_checks + 1 if self._unanswered else 0
         raise TimeoutError(f"no reply from {self._address}")
--- a/hibiscuspoint/components/consensus_transport.py
+++ b/hibiscuspoint/components/consensus_transport.py
@@ -37,6 +37,7 @@
     :param peers: addresses ("ip:port") of all control instances, with this one.
     :param channel_factory: creates a channel like ``grpc.aio.insecure_channel``.
     :param receive: called with each message.
+    :param generation: returns a number whose change asks for new channels.
     """
 
     def __init__(
@@ -45,9 +46,11 @@
         peers: Mapping[InstanceId, str],
         channel_factory: Callable[..., grpc.aio.Channel],
         receive: Callable[[Message], None],
+        generation: Callable[[], int],
     ) -> None:
         self._receive = receive
         self._channel_factory = channel_factory
+        self._generation = generation
         self._addresses = {peer: address for peer, address in peers.items() if peer != instance}
         self._links: dict[InstanceId, PeerLink] = {}
         self._tasks: list[asyncio.Task[None]] = []
@@ -61,7 +64,7 @@
     def start(self) -> None:
         """Connect to all peers."""
         for peer, address in self._addresses.items():
-            link = PeerLink(address, self._channel_factory, self._decode)
+            link = PeerLink(address, self._channel_factory, self._decode, self._generation)
             self._links[peer] = link
             self._tasks.append(asyncio.create_task(link.run()))
 
--- a/hibiscuspoint/components/peers.py
+++ b/hibiscuspoint/components/peers.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.util.channels import CHANNEL_OPTIONS
+from hibiscuspoint.util.tasks import spawn
 
 if TYPE_CHECKING:
     import grpc
@@ -14,6 +15,15 @@
 
 __all__ = ["PEER_SERVER_OPTIONS", "PeerChannels"]
 
+#: Seconds between two looks at the certificate files.
+CHECK_SECONDS = 1.0
+
+#: Seconds for which a replaced channel stays open, for calls that chose it before.
+RETIRE_SECONDS = 5.0
+
+#: Seconds that calls in progress on a replaced channel may take after that.
+RETIRE_GRACE_SECONDS = 60.0
+
 #: An unanswered keepalive closes a silent connection within two seconds.
 _KEEPALIVE_OPTIONS = (
     ("grpc.keepalive_time_ms", 1000),
@@ -43,6 +53,31 @@
     def __init__(self, transport: Transport) -> None:
         self._transport = transport
         self._channels: dict[str, grpc.aio.Channel] = {}
+        self._generation = transport.generation
+        self._checked_at = float("-inf")
+
+    @property
+    def generation(self) -> int:
+        """Return a number that increases when the certificate files changed."""
+        return self._generation
+
+    def tick(self, now: float) -> None:
+        """Replace all channels when the certificate files have changed.
+
+        Calls in progress go on over the channel on which they began.
+
+        :param now: monotonic time in seconds.
+        """
+        if now - self._checked_at < CHECK_SECONDS:
+            return
+        self._checked_at = now
+        generation = self._transport.generation
+        if generation == self._generation:
+            return
+        self._generation = generation
+        replaced, self._channels = self._channels, {}
+        for address, channel in replaced.items():
+            spawn(_retire(channel), f"end of the channel to {address}")
 
     def get(self, address: str) -> grpc.aio.Channel:
         """Return the channel to an address."""
@@ -74,3 +109,8 @@
         for channel in self._channels.values():
             await channel.close()
         self._channels.clear()
+
+
+async def _retire(channel: grpc.aio.Channel) -> None:
+    await asyncio.sleep(RETIRE_SECONDS)
+    await channel.close(RETIRE_GRACE_SECONDS)
--- a/hibiscuspoint/components/tls.py
+++ b/hibiscuspoint/components/tls.py
@@ -146,16 +146,17 @@
             return cls(tls.mode, None, message_bytes)
         return cls(tls.mode, TlsFiles(tls.certificate, tls.key, tls.ca), message_bytes)
 
-    def bind(self, server: grpc.aio.Server, address: str) -> None:
+    def bind(self, server: grpc.aio.Server, address: str, *, for_callers: bool = False) -> None:
         """Add a port to a server that has not started.
 
+        :param for_callers: ask for no client certificate, also with mutual TLS.
         :raises RuntimeError: the address is in use.
         """
         if self._files is None:
             log_event(logger, catalogue.PLAIN_TEXT_IN_USE, address=address)
             server.add_insecure_port(address)
             return
-        server.add_secure_port(address, self._server_credentials(self._files))
+        server.add_secure_port(address, self._server_credentials(self._files, for_callers))
 
     def channel(self, address: str, options: Sequence[tuple[str, int]] = ()) -> grpc.aio.Channel:
         """Open a channel with the certificate files as they are now.
@@ -175,16 +176,18 @@
         )
         return grpc.aio.secure_channel(address, credentials, options=merged)
 
-    def _server_credentials(self, files: TlsFiles) -> grpc.ServerCredentials:
+    def _server_credentials(self, files: TlsFiles, for_callers: bool) -> grpc.ServerCredentials:
+        is_mutual = self._mode is TlsMode.MUTUAL and not for_callers
         return grpc.dynamic_ssl_server_credentials(
-            self._configuration(files),
-            lambda: self._configuration(files),
-            require_client_authentication=self._mode is TlsMode.MUTUAL,
+            _configuration(files, is_mutual),
+            lambda: _configuration(files, is_mutual),
+            require_client_authentication=is_mutual,
         )
 
-    def _configuration(self, files: TlsFiles) -> grpc.ServerCertificateConfiguration:
-        contents = files.current()
-        return grpc.ssl_server_certificate_configuration(
-            [(contents.key, contents.certificate)],
-            root_certificates=contents.ca if self._mode is TlsMode.MUTUAL else None,
-        )
+
+def _configuration(files: TlsFiles, is_mutual: bool) -> grpc.ServerCertificateConfiguration:
+    contents = files.current()
+    return grpc.ssl_server_certificate_configuration(
+        [(contents.key, contents.certificate)],
+        root_certificates=contents.ca if is_mutual else None,
+    )
--- a/hibiscuspoint/daemon/node.py
+++ b/hibiscuspoint/daemon/node.py
@@ -11,6 +11,7 @@
 import grpc
 
 from hibiscuspoint import __version__
+from hibiscuspoint.components.access import AccessInterceptor, AccessPolicy
 from hibiscuspoint.components.attachment import Attachment
 from hibiscuspoint.components.caller_service import CallerService, PeerService
 from hibiscuspoint.components.consensus import ReplicatedLog
@@ -34,6 +35,7 @@
 from hibiscuspoint.core.entry.session import TokenCodec
 from hibiscuspoint.drivers import target_drivers
 from hibiscuspoint.ids import Incarnation, InstanceId
+from hibiscuspoint.settings import TlsMode
 from hibiscuspoint.telemetry import Metrics, catalogue, log_event
 from hibiscuspoint.util.tasks import spawn
 from hibiscuspoint.wire import caller_pb2_grpc, consensus_pb2_grpc, peer_pb2_grpc
@@ -145,6 +147,7 @@
                 settings.control.data_directory,
                 machine,
                 channel_factory=self._open_control_channel,
+                channel_generation=lambda: self._channels.generation,
             ).register(self._runtime)
             self._control = Control(
                 self._instance, self._log, machine, self._driver, self._clock, self._metrics
@@ -156,12 +159,9 @@
         return self._transport.channel(address, list(options or ()))
 
     async def _start(self) -> None:
-        self._server = grpc.aio.server(
-            options=[*self._transport.server_options, *PEER_SERVER_OPTIONS]
-        )
-        self._add_services()
-        self._transport.bind(self._server, self._settings.listen.address)
-        await self._server.start()
+        self._servers = self._make_servers()
+        for server in self._servers:
+            await server.start()
         await self._http.start()
         if self._log is not None:
             await self._log.start()
@@ -175,11 +175,30 @@
             roles=[role.value for role in self._settings.node.roles],
         )
 
-    def _add_services(self) -> None:
-        server = self._server
+    def _make_servers(self) -> list[grpc.aio.Server]:
+        """Return the server of the main address and, if there is one, that of the callers."""
+        listen, tls = self._settings.listen, self._settings.tls
+        options = [*self._transport.server_options, *PEER_SERVER_OPTIONS]
+        interceptors = []
+        if tls.mode is TlsMode.MUTUAL:
+            interceptors.append(AccessInterceptor(AccessPolicy.from_settings(tls)))
+        server = grpc.aio.server(options=options, interceptors=interceptors)
+        self._add_internal_services(server)
+        self._transport.bind(server, listen.address)
+        if listen.callers is None:
+            self._add_caller_service(server)
+            return [server]
+        caller_server = grpc.aio.server(options=options)
+        self._add_caller_service(caller_server)
+        self._transport.bind(caller_server, listen.callers, for_callers=True)
+        return [server, caller_server]
+
+    def _add_caller_service(self, server: grpc.aio.Server) -> None:
         caller_pb2_grpc.add_CallerServicer_to_server(
             CallerService(self._runtime, self._streams), server
         )
+
+    def _add_internal_services(self, server: grpc.aio.Server) -> None:
         peer_pb2_grpc.add_PeerServicer_to_server(PeerService(self._runtime, self._streams), server)
         peer_pb2_grpc.add_ControlServicer_to_server(
             ControlService(self._control, self._leader_client), server
@@ -199,6 +218,7 @@
             self._metrics.loop_lag.observe(max(0.0, now - due))
             self._holders.tick(now)
             self._drain.tick(now)
+            self._channels.tick(now)
 
     async def _drain_work(self) -> None:
         now = self._clock.monotonic()
@@ -230,6 +250,6 @@
             await self._log.stop()
         self._holders.close()
         await self._http.stop()
-        await self._server.stop(STOP_GRACE_SECONDS)
+        await asyncio.gather(*(server.stop(STOP_GRACE_SECONDS) for server in self._servers))
         await self._channels.close()
         await self._driver.close()
--- a/hibiscuspoint/load/layout.py
+++ b/hibiscuspoint/load/layout.py
@@ -38,6 +38,8 @@
     :param has_latency: whether targets simulate the zone latency of the deployment.
     :param group_options: keys of each ``[[group]]`` of the document, besides its name.
     :param node_options: sections of ``node.toml`` that replace or extend generated ones.
+    :param target_options: further flags of the stand-ins.
+    :param has_caller_port: whether callers have an address of their own at each instance.
     """
 
     deployment: Deployment = LEDGER
@@ -52,6 +54,8 @@
     log_level: str = "info"
     group_options: Mapping[str, Any] = field(default_factory=dict)
     node_options: Mapping[str, Mapping[str, Any]] = field(default_factory=dict)
+    target_options: Mapping[str, str] = field(default_factory=dict)
+    has_caller_port: bool = False
 
     @property
     def group_ids(self) -> list[GroupId]:
@@ -78,6 +82,7 @@
     """Identity and addresses of one instance.
 
     :param members: address of each control instance as this instance knows it.
+    :param callers: address for callers alone; ``None`` when they use ``address``.
     """
 
     instance: InstanceId
@@ -85,6 +90,7 @@
     address: str
     http: str
     members: Mapping[InstanceId, str]
+    callers: str | None = None
 
     @property
     def is_control(self) -> bool:
@@ -127,6 +133,8 @@
         "limits": {"open_transactions_per_caller": OPEN_TRANSACTIONS},
         "target_driver": {"kind": "standin"},
     }
+    if plan.callers is not None:
+        settings["listen"]["callers"] = plan.callers
     for section, keys in layout.node_options.items():
         settings[section] = {**settings.get(section, {}), **keys}
     return settings
@@ -170,5 +178,6 @@
         "apply-delay-ms": layout.apply_delay_ms,
         "connect-delay-ms": deployment.connect_delay_ms,
         "one-way-delay-ms": delay_ms,
+        **layout.target_options,
     }
     return [text for name, value in options.items() for text in (f"--{name}", str(value))]
--- a/hibiscuspoint/load/topology.py
+++ b/hibiscuspoint/load/topology.py
@@ -301,6 +301,7 @@
                 address=addresses[name],
                 http=self._ports.address(),
                 members=members,
+                callers=self._ports.address() if self._layout.has_caller_port else None,
             )
             for number, name in enumerate(names)
         }
--- a/hibiscuspoint/settings/model.py
+++ b/hibiscuspoint/settings/model.py
@@ -92,14 +92,19 @@
     """Addresses on which the process listens."""
 
     address: PeerAddress = option(
-        doc="Address of all gRPC services (Caller, Peer, Control, Operator, Consensus).",
+        doc="Address of the gRPC services Peer, Control, Operator and Consensus, and of Caller "
+        "unless callers is set.",
         allowed="ip:port with the IP number that other instances use and a port within 1 to 65535",
     )
     http: Address = option(
         doc="Address of /metrics, /healthz and /readyz.",
         allowed="ip:port with an IP number and a port within 1 to 65535",
     )
-
+    callers: Address | None = option(
+        None,
+        doc="Address of the Caller service alone; callers need no certificate there.",
+        allowed="ip:port with an IP number and a port within 1 to 65535",
+    )
     advertise: Address | None = option(
         None,
         doc="Address that other processes use to reach this one; the listen address by default.",
@@ -115,6 +120,8 @@
     def _check_distinct(self) -> ListenSettings:
         if self.address == self.http:
             raise ValueError("address and http are equal")
+        if self.callers in (self.address, self.http):
+            raise ValueError("callers is equal to address or http")
         return self
 
 
--- a/hibiscuspoint/settings/security.py
+++ b/hibiscuspoint/settings/security.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from enum import Enum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Annotated
 
-from pydantic import PrivateAttr, SecretStr, model_validator
+from pydantic import PrivateAttr, SecretStr, StringConstraints, model_validator
 
 # pydantic evaluates the annotations at run time, so this import is needed then.
 from hibiscuspoint.settings.paths import SettingsPath  # noqa: TC001
@@ -19,6 +19,7 @@
 #: RFC 2104, section 3: a key shorter than the hash output weakens the HMAC.
 MIN_KEY_BYTES = 32
 MAX_KEYS = 2
+CertificateName = Annotated[str, StringConstraints(min_length=1, max_length=253)]
 
 
 def _decode_keys(texts: list[str]) -> tuple[bytes, ...]:
@@ -115,6 +116,25 @@
         allowed="path; required with mutual; not with plain-text",
     )
 
+    instances: tuple[CertificateName, ...] = option(
+        (),
+        strict=False,
+        doc="Names of the instances' certificates. They may call every internal service.",
+        allowed="subject alternative names, compared exactly; required with mutual, only there",
+    )
+    operators: tuple[CertificateName, ...] = option(
+        (),
+        strict=False,
+        doc="Names of the operators' certificates. They may call the Operator service.",
+        allowed="subject alternative names; only with mutual",
+    )
+    targets: tuple[CertificateName, ...] = option(
+        (),
+        strict=False,
+        doc="Names of the targets' certificates. They may announce targets.",
+        allowed="subject alternative names; only with mutual",
+    )
+
     @model_validator(mode="after")
     def _check_files(self) -> TlsSettings:
         files = {"certificate": self.certificate, "key": self.key, "ca": self.ca}
@@ -133,3 +153,13 @@
         if absent:
             raise ValueError(f"does not exist or is not a file: {', '.join(absent)}")
         return self
+
+    @model_validator(mode="after")
+    def _check_names(self) -> TlsSettings:
+        if self.mode is TlsMode.MUTUAL and not self.instances:
+            raise ValueError("mode 'mutual' requires instances")
+        lists = {"instances": self.instances, "operators": self.operators, "targets": self.targets}
+        stated = [name for name, names in lists.items() if names]
+        if self.mode is not TlsMode.MUTUAL and stated:
+            raise ValueError(f"mode {self.mode.value!r} contradicts {', '.join(stated)}")
+        return self
--- a/hibiscuspoint/standin/announcer.py
+++ b/hibiscuspoint/standin/announcer.py
@@ -8,6 +8,7 @@
 
 import grpc
 
+from hibiscuspoint.components.tls import TlsFiles
 from hibiscuspoint.standin.arrivals import ChangeSignal
 from hibiscuspoint.standin.replication import position_message
 from hibiscuspoint.util.channels import open_channel
@@ -50,6 +51,8 @@
         self._receivers = cycle(config.announce)
         self._receiver = ""
         self._channel: grpc.aio.Channel | None = None
+        self._tls = _tls_files(config)
+        self._generation = 0
         self._signal = ChangeSignal()
         self._urgent_state = self._urgent()
         engine.add_listener(self._on_change)
@@ -77,14 +80,24 @@
             self._signal.set()
 
     async def _announce(self) -> None:
+        if self._tls is not None and self._tls.generation != self._generation:
+            await self._drop_channel()
         for _ in self._config.announce:
             if self._channel is None:
                 self._receiver = next(self._receivers)
-                self._channel = open_channel(self._receiver)
+                self._channel = self._open(self._receiver)
             if await self._send(self._channel):
                 return
             await self._drop_channel()
 
+    def _open(self, address: str) -> grpc.aio.Channel:
+        if self._tls is None:
+            return open_channel(address)
+        self._generation = self._tls.generation
+        contents = self._tls.current()
+        credentials = grpc.ssl_channel_credentials(contents.ca, contents.key, contents.certificate)
+        return open_channel(address, credentials)
+
     async def _send(self, channel: grpc.aio.Channel) -> bool:
         stub = peer_pb2_grpc.ControlStub(channel)
         try:
@@ -116,3 +129,9 @@
             leaving=self._faults.is_leaving,
             incarnation=self._incarnation,
         )
+
+
+def _tls_files(config: StandinConfig) -> TlsFiles | None:
+    if config.tls_certificate is None:
+        return None
+    return TlsFiles(config.tls_certificate, config.tls_key, config.tls_ca)
--- a/hibiscuspoint/standin/config.py
+++ b/hibiscuspoint/standin/config.py
@@ -34,6 +34,9 @@
     apply_delay: float = 0.0
     connect_delay: float = DEFAULT_CONNECT_DELAY_MS / 1000
     one_way_delay: float = 0.0
+    tls_certificate: Path | None = None
+    tls_key: Path | None = None
+    tls_ca: Path | None = None
 
     @classmethod
     def from_arguments(cls, arguments: Sequence[str] | None = None) -> StandinConfig:
@@ -56,6 +59,9 @@
             apply_delay=flags.apply_delay_ms / 1000,
             connect_delay=flags.connect_delay_ms / 1000,
             one_way_delay=flags.one_way_delay_ms / 1000,
+            tls_certificate=flags.tls_certificate,
+            tls_key=flags.tls_key,
+            tls_ca=flags.tls_ca,
         )
 
 
@@ -82,6 +88,9 @@
         ("one-way-delay-ms", "network delay added to each answer", 0),
     ):
         parser.add_argument(f"--{name}", type=_not_negative, default=default, help=help_text)
+    for name in ("certificate", "key", "ca"):
+        text = f"PEM file of the {name} for announcements; plain text without the three"
+        parser.add_argument(f"--tls-{name}", type=Path, help=text)
     return parser
 
 
--- a/hibiscuspoint/telemetry/catalogue.py
+++ b/hibiscuspoint/telemetry/catalogue.py
@@ -32,6 +32,15 @@
 READINESS_CHANGED = define_event(
     107, "readiness-changed", INFO, "Readiness is now {ready}: {reason}", "ready", "reason"
 )
+PEER_REFUSED = define_event(
+    108,
+    "peer-refused",
+    WARNING,
+    "The certificate of {peer} may not call {method}.",
+    "peer",
+    "names",
+    "method",
+)
 DRAIN_STARTED = define_event(
     110, "drain-started", INFO, "{subject} started to drain.", "subject", "open_requests"
 )
--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -41,7 +41,7 @@
     for place in ("node.region", "node.roles[1]", "listen.address", "listen.speed"):
         assert f"node.toml: {place}: " in message
     assert "limits.message_bytes: should be a valid integer (allowed: at least 65536" in message
-    assert "(allowed: address, http, advertise)" in message
+    assert "(allowed: address, http, callers, advertise)" in message
 
 
 @pytest.mark.parametrize(
@@ -54,11 +54,18 @@
         ({"control": {"members": {}}}, "has 0 entries"),
         ({"listen": {"address": "127.0.0.1:7409"}}, "but listen.address is 127.0.0.1:7409"),
         ({"listen": {"http": "127.0.0.1:7400"}}, "address and http are equal"),
+        ({"listen": {"callers": "127.0.0.1:7401"}}, "callers is equal to"),
         ({"listen": {"http": "127.0.0.1:0"}}, "port 0"),
         ({"listen": {"http": "127.0.0.1"}}, "not an address"),
         ({"listen": {"address": "0.0.0.0:7400"}}, "can connect"),
         ({"control": {"members": {"ba-1": "[::]:7400"}}}, "can connect"),
         ({"tls": {"mode": "mutual"}}, "requires ca, certificate, key"),
+        # Without the list every certificate of the authority could act as an instance.
+        (
+            {"tls": dict.fromkeys(("certificate", "key", "ca"), __file__) | {"mode": "mutual"}},
+            "requires instances",
+        ),
+        ({"tls": {"operators": ["alice"]}}, "contradicts operators"),
         ({"tls": {"ca": "ca.pem"}}, "contradicts ca"),
         ({"tls": {"mode": "server", "certificate": "c" * 300, "key": "k"}}, "does not exist"),
         ({"session": {"keys": ["1f" * 31]}}, "31 bytes"),
