Refuse what exceeds a limit with a reply and an event

Change: gRPC takes twice message_bytes and the entry refuses above it with HP2012, NOT_RUN; lengths are in bytes; LimitError names the limit and the entry writes limit-reached; a refused step ends with MAY_HAVE_RUN and rolled_back under its own call id.

--- a/hibiscuspoint/components/entry.py
+++ b/hibiscuspoint/components/entry.py
@@ -8,6 +8,7 @@
 from circuits import Component, handler
 
 from hibiscuspoint.components.forwarding import error_reply, request_from_message, result_reply
+from hibiscuspoint.components.request_meter import RequestMeter
 from hibiscuspoint.core.position import LogPosition
 from hibiscuspoint.errors import HibiscusError, LimitError, NotReadyError, RequestError, TokenError
 from hibiscuspoint.ids import GroupId, Term
@@ -17,6 +18,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from google.protobuf.message import Message
+
     from hibiscuspoint.components.entry_state import EntryState
     from hibiscuspoint.components.events import execute_requested, forward_requested
     from hibiscuspoint.components.holder import GroupRequest
@@ -36,6 +39,9 @@
 
 MILLISECONDS = 1000
 
+#: Greatest number of bytes of a character in UTF-8.
+MAX_CHARACTER_BYTES = 4
+
 
 class Entry(Component):
     """Checks requests of callers, keeps their sessions, and hands them to the router."""
@@ -61,7 +67,12 @@
         self._drain = drain
         self._limits = limits
         self._clock = clock
-        self._metrics = metrics
+        self._meter = RequestMeter(metrics, state.has_group)
+
+    @property
+    def meter(self) -> RequestMeter:
+        """Return the metrics of the requests of callers."""
+        return self._meter
 
     @property
     def drain(self) -> DrainState:
@@ -89,12 +100,18 @@
         try:
             reply = await self._execute(message, started)
         except HibiscusError as error:
-            reply = self.refuse(message.group, error)
+            reply = self.refuse(message.group, error, message.caller)
         finally:
             self._drain.end_request()
         reply.call_id = message.call_id
         reply.go_elsewhere = not self._drain.is_ready
-        self._measure(message.group, kind, reply, started)
+        self._meter.finished(
+            message.group,
+            kind,
+            reply,
+            self._clock.monotonic() - started,
+            states_age=message.read.max_age_ms > 0,
+        )
         return reply
 
     async def execute_forwarded(self, message: peer_pb2.ForwardRequest) -> peer_pb2.ForwardReply:
@@ -133,6 +150,7 @@
             raise NotReadyError("this entry is stopping")
         if not self._state.is_ready(started):
             raise NotReadyError("this entry has no contact with control or no document")
+        self.check_size(message)
         rules = self._rules(message.group)
         self._check_statements(message.statements)
         marks = self._session(message)
@@ -146,8 +164,10 @@
         )
         return request, marks
 
-    def refuse(self, group: str, error: HibiscusError) -> caller_pb2.ExecuteReply:
+    def refuse(self, group: str, error: HibiscusError, caller: str = "") -> caller_pb2.ExecuteReply:
         """Return the reply for an error and log it."""
+        if isinstance(error, LimitError):
+            log_event(logger, catalogue.LIMIT_REACHED, caller=caller, limit=error.limit)
         log_event(
             logger,
             catalogue.REQUEST_REFUSED,
@@ -166,9 +186,20 @@
 
         :raises LimitError: a statement is too long.
         """
+        limit = self._limits.statement_bytes
         for statement in statements:
-            if len(statement.sql) > self._limits.statement_bytes:
-                raise LimitError(f"a statement is longer than {self._limits.statement_bytes} bytes")
+            if _exceeds(statement.sql, limit):
+                message = f"a statement is longer than {limit} bytes"
+                raise LimitError(message, limit="statement_bytes")
+
+    def check_size(self, message: Message) -> None:
+        """Check the size of a message.
+
+        :raises LimitError: it is too large.
+        """
+        limit = self._limits.message_bytes
+        if message.ByteSize() > limit:
+            raise LimitError(f"a message is larger than {limit} bytes", limit="message_bytes")
 
     async def _execute(
         self, message: caller_pb2.ExecuteRequest, started: float
@@ -207,12 +238,9 @@
             return min(max_age_ms, rules.reads.max_age_ms_limit)
         return max_age_ms
 
-    def _measure(
-        self, group: str, kind: str, reply: caller_pb2.ExecuteReply, started: float
-    ) -> None:
-        known = self._state.document is not None and group in self._state.document.groups
-        label = group if known else "unknown"
-        verdict = common_pb2.Verdict.Name(reply.verdict)
-        self._metrics.requests.labels(label, kind, verdict, reply.error.code).inc()
-        elapsed = self._clock.monotonic() - started
-        self._metrics.latency.labels(label, kind).observe(elapsed)
+
+def _exceeds(text: str, limit: int) -> bool:
+    """Tell whether a text has more bytes than a limit; most need not be encoded for that."""
+    if len(text) * MAX_CHARACTER_BYTES <= limit:
+        return False
+    return len(text.encode()) > limit
--- a/hibiscuspoint/components/entry_state.py
+++ b/hibiscuspoint/components/entry_state.py
@@ -45,6 +45,10 @@
         """Return the number of the document in force; 0 without one."""
         return self.document.number if self.document is not None else 0
 
+    def has_group(self, group: str) -> bool:
+        """Tell whether the document in force has a group."""
+        return self.document is not None and group in self.document.groups
+
     def holders(self, group: GroupId) -> list[tuple[InstanceId, str]]:
         """Return the holders of a group with their addresses, preferred first."""
         return self._holders.get(group, [])
--- a/hibiscuspoint/components/tls.py
+++ b/hibiscuspoint/components/tls.py
@@ -24,6 +24,9 @@
 
 logger = logging.getLogger(__name__)
 
+#: Size of the messages that gRPC takes, as a multiple of the limit in the settings.
+TRANSPORT_ALLOWANCE = 2
+
 
 @dataclass(frozen=True)
 class TlsContents:
@@ -109,7 +112,9 @@
 
     :param mode: protection of every connection.
     :param files: certificate files; ``None`` only with plain text.
-    :param message_bytes: largest message in bytes, in both directions.
+    :param message_bytes: largest message in bytes, in both directions. gRPC takes messages up to
+        ``TRANSPORT_ALLOWANCE`` times as large, so that a larger one gets a reply that says so, and
+        a message of the largest size can be forwarded with what an entry adds to it.
     """
 
     def __init__(self, mode: TlsMode, files: TlsFiles | None, message_bytes: int) -> None:
@@ -118,8 +123,8 @@
         self._mode = mode
         self._files = files
         self._options = [
-            ("grpc.max_receive_message_length", message_bytes),
-            ("grpc.max_send_message_length", message_bytes),
+            ("grpc.max_receive_message_length", TRANSPORT_ALLOWANCE * message_bytes),
+            ("grpc.max_send_message_length", TRANSPORT_ALLOWANCE * message_bytes),
         ]
 
     @property
--- a/hibiscuspoint/components/transactions.py
+++ b/hibiscuspoint/components/transactions.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from contextlib import aclosing
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
 import grpc
@@ -37,6 +38,7 @@
     from hibiscuspoint.core.entry.session import SessionMarks
     from hibiscuspoint.core.ports import Clock
     from hibiscuspoint.settings import LimitSettings
+    from hibiscuspoint.telemetry.metrics import Metrics
 
 __all__ = ["TransactionStreams"]
 
@@ -64,6 +66,26 @@
         """Give the transaction up."""
 
 
+@dataclass
+class _StreamState:
+    """What is known about the stream of a caller.
+
+    :param call_id: call id of the step in progress.
+    :param last: the reply that ended the transaction; a stream that the caller gave up has none.
+    """
+
+    group: str = ""
+    caller: str = ""
+    call_id: int = 0
+    last: caller_pb2.ExecuteReply | None = None
+
+    def begin(self, first: caller_pb2.ExecuteRequest) -> None:
+        """Take the first request."""
+        self.group = first.group
+        self.caller = first.caller
+        self.call_id = first.call_id
+
+
 class TransactionStreams:
     """Serves the streams of callers and of other entries."""
 
@@ -75,6 +97,7 @@
         channels: PeerChannels,
         limits: LimitSettings,
         clock: Clock,
+        metrics: Metrics,
     ) -> None:
         self._entry = entry
         self._holders = holders
@@ -82,26 +105,29 @@
         self._channels = channels
         self._limits = limits
         self._clock = clock
+        self._metrics = metrics
         self._open: dict[str, int] = {}
 
     async def serve(
         self, steps: AsyncIterator[caller_pb2.TransactRequest]
     ) -> AsyncIterator[caller_pb2.ExecuteReply]:
         """Run the transaction of a caller; an error ends the stream."""
-        group, call_id = "", 0
+        started = self._clock.monotonic()
+        stream = _StreamState()
         self._entry.drain.begin_transaction()
         try:
             first = await self._first(steps)
-            group, call_id = first.group, first.call_id
-            async with aclosing(self._run(first, steps)) as replies:
+            stream.begin(first)
+            async with aclosing(self._run(first, steps, stream)) as replies:
                 async for reply in replies:
                     yield reply
         except HibiscusError as error:
-            reply = self._entry.refuse(group, error)
-            reply.call_id = call_id
-            yield reply
+            yield self._refuse(stream, error)
         finally:
             self._entry.drain.end_transaction()
+            if stream.last is not None:
+                seconds = self._clock.monotonic() - started
+                self._entry.meter.finished(stream.group, "transaction", stream.last, seconds)
 
     async def serve_forwarded(
         self, steps: AsyncIterator[peer_pb2.ForwardTransactRequest]
@@ -124,7 +150,8 @@
             async with asyncio.timeout(self._limits.first_request_seconds):
                 step = await anext(steps, None)
         except TimeoutError:
-            raise LimitError("the stream sent no first request in time") from None
+            message = "the stream sent no first request in time"
+            raise LimitError(message, limit="first_request_seconds") from None
         if step is None or not step.HasField("begin"):
             raise RequestError("the first message of a transaction must begin it")
         return step.begin
@@ -133,30 +160,29 @@
         self,
         first: caller_pb2.ExecuteRequest,
         steps: AsyncIterator[caller_pb2.TransactRequest],
+        stream: _StreamState,
     ) -> AsyncIterator[caller_pb2.ExecuteReply]:
         request, marks = self._entry.admit(first, self._clock.monotonic())
-        self._count_in(first.caller)
+        self._count_in(first)
         path = None
         try:
             path = await self._begin(request)
             result = await path.run(request.statements)
             yield self._reply(result, first.call_id, request, marks)
             async for step in steps:
-                call_id, work = self._work(path, step)
-                try:
-                    result = await work
-                except HibiscusError as error:
-                    reply = self._entry.refuse(request.group, error)
-                    reply.call_id = call_id
-                    yield reply
-                    return
-                yield self._reply(result, call_id, request, marks)
+                stream.call_id = _call_id(step)
+                self._check_step(step)
+                result = await self._work(path, step)
+                reply = self._reply(result, stream.call_id, request, marks)
+                if not path.is_open:
+                    stream.last = reply
+                yield reply
                 if not path.is_open:
                     return
         finally:
             if path is not None:
                 path.close()
-            self._count_out(first.caller)
+            self._count_out(first)
 
     async def _run_forwarded(
         self, steps: AsyncIterator[peer_pb2.ForwardTransactRequest]
@@ -173,22 +199,39 @@
         try:
             yield _forward_reply(await path.run(request.statements))
             async for step in steps:
-                _, work = self._work(path, step.step)
-                yield _forward_reply(await work)
+                yield _forward_reply(await self._work(path, step.step))
                 if not path.is_open:
                     return
         finally:
             path.close()
 
-    def _work(self, path: TransactionPath, step: caller_pb2.TransactRequest) -> tuple:
-        """Return the call id of a step and the coroutine that runs it."""
+    async def _work(self, path: TransactionPath, step: caller_pb2.TransactRequest) -> GroupResult:
+        """Run a step."""
         if step.HasField("run"):
+            return await path.run(tuple(step.run.statements))
+        if not step.HasField("end"):
+            message = "the transaction has begun before"
+            raise TransactionStateError(message, rolled_back=True)
+        return await (path.commit() if step.end.commit else path.roll_back())
+
+    def _check_step(self, step: caller_pb2.TransactRequest) -> None:
+        """Check a step against the limits.
+
+        :raises LimitError: with the verdict of the transaction, whose earlier steps have run.
+        """
+        try:
+            self._entry.check_size(step)
             self._entry.check_step(step.run.statements)
-            return step.run.call_id, path.run(tuple(step.run.statements))
-        if step.HasField("end"):
-            work = path.commit() if step.end.commit else path.roll_back()
-            return step.end.call_id, work
-        raise TransactionStateError("the transaction has begun before")
+        except LimitError as error:
+            error.verdict = Verdict.MAY_HAVE_RUN
+            error.rolled_back = True
+            raise
+
+    def _refuse(self, stream: _StreamState, error: HibiscusError) -> caller_pb2.ExecuteReply:
+        reply = self._entry.refuse(stream.group, error, stream.caller)
+        reply.call_id = stream.call_id
+        stream.last = reply
+        return reply
 
     async def _begin(self, request: GroupRequest) -> TransactionPath:
         while True:
@@ -228,13 +271,18 @@
         reply.go_elsewhere = not self._entry.drain.is_ready
         return reply
 
-    def _count_in(self, caller: str) -> None:
+    def _count_in(self, first: caller_pb2.ExecuteRequest) -> None:
+        caller = first.caller
         limit = self._limits.open_transactions_per_caller
         if self._open.get(caller, 0) >= limit:
-            raise LimitError(f"the caller has {limit} open transactions")
+            message = f"the caller has {limit} open transactions"
+            raise LimitError(message, limit="open_transactions_per_caller")
         self._open[caller] = self._open.get(caller, 0) + 1
+        self._metrics.open_transactions.labels(first.group).inc()
 
-    def _count_out(self, caller: str) -> None:
+    def _count_out(self, first: caller_pb2.ExecuteRequest) -> None:
+        caller = first.caller
+        self._metrics.open_transactions.labels(first.group).dec()
         self._open[caller] -= 1
         if not self._open[caller]:
             del self._open[caller]
@@ -321,3 +369,7 @@
 def _forward_reply(result: GroupResult) -> peer_pb2.ForwardReply:
     position = common_pb2.Position(term=result.position.term, index=result.position.index)
     return peer_pb2.ForwardReply(reply=result_reply(result), position=position)
+
+
+def _call_id(step: caller_pb2.TransactRequest) -> int:
+    return getattr(step, step.WhichOneof("step")).call_id if step.WhichOneof("step") else 0
--- a/hibiscuspoint/daemon/node.py
+++ b/hibiscuspoint/daemon/node.py
@@ -122,7 +122,13 @@
             self._metrics,
         ).register(self._runtime)
         self._streams = TransactionStreams(
-            self._entry, self._holders, router, self._channels, settings.limits, self._clock
+            self._entry,
+            self._holders,
+            router,
+            self._channels,
+            settings.limits,
+            self._clock,
+            self._metrics,
         )
         self._build_control()
         self._reporting = Reporting(
--- a/hibiscuspoint/errors.py
+++ b/hibiscuspoint/errors.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from hibiscuspoint.verdict import Verdict
 
 __all__ = [
@@ -173,12 +175,19 @@
 
 
 class LimitError(HibiscusError):
-    """A limit on requests or transactions of a caller is reached."""
+    """A limit on requests or transactions of a caller is reached.
+
+    :param limit: key of the limit in the settings.
+    """
 
     code = "HP2012"
     hint = "Finish open transactions or send smaller requests."
     verdict = Verdict.NOT_RUN
 
+    def __init__(self, message: str, *, limit: str = "", **rest: Any) -> None:
+        super().__init__(message, **rest)
+        self.limit = limit
+
 
 class NoHolderError(HibiscusError):
     """No holder of the group can be reached."""
