Write every event of the catalogue and fill the metrics

Cause: 18 events were defined and never written; queue_length, document_number and lease_expiries stayed empty; routes-granted had no target and 0 ms, primary-suspected had term 0; a switchover that the leader could not start was reported as accepted. Change: each event is written where it happens; 231 to 233 become 235 repair-progress. queue_length is read at the scrape. A switchover that cannot start is refused with HP2004.

--- a/hibiscuspoint/components/control.py
+++ b/hibiscuspoint/components/control.py
@@ -59,7 +59,8 @@
         self._clock = clock
         self._metrics = metrics
         self._leader: ControlLeader | None = None
-        self._runner = EffectRunner(log, driver, self._take_effects, clock)
+        self._runner = EffectRunner(log, machine, driver, self._take_effects, clock)
+        self._logged_holders: dict[GroupId, list[InstanceId]] = {}
         self._streams: dict[InstanceId, Callable[[], None]] = {}
         self._draining: set[InstanceId] = set()
         self._task: asyncio.Task | None = None
@@ -202,10 +203,19 @@
             if isinstance(effect, PublishRoutes):
                 self._wake(self._concerned(effect.group))
             elif isinstance(effect, PublishHolders):
+                self._log_holders()
                 self._wake(list(self._streams))
             else:
                 self._runner.run(effect)
 
+    def _log_holders(self) -> None:
+        """Write the holders that changed since this instance leads."""
+        for group in self._machine.state.groups:
+            holders = list(self._leader.holders(group)) if self._leader is not None else []
+            if holders and holders != self._logged_holders.get(group):
+                self._logged_holders[group] = holders
+                log_event(logger, catalogue.HOLDER_CHANGED, group=group, holders=holders)
+
     def _concerned(self, group: GroupId) -> list[InstanceId]:
         record = self._machine.state.groups.get(group)
         holders = set(record.holders) if record is not None else set()
--- a/hibiscuspoint/components/control_effects.py
+++ b/hibiscuspoint/components/control_effects.py
@@ -27,7 +27,8 @@
     from collections.abc import Callable, Coroutine
 
     from hibiscuspoint.components.consensus import ReplicatedLog
-    from hibiscuspoint.core.control import ControlLeader, Effect, MemberAddress
+    from hibiscuspoint.components.control_state import ControlStateMachine
+    from hibiscuspoint.core.control import ControlLeader, Effect, GroupRecord, MemberAddress
     from hibiscuspoint.core.ports import Clock, TargetDriver
     from hibiscuspoint.ids import GroupId
     from hibiscuspoint.wire import record_pb2
@@ -42,14 +43,23 @@
 #: Longest time in seconds to wait for the answer of a target.
 CALL_SECONDS = 0.5
 
+MILLISECONDS = 1000
+
 
 class EffectRunner:
     """Starts one task for each effect and hands the answers back as decisions."""
 
     def __init__(
-        self, log: ReplicatedLog, driver: TargetDriver, decide: Decide, clock: Clock
+        self,
+        log: ReplicatedLog,
+        machine: ControlStateMachine,
+        driver: TargetDriver,
+        decide: Decide,
+        clock: Clock,
     ) -> None:
         self._log = log
+        self._machine = machine
+        self._opened_at: dict[GroupId, float] = {}
         self._driver = driver
         self._decide = decide
         self._clock = clock
@@ -74,7 +84,7 @@
                     catalogue.PRIMARY_SUSPECTED,
                     group=group,
                     target=primary,
-                    term=0,
+                    term=self._record(group).term,
                     reason=suspicion.value,
                 )
 
@@ -95,29 +105,54 @@
             case "form_group":
                 body = command.form_group
                 members = list(body.members)
-                log_event(
-                    logger, catalogue.GROUP_FORMED, group=body.group, members=members, primary=""
-                )
+                log_event(logger, catalogue.GROUP_FORMED, group=body.group, members=members)
             case "open_term":
                 body = command.open_term
+                self._opened_at[body.group] = self._clock.monotonic()
                 log_event(logger, catalogue.TERM_OPENED, group=body.group, term=body.term)
+            case "choose_primary":
+                body = command.choose_primary
+                log_event(
+                    logger,
+                    catalogue.PRIMARY_CHOSEN,
+                    group=body.group,
+                    target=body.primary,
+                    term=body.term,
+                )
             case "start_term":
                 body = command.start_term
                 log_event(
                     logger,
                     catalogue.ROUTES_GRANTED,
                     group=body.group,
-                    target="",
+                    target=self._record(body.group).primary or "",
                     term=body.term,
-                    elapsed_ms=0,
+                    elapsed_ms=self._elapsed_ms(body.group),
                 )
 
+    def _record(self, group: GroupId) -> GroupRecord:
+        return self._machine.state.groups[group]
+
+    def _elapsed_ms(self, group: GroupId) -> int:
+        """Return the time since the term was opened; 0 when an earlier leader opened it."""
+        now = self._clock.monotonic()
+        return int((now - self._opened_at.pop(group, now)) * MILLISECONDS)
+
     async def _seal(self, group: GroupId, member: MemberAddress, term: Term) -> None:
         admin = self._driver.admin
         reply = await admin.seal(member.address, term, timeout=CALL_SECONDS)
         report = MemberReport(
             member.target, reply.sealed, Term(reply.sealed_term), _position(reply.last)
         )
+        if reply.sealed:
+            log_event(
+                logger,
+                catalogue.MEMBER_SEALED,
+                group=group,
+                target=member.target,
+                term=term,
+                position=f"{reply.last.term}:{reply.last.index}",
+            )
         now = self._clock.monotonic()
         self._decide(lambda leader: leader.sealed(group, report, now))
 
@@ -137,6 +172,10 @@
                 now = self._clock.monotonic()
                 self._decide(lambda leader: leader.refused(group, member.target, now))
             raise
+        if state.accepted:
+            log_event(
+                logger, catalogue.PRIMARY_PROMOTED, group=group, target=member.target, term=term
+            )
         self._joined(group, member, state)
 
     async def _follow(
--- a/hibiscuspoint/components/holder/group.py
+++ b/hibiscuspoint/components/holder/group.py
@@ -49,6 +49,7 @@
         self.primary_turns = Turns(context.clock, document.limits.queue_length, 1)
         self.read_turns = Turns(context.clock, document.limits.queue_length, 1)
         self.primary_turns.set_paused(True)
+        context.metrics.queue_length.labels(group).set_function(self._waiting)
         self.retries = RetryBudget(document.limits.retry_ratio)
         self._writes = WriteRunner(self, document.limits.idempotency_retention_hours)
         self._reads = ReadRunner(self)
@@ -144,6 +145,9 @@
         for lane in self._lanes.values():
             lane.close()
 
+    def _waiting(self) -> int:
+        return len(self.primary_turns.queue) + len(self.read_turns.queue)
+
     def _set_slots(self, route: Route) -> None:
         slots = {member.target: self._slots(member) for member in route.members}
         self.primary_turns.set_concurrency(slots.get(route.primary, 1))
--- a/hibiscuspoint/components/holder/lane.py
+++ b/hibiscuspoint/components/holder/lane.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -16,6 +17,7 @@
 )
 from hibiscuspoint.drivers import ConnectError, ConnectFailure
 from hibiscuspoint.errors import DeadlineError, NoPrimaryError
+from hibiscuspoint.telemetry import catalogue, log_event
 from hibiscuspoint.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -24,10 +26,13 @@
     from hibiscuspoint.components.holder.context import HolderContext
     from hibiscuspoint.core.entry.pool import PoolEffect
     from hibiscuspoint.core.ports import Connection
+    from hibiscuspoint.drivers import ConnectionLost
     from hibiscuspoint.ids import TargetId
 
 __all__ = ["LaneObservations", "LentConnection", "TargetLane"]
 
+logger = logging.getLogger(__name__)
+
 #: Weight of the last run in the moving average of the service time.
 SERVICE_TIME_GAIN = 1 / 8
 
@@ -92,6 +97,14 @@
         """Apply a share granted by control; ``lease_ends`` is monotonic time in seconds."""
         if sequence < self._sequence:
             return
+        if connections != self._pool.share:
+            log_event(
+                logger,
+                catalogue.SHARE_GRANTED,
+                subject=self._context.instance,
+                target=self._target,
+                connections=connections,
+            )
         self._sequence = sequence
         now = self._context.clock.monotonic()
         self._carry_out(self._pool.set_share(connections, lease_ends, now))
@@ -152,6 +165,14 @@
         self.observations.successes += 1
         self.service_time += SERVICE_TIME_GAIN * (seconds - self.service_time)
 
+    def lost(self, error: ConnectionLost) -> None:
+        """Record a connection that was lost during a run."""
+        self.observations.timeouts += 1
+        if error.is_silent:
+            log_event(logger, catalogue.CONNECTION_SILENT, target=self._target)
+        else:
+            log_event(logger, catalogue.CONNECTION_LOST, target=self._target, reason=str(error))
+
     def close(self) -> None:
         """Close all connections."""
         self._carry_out(self._pool.set_share(0, 0.0, self._context.clock.monotonic()))
@@ -208,6 +229,7 @@
             self._carry_out(self._pool.lost(connection_id, context.clock.monotonic()))
             return
         self._connections[connection_id] = connection
+        log_event(logger, catalogue.CONNECTION_OPENED, target=self._target)
         now = context.clock.monotonic()
         self._carry_out(self._pool.opened(connection_id, now))
         if self._pool.state(connection_id) is None or self._is_closing(connection_id):
--- a/hibiscuspoint/components/holder/reads.py
+++ b/hibiscuspoint/components/holder/reads.py
@@ -194,7 +194,7 @@
                     turn.service_time = elapsed
                 return result
             except ConnectionLost as lost:
-                lane.observations.timeouts += 1
+                lane.lost(lost)
                 raise TargetLostError(f"the connection to the target was lost: {lost}") from None
             except TargetFailure as failure:
                 raise failure_to_error(failure) from None
--- a/hibiscuspoint/components/holder/transactions.py
+++ b/hibiscuspoint/components/holder/transactions.py
@@ -142,7 +142,7 @@
         try:
             result = await self._lent.connection.run(run, remaining)
         except ConnectionLost as lost:
-            self._lane.observations.timeouts += 1
+            self._lane.lost(lost)
             error = TargetLostError(f"the connection to the primary was lost: {lost}")
             raise self._fail(TransactionFailure.CONNECTION_LOST, error) from None
         except TargetFailure as failure:
--- a/hibiscuspoint/components/holder/writes.py
+++ b/hibiscuspoint/components/holder/writes.py
@@ -234,7 +234,7 @@
         try:
             result = await lent.connection.run(run, deadline - now)
         except ConnectionLost as lost:
-            lane.observations.timeouts += 1
+            lane.lost(lost)
             raise _lost_to_error(lost, run) from None
         except TargetFailure as failure:
             raise failure_to_error(failure) from None
--- a/hibiscuspoint/components/holders.py
+++ b/hibiscuspoint/components/holders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import math
 from typing import TYPE_CHECKING
 
@@ -10,6 +11,7 @@
 from hibiscuspoint.components.holder import GroupHolder, HolderContext
 from hibiscuspoint.errors import NoHolderError
 from hibiscuspoint.ids import GroupId, TargetId
+from hibiscuspoint.telemetry import catalogue, log_event
 from hibiscuspoint.wire import peer_pb2
 
 if TYPE_CHECKING:
@@ -17,10 +19,13 @@
     from hibiscuspoint.components.holder import GroupRequest, GroupResult
     from hibiscuspoint.components.holder.lane import TargetLane
     from hibiscuspoint.components.holder.transactions import OpenTransaction
+    from hibiscuspoint.core.entry.routes import Route
     from hibiscuspoint.ids import InstanceId
 
 __all__ = ["Holders"]
 
+logger = logging.getLogger(__name__)
+
 MILLISECONDS = 1000
 NANOSECONDS = 1_000_000_000
 
@@ -80,6 +85,8 @@
         """Advance the timers of all groups."""
         for holder in self._groups.values():
             holder.tick(now)
+        for route in self._state.routes.expired(now):
+            self._log_expiry(route)
 
     def fill_report(self, report: peer_pb2.EntryReport, now: float) -> None:
         """Add observations, shares and handed back leases to a report that is sent now."""
@@ -122,6 +129,13 @@
             for target, lane in holder.lanes.items()
         }
 
+    def _log_expiry(self, route: Route) -> None:
+        # A lease that was handed back or never granted has no end.
+        if route.lease_ends == -math.inf:
+            return
+        self._context.metrics.lease_expiries.labels(route.group).inc()
+        log_event(logger, catalogue.LEASE_EXPIRED, group=route.group, term=route.term)
+
     def _may_hand_back(self, group: GroupId, now: float) -> bool:
         """Tell whether a lease is not needed: it has ended or control asked for it."""
         route = self._state.routes.primary(group, now)
--- a/hibiscuspoint/components/operator_service.py
+++ b/hibiscuspoint/components/operator_service.py
@@ -14,6 +14,7 @@
     ConfigurationConflictError,
     ConfigurationError,
     HibiscusError,
+    NoPrimaryError,
     NotLeaderError,
     RequestError,
 )
@@ -248,7 +249,11 @@
         if wanted is not None and wanted == record.primary:
             return _acted(True, "already primary")
         term = record.term
-        leader.request_switchover(group, wanted, self._control.clock.monotonic())
+        if not leader.request_switchover(group, wanted, self._control.clock.monotonic()):
+            raise NoPrimaryError(f"group {group!r} cannot change its primary now")
+        log_event(
+            logger, catalogue.SWITCHOVER_STARTED, group=group, target=wanted or "any", term=term
+        )
 
         def is_done() -> bool:
             return record.term > term and self._require_leader().is_started(group)
--- a/hibiscuspoint/components/repairs.py
+++ b/hibiscuspoint/components/repairs.py
@@ -50,6 +50,13 @@
         async for step in self._log.repair(self._instance):
             if not self._progress:
                 log_event(logger, catalogue.REPAIR_STARTED, subject=self._instance)
+            log_event(
+                logger,
+                catalogue.REPAIR_PROGRESS,
+                subject=self._instance,
+                phase=step.phase.value,
+                index=step.match_index,
+            )
             self._progress = f"{step.phase.value}, index {step.match_index} of {step.commit_index}"
         log_event(logger, catalogue.REPAIR_FINISHED, subject=self._instance)
 
--- a/hibiscuspoint/components/reporting.py
+++ b/hibiscuspoint/components/reporting.py
@@ -21,6 +21,7 @@
     from hibiscuspoint.core.ports import Clock
     from hibiscuspoint.ids import Incarnation
     from hibiscuspoint.settings import NodeSettings
+    from hibiscuspoint.telemetry.metrics import Metrics
 
 __all__ = ["Reporting"]
 
@@ -42,6 +43,7 @@
         holders: Holders,
         drain: DrainState,
         clock: Clock,
+        metrics: Metrics,
     ) -> None:
         super().__init__()
         self._settings = settings
@@ -50,12 +52,15 @@
         self._holders = holders
         self._drain = drain
         self._clock = clock
+        self._metrics = metrics
+        self._is_drain_logged = False
         self._reported_document = 0
 
     def make_report(self) -> peer_pb2.EntryReport:
         """Return the report that is sent now; leases that are not needed are handed back."""
         now_ns = int(self._clock.monotonic() * NANOSECONDS)
         document = self._state.document
+        self._log_drained()
         report = peer_pb2.EntryReport(
             instance=self._settings.node.instance,
             incarnation=self._incarnation,
@@ -71,6 +76,16 @@
         self._holders.fill_report(report, now_ns / NANOSECONDS)
         return report
 
+    def _log_drained(self) -> None:
+        if self._drain.phase is DrainPhase.DRAINED and not self._is_drain_logged:
+            self._is_drain_logged = True
+            log_event(
+                logger,
+                catalogue.DRAIN_FINISHED,
+                subject=self._settings.node.instance,
+                interrupted=self._drain.in_progress,
+            )
+
     async def hand_back(self, runtime: Runtime, seconds: float) -> None:
         """Report the end of the work so that leases and shares can go to others.
 
@@ -95,6 +110,7 @@
         number = self._state.document_number
         if number != self._reported_document:
             self._reported_document = number
+            self._metrics.document_number.set(number)
             digest = self._state.document.digest
             log_event(logger, catalogue.DOCUMENT_IN_FORCE, document=number, digest=digest)
             self.fire(report_due(), "*")
--- a/hibiscuspoint/daemon/main.py
+++ b/hibiscuspoint/daemon/main.py
@@ -4,6 +4,7 @@
 
 import argparse
 import asyncio
+import logging
 import sys
 from typing import TYPE_CHECKING
 
@@ -11,13 +12,15 @@
 from hibiscuspoint.daemon.node import Node
 from hibiscuspoint.errors import ConfigurationError
 from hibiscuspoint.settings import NodeSettings
-from hibiscuspoint.telemetry import setup_logging
+from hibiscuspoint.telemetry import catalogue, log_event, setup_logging
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
 __all__ = ["main"]
 
+logger = logging.getLogger(__name__)
+
 EXIT_SETTINGS = 2
 
 
@@ -34,6 +37,8 @@
         node = Node.from_settings(settings)
     except ConfigurationError as error:
         print(f"{error.code}: {error.message}\n{error.hint}", file=sys.stderr)
+        setup_logging("error", None, "unknown")
+        log_event(logger, catalogue.SETTINGS_REFUSED, reason=error.message)
         return EXIT_SETTINGS
     setup_logging(settings.log.level.value, settings.log.file, settings.node.instance)
     return asyncio.run(node.run())
--- a/hibiscuspoint/daemon/node.py
+++ b/hibiscuspoint/daemon/node.py
@@ -26,6 +26,7 @@
 from hibiscuspoint.components.leader_client import LeaderClient
 from hibiscuspoint.components.operator_service import OperatorService
 from hibiscuspoint.components.peers import PEER_SERVER_OPTIONS, PeerChannels
+from hibiscuspoint.components.readiness import ReadinessLog
 from hibiscuspoint.components.reporting import Reporting
 from hibiscuspoint.components.router import Router
 from hibiscuspoint.components.runtime import Runtime, SystemClock
@@ -121,6 +122,7 @@
             self._clock,
             self._metrics,
         ).register(self._runtime)
+        self._readiness = ReadinessLog(self._state, self._drain)
         self._streams = TransactionStreams(
             self._entry,
             self._holders,
@@ -132,7 +134,13 @@
         )
         self._build_control()
         self._reporting = Reporting(
-            settings, self._incarnation, self._state, self._holders, self._drain, self._clock
+            settings,
+            self._incarnation,
+            self._state,
+            self._holders,
+            self._drain,
+            self._clock,
+            self._metrics,
         ).register(self._runtime)
         members = list(settings.control.members.values())
         self._attachment = Attachment(
@@ -225,6 +233,7 @@
             self._holders.tick(now)
             self._drain.tick(now)
             self._channels.tick(now)
+            self._readiness.tick(now)
 
     async def _drain_work(self) -> None:
         now = self._clock.monotonic()
@@ -236,12 +245,6 @@
             open_requests=self._drain.in_progress,
         )
         await self._wait_drained()
-        log_event(
-            logger,
-            catalogue.DRAIN_FINISHED,
-            subject=self._instance,
-            interrupted=self._drain.in_progress,
-        )
         await self._reporting.hand_back(self._runtime, HAND_BACK_SECONDS)
 
     async def _wait_drained(self) -> None:
--- a/hibiscuspoint/drivers/connection.py
+++ b/hibiscuspoint/drivers/connection.py
@@ -163,12 +163,12 @@
             )
             self._start(self._write(request))
 
-    def _lose(self, message: str) -> None:
+    def _lose(self, message: str, is_silent: bool = False) -> None:
         if self._is_closed:
             return
         self._is_closed = True
         self._timer.stop()
-        self._reject(ConnectionLost(message, sent=True))
+        self._reject(ConnectionLost(message, sent=True, is_silent=is_silent))
         self._call.cancel()
         self._start(self._close_channel())
 
--- a/hibiscuspoint/drivers/errors.py
+++ b/hibiscuspoint/drivers/errors.py
@@ -52,11 +52,13 @@
     """The connection ended before the whole answer arrived; it is never used again.
 
     :param sent: false only when the request cannot have left the process.
+    :param is_silent: nothing came back after a ping.
     """
 
-    def __init__(self, message: str, *, sent: bool) -> None:
+    def __init__(self, message: str, *, sent: bool, is_silent: bool = False) -> None:
         super().__init__(message)
         self.sent = sent
+        self.is_silent = is_silent
 
 
 class AdminError(Exception):
--- a/hibiscuspoint/drivers/liveness.py
+++ b/hibiscuspoint/drivers/liveness.py
@@ -22,6 +22,7 @@
     the deadline or when nothing comes back after a ping.
 
     :param overdue: seconds beyond the expected time after which a ping is sent.
+    :param on_loss: called with the reason and whether the connection is silent.
     :param silence: seconds after a ping within which something must arrive.
     """
 
@@ -44,7 +45,7 @@
         overdue: float,
         silence: float,
         ping: Callable[[], None],
-        on_loss: Callable[[str], None],
+        on_loss: Callable[[str, bool], None],
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self._overdue = overdue
@@ -80,13 +81,13 @@
     def _check(self) -> None:
         now = self._loop.time()
         if now >= self._deadline:
-            self._on_loss("the time for the answer is over")
+            self._on_loss("the time for the answer is over", False)
             return
         if self._pinged_at is not None and self._last_heard < self._pinged_at:
             if now - self._due > HELD_UP_S:
                 self._schedule(self._silence)
                 return
-            self._on_loss("the connection is silent")
+            self._on_loss("the connection is silent", True)
             return
         self._pinged_at = now
         self._ping()
--- a/hibiscuspoint/storage/control_disk.py
+++ b/hibiscuspoint/storage/control_disk.py
@@ -18,6 +18,7 @@
     read_identity,
     recover,
 )
+from hibiscuspoint.telemetry import catalogue, log_event
 from hibiscuspoint.wire import consensus_pb2 as pb
 
 if TYPE_CHECKING:
@@ -79,7 +80,7 @@
         return _load(directory)
     except DiskDamageError as error:
         aside = _set_aside(directory)
-        logger.critical("control log is lost: %s; moved to %s", error, aside.name)
+        log_event(logger, catalogue.DISK_LOST, disk=aside.name, reason=str(error))
         _create(directory)
         return _load(directory)
 
--- a/hibiscuspoint/storage/recovery.py
+++ b/hibiscuspoint/storage/recovery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING
 
 from google.protobuf.message import DecodeError
@@ -11,6 +12,7 @@
 from hibiscuspoint.storage.disk_log import LOG_NAME, SNAPSHOT_PREFIX
 from hibiscuspoint.storage.files import truncate_file
 from hibiscuspoint.storage.framing import Tail, scan_frames
+from hibiscuspoint.telemetry import catalogue, log_event
 from hibiscuspoint.wire import consensus_pb2 as pb
 from hibiscuspoint.wire.consensus import decode_entry, decode_hard_state, decode_snapshot
 
@@ -20,6 +22,8 @@
 
 __all__ = ["IDENTITY_NAME", "DiskDamageError", "read_identity", "recover"]
 
+logger = logging.getLogger(__name__)
+
 IDENTITY_NAME = "identity"
 
 
@@ -97,7 +101,11 @@
     if scan.tail is Tail.DAMAGED:
         raise DiskDamageError(f"{path.name} is damaged at byte {scan.valid_bytes}")
     if scan.tail is Tail.TORN:
+        removed = path.stat().st_size - scan.valid_bytes
         truncate_file(path, scan.valid_bytes)
+        log_event(
+            logger, catalogue.DISK_TAIL_TRUNCATED, disk=path.parent.name, bytes_removed=removed
+        )
     for payload in scan.payloads:
         yield from pb.DiskFrame.FromString(payload).records
 
--- a/hibiscuspoint/telemetry/catalogue.py
+++ b/hibiscuspoint/telemetry/catalogue.py
@@ -93,23 +93,16 @@
 REPAIR_STARTED = define_event(
     230, "repair-started", INFO, "Repair of {subject} started.", "subject"
 )
-REPAIR_LEARNER_ADDED = define_event(
-    231, "repair-learner-added", INFO, "{subject} joined as a learner.", "subject", "disk"
-)
-REPAIR_CAUGHT_UP = define_event(
-    232, "repair-caught-up", INFO, "{subject} caught up to {index}.", "subject", "index"
-)
-REPAIR_VOTERS_CHANGED = define_event(
-    233, "repair-voters-changed", INFO, "The voters are now {voters}.", "voters"
+# Numbers 231 to 233 belonged to events that were never written.
+REPAIR_PROGRESS = define_event(
+    235, "repair-progress", INFO, "Repair of {subject}: {phase}.", "subject", "phase", "index"
 )
 REPAIR_FINISHED = define_event(
     234, "repair-finished", INFO, "Repair of {subject} finished.", "subject"
 )
 
 # 300: groups and promotion
-GROUP_FORMED = define_event(
-    301, "group-formed", INFO, "Group {group} formed.", "group", "members", "primary"
-)
+GROUP_FORMED = define_event(301, "group-formed", INFO, "Group {group} formed.", "group", "members")
 PRIMARY_SUSPECTED = define_event(
     310,
     "primary-suspected",
@@ -141,7 +134,6 @@
     "group",
     "target",
     "term",
-    "position",
 )
 PRIMARY_PROMOTED = define_event(
     314,
@@ -214,7 +206,6 @@
     WARNING,
     "A connection to {target} did not answer a ping and was closed.",
     "target",
-    "silent_ms",
 )
 
 # 500: requests
--- a/hibiscuspoint/telemetry/metrics.py
+++ b/hibiscuspoint/telemetry/metrics.py
@@ -64,7 +64,9 @@
             LATENCY_BUCKETS,
             "group",
         )
-        self.queue_length = self._gauge("queue_length", "Requests that wait.", "group")
+        self.queue_length = self._gauge(
+            "queue_length", "Requests that wait at this holder.", "group"
+        )
 
     def _define_reads(self) -> None:
         self.reads = self._counter(
@@ -90,7 +92,9 @@
             "connection_share", "Connections granted to this instance.", "target"
         )
         self.open_transactions = self._gauge(
-            "open_transactions", "Open interactive transactions.", "group"
+            "open_transactions",
+            "Open interactive transactions, at the entry that the caller reached.",
+            "group",
         )
         self.loop_lag = self._histogram(
             "event_loop_lag_seconds", "Delay of a timer of the event loop.", LAG_BUCKETS
