--- a/hibiscuspoint/cli/errors.py
+++ b/hibiscuspoint/cli/errors.py
@@ -10,10 +10,12 @@
     ConfigurationError,
     HibiscusError,
     IdempotencyConflictError,
+    RequestError,
 )
 from hibiscuspoint.verdict import Verdict
 
 __all__ = [
+    "AccessRefusedError",
     "ExitStatus",
     "IncompleteAnswerError",
     "OutcomeUnknownError",
@@ -60,6 +62,14 @@
     hint = "Check the outcome before you repeat the command."
 
 
+class AccessRefusedError(HibiscusError):
+    """The instance does not let the certificate call the service."""
+
+    code = "HP3008"
+    hint = "Use a certificate with a name of [tls] operators in the settings of the instances."
+    verdict = Verdict.NOT_RUN
+
+
 class PromotionRefusedError(HibiscusError):
     """The conditions of the promotion are not met."""
 
@@ -93,6 +103,7 @@
 _STATUS_BY_CODE = {
     ConfigurationError.code: ExitStatus.USAGE,
     UsageError.code: ExitStatus.USAGE,
+    RequestError.code: ExitStatus.USAGE,
     ConfigurationConflictError.code: ExitStatus.CONFLICT,
     IdempotencyConflictError.code: ExitStatus.CONFLICT,
 }
--- a/hibiscuspoint/components/consensus_link.py
+++ b/hibiscuspoint/components/consensus_link.py
@@ -52,6 +52,7 @@
     :param address: "ip:port" of the peer.
     :param channel_factory: creates a channel like ``grpc.aio.insecure_channel``.
     :param receive: called with each reply.
+    :param generation: returns a number whose change asks for a new channel.
     """
 
     def __init__(
@@ -59,10 +60,12 @@
         address: str,
         channel_factory: Callable[..., grpc.aio.Channel],
         receive: Callable[[Envelope], None],
+        generation: Callable[[], int],
     ) -> None:
         self._address = address
         self._channel_factory = channel_factory
         self._receive = receive
+        self._generation = generation
         self._queue: asyncio.Queue[Envelope] = asyncio.Queue(_QUEUE_LENGTH)
         self._backoff = _BACKOFF_MIN
         self._unanswered = False
@@ -97,10 +100,10 @@
             await channel.close()
 
     async def _converse(self, call: grpc.aio.StreamStreamCall) -> None:
-        """Run until the first of writer, reader and silence check ends."""
+        """Run until the first of writer, reader and check ends."""
         self._unanswered = False
         try:
-            await run_until_first(self._write(call), self._read(call), self._check_silence())
+            await run_until_first(self._write(call), self._read(call), self._check())
         finally:
             call.cancel()
 
@@ -117,9 +120,12 @@
             self._backoff = _BACKOFF_MIN
             self._receive(envelope)
 
-    async def _check_silence(self) -> None:
+    async def _check(self) -> None:
         silent_checks = 0
+        generation = self._generation()
         while silent_checks < _SILENT_CHECKS:
             await asyncio.sleep(_CHECK_INTERVAL)
+            if self._generation() != generation:
+                return
             silent_checks = silent_checks + 1 if self._unanswered else 0
         raise TimeoutError(f"no reply from {self._address}")
--- a/hibiscuspoint/components/holder/group.py
+++ b/hibiscuspoint/components/holder/group.py
@@ -52,6 +52,7 @@
         self.primary_turns = Turns(context.clock, document.limits.queue_length, 1)
         self.read_turns = Turns(context.clock, document.limits.queue_length, 1)
         self.primary_turns.set_paused(True)
+        context.metrics.queue_length.labels(group).set_function(self._waiting)
         self.retries = RetryBudget(document.limits.retry_ratio)
         self._writes = WriteRunner(self, document.limits.idempotency_retention_hours)
         self._reads = ReadRunner(self)
@@ -175,6 +176,9 @@
         self.primary_turns.set_concurrency(self._lanes[primary].limit.value)
         self.read_turns.set_concurrency(READS_PER_SLOT * max(1, sum(replicas)))
 
+    def _waiting(self) -> int:
+        return len(self.primary_turns.queue) + len(self.read_turns.queue)
+
     def _set_slots(self, route: Route) -> None:
         for member in route.members:
             self._lanes[member.target].limit.set_slots(self._slots(member))
--- a/hibiscuspoint/load/topology.py
+++ b/hibiscuspoint/load/topology.py
@@ -313,6 +313,7 @@
                 http=self._ports.address(),
                 members=members,
                 advertised=advertised[name],
+                callers=self._ports.address() if self._layout.has_caller_port else None,
             )
             for number, name in enumerate(names)
         }
