--- a/tests/system/test_holders.py
+++ b/tests/system/test_holders.py
@@ -162,7 +162,7 @@
 
     def others_have_all(status: object) -> bool:
         shares = [
-            {share.target: share.allowance for share in target.shares}
+            {share.instance: share.granted for share in target.shares}
             for target in status.groups[0].targets
         ]
         return all(
