Index groups, targets and holders at the control leader

Cause: each announcement and each group tick sorted all entries and walked all targets; each share in a report and each update walked all groups; each tick hashed every entry for every group. Change: targets are kept by group, shares find their group by the target, the choice of holders is repeated only when a serving entry comes, goes or moves, updates look up the groups of an instance, and an announcement that changes only positions advances the group with the next tick.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -9,7 +9,7 @@
 import sys
 from typing import TYPE_CHECKING
 
-from benchmarks import config, control, failover, overhead, overload, reads
+from benchmarks import config, control, control_core, failover, overhead, overload, reads
 from benchmarks.bounds import missed
 from benchmarks.registry import BENCHMARKS, Options
 from hibiscuspoint.load.deployments import DEPLOYMENTS
@@ -18,7 +18,7 @@
     from benchmarks.registry import Figures
 
 #: Modules that register benchmarks.
-MODULES = (config, control, failover, overhead, overload, reads)
+MODULES = (config, control, control_core, failover, overhead, overload, reads)
 ALL = "all"
 
 
--- a/hibiscuspoint/core/control/entries.py
+++ b/hibiscuspoint/core/control/entries.py
@@ -40,6 +40,11 @@
         """Return the order in which the instance sent its reports."""
         return self.incarnation, self.sent_at_ns
 
+    @property
+    def place(self) -> tuple[InstanceId, AvailabilityZone, str]:
+        """Return what the choice of holders and their published addresses depend on."""
+        return self.instance, self.availability_zone, self.address
+
     @classmethod
     def from_message(cls, message: peer_pb2.EntryReport, now: float) -> EntryInfo:
         """Return the content of a report that arrived at ``now``."""
@@ -83,6 +88,11 @@
         """Return the last report of an entry."""
         return self._entries.get(instance)
 
+    def is_live(self, instance: InstanceId, now: float) -> bool:
+        """Tell whether an entry reports."""
+        entry = self._entries.get(instance)
+        return entry is not None and now - entry.seen_at < ENTRY_LIVE_SECONDS
+
     def live(self, now: float) -> list[EntryInfo]:
         """Return the entries that report."""
         return [entry for entry in self.all if now - entry.seen_at < ENTRY_LIVE_SECONDS]
@@ -98,12 +108,12 @@
 
     def forgive_stall(self, stalled: float, now: float) -> None:
         """Count a time in which this process did not run not as silence of the entries."""
-        for entry in self.all:
+        for entry in list(self._entries.values()):
             seen_at = min(now, entry.seen_at + stalled)
             self._entries[entry.instance] = replace(entry, seen_at=seen_at)
 
     def forget_silent(self, now: float) -> None:
         """Drop entries that have been silent for long."""
-        for entry in self.all:
+        for entry in list(self._entries.values()):
             if now - entry.seen_at > ENTRY_FORGET_SECONDS:
                 del self._entries[entry.instance]
--- a/hibiscuspoint/core/control/holdings.py
+++ b/hibiscuspoint/core/control/holdings.py
@@ -12,7 +12,7 @@
 
 if TYPE_CHECKING:
     from hibiscuspoint.core.control.effects import Effect
-    from hibiscuspoint.core.control.entries import EntryDirectory
+    from hibiscuspoint.core.control.entries import EntryDirectory, EntryInfo
     from hibiscuspoint.core.control.state import GroupRecord
     from hibiscuspoint.core.control.targets import TargetDirectory, TargetInfo
     from hibiscuspoint.document.model import GroupModel
@@ -58,6 +58,7 @@
         self._settled_from = since + SETTLE_SECONDS
         self._earlier = record.holders
         self._holders: list[InstanceId] = []
+        self._chosen_from: tuple[object, ...] = ()
         self._ledgers: dict[TargetId, ShareLedger] = {}
         self._proposed_at = -RETRY_SECONDS
         self._proposed: list[tuple[InstanceId, ...]] = []
@@ -110,9 +111,7 @@
         if ledger is not None:
             ledger.reported(instance, share.allowance, share.open_connections, share.sequence)
 
-    def terminated(
-        self, target: TargetId, instance: InstanceId, entries: EntryDirectory
-    ) -> None:
+    def terminated(self, target: TargetId, instance: InstanceId, entries: EntryDirectory) -> None:
         """Take the confirmation that a target closed the connections of an instance.
 
         It frees nothing if the instance reported since the request, as it may have opened new ones.
@@ -124,21 +123,37 @@
         if ledger is not None and not has_returned:
             ledger.terminated(instance)
 
-    def tick(self, entries: EntryDirectory, now: float) -> list[Effect]:
-        """Choose holders, divide connections and return the effects."""
+    def tick(self, entries: EntryDirectory, serving: list[EntryInfo], now: float) -> list[Effect]:
+        """Choose holders, divide connections and return the effects.
+
+        :param serving: live entries that are not draining; the same list until one comes, goes or
+            moves.
+        """
         members = self._members()
-        self._choose(entries, members, now)
+        self._choose(entries, serving, members, now)
         effects: list[Effect] = []
         for info in members:
             effects += self._tick_target(info, entries, now)
         return effects + self._record_holders(now)
 
-    def _choose(self, entries: EntryDirectory, members: list[TargetInfo], now: float) -> None:
+    def _choose(
+        self,
+        entries: EntryDirectory,
+        serving: list[EntryInfo],
+        members: list[TargetInfo],
+        now: float,
+    ) -> None:
         if not self.is_settled(entries, now):
             self._holders = list(self._earlier)
+            self._chosen_from = ()
             return
         zones = {info.availability_zone for info in members}
-        serving = entries.serving(now)
+        # Hashing every entry for every group was the largest part of a tick.
+        chosen_from = (serving, zones, self._rules.holders)
+        if self._chosen_from and self._chosen_from[0] is serving:
+            if self._chosen_from[1:] == chosen_from[1:]:
+                return
+        self._chosen_from = chosen_from
         self._holders = choose_holders(self._record.group, serving, zones, self._rules.holders)
 
     def _tick_target(self, info: TargetInfo, entries: EntryDirectory, now: float) -> list[Effect]:
--- a/hibiscuspoint/core/control/leader.py
+++ b/hibiscuspoint/core/control/leader.py
@@ -50,6 +50,7 @@
         self._groups: dict[GroupId, GroupController] = {}
         self._holdings: dict[GroupId, GroupHoldings] = {}
         self._document: Document | None = None
+        self._serving: list[EntryInfo] = []
         self._forming: dict[GroupId, float] = {}
         self._updates = UpdateBuilder(instance, control_term, state, self._targets, self._ledger)
 
@@ -83,11 +84,13 @@
     def announced(self, message: peer_pb2.Announcement, now: float) -> list[Effect]:
         """Take an announcement of a target."""
         info = TargetInfo.from_message(message, now)
-        self._targets.record(info)
+        has_news = self._targets.record(info)
         controller = self._groups.get(info.group)
         if controller is None:
             return []
         controller.announced(info, now)
+        if not has_news and not controller.is_active:
+            return []
         return self._tick_group(controller, now)
 
     def reported(self, message: peer_pb2.EntryReport, now: float) -> list[Effect]:
@@ -127,7 +130,8 @@
 
     def terminated(self, target: TargetId, instance: InstanceId) -> None:
         """Take the confirmation that a target closed the connections of an instance."""
-        for holdings in self._holdings.values():
+        holdings = self._holdings_of(target)
+        if holdings is not None:
             holdings.terminated(target, instance, self._entries)
 
     def request_switchover(self, group: GroupId, wanted: TargetId | None, now: float) -> bool:
@@ -151,14 +155,16 @@
             self._adopt(group, now)
         for controller in self._groups.values():
             effects += self._tick_group(controller, now)
+        self._refresh_serving(now)
         for holdings in self._holdings.values():
-            effects += holdings.tick(self._entries, now)
+            effects += holdings.tick(self._entries, self._serving, now)
+        self._updates.refresh_concerned(self._holdings, now)
         settled = {
             group: holdings
             for group, holdings in self._holdings.items()
             if holdings.is_settled(self._entries, now)
         }
-        if self._updates.refresh_holders(settled, self._entries.serving(now)):
+        if self._updates.refresh_holders(settled, self._serving):
             effects.append(PublishHolders())
         return effects
 
@@ -188,15 +194,26 @@
         return holdings.holders if holdings is not None else []
 
     def _tick_group(self, controller: GroupController, now: float) -> list[Effect]:
-        holders = set(self.holders(controller.record.group))
-        live = {entry.instance for entry in self._entries.live(now)}
-        return controller.tick(holders & live, now)
+        holders = self.holders(controller.record.group)
+        live = {holder for holder in holders if self._entries.is_live(holder, now)}
+        return controller.tick(live, now)
+
+    def _refresh_serving(self, now: float) -> None:
+        """Replace the list of serving entries only when one came, went or moved."""
+        serving = self._entries.serving(now)
+        if [entry.place for entry in serving] != [entry.place for entry in self._serving]:
+            self._serving = serving
+
+    def _holdings_of(self, target: TargetId) -> GroupHoldings | None:
+        info = self._targets.get(target)
+        return self._holdings.get(info.group) if info is not None else None
 
     def _adopt(self, group: GroupId, now: float) -> None:
         rules = self._document.groups.get(group) if self._document else None
         if group in self._groups or rules is None:
             return
         record = self._state.groups[group]
+        self._updates.add_concerned(group, record.holders)
         self._groups[group] = GroupController(
             record, rules.quorum, self._targets, self._ledger, now
         )
@@ -220,7 +237,8 @@
         return effects
 
     def _share_reported(self, instance: InstanceId, share: peer_pb2.ShareUse) -> None:
-        for holdings in self._holdings.values():
+        holdings = self._holdings_of(TargetId(share.target))
+        if holdings is not None:
             holdings.reported(instance, share)
 
     def _observed(
--- a/hibiscuspoint/core/control/shares.py
+++ b/hibiscuspoint/core/control/shares.py
@@ -43,9 +43,7 @@
     ) -> None:
         self._limit = limit
         self._sequence = first_sequence
-        self._charges = {
-            instance: _Charge(charged=limit, is_known=False) for instance in earlier
-        }
+        self._charges = {instance: _Charge(charged=limit, is_known=False) for instance in earlier}
 
     @property
     def charged(self) -> int:
--- a/hibiscuspoint/core/control/targets.py
+++ b/hibiscuspoint/core/control/targets.py
@@ -35,6 +35,11 @@
     leaving: bool
     seen_at: float
 
+    @property
+    def role(self) -> tuple[str, Term, bool, bool]:
+        """Return what decisions depend on at once."""
+        return self.address, self.term, self.is_primary, self.leaving
+
     @property
     def member_address(self) -> MemberAddress:
         """Return where the target listens."""
@@ -64,6 +69,7 @@
 
     def __init__(self) -> None:
         self._targets: dict[TargetId, TargetInfo] = {}
+        self._groups: dict[GroupId, set[TargetId]] = {}
         self._leaving: set[TargetId] = set()
 
     def mark_leaving(self, target: TargetId) -> None:
@@ -71,11 +77,14 @@
         self._leaving.add(target)
         self._targets[target] = replace(self._targets[target], leaving=True)
 
-    def record(self, info: TargetInfo) -> None:
-        """Keep an announcement."""
+    def record(self, info: TargetInfo) -> bool:
+        """Keep an announcement and tell whether it changes more than positions and times."""
+        previous = self._targets.get(info.target)
         if info.target in self._leaving:
             info = replace(info, leaving=True)
         self._targets[info.target] = info
+        self._groups.setdefault(info.group, set()).add(info.target)
+        return previous is None or previous.role != info.role
 
     def get(self, target: TargetId) -> TargetInfo | None:
         """Return the last announcement of a target."""
@@ -83,8 +92,8 @@
 
     def of_group(self, group: GroupId) -> list[TargetInfo]:
         """Return the targets that announced themselves for a group, ordered by id."""
-        infos = (info for info in self._targets.values() if info.group == group)
-        return sorted(infos, key=lambda info: info.target)
+        infos = (self._targets[target] for target in sorted(self._groups.get(group, ())))
+        return [info for info in infos if info.group == group]
 
     def is_live(self, target: TargetId, now: float) -> bool:
         """Tell whether a target announced itself recently."""
--- a/hibiscuspoint/core/control/updates.py
+++ b/hibiscuspoint/core/control/updates.py
@@ -12,6 +12,8 @@
 from hibiscuspoint.wire import peer_pb2
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from hibiscuspoint.core.control.entries import EntryInfo
     from hibiscuspoint.core.control.group import GroupController
     from hibiscuspoint.core.control.holdings import GroupHoldings
@@ -43,6 +45,24 @@
         self._ledger = ledger
         self._holders: list[peer_pb2.GroupHolders] = []
         self._holders_version = 0
+        self._concerned: dict[InstanceId, set[GroupId]] = {}
+
+    def add_concerned(self, group: GroupId, instances: Iterable[InstanceId]) -> None:
+        """Note that a group may concern instances."""
+        for instance in instances:
+            self._concerned.setdefault(instance, set()).add(group)
+
+    def refresh_concerned(self, holdings: dict[GroupId, GroupHoldings], now: float) -> None:
+        """Recompute which groups may concern which instances.
+
+        Holders change only in the tick that calls this, and leases are granted only to instances
+        noted here, so that no group is missed in between.
+        """
+        self._concerned.clear()
+        for group, holding in holdings.items():
+            self.add_concerned(group, holding.holders)
+            self.add_concerned(group, self._state.groups[group].holders)
+            self.add_concerned(group, self._ledger.held_by(group, now))
 
     def refresh_holders(
         self, holdings: dict[GroupId, GroupHoldings], serving: list[EntryInfo]
@@ -79,7 +99,8 @@
         self._add_document(update, entry)
         if entry.holders_version != self._holders_version:
             update.holders.extend(self._holders)
-        for group, holding in holdings.items():
+        for group in sorted(self._concerned.get(entry.instance, ())):
+            holding = holdings[group]
             if self._concerns(group, holding, entry, now):
                 self._add_route(update, groups[group], holding, entry, now)
                 self._add_shares(update, groups[group].record, holding, entry)
--- a/tests/core/control/test_leader.py
+++ b/tests/core/control/test_leader.py
@@ -2,15 +2,13 @@
 
 from __future__ import annotations
 
-from hibiscuspoint.core.control import Promote, Propose, RouteState, Terminate
+from hibiscuspoint.core.control import Propose, Terminate
 from hibiscuspoint.core.control.holders import choose_holders
 from hibiscuspoint.wire import peer_pb2
 from tests.builders_control import (
     GROUP,
     Control,
     accept_document,
-    announcement,
-    command,
     report,
     share,
     started_state,
@@ -70,7 +68,7 @@
 
 
 def test_share_of_a_lost_holder_is_free_only_after_terminate():
-    """A frozen process cannot close its connections itself, so the end of its lease is not enough."""
+    """A frozen process cannot close its connections, so the end of its lease is not enough."""
     control = running_control()
     terminate = lose_holder(control)
     assert (terminate.instance, terminate.incarnation) == ("e1", 1)
@@ -121,3 +119,76 @@
     assert control.commit() == ["set_holders"]
     control.run(0.5)
     assert control.holdings.share("a", "e2")[0] == 4
+
+
+def test_rendezvous_hashing_moves_few_groups():
+    """A hash that moves groups on every change would close connections everywhere."""
+    control = Control(started_state())
+    control.entries = {f"e{number}": {} for number in range(12)}
+    control.entries["e3"]["availability_zone"] = "far"
+    control.step()
+    entries = control.leader.entries.all
+    groups = [f"g{number}" for number in range(200)]
+    before = {group: choose_holders(group, entries, {"z1"}, 2) for group in groups}
+    remaining = [entry for entry in entries if entry.instance != "e5"]
+    after = {group: choose_holders(group, remaining, {"z1"}, 2) for group in groups}
+    for group in groups:
+        assert "e3" not in before[group], "entries near the targets come first"
+        assert set(before[group]) - {"e5"} <= set(after[group])
+    held = [instance for holders in before.values() for instance in holders]
+    assert all(held.count(f"e{number}") >= 15 for number in range(12) if number != 3)
+
+
+def test_new_leader_keeps_the_holders_until_they_report():
+    """Entries attach one after the other; each arrival would otherwise move connections."""
+    control = Control(started_state(holders=("e1", "e2")))
+    control.entries = {"e3": {}, "e4": {}, "e1": {}}
+    control.run(1.5)
+    assert control.leader.holders(GROUP) == ["e1", "e2"]
+    control.run(1.0)
+    assert "e2" not in control.leader.holders(GROUP), "a holder that is gone is not waited for"
+
+
+def test_update_carries_the_document_and_holder_lists_only_when_they_changed():
+    """At full size the text and the lists in each update would use up the bandwidth."""
+    control = running_control()
+    control.state.apply(1, accept_document(1))
+    control.step()
+    control.state.documents[-1:] = [type(control.state.document)(1, "d", "text", 0)]
+    version = control.updates["e1"].holders_version
+    update = control.report("e1", document_number=0, holders_version=0, sent_at_ns=10**11)
+    assert (update.document, update.document_number, len(update.holders)) == ("text", 1, 1)
+    changes = {"document_number": 1, "holders_version": version, "sent_at_ns": 10**11 + 1}
+    update = control.report("e1", **changes)
+    assert (update.document, update.document_number, len(update.holders)) == ("", 1, 0)
+    control.entries["e2"]["address"] = "e2:2"
+    control.now += 200.0
+    control.run(0.2)
+    assert control.updates["e1"].holders_version != version
+
+
+def test_former_holder_is_paused_until_it_hands_back():
+    """Its work in progress keeps the lease; new work would never let it finish."""
+    control = running_control()
+    control.entries["e2"]["draining"] = True
+    control.entries["e3"] = {}
+    control.run(0.3)
+    route = control.updates["e2"].routes[0]
+    assert route.paused
+    assert route.lease_ms > 0
+    now = control.now + 0.05
+    control.leader.reported(report("e2", now, draining=True, released=release(1)), now)
+    route = control.leader.update_for("e2", now).routes[0]
+    assert (route.paused, route.lease_ms) == (True, 0)
+    assert not control.updates["e1"].routes[0].paused
+
+
+def test_update_concerns_only_groups_of_the_entry():
+    """At full size the routes of all groups would not fit into the bandwidth of a node."""
+    control = running_control()
+    control.entries["x"] = {"draining": True}
+    control.run(0.5)
+    assert control.updates["e1"].routes
+    assert control.updates["e1"].shares
+    assert not control.updates["x"].routes
+    assert not control.updates["x"].shares
