Withdraw a share that was given to others from an instance that returns

Cause: an instance that woke up after its connections were closed still reports its old share, and the leader charges it again. It was no longer a holder, so no update told it about a smaller share, and the charge stayed for as long as the instance ran. Change: an update also concerns instances with a charge.

--- a/hibiscuspoint/core/control/holdings.py
+++ b/hibiscuspoint/core/control/holdings.py
@@ -69,6 +69,16 @@
         """Return the present holders, preferred first."""
         return self._holders
 
+    @property
+    def concerned(self) -> set[InstanceId]:
+        """Return the instances that are holders or may still have connections.
+
+        An instance that woke up after its connections were closed reports a share that was given
+        to others; it must be told, or that share would count for ever.
+        """
+        charged = {i for ledger in self._ledgers.values() for i in ledger.instances}
+        return charged.union(self._holders, self._record.holders)
+
     @property
     def ready_holders(self) -> list[InstanceId]:
         """Return the holders with connections to every known target, or else all of them.
--- a/hibiscuspoint/core/control/updates.py
+++ b/hibiscuspoint/core/control/updates.py
@@ -60,8 +60,7 @@
         """
         self._concerned.clear()
         for group, holding in holdings.items():
-            self.add_concerned(group, holding.holders)
-            self.add_concerned(group, self._state.groups[group].holders)
+            self.add_concerned(group, holding.concerned)
             self.add_concerned(group, self._ledger.held_by(group, now))
 
     def refresh_holders(
@@ -109,10 +108,8 @@
     def _concerns(
         self, group: GroupId, holding: GroupHoldings, entry: EntryInfo, now: float
     ) -> bool:
-        if entry.instance in holding.holders or entry.instance in self._ledger.held_by(group, now):
-            return True
-        record = self._state.groups[group]
-        return entry.instance in record.holders
+        is_leased = entry.instance in self._ledger.held_by(group, now)
+        return is_leased or entry.instance in holding.concerned
 
     def _add_document(self, update: peer_pb2.ControlUpdate, entry: EntryInfo) -> None:
         document = self._state.document
--- a/tests/core/control/test_leader.py
+++ b/tests/core/control/test_leader.py
@@ -192,3 +192,16 @@
     assert control.updates["e1"].shares
     assert not control.updates["x"].routes
     assert not control.updates["x"].shares
+
+
+def test_share_that_was_given_to_others_is_withdrawn():
+    """An instance that wakes up after Terminate would keep the share in its reports for ever."""
+    control = running_control()
+    assert control.holdings.charged("a") == 8
+    control.entries["x"] = {"draining": True, "shares": [share("a", 4, 1)]}
+    control.run(0.3)
+    withdrawn = [item for item in control.updates["x"].shares if item.target == "a"]
+    assert [item.connections for item in withdrawn] == [0]
+    control.entries["x"]["shares"] = [share("a", 0, withdrawn[0].sequence)]
+    control.run(0.3)
+    assert control.holdings.charged("a") == 8
