Do not grant a returned instance the share that was given to others

Cause: the connections of a frozen holder were closed and granted to another one. When it woke up it reported its old share; the leader charged it, took the charge for a claim and granted the share again, so that holders could open 6 of 4 connections. Change: a share that the ledger does not know is withdrawn with a sequence of its own, and counts until that is acknowledged. Result: test_share_of_a_returned_instance_is_no_claim is granted 4 without the change and 0 with it.

--- a/hibiscuspoint/core/control/shares.py
+++ b/hibiscuspoint/core/control/shares.py
@@ -68,13 +68,16 @@
         self, instance: InstanceId, allowance: int, open_connections: int, sequence: int
     ) -> None:
         """Take the report of an instance about the share it acts on."""
-        charge = self._charges.setdefault(instance, _Charge())
         in_use = max(allowance, open_connections)
-        if sequence >= charge.sequence or not charge.is_known:
+        charge = self._charges.get(instance)
+        if charge is None:
+            self._withdraw(instance, in_use)
+            return
+        if sequence >= charge.sequence:
             charge.charged = max(in_use, charge.granted)
+            charge.is_known = True
         else:
             charge.charged = max(charge.charged, in_use)
-        charge.is_known = True
         if charge.charged == 0 and charge.granted == 0:
             del self._charges[instance]
 
@@ -106,6 +109,13 @@
                 self._grant(charge, reachable)
                 charge.charged = max(charge.charged, reachable)
 
+    def _withdraw(self, instance: InstanceId, in_use: int) -> None:
+        """Take a share back that was given to others, as the instance had lost its lease."""
+        if in_use:
+            charge = _Charge(charged=in_use, is_known=False)
+            self._grant(charge, 0)
+            self._charges[instance] = charge
+
     def _wanted(self, holders: list[InstanceId]) -> dict[InstanceId, int]:
         if not holders:
             return {}
--- a/tests/core/control/test_shares.py
+++ b/tests/core/control/test_shares.py
@@ -52,3 +52,23 @@
     ledger.rebalance(["y"])
     assert ledger.granted("y")[0] == 8
     assert ledger.instances == ["y"]
+
+
+def test_share_of_a_returned_instance_is_no_claim():
+    """Its connections were closed and given to others; to grant them again exceeds the limit."""
+    ledger = ShareLedger(8)
+    ledger.rebalance(["x"])
+    old = ledger.granted("x")[1]
+    ledger.terminated("x")
+    ledger.rebalance(["y"])
+    ledger.reported("x", 8, 0, old)
+    ledger.rebalance(["y", "x"])
+    connections, sequence = ledger.granted("x")
+    assert (connections, sequence > old) == (0, True)
+    ledger.reported("x", 8, 0, old)
+    ledger.rebalance(["y", "x"])
+    assert ledger.granted("x")[0] == 0
+    ledger.reported("x", 0, 0, sequence)
+    ledger.reported("y", 4, 4, ledger.granted("y")[1])
+    ledger.rebalance(["y", "x"])
+    assert ledger.granted("x")[0] == 4
