--- a/hibiscuspoint/core/control/updates.py
+++ b/hibiscuspoint/core/control/updates.py
@@ -12,6 +12,8 @@
 from hibiscuspoint.wire import peer_pb2
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from hibiscuspoint.core.control.entries import EntryInfo
     from hibiscuspoint.core.control.group import GroupController
     from hibiscuspoint.core.control.holdings import GroupHoldings
@@ -43,6 +45,23 @@
         self._ledger = ledger
         self._holders: list[peer_pb2.GroupHolders] = []
         self._holders_version = 0
+        self._concerned: dict[InstanceId, set[GroupId]] = {}
+
+    def add_concerned(self, group: GroupId, instances: Iterable[InstanceId]) -> None:
+        """Note that a group may concern instances."""
+        for instance in instances:
+            self._concerned.setdefault(instance, set()).add(group)
+
+    def refresh_concerned(self, holdings: dict[GroupId, GroupHoldings], now: float) -> None:
+        """Recompute which groups may concern which instances.
+
+        Holders change only in the tick that calls this, and leases are granted only to instances
+        noted here, so that no group is missed in between.
+        """
+        self._concerned.clear()
+        for group, holding in holdings.items():
+            self.add_concerned(group, holding.concerned)
+            self.add_concerned(group, self._ledger.held_by(group, now))
 
     def refresh_holders(
         self, holdings: dict[GroupId, GroupHoldings], serving: list[EntryInfo]
@@ -79,7 +98,8 @@
         self._add_document(update, entry)
         if entry.holders_version != self._holders_version:
             update.holders.extend(self._holders)
-        for group, holding in holdings.items():
+        for group in sorted(self._concerned.get(entry.instance, ())):
+            holding = holdings[group]
             if self._concerns(group, holding, entry, now):
                 self._add_route(update, groups[group], holding, entry, now)
                 self._add_shares(update, groups[group].record, holding, entry)
@@ -88,10 +108,8 @@
     def _concerns(
         self, group: GroupId, holding: GroupHoldings, entry: EntryInfo, now: float
     ) -> bool:
-        if entry.instance in holding.holders or entry.instance in self._ledger.held_by(group, now):
-            return True
-        record = self._state.groups[group]
-        return entry.instance in record.holders
+        is_leased = entry.instance in self._ledger.held_by(group, now)
+        return is_leased or entry.instance in holding.concerned
 
     def _add_document(self, update: peer_pb2.ControlUpdate, entry: EntryInfo) -> None:
         document = self._state.document
