--- a/tests/system/builders.py
+++ b/tests/system/builders.py
@@ -17,10 +17,15 @@
 
 __all__ = ["caller", "index_of", "layout", "scarce_layout", "submission"]
 
+SHIP_DELAY_MS = 20
+
 
 def layout(**changes: object) -> Layout:
-    """Return a small topology: five entries, three of them with control, and three targets."""
-    return Layout(**{"entries": 5, "control": 3, **changes})
+    """Return a small topology: five entries, three of them with control, and three targets.
+
+    The log travels slowly, so that a failure meets writes that no quorum holds yet.
+    """
+    return Layout(**{"entries": 5, "control": 3, "ship_delay_ms": SHIP_DELAY_MS, **changes})
 
 
 def scarce_layout(connections: int) -> Layout:
