--- a/hibiscuspoint/components/consensus.py
+++ b/hibiscuspoint/components/consensus.py
@@ -44,8 +44,11 @@
 
 logger = logging.getLogger(__name__)
 
-#: Seconds between ticks of the node.
-TICK_INTERVAL = 0.02
+#: Bounds of the seconds between ticks of the node.
+TICK_MIN = 0.005
+TICK_MAX = 0.1
+
+REPAIR_INTERVAL = 0.02
 
 #: Applied entries after which a snapshot replaces them.
 COMPACTION_ENTRIES = 1000
@@ -187,7 +190,7 @@
             if progress != latest:
                 yield progress
             latest = progress
-            await asyncio.sleep(TICK_INTERVAL)
+            await asyncio.sleep(REPAIR_INTERVAL)
 
     def _advance_repair(
         self, instance: InstanceId, since: float, *, is_begun: bool
@@ -242,7 +245,12 @@
         while self._node is not None:
             self._transport.probe_idle_peers(self._node)
             self._step(self._node.tick)
-            await asyncio.sleep(TICK_INTERVAL)
+            await asyncio.sleep(self._time_to_next_tick())
+
+    def _time_to_next_tick(self) -> float:
+        if self._node is None:
+            return 0.0
+        return min(max(self._node.next_deadline - self._clock(), TICK_MIN), TICK_MAX)
 
     def _step(self, step: Callable[[float], list[Effect]]) -> None:
         """Perform the effects of a step of the node.
--- a/hibiscuspoint/components/consensus_link.py
+++ b/hibiscuspoint/components/consensus_link.py
@@ -39,8 +39,8 @@
 
 #: A stream on which a request stays unanswered for this many checks is replaced. Checks are
 #: counted, so that a pause of this process does not count as silence of the peer.
-_SILENT_CHECKS = 5
-_CHECK_INTERVAL = 0.1
+_SILENT_CHECKS = 3
+_CHECK_INTERVAL = 0.2
 
 
 class PeerLink:
--- a/hibiscuspoint/core/consensus/election.py
+++ b/hibiscuspoint/core/consensus/election.py
@@ -38,6 +38,11 @@
         self._deadline = 0.0
         self.reset_timer()
 
+    @property
+    def deadline(self) -> float:
+        """Return the time of the next election; infinite for a member that may not vote."""
+        return self._deadline if self._state.is_voter else float("inf")
+
     def draw_timeout(self) -> float:
         """Return a random election timeout in seconds."""
         spread = ELECTION_TIMEOUT_MAX - ELECTION_TIMEOUT_MIN
--- a/hibiscuspoint/core/consensus/formation.py
+++ b/hibiscuspoint/core/consensus/formation.py
@@ -32,13 +32,19 @@
         #: Peers without a group, and when each said so.
         self._unbound: dict[Member, float] = {}
 
+    @property
+    def next_probe(self) -> float:
+        """Return the time of the next probe; infinite for a voter."""
+        return float("inf") if self._state.is_voter else self._next_probe
+
     def tick(self) -> None:
         """Probe the peers if it is due, and form the group when possible."""
         state = self._state
-        is_followed = state.now - state.last_contact < ELECTION_TIMEOUT_MIN
-        if state.is_voter or is_followed or state.now < self._next_probe:
+        if state.is_voter or state.now < self._next_probe:
             return
         self._next_probe = state.now + PROBE_INTERVAL
+        if state.has_recent_contact:
+            return
         for instance in sorted(state.peers - {state.me.instance}):
             state.send_to_instance(instance, Probe())
         self._form_if_possible()
--- a/hibiscuspoint/core/consensus/node.py
+++ b/hibiscuspoint/core/consensus/node.py
@@ -134,6 +134,13 @@
         state = self._state
         return Message(state.me, instance, DiskId(""), state.hard.group, self.term, Probe())
 
+    @property
+    def next_deadline(self) -> float:
+        """Return the time at which the next tick has something to do."""
+        if self._state.role is Role.LEADER:
+            return self._replication.next_heartbeat
+        return min(self._election.deadline, self._formation.next_probe)
+
     def tick(self, now: float) -> list[Effect]:
         """Let time pass."""
         self._set_time(now)
--- a/hibiscuspoint/core/consensus/replication.py
+++ b/hibiscuspoint/core/consensus/replication.py
@@ -41,6 +41,11 @@
         self._quorum_timeout = 0.0
         self._next_heartbeat = 0.0
 
+    @property
+    def next_heartbeat(self) -> float:
+        """Return the time of the next heartbeat."""
+        return self._next_heartbeat
+
     @property
     def has_committed_in_term(self) -> bool:
         """Tell whether everything committed in earlier terms is known to be committed."""
--- a/tests/storage/test_control_disk.py
+++ b/tests/storage/test_control_disk.py
@@ -123,6 +123,16 @@
     assert (tmp_path / "consensus.damaged-1" / "log").read_bytes() == data
 
 
+def test_zeros_before_a_valid_frame_lose_the_disk(tmp_path):
+    """Zeros at the end are an interrupted write; with later frames they are damage."""
+    identity = write(tmp_path, entry(1, size=2000), entry(2))
+    data = bytearray(log_file(tmp_path).read_bytes())
+    data[600:1600] = bytes(1000)
+    log_file(tmp_path).write_bytes(data)
+    with opened(tmp_path) as log:
+        assert log.identity != identity
+
+
 @pytest.mark.parametrize("name", ["log", "identity", "snapshot-00000000000000000002"])
 def test_missing_file_loses_the_disk(tmp_path, name):
     """A disk with its identity but without its records would vote twice."""
