--- a/hibiscuspoint/load/tool.py
+++ b/hibiscuspoint/load/tool.py
@@ -85,6 +85,9 @@
         runner = LoadRunner(experiment.load, addresses, groups, name)
         stack.push_async_callback(runner.close)
         await runner.prepare()
+        if topology is not None:
+            # At a replica that has not applied the set-up, reads of fresh tables would fail.
+            await topology.applied()
         started = time.monotonic()
         await _run_with_faults(runner, experiment, topology)
         seconds = time.monotonic() - started
--- a/hibiscuspoint/load/topology.py
+++ b/hibiscuspoint/load/topology.py
@@ -260,6 +260,31 @@
             stub = target_pb2_grpc.TargetStub(channel)
             await stub.SetFault(target_pb2.FaultSettings(**switches), timeout=HTTP_TIMEOUT_S)
 
+    async def applied(self, timeout: float = START_TIMEOUT_S) -> None:
+        """Wait until all members of each group have applied what one of them holds now."""
+        for group in self._layout.group_ids:
+            members = [plan for plan in self._targets.values() if plan.group == group]
+            tip = max([(await self._progress(plan)).received.index for plan in members])
+            for plan in members:
+                await wait_until(
+                    lambda plan=plan, tip=tip: self._has_applied(plan, tip),
+                    f"{plan.target} to apply position {tip}",
+                    timeout,
+                )
+
+    async def _has_applied(self, plan: TargetPlan, index: int) -> bool:
+        return (await self._progress(plan)).applied >= index
+
+    async def _progress(self, plan: TargetPlan) -> target_pb2.Progress:
+        """Return the present position of a target, from the target itself."""
+        async with grpc.aio.insecure_channel(plan.address) as channel:
+            call = target_pb2_grpc.TargetStub(channel).Watch(timeout=HTTP_TIMEOUT_S)
+            await call.write(target_pb2.WatchRequest(sample_id=1))
+            while (progress := await call.read()).sample_id != 1:
+                continue
+            call.cancel()
+            return progress
+
     async def close(self) -> None:
         """End all processes and remove a temporary directory."""
         running = [process for process in self._processes.values() if process.is_running]
