Add benchmarks of acknowledgement, holders, lease and control leader

The byte counters missed the IPv6 sockets that gRPC uses for IPv4 addresses and showed 0 KB/s; they now cover both families.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -9,7 +9,18 @@
 import sys
 from typing import TYPE_CHECKING
 
-from benchmarks import config, control, failover, overhead, overload, reads
+from benchmarks import (
+    acknowledgement,
+    config,
+    control,
+    failover,
+    holders,
+    leader,
+    lease,
+    overhead,
+    overload,
+    reads,
+)
 from benchmarks.bounds import missed
 from benchmarks.registry import BENCHMARKS, Options
 from hibiscuspoint.load.deployments import DEPLOYMENTS
@@ -20,10 +31,21 @@
 logger = logging.getLogger(__name__)
 
 #: Modules that register benchmarks.
-MODULES = (config, control, failover, overhead, overload, reads)
+MODULES = (
+    acknowledgement,
+    config,
+    control,
+    failover,
+    holders,
+    leader,
+    lease,
+    overhead,
+    overload,
+    reads,
+)
 ALL = "all"
-#: Idle cost of control; it does not depend on the deployment, so one of them is enough.
-ONCE = ("control",)
+#: Benchmarks of decisions that do not depend on the deployment; one of them is enough.
+ONCE = ("acknowledgement", "control", "holders", "leader", "lease")
 #: Time for one benchmark in seconds, far more than any needs; one that hangs counts as missed.
 TIMEOUT_S = 300.0
 
--- a/benchmarks/common.py
+++ b/benchmarks/common.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable
 
-__all__ = ["OpenLoop", "first_success", "gap_figures", "median"]
+__all__ = ["OpenLoop", "first_success", "gap_figures", "longest_pause", "median"]
 
 RETRY_INTERVAL_S = 0.1
 FIRST_SUCCESS_TIMEOUT_S = 30.0
@@ -79,3 +79,10 @@
         "gap_median_s": round(median(seconds), 4),
         "gap_max_s": round(max(seconds), 4),
     }
+
+
+def longest_pause(times: Iterable[float]) -> float:
+    """Return the longest time between two successive instants, 0 with fewer than two."""
+    ordered = sorted(times)
+    pauses = (later - earlier for earlier, later in zip(ordered, ordered[1:], strict=False))
+    return max(pauses, default=0.0)
--- a/benchmarks/sockets.py
+++ b/benchmarks/sockets.py
@@ -39,9 +39,16 @@
 
 
 def socket_bytes() -> dict[int, int]:
-    """Return the bytes sent and received by each established IPv4 TCP socket, by inode."""
+    """Return the bytes sent and received by each established TCP socket, by inode.
+
+    gRPC uses IPv6 sockets for IPv4 addresses, too.
+    """
+    return _family_bytes(socket.AF_INET) | _family_bytes(socket.AF_INET6)
+
+
+def _family_bytes(family: socket.AddressFamily) -> dict[int, int]:
     body = _REQUEST.pack(
-        socket.AF_INET,
+        family,
         socket.IPPROTO_TCP,
         1 << (INET_DIAG_INFO - 1),
         0,
--- a/tests/benchmarks/test_sockets.py
+++ b/tests/benchmarks/test_sockets.py
@@ -5,13 +5,21 @@
 import os
 import socket
 
+import pytest
+
 from benchmarks.sockets import process_bytes, socket_bytes
 
 
-def test_bytes_of_a_connection_are_counted():
-    """Wrong offsets in the kernel's structures would yield plausible but wrong rates."""
-    with socket.create_server(("127.0.0.1", 0)) as server:
-        with socket.create_connection(server.getsockname()) as client:
+@pytest.mark.parametrize("dual_stack", [False, True])
+def test_bytes_of_a_connection_are_counted(dual_stack):
+    """Wrong offsets in the kernel's structures would yield plausible but wrong rates.
+
+    gRPC listens on IPv6 sockets that also accept IPv4, which were not counted.
+    """
+    family = socket.AF_INET6 if dual_stack else socket.AF_INET
+    host = "" if dual_stack else "127.0.0.1"
+    with socket.create_server((host, 0), family=family, dualstack_ipv6=dual_stack) as server:
+        with socket.create_connection(("127.0.0.1", server.getsockname()[1])) as client:
             peer, _ = server.accept()
             with peer:
                 before = socket_bytes()
