Write a request only after a ping that is being written

Under load a ping could still be in its write when the answer arrived and the next run began. gRPC failed the whole call on the overlapping write (GRPC_CALL_ERROR_TOO_MANY_OPERATIONS), so the connection was lost and writes ended with MAY_HAVE_RUN. Seen at a load average of 60 on 10 cores.

--- a/hibiscuspoint/drivers/connection.py
+++ b/hibiscuspoint/drivers/connection.py
@@ -42,7 +42,8 @@
         self._request_id = 0
         self._pending: asyncio.Future[RunResult] | None = None
         self._parts = AnswerParts(0)
-        self._is_writing = False
+        # gRPC fails a call on which a second write starts before the first has ended.
+        self._write_lock = asyncio.Lock()
         self._is_closed = False
         self._in_transaction = False
         self._tasks: set[asyncio.Task[None]] = set()
@@ -103,17 +104,15 @@
         self._lose("the connection was closed")
 
     async def _write(self, request: target_pb2.ConnectionRequest) -> None:
-        self._is_writing = True
         try:
-            await self._call.write(request)
+            async with self._write_lock:
+                await self._call.write(request)
         except (grpc.aio.AioRpcError, asyncio.InvalidStateError) as error:
             self._lose(str(error))
         except asyncio.CancelledError:
             # Cancelling the call cancels its writes; only a cancelled task propagates it.
             if not self._is_closed or asyncio.current_task().cancelling():
                 raise
-        finally:
-            self._is_writing = False
 
     async def _read(self) -> None:
         try:
@@ -157,7 +156,7 @@
 
     def _send_ping(self) -> None:
         # While a write is blocked no ping can follow; its silence then counts like a lost ping.
-        if not self._is_writing:
+        if not self._write_lock.locked():
             request = target_pb2.ConnectionRequest(
                 request_id=self._request_id, ping=target_pb2.Ping()
             )
