--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -9,7 +9,19 @@
 import sys
 from typing import TYPE_CHECKING
 
-from benchmarks import config, control, control_core, failover, overhead, overload, reads
+from benchmarks import (
+    acknowledgement,
+    config,
+    control,
+    control_core,
+    failover,
+    holders,
+    leader,
+    lease,
+    overhead,
+    overload,
+    reads,
+)
 from benchmarks.bounds import missed
 from benchmarks.registry import BENCHMARKS, Options
 from hibiscuspoint.load.deployments import DEPLOYMENTS
@@ -17,9 +29,27 @@
 if TYPE_CHECKING:
     from benchmarks.registry import Figures
 
+logger = logging.getLogger(__name__)
+
 #: Modules that register benchmarks.
-MODULES = (config, control, control_core, failover, overhead, overload, reads)
+MODULES = (
+    acknowledgement,
+    config,
+    control,
+    control_core,
+    failover,
+    holders,
+    leader,
+    lease,
+    overhead,
+    overload,
+    reads,
+)
 ALL = "all"
+#: Benchmarks of decisions that do not depend on the deployment; one of them is enough.
+ONCE = ("acknowledgement", "control", "control_core", "holders", "leader", "lease")
+#: Time for one benchmark in seconds, far more than any needs; one that hangs counts as missed.
+TIMEOUT_S = 300.0
 
 
 def _parser() -> argparse.ArgumentParser:
@@ -36,10 +66,27 @@
     return parser
 
 
+async def _bounded(name: str, options: Options) -> Figures:
+    async with asyncio.timeout(TIMEOUT_S):
+        return await BENCHMARKS.get(name)(options)
+
+
+def _deployments(name: str, chosen: str) -> list[str]:
+    if chosen != "both":
+        return [chosen]
+    return DEPLOYMENTS.names[:1] if name in ONCE else DEPLOYMENTS.names
+
+
 def _run(name: str, deployment: str, quick: bool) -> Figures:
     options = Options(DEPLOYMENTS.get(deployment), quick)
-    figures = asyncio.run(BENCHMARKS.get(name)(options))
-    misses = missed(name, figures)
+    try:
+        figures = asyncio.run(_bounded(name, options))
+        misses = missed(name, figures)
+    except Exception as error:
+        # The other benchmarks still run; the bounds of this one count as missed.
+        logger.exception("benchmark %s did not complete", name)
+        figures = {}
+        misses = [f"did not complete: {error!r}", *missed(name, figures)]
     for miss in misses:
         print(f"{name}, {deployment}: {miss}", file=sys.stderr)
     return {"benchmark": name, "deployment": deployment, "misses": misses, "figures": figures}
@@ -50,9 +97,10 @@
     options = _parser().parse_args(arguments)
     logging.basicConfig(level=logging.WARNING)
     names = sorted(BENCHMARKS.names) if options.name == ALL else [options.name]
-    deployments = DEPLOYMENTS.names if options.deployment == "both" else [options.deployment]
     results = [
-        _run(name, deployment, options.quick) for name in names for deployment in deployments
+        _run(name, deployment, options.quick)
+        for name in names
+        for deployment in _deployments(name, options.deployment)
     ]
     has_missed = any(result["misses"] for result in results)
     print(json.dumps({"quick": options.quick, "results": results}))
