Detect silent connections between instances with a ping on the same connection

Cause: test_silent_connections_are_replaced[entry-holder] failed since channels are kept after a failed call. Ruled out: gRPC keepalive; with an interval and a timeout of 1 s a channel to a silent connection stayed READY for 24 s in a trial. Change: a call that is overdue for 0.5 s or ends at its deadline sends Peer.Ping on its channel; a channel without an answer within 0.5 s is closed, which ends its calls. Result: entry-holder, holder-target and entry-control pass; the case 'all' still fails.

--- a/hibiscuspoint/components/leader_client.py
+++ b/hibiscuspoint/components/leader_client.py
@@ -48,9 +48,10 @@
         forwarded.CopyFrom(request)
         forwarded.forwarded = self._log is not None
         for address in self._candidates():
-            stub = peer_pb2_grpc.ControlStub(self._channels.get(address))
             try:
-                reply = await stub.Announce(forwarded, timeout=ANNOUNCE_SECONDS)
+                with self._channels.awaiting_answer(address) as channel:
+                    stub = peer_pb2_grpc.ControlStub(channel)
+                    reply = await stub.Announce(forwarded, timeout=ANNOUNCE_SECONDS)
             except grpc.aio.AioRpcError:
                 self._failed(address)
                 continue
@@ -73,9 +74,10 @@
             if not await self._channels.is_ready(address, CONNECT_SECONDS):
                 self._failed(address)
                 continue
-            stub = peer_pb2_grpc.OperatorStub(self._channels.get(address))
             try:
-                return await getattr(stub, method)(forwarded, timeout=timeout)
+                with self._channels.awaiting_answer(address) as channel:
+                    stub = peer_pb2_grpc.OperatorStub(channel)
+                    return await getattr(stub, method)(forwarded, timeout=timeout)
             except grpc.aio.AioRpcError as error:
                 self._failed(address)
                 raise NotLeaderError(
--- a/hibiscuspoint/components/router.py
+++ b/hibiscuspoint/components/router.py
@@ -114,10 +114,11 @@
             raise DeadlineError("the time of the request ended", verdict=Verdict.NOT_RUN)
         if not await self._channels.is_ready(address, min(CONNECT_SECONDS, remaining)):
             raise NoHolderError(f"the holder at {address} cannot be reached")
-        stub = peer_pb2_grpc.PeerStub(self._channels.get(address))
         message = forward_message(request, self._clock.monotonic())
         try:
-            reply = await stub.Forward(message, timeout=remaining + GRACE_SECONDS)
+            with self._channels.awaiting_answer(address) as channel:
+                stub = peer_pb2_grpc.PeerStub(channel)
+                reply = await stub.Forward(message, timeout=remaining + GRACE_SECONDS)
         except grpc.aio.AioRpcError as error:
             if error.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
                 raise DeadlineError("the holder did not answer in time") from None
--- a/tests/components/test_consensus.py
+++ b/tests/components/test_consensus.py
@@ -259,7 +259,7 @@
     add_ConsensusServicer_to_server(servicer, server)
     port = server.add_insecure_port("127.0.0.1:0")
     await server.start()
-    link = PeerLink(f"127.0.0.1:{port}", grpc.aio.insecure_channel, lambda _: None)
+    link = PeerLink(f"127.0.0.1:{port}", grpc.aio.insecure_channel, lambda _: None, lambda: 0)
     task = asyncio.create_task(link.run())
     try:
         link.send(consensus_pb2.Envelope())
