Report an unknown outcome although a later holder refused the request

Cause: the router kept only the last error. Found by reading, while looking for what the retry until the deadline could change.

Change: a lost holder is remembered, and an error that excludes an effect of a later attempt no longer replaces it.

--- a/hibiscuspoint/components/router.py
+++ b/hibiscuspoint/components/router.py
@@ -14,7 +14,6 @@
     HibiscusError,
     HolderLostError,
     NoHolderError,
-    TargetLostError,
 )
 from hibiscuspoint.verdict import Verdict
 from hibiscuspoint.wire import peer_pb2_grpc
@@ -65,34 +64,35 @@
 
         :raises HibiscusError: with the verdict of the request.
         """
+        lost: HibiscusError | None = None
         while True:
-            try:
-                return await self._try_holders(request)
-            except NoHolderError:
-                if self._clock.monotonic() + RETRY_SECONDS >= request.deadline:
-                    raise
+            error: HibiscusError = NoHolderError(f"group {request.group} has no holder")
+            for instance, address in self.candidates(request):
+                try:
+                    return await self._run_at(request, instance, address)
+                except NoHolderError as refused:
+                    error = refused
+                except HolderLostError as found:
+                    if not self._may_repeat(request):
+                        raise
+                    lost = found
+                except HibiscusError as failed:
+                    raise _first_unknown(lost, failed) from None
+            if self._clock.monotonic() + RETRY_SECONDS >= request.deadline:
+                raise lost or error
             await asyncio.sleep(RETRY_SECONDS)
 
-    async def _try_holders(self, request: GroupRequest) -> GroupResult:
-        error: HibiscusError = NoHolderError(f"group {request.group} has no holder")
-        for instance, address in self.candidates(request):
-            try:
-                if instance == self._holders.instance:
-                    return await self._holders.execute(request)
-                return await self._forward(request, address)
-            except NoHolderError as refused:
-                error = refused
-            except TargetLostError as lost:
-                if not self._may_repeat(request, lost):
-                    raise
-                error = lost
-        raise error
-
-    def _may_repeat(self, request: GroupRequest, lost: TargetLostError) -> bool:
+    async def _run_at(
+        self, request: GroupRequest, instance: InstanceId, address: str
+    ) -> GroupResult:
+        if instance == self._holders.instance:
+            return await self._holders.execute(request)
+        return await self._forward(request, address)
+
+    @staticmethod
+    def _may_repeat(request: GroupRequest) -> bool:
         """Tell whether a request whose holder was lost may go to another holder."""
-        has_time = self._clock.monotonic() < request.deadline
-        lost_holder = isinstance(lost, HolderLostError)
-        return has_time and lost_holder and (request.is_read or request.request_id is not None)
+        return request.is_read or request.request_id is not None
 
     async def _forward(self, request: GroupRequest, address: str) -> GroupResult:
         now = self._clock.monotonic()
@@ -111,3 +111,8 @@
                 raise DeadlineError("the holder did not answer in time") from None
             raise HolderLostError(f"the connection to the holder at {address} failed") from None
         return result_from_forward(reply)
+
+
+def _first_unknown(lost: HibiscusError | None, failed: HibiscusError) -> HibiscusError:
+    """Return the error to report: an attempt that did not run excludes no earlier one."""
+    return lost if lost is not None and failed.verdict is Verdict.NOT_RUN else failed
