--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -53,6 +53,7 @@
         ({"control": {"data_directory": None}}, "is required with role 'control'"),
         ({"control": {"members": {}}}, "has 0 entries"),
         ({"listen": {"address": "127.0.0.1:7409"}}, "but listen.address is 127.0.0.1:7409"),
+        ({"listen": {"advertise": "127.0.0.1:7409"}}, "but listen.advertise is 127.0.0.1:7409"),
         ({"listen": {"http": "127.0.0.1:7400"}}, "address and http are equal"),
         ({"listen": {"http": "127.0.0.1:0"}}, "port 0"),
         ({"listen": {"http": "127.0.0.1"}}, "not an address"),
