Have a target close a connection that was lost

Ruled out: the turns, the shares, the route. Change: Terminate can name one connection; a holder that gives one up asks the target to close it.

--- a/hibiscuspoint/components/holder/lane.py
+++ b/hibiscuspoint/components/holder/lane.py
@@ -16,7 +16,7 @@
     Lend,
     OpenConnection,
 )
-from hibiscuspoint.drivers import ConnectError, ConnectFailure
+from hibiscuspoint.drivers import AdminError, ConnectError, ConnectFailure
 from hibiscuspoint.errors import DeadlineError, NoPrimaryError
 from hibiscuspoint.telemetry import catalogue, log_event
 from hibiscuspoint.verdict import Verdict
@@ -34,6 +34,9 @@
 
 logger = logging.getLogger(__name__)
 
+#: Longest time in seconds to have a target close a lost connection.
+TERMINATE_SECONDS = 1.0
+
 #: Weight of the last run in the moving average of the service time.
 SERVICE_TIME_GAIN = 1 / 8
 
@@ -223,9 +226,26 @@
         if connection is None:
             # The attempt to open it is still running and reports the end.
             return []
+        if not connection.is_usable:
+            self._start(self._terminate(connection))
         connection.close()
         return self._pool.lost(connection_id, self._context.clock.monotonic())
 
+    async def _terminate(self, connection: Connection) -> None:
+        """Have the target close a lost connection.
+
+        The target does not notice the end of a connection that went silent on the way, and would
+        count it against its limit for good.
+        """
+        context = self._context
+        admin = context.driver.admin
+        try:
+            await admin.terminate_connection(
+                self._address, context.instance, connection.incarnation, timeout=TERMINATE_SECONDS
+            )
+        except AdminError as error:
+            logger.debug("a lost connection to %s was not terminated: %s", self._target, error)
+
     async def _open(self, connection_id: ConnectionId) -> None:
         context = self._context
         try:
--- a/hibiscuspoint/core/ports.py
+++ b/hibiscuspoint/core/ports.py
@@ -35,6 +35,10 @@
     def in_transaction(self) -> bool:
         """Tell whether a transaction is open at the target."""
 
+    @property
+    def incarnation(self) -> int:
+        """Return the number that tells this connection from all others of the instance."""
+
     async def run(self, run: target_pb2.Run, timeout: float, *, expected: float = 0.0) -> RunResult:
         """Run statements and wait for the whole answer.
 
@@ -77,6 +81,11 @@
     ) -> int:
         """Close the connections of an instance and return how many there were."""
 
+    async def terminate_connection(
+        self, address: str, instance: str, connection_incarnation: int, *, timeout: float
+    ) -> int:
+        """Close one connection of an instance and return how many there were."""
+
 
 class TargetDriver(Protocol):
     """Access to targets of one kind."""
--- a/hibiscuspoint/drivers/admin.py
+++ b/hibiscuspoint/drivers/admin.py
@@ -58,6 +58,16 @@
         reply = await self._call(address, "Terminate", request, timeout)
         return reply.closed
 
+    async def terminate_connection(
+        self, address: str, instance: str, connection_incarnation: int, *, timeout: float
+    ) -> int:
+        """Close one connection of an instance; return how many were closed."""
+        request = target_pb2.TerminateRequest(
+            instance=instance, connection_incarnation=connection_incarnation
+        )
+        reply = await self._call(address, "Terminate", request, timeout)
+        return reply.closed
+
     async def close(self) -> None:
         """Close all channels."""
         channels = list(self._channels.values())
--- a/hibiscuspoint/drivers/connection.py
+++ b/hibiscuspoint/drivers/connection.py
@@ -57,6 +57,11 @@
         """Tell whether the connection is open and owes no answer."""
         return not self._is_closed and self._pending is None and not self._call.done()
 
+    @property
+    def incarnation(self) -> int:
+        """Return the number that tells this connection from all others of the instance."""
+        return self._incarnation
+
     @property
     def in_transaction(self) -> bool:
         """Tell whether a transaction is open at the target."""
--- a/hibiscuspoint/standin/connection.py
+++ b/hibiscuspoint/standin/connection.py
@@ -81,11 +81,15 @@
         """Tell whether the target rather than the client ended the connection."""
         return self._is_terminated
 
-    def belongs_to(self, instance: str, up_to_incarnation: int) -> bool:
-        """Tell whether an instance opened this connection in that or a lower incarnation."""
-        if self._hello.instance != instance:
+    def is_meant_by(self, request: target_pb2.TerminateRequest) -> bool:
+        """Tell whether this connection is to be closed."""
+        hello = self._hello
+        if hello.instance != request.instance:
             return False
-        return not up_to_incarnation or self._hello.instance_incarnation <= up_to_incarnation
+        if request.connection_incarnation:
+            return hello.connection_incarnation == request.connection_incarnation
+        limit = request.up_to_incarnation
+        return not limit or hello.instance_incarnation <= limit
 
     def terminate(self) -> None:
         """Close the connection on behalf of the target."""
--- a/hibiscuspoint/standin/server.py
+++ b/hibiscuspoint/standin/server.py
@@ -174,11 +174,7 @@
     ) -> target_pb2.TerminateReply:
         """Close the connections of an instance."""
         await self._faults.wait_until_thawed()
-        found = [
-            connection
-            for connection in self._connections
-            if connection.belongs_to(request.instance, request.up_to_incarnation)
-        ]
+        found = [connection for connection in self._connections if connection.is_meant_by(request)]
         for connection in found:
             connection.terminate()
         self._connections.difference_update(found)
