Give up waits for a connection when a holder is replaced

Cause: a request that waited for a connection at an entry that lost the group waited until its deadline, as the share of that entry had gone to others. It counted as work at the primary, so the entry kept its lease, and a switchover waited for its 5 s limit. test_silence[entry-control] then repeated the switchover after its call timed out and came back to the old primary.

Ruled out: a connection that stays in OPENING or CLOSING; the pool frees both.

Change: such waits end as NoHolderError, of which nothing was sent. The launcher names the new primary, so that a repeated switchover changes nothing.

--- a/hibiscuspoint/components/holder/group.py
+++ b/hibiscuspoint/components/holder/group.py
@@ -88,17 +88,24 @@
                 self._lanes[member.target] = lane
             lane.set_address(member.address)
         if self._primary not in (None, route.primary):
-            self._lanes[self._primary].refuse_waiters()
+            self._lanes[self._primary].refuse_waiters(
+                NoPrimaryError(f"target {self._primary} is no longer the primary")
+            )
         self._primary = route.primary
         self.progress.set_route(route)
         self._set_slots(route)
         self.refresh_pause()
 
     def hand_back_waiting(self) -> None:
-        """Refuse the requests that wait for the primary, so that a present holder runs them."""
-        self.primary_turns.refuse_all(
-            NoHolderError(f"this instance no longer holds group {self._group}")
-        )
+        """Refuse the requests of which nothing was sent, so that a present holder runs them.
+
+        The share of this instance goes to others, so a connection that a request waits for may
+        never come, and until its deadline it would hold up the return of the lease.
+        """
+        error = NoHolderError(f"this instance no longer holds group {self._group}")
+        self.primary_turns.refuse_all(error)
+        for lane in self._lanes.values():
+            lane.refuse_waiters(error)
 
     def refresh_pause(self) -> None:
         """Hold the queue of the primary while no lease is valid or control asked for a pause."""
--- a/hibiscuspoint/components/holder/lane.py
+++ b/hibiscuspoint/components/holder/lane.py
@@ -15,7 +15,7 @@
     OpenConnection,
 )
 from hibiscuspoint.drivers import ConnectError, ConnectFailure
-from hibiscuspoint.errors import DeadlineError, NoPrimaryError
+from hibiscuspoint.errors import DeadlineError, HibiscusError
 from hibiscuspoint.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -106,13 +106,11 @@
         self.observations = LaneObservations()
         return taken
 
-    def refuse_waiters(self) -> None:
-        """Refuse the requests that wait for a connection, as the target is no longer wanted."""
+    def refuse_waiters(self, error: HibiscusError) -> None:
+        """Refuse the requests that wait for a connection; nothing of them was sent."""
         for waiter in self._waiters:
             if not waiter.done():
-                waiter.set_exception(
-                    NoPrimaryError(f"target {self._target} is no longer the primary")
-                )
+                waiter.set_exception(error)
 
     async def acquire(self, deadline: float) -> LentConnection:
         """Wait for a connection.
@@ -120,6 +118,7 @@
         :param deadline: monotonic time in seconds.
         :raises DeadlineError: no connection became free in time; nothing was sent.
         :raises NoPrimaryError: the target was given up meanwhile; nothing was sent.
+        :raises NoHolderError: the group was given up meanwhile; nothing was sent.
         """
         waiter = asyncio.get_running_loop().create_future()
         now = self._context.clock.monotonic()
@@ -134,7 +133,7 @@
                 f"no connection to target {self._target} became free in time",
                 verdict=Verdict.NOT_RUN,
             ) from None
-        except (asyncio.CancelledError, NoPrimaryError):
+        except (asyncio.CancelledError, HibiscusError):
             self._give_up(waiter)
             raise
         finally:
--- a/hibiscuspoint/load/topology.py
+++ b/hibiscuspoint/load/topology.py
@@ -243,14 +243,19 @@
         await wait_until(has_leader, "control leader", timeout)
         return found[-1]
 
-    async def switch_over(self, group: GroupId, timeout: float = START_TIMEOUT_S) -> None:
-        """Start a planned change of the primary of a group, repeating until it is accepted."""
+    async def switch_over(
+        self, group: GroupId, timeout: float = START_TIMEOUT_S, to_target: str = ""
+    ) -> None:
+        """Start a planned change of the primary of a group, repeating until it is accepted.
+
+        :param to_target: the new primary. With it, a repeat after a lost answer changes nothing.
+        """
 
         async def is_accepted() -> bool:
             for plan in self._running_instances():
                 operator = Operator(plan.address)
                 try:
-                    await operator.switchover(group)
+                    await operator.switchover(group, to_target)
                 except (grpc.aio.AioRpcError, HibiscusError):
                     continue
                 else:
