--- a/hibiscuspoint/components/holder/lane.py
+++ b/hibiscuspoint/components/holder/lane.py
@@ -18,6 +18,7 @@
 )
 from hibiscuspoint.drivers import AdminError, ConnectError, ConnectFailure
 from hibiscuspoint.errors import DeadlineError, HibiscusError
+from hibiscuspoint.telemetry import catalogue, log_event
 from hibiscuspoint.verdict import Verdict
 
 if TYPE_CHECKING:
