Report an unknown outcome when a later attempt was rolled back or failed

Cause: test_silent_connections_are_replaced[entry-holder] found a request that ran although its error said rolled back: its holder was lost behind a silent connection, the attempt at the next holder was rolled back, and the router reported only that (G5). Calls on a closed channel also ended with CancelledError, so the ping that was added for silent connections never led to a repeat.

--- a/hibiscuspoint/components/caller_service.py
+++ b/hibiscuspoint/components/caller_service.py
@@ -49,12 +49,6 @@
         self._runtime = runtime
         self._streams = streams
 
-    async def Ping(
-        self, request: peer_pb2.PingRequest, context: grpc.aio.ServicerContext
-    ) -> peer_pb2.PingReply:
-        """Answer at once."""
-        return peer_pb2.PingReply()
-
     async def Forward(
         self, request: peer_pb2.ForwardRequest, context: grpc.aio.ServicerContext
     ) -> peer_pb2.ForwardReply:
--- a/hibiscuspoint/components/leader_client.py
+++ b/hibiscuspoint/components/leader_client.py
@@ -49,9 +49,8 @@
         forwarded.forwarded = self._log is not None
         for address in self._candidates():
             try:
-                with self._channels.awaiting_answer(address) as channel:
-                    stub = peer_pb2_grpc.ControlStub(channel)
-                    reply = await stub.Announce(forwarded, timeout=ANNOUNCE_SECONDS)
+                stub = peer_pb2_grpc.ControlStub(self._channels.get(address))
+                reply = await stub.Announce(forwarded, timeout=ANNOUNCE_SECONDS)
             except grpc.aio.AioRpcError:
                 self._failed(address)
                 continue
@@ -75,9 +74,8 @@
                 self._failed(address)
                 continue
             try:
-                with self._channels.awaiting_answer(address) as channel:
-                    stub = peer_pb2_grpc.OperatorStub(channel)
-                    return await getattr(stub, method)(forwarded, timeout=timeout)
+                stub = peer_pb2_grpc.OperatorStub(self._channels.get(address))
+                return await getattr(stub, method)(forwarded, timeout=timeout)
             except grpc.aio.AioRpcError as error:
                 self._failed(address)
                 raise NotLeaderError(
--- a/hibiscuspoint/components/router.py
+++ b/hibiscuspoint/components/router.py
@@ -81,7 +81,7 @@
                         raise
                     lost = found
                 except HibiscusError as failed:
-                    raise _first_unknown(lost, failed) from None
+                    raise _first_unknown(request, lost, failed) from None
             await self.wait_for_holder(request, lost or error)
 
     async def wait_for_holder(self, request: GroupRequest, error: HibiscusError) -> None:
@@ -120,9 +120,8 @@
             raise NoHolderError(f"the holder at {address} cannot be reached")
         message = forward_message(request, self._clock.monotonic())
         try:
-            with self._channels.awaiting_answer(address) as channel:
-                stub = peer_pb2_grpc.PeerStub(channel)
-                reply = await stub.Forward(message, timeout=remaining + GRACE_SECONDS)
+            stub = peer_pb2_grpc.PeerStub(self._channels.get(address))
+            reply = await stub.Forward(message, timeout=remaining + GRACE_SECONDS)
         except grpc.aio.AioRpcError as error:
             if error.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
                 raise DeadlineError("the holder did not answer in time") from None
@@ -130,6 +129,17 @@
         return result_from_forward(reply)
 
 
-def _first_unknown(lost: HibiscusError | None, failed: HibiscusError) -> HibiscusError:
-    """Return the error to report: an attempt that did not run excludes no earlier one."""
-    return lost if lost is not None and failed.verdict is Verdict.NOT_RUN else failed
+def _first_unknown(
+    request: GroupRequest, lost: HibiscusError | None, failed: HibiscusError
+) -> HibiscusError:
+    """Return the error to report when an attempt failed after the holder of another was lost.
+
+    That a later attempt had no effect, because it did not run, was rolled back or failed at the
+    target, says nothing about the lost one, which may still commit.
+    """
+    if lost is None or failed.verdict is Verdict.NOT_RUN:
+        return lost or failed
+    if request.is_read:
+        return failed
+    is_unknown = failed.verdict is Verdict.MAY_HAVE_RUN and not failed.rolled_back
+    return failed if is_unknown else lost
--- a/tests/components/test_router.py
+++ b/tests/components/test_router.py
@@ -10,7 +10,14 @@
 from hibiscuspoint.components.holder import GroupRequest
 from hibiscuspoint.components.router import Router
 from hibiscuspoint.core.position import ZERO
-from hibiscuspoint.errors import HibiscusError, HolderLostError, NoHolderError, OverloadError
+from hibiscuspoint.errors import (
+    HibiscusError,
+    HolderLostError,
+    NoHolderError,
+    OverloadError,
+    StatementError,
+    TargetLostError,
+)
 from hibiscuspoint.ids import CallerId, GroupId, InstanceId, RequestId
 from hibiscuspoint.verdict import Verdict
 
@@ -41,9 +48,17 @@
     return await _ScriptedRouter(outcomes).execute(request)
 
 
-@pytest.mark.parametrize("later", [NoHolderError("no"), OverloadError("full")])
-def test_lost_holder_is_not_hidden_by_a_refusal(later):
-    """A request that may have run at a lost holder must not be reported as not run (G5)."""
+@pytest.mark.parametrize(
+    "later",
+    [
+        NoHolderError("no"),
+        OverloadError("full"),
+        StatementError("wrong"),
+        TargetLostError("lost", rolled_back=True),
+    ],
+)
+def test_lost_holder_is_not_hidden_by_a_later_failure(later):
+    """A request that may have run at a lost holder must not be reported as without effect (G5)."""
     outcomes = [HolderLostError("lost"), later]
     with pytest.raises(HolderLostError) as caught:
         asyncio.run(_execute(outcomes, 0.0, request_id=RequestId("r")))
