Keep the state of lanes and groups private

Cause: attributes of a lane and a group were changed from other modules, and a transaction called __enter__ and __exit__ of a context manager by hand. Change: properties, a running() context of the lane, an ExitStack.

--- a/hibiscuspoint/components/holder/group.py
+++ b/hibiscuspoint/components/holder/group.py
@@ -48,12 +48,12 @@
         self._lanes: dict[TargetId, TargetLane] = {}
         self._primary: TargetId | None = None
         self._primary_work = 0
-        self.progress = GroupProgress(context, group)
-        self.primary_turns = Turns(context.clock, document.limits.queue_length, 1)
-        self.read_turns = Turns(context.clock, document.limits.queue_length, 1)
-        self.primary_turns.set_paused(True)
+        self._progress = GroupProgress(context, group)
+        self._primary_turns = Turns(context.clock, document.limits.queue_length, 1)
+        self._read_turns = Turns(context.clock, document.limits.queue_length, 1)
+        self._primary_turns.set_paused(True)
         context.metrics.queue_length.labels(group).set_function(self._waiting)
-        self.retries = RetryBudget(document.limits.retry_ratio)
+        self._retries = RetryBudget(document.limits.retry_ratio)
         self._writes = WriteRunner(self, document.limits.idempotency_retention_hours)
         self._reads = ReadRunner(self)
         self._transactions = TransactionRunner(self)
@@ -68,6 +68,26 @@
         """Return the group."""
         return self._group
 
+    @property
+    def progress(self) -> GroupProgress:
+        """Return what is known about the logs of the members."""
+        return self._progress
+
+    @property
+    def primary_turns(self) -> Turns:
+        """Return the turns at the primary."""
+        return self._primary_turns
+
+    @property
+    def read_turns(self) -> Turns:
+        """Return the turns of reads."""
+        return self._read_turns
+
+    @property
+    def retries(self) -> RetryBudget:
+        """Return the budget of retries."""
+        return self._retries
+
     @property
     def lanes(self) -> dict[TargetId, TargetLane]:
         """Return the connections by target."""
@@ -86,9 +106,9 @@
     def set_rules(self, document: Document, rules: GroupModel) -> None:
         """Take the rules of a new document over."""
         self._rules = rules
-        self.primary_turns.set_max_length(document.limits.queue_length)
-        self.read_turns.set_max_length(document.limits.queue_length)
-        self.retries.set_ratio(document.limits.retry_ratio)
+        self._primary_turns.set_max_length(document.limits.queue_length)
+        self._read_turns.set_max_length(document.limits.queue_length)
+        self._retries.set_ratio(document.limits.retry_ratio)
         self._writes.set_retention(document.limits.idempotency_retention_hours)
 
     def set_route(self, route: Route) -> None:
@@ -104,7 +124,7 @@
                 NoPrimaryError(f"target {self._primary} is no longer the primary")
             )
         self._primary = route.primary
-        self.progress.set_route(route)
+        self._progress.set_route(route)
         self._set_slots(route)
         self.refresh_pause()
 
@@ -115,21 +135,21 @@
         never come, and until its deadline it would hold up the return of the lease.
         """
         error = NoHolderError(f"this instance no longer holds group {self._group}")
-        self.primary_turns.refuse_all(error)
+        self._primary_turns.refuse_all(error)
         for lane in self._lanes.values():
             lane.refuse_waiters(error)
 
     def refresh_pause(self) -> None:
         """Hold the queue of the primary while no lease is valid or control asked for a pause."""
         route = self._context.routes.primary(self._group, self._context.clock.monotonic())
-        self.primary_turns.set_paused(route is None or route.paused)
+        self._primary_turns.set_paused(route is None or route.paused)
 
     def tick(self, now: float) -> None:
         """Advance timers."""
         self.refresh_pause()
-        self.primary_turns.tick(now)
-        self.read_turns.tick(now)
-        self.progress.tick(now)
+        self._primary_turns.tick(now)
+        self._read_turns.tick(now)
+        self._progress.tick(now)
         for lane in self._lanes.values():
             lane.tick(now)
 
@@ -172,7 +192,7 @@
 
     def close(self) -> None:
         """Close all connections and streams."""
-        self.progress.close()
+        self._progress.close()
         for lane in self._lanes.values():
             lane.close()
 
@@ -180,11 +200,11 @@
         """Let as many requests run as the limits of the targets allow."""
         primary = self._primary
         replicas = (lane.limit.value for target, lane in self._lanes.items() if target != primary)
-        self.primary_turns.set_concurrency(self._lanes[primary].limit.value)
-        self.read_turns.set_concurrency(READS_PER_SLOT * max(1, sum(replicas)))
+        self._primary_turns.set_concurrency(self._lanes[primary].limit.value)
+        self._read_turns.set_concurrency(READS_PER_SLOT * max(1, sum(replicas)))
 
     def _waiting(self) -> int:
-        return len(self.primary_turns.queue) + len(self.read_turns.queue)
+        return len(self._primary_turns.queue) + len(self._read_turns.queue)
 
     def _set_slots(self, route: Route) -> None:
         for member in route.members:
--- a/hibiscuspoint/components/holder/lane.py
+++ b/hibiscuspoint/components/holder/lane.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -22,7 +23,7 @@
 from hibiscuspoint.verdict import Verdict
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Iterator
 
     from hibiscuspoint.components.holder.context import HolderContext
     from hibiscuspoint.core.entry.pool import PoolEffect
@@ -74,16 +75,31 @@
         self._tasks: set[asyncio.Task] = set()
         self._sequence = 0
         self._waiters: set[asyncio.Future] = set()
-        self.limit = ConcurrencyLimit(1)
-        self.in_flight = 0
-        self.service_time = 0.0
-        self.observations = LaneObservations()
+        self._limit = ConcurrencyLimit(1)
+        self._in_flight = 0
+        self._service_time = 0.0
+        self._observations = LaneObservations()
 
     @property
     def target(self) -> TargetId:
         """Return the target."""
         return self._target
 
+    @property
+    def limit(self) -> ConcurrencyLimit:
+        """Return the limit on statements in flight."""
+        return self._limit
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of statements in flight."""
+        return self._in_flight
+
+    @property
+    def service_time(self) -> float:
+        """Return the moving average of the service time in seconds."""
+        return self._service_time
+
     @property
     def pool(self) -> ConnectionPool:
         """Return the pool of connections."""
@@ -120,8 +136,8 @@
 
     def take_observations(self) -> LaneObservations:
         """Return what happened since the last call."""
-        taken = self.observations
-        self.observations = LaneObservations()
+        taken = self._observations
+        self._observations = LaneObservations()
         return taken
 
     def refuse_waiters(self, error: HibiscusError) -> None:
@@ -170,19 +186,32 @@
         now = self._context.clock.monotonic()
         self._carry_out(self._pool.release(lent.connection_id, is_clean, now))
 
+    @contextmanager
+    def running(self) -> Iterator[int]:
+        """Count a statement while the body runs, and yield how many are in flight."""
+        self._in_flight += 1
+        try:
+            yield self._in_flight
+        finally:
+            self._in_flight -= 1
+
+    def answered(self) -> None:
+        """Record that the target answered."""
+        self._observations.successes += 1
+
     def succeeded(self, seconds: float, in_flight: int) -> None:
         """Record the duration of a successful run.
 
         :param in_flight: runs in flight when it began, this one counted.
         """
-        self.observations.successes += 1
+        self._observations.successes += 1
         now = self._context.clock.monotonic()
-        self.limit.record(seconds, in_flight, max(1, self._pool.share), now)
-        self.service_time += SERVICE_TIME_GAIN * (seconds - self.service_time)
+        self._limit.record(seconds, in_flight, max(1, self._pool.share), now)
+        self._service_time += SERVICE_TIME_GAIN * (seconds - self._service_time)
 
     def lost(self, error: ConnectionLost) -> None:
         """Record a connection that was lost during a run."""
-        self.observations.timeouts += 1
+        self._observations.timeouts += 1
         if error.is_silent:
             log_event(logger, catalogue.CONNECTION_SILENT, target=self._target)
         else:
@@ -269,9 +298,9 @@
 
     def _observe_failure(self, failure: ConnectFailure) -> None:
         if failure is ConnectFailure.REFUSED:
-            self.observations.refusals += 1
+            self._observations.refusals += 1
         elif failure is ConnectFailure.TIMED_OUT:
-            self.observations.timeouts += 1
+            self._observations.timeouts += 1
 
     def _is_closing(self, connection_id: ConnectionId) -> bool:
         return self._pool.state(connection_id) is ConnectionState.CLOSING
--- a/hibiscuspoint/components/holder/reads.py
+++ b/hibiscuspoint/components/holder/reads.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.components.holder.context import GroupResult
@@ -30,8 +29,6 @@
 from hibiscuspoint.wire import target_pb2
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
-
     from hibiscuspoint.components.holder.context import GroupRequest
     from hibiscuspoint.components.holder.group import GroupHolder
     from hibiscuspoint.components.holder.lane import TargetLane
@@ -190,7 +187,7 @@
     ) -> RunResult:
         run = target_pb2.Run(term=term, read_only=True, statements=request.statements)
         clock = self._holder.context.clock
-        with _in_flight(lane) as in_flight:
+        with lane.running() as in_flight:
             lent = await lane.acquire(request.deadline)
             try:
                 started = clock.monotonic()
@@ -237,13 +234,3 @@
 
 def _no_route() -> HibiscusError:
     return NoPrimaryError("the group has no route yet")
-
-
-@contextmanager
-def _in_flight(lane: TargetLane) -> Iterator[int]:
-    """Count a run and yield how many are in flight."""
-    lane.in_flight += 1
-    try:
-        yield lane.in_flight
-    finally:
-        lane.in_flight -= 1
--- a/hibiscuspoint/components/holder/transactions.py
+++ b/hibiscuspoint/components/holder/transactions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import ExitStack
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.components.holder.context import GroupResult
@@ -42,14 +43,11 @@
         holder = self._holder
         async with holder.primary_turns.turn(request.caller, request.deadline):
             route = holder.require_route()
-            work = holder.primary_work()
-            work.__enter__()
-            try:
+            with ExitStack() as stack:
+                stack.enter_context(holder.primary_work())
                 lane = holder.lanes[route.primary]
                 lent = await lane.acquire(request.deadline)
-            except BaseException:
-                work.__exit__(None, None, None)
-                raise
+                work = stack.pop_all()
         return OpenTransaction(holder, route, lane, lent, work, request.deadline)
 
 
@@ -66,7 +64,7 @@
         route: Route,
         lane: TargetLane,
         lent: LentConnection,
-        work: object,
+        work: ExitStack,
         deadline: float,
     ) -> None:
         self._holder = holder
@@ -148,7 +146,7 @@
         except TargetFailure as failure:
             raise self._fail_by_answer(failure) from None
         self._state.step_answered()
-        self._lane.observations.successes += 1
+        self._lane.answered()
         return result
 
     def _check_term(self) -> None:
@@ -193,6 +191,4 @@
             self._lent = None
 
     def _end_work(self) -> None:
-        if self._work is not None:
-            self._work.__exit__(None, None, None)
-            self._work = None
+        self._work.close()
