--- a/hibiscuspoint/components/holder/reads.py
+++ b/hibiscuspoint/components/holder/reads.py
@@ -63,12 +63,11 @@
         if max_age is not None:
             holder.progress.want_samples()
         async with holder.read_turns.turn(request.caller, request.deadline) as turn:
-            result = await self._run_planned(request, read)
-            turn.service_time = holder.context.clock.monotonic() - arrived_at
+            result = await self._run_planned(request, read, turn)
         self._count(result, max_age)
         return result
 
-    async def _run_planned(self, request: GroupRequest, read: Read) -> GroupResult:
+    async def _run_planned(self, request: GroupRequest, read: Read, turn: Turn) -> GroupResult:
         attempt = 0
         while True:
             plan = self._plan(read)
@@ -79,9 +78,9 @@
                     await self._wait(read, until)
                     continue
                 case ServeFromReplica(target):
-                    step = self._at_replica(request, read, self._holder.lanes[target])
+                    step = self._at_replica(request, read, self._holder.lanes[target], turn)
                 case ServeFromPrimary():
-                    step = self._at_primary(request)
+                    step = self._at_primary(request, turn)
             try:
                 result = await step
             except NoPrimaryError:
@@ -146,12 +145,12 @@
         await progress.wait_change(until)
 
     async def _at_replica(
-        self, request: GroupRequest, read: Read, lane: TargetLane
+        self, request: GroupRequest, read: Read, lane: TargetLane, turn: Turn
     ) -> GroupResult | None:
         """Run at a replica; ``None`` when its answer turned out to be too old."""
         holder = self._holder
         route = holder.context.routes.route(holder.group)
-        result = await self._run(request, lane, route.term)
+        result = await self._run(request, lane, route.term, turn)
         now = holder.context.clock.monotonic()
         current = holder.context.routes.route(holder.group)
         accepted = current.term == route.term and self._planner.accepts_answer(
@@ -166,13 +165,14 @@
             return None
         return GroupResult(result.results, result.position, lane.target, from_replica=True)
 
-    async def _at_primary(self, request: GroupRequest) -> GroupResult:
+    async def _at_primary(self, request: GroupRequest, turn: Turn) -> GroupResult:
         holder = self._holder
-        async with holder.primary_turns.turn(request.caller, request.deadline) as turn:
+        async with holder.primary_turns.turn(request.caller, request.deadline) as at_primary:
             with holder.primary_work():
                 route = holder.require_route()
                 lane = holder.lanes[route.primary]
-                result = await self._run(request, lane, route.term, turn)
+                result = await self._run(request, lane, route.term, at_primary)
+        turn.service_time = at_primary.service_time
         # What the read saw must survive a promotion before it is released.
         confirmed = await holder.progress.wait_confirmed(result.position, request.deadline)
         now = holder.context.clock.monotonic()
