Keep a healthy primary when the control leader changes

Cause: a new control leader suspected a primary after 0.6 s without an announcement, counted from its own election. Targets and entries find a new leader later than that when the old one is frozen: entries leave a silent leader after 1 s, and a target gives each instance 0.3 s. A single UNAVAILABLE answer to a call of control also counted as a refused address. Change: a primary that has not announced itself to this leader is suspected after 2 s of silence. A call of control whose connection broke is made again on a new connection; the address is refused only when that fails as well. System tests fail when a process ended by itself, and print the last outcomes and log lines on a failure. Daemon and stand-in print a traceback when a native library crashes.

--- a/hibiscuspoint/core/control/detector.py
+++ b/hibiscuspoint/core/control/detector.py
@@ -15,6 +15,11 @@
 #: Silence in seconds after which a primary without successful requests is suspected.
 SILENCE_SECONDS = 0.6
 
+#: Silence in seconds after which a primary is suspected that has not announced itself to this
+#: leader. A new leader is found late: entries leave a silent leader after 1 s, and a target gives
+#: each instance that it tries 0.3 s to pass its announcement on.
+FIRST_SILENCE_SECONDS = 2.0
+
 #: Silence in seconds that is enough when every holder is refused.
 SHORT_SILENCE_SECONDS = 0.25
 
@@ -56,6 +61,7 @@
         self._last_announcement = now
         self._last_success = now
         self._last_tick = now
+        self._has_announced = False
         self._stepped_down = False
         self._probe_refused_at = -math.inf
         self._holders: dict[InstanceId, _HolderView] = {}
@@ -68,6 +74,7 @@
     def announced(self, is_primary: bool, now: float) -> None:
         """Take an announcement of the watched target."""
         self._last_announcement = now
+        self._has_announced = True
         self._stepped_down = not is_primary
 
     def observed(
@@ -100,7 +107,8 @@
         silence = now - self._last_announcement
         if self._stepped_down:
             return Suspicion.STEPPED_DOWN
-        if silence >= SILENCE_SECONDS and now - self._last_success >= SILENCE_SECONDS:
+        limit = SILENCE_SECONDS if self._has_announced else FIRST_SILENCE_SECONDS
+        if silence >= limit and now - self._last_success >= limit:
             return Suspicion.SILENT
         if silence >= SHORT_SILENCE_SECONDS and self._is_probe_refused(now):
             return Suspicion.REFUSED
--- a/hibiscuspoint/daemon/main.py
+++ b/hibiscuspoint/daemon/main.py
@@ -4,6 +4,7 @@
 
 import argparse
 import asyncio
+import faulthandler
 import logging
 import sys
 from typing import TYPE_CHECKING
@@ -32,6 +33,8 @@
     parser.add_argument("--settings", required=True, help="settings file of the instance (TOML)")
     parser.add_argument("--version", action="version", version=__version__)
     options = parser.parse_args(arguments)
+    # A crash in a native library leaves no other trace.
+    faulthandler.enable()
     try:
         settings = NodeSettings.from_file(options.settings)
         node = Node.from_settings(settings)
--- a/hibiscuspoint/drivers/admin.py
+++ b/hibiscuspoint/drivers/admin.py
@@ -22,7 +22,9 @@
 class AdminClient:
     """Seals, promotes, follows and terminates.
 
-    A channel on which a call fails is dropped, because a silent TCP connection stays silent.
+    A channel on which a call fails is dropped, because a silent TCP connection stays silent. A call
+    whose connection broke is made again on a new one, because only a new connection shows whether
+    the address still accepts any.
     """
 
     def __init__(self, credentials: grpc.ChannelCredentials | None = None) -> None:
@@ -76,6 +78,16 @@
             await channel.close()
 
     async def _call(self, address: str, method: str, request: Message, timeout: float) -> Message:
+        try:
+            return await self._call_once(address, method, request, timeout)
+        except AdminError as error:
+            if not error.is_refused:
+                raise
+        return await self._call_once(address, method, request, timeout)
+
+    async def _call_once(
+        self, address: str, method: str, request: Message, timeout: float
+    ) -> Message:
         channel = self._channels.get(address)
         if channel is None:
             channel = self._channels[address] = open_channel(address, self._credentials)
@@ -85,7 +97,7 @@
         except grpc.aio.AioRpcError as error:
             self._drop(address, channel)
             raise AdminError(
-                f"{method} at {address} failed: {error.code().name}",
+                f"{method} at {address} failed: {error.code().name}: {error.details()}",
                 is_refused=error.code() is grpc.StatusCode.UNAVAILABLE,
             ) from error
 
--- a/hibiscuspoint/drivers/errors.py
+++ b/hibiscuspoint/drivers/errors.py
@@ -64,7 +64,7 @@
 class AdminError(Exception):
     """A control call to a target had no answer; it may have taken effect.
 
-    :param is_refused: the address refused or reset the connection.
+    :param is_refused: the address refused or reset two connections in a row, the second one new.
     """
 
     def __init__(self, message: str, *, is_refused: bool) -> None:
--- a/hibiscuspoint/load/topology.py
+++ b/hibiscuspoint/load/topology.py
@@ -128,6 +128,14 @@
         """Return the number of the document that was submitted last."""
         return self._number
 
+    def check_processes(self) -> None:
+        """Check that no process ended by itself.
+
+        :raises ProcessExitedError: one did.
+        """
+        for process in self._processes.values():
+            process.check()
+
     def process(self, name: str) -> OwnedProcess:
         """Return the process of an instance or target.
 
@@ -189,7 +197,7 @@
                 return True
             finally:
                 await operator.close()
-        self._check_processes()
+        self.check_processes()
         return False
 
     async def ready(self, timeout: float = START_TIMEOUT_S) -> None:
@@ -202,7 +210,7 @@
             await self.primary(group, timeout)
 
     async def _checked_ready(self, http: str) -> bool:
-        self._check_processes()
+        self.check_processes()
         return await is_ready(http)
 
     async def status(self) -> peer_pb2.StatusReply | None:
@@ -324,10 +332,6 @@
             if name in self._processes and self._processes[name].is_running
         ]
 
-    def _check_processes(self) -> None:
-        for process in self._processes.values():
-            process.check()
-
     def _plan_instances(self) -> dict[InstanceId, InstancePlan]:
         names = self._layout.instance_ids
         addresses = {name: self._ports.address() for name in names}
--- a/hibiscuspoint/standin/main.py
+++ b/hibiscuspoint/standin/main.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import faulthandler
 import logging
 import signal
 import time
@@ -46,6 +47,7 @@
 def main() -> None:
     """Run a stand-in until SIGTERM or SIGINT."""
     config = StandinConfig.from_arguments()
+    faulthandler.enable()
     logging.basicConfig(
         level=logging.INFO, format=f"%(asctime)s %(levelname)s {config.target} %(message)s"
     )
--- a/tests/core/control/test_detector.py
+++ b/tests/core/control/test_detector.py
@@ -13,8 +13,12 @@
 
 
 def watch(seconds: float, announce: bool = True, **reports: dict) -> Suspicion | None:
-    """Watch a primary in steps of 100 ms; each holder reports the same in every step."""
+    """Watch a primary that announced itself once, in steps of 100 ms.
+
+    Each holder reports the same in every step.
+    """
     detector = FailureDetector("a", 0.0)
+    detector.announced(True, 0.0)
     found = None
     for step in range(1, round(seconds * 10) + 1):
         now = step / 10
@@ -53,6 +57,16 @@
     assert watch(seconds, announce, **reports) is expected
 
 
+def test_new_leader_waits_for_the_first_announcement():
+    """Targets and entries find a new leader late; that must not replace a healthy primary."""
+    detector = FailureDetector("a", 0.0)
+    found = [detector.suspicion(HOLDERS, step / 10) for step in range(1, 22)]
+    assert found.index(Suspicion.SILENT) == 19
+    detector.announced(True, 2.2)
+    found = [detector.suspicion(HOLDERS, 2.2 + step / 10) for step in range(1, 8)]
+    assert found.index(Suspicion.SILENT) == 5, "a primary that was heard is found silent sooner"
+
+
 def test_old_failures_of_idle_holders_are_no_failure():
     """Without traffic nothing clears a failure; it would replace a healthy primary hours later."""
     detector = FailureDetector("a", 0.0)
--- a/tests/system/trial.py
+++ b/tests/system/trial.py
@@ -19,6 +19,7 @@
 from hibiscuspoint.load.operator_client import Operator
 from hibiscuspoint.load.runner import LoadRunner
 from hibiscuspoint.load.topology import is_ready, wait_until
+from tests.system.report import report
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
@@ -203,6 +204,10 @@
         await running
         tested.history = await runner.history()
         _judge(tested.history)
+        topology.check_processes()
+    except Exception:
+        print(await report(topology, runner.recorder.operations))
+        raise
     finally:
         if running is not None:
             running.cancel()
