Define the conversion factors of time units once

Cause: MILLISECONDS and NANOSECONDS were defined in eleven modules without a comment, and others wrote the numbers out; the names did not say what they count. Change: hibiscuspoint/util/units.py defines MILLISECONDS_PER_SECOND, MICROSECONDS_PER_SECOND and NANOSECONDS_PER_SECOND; modules that convert seconds use them. No value changes.

--- a/benchmarks/control_core.py
+++ b/benchmarks/control_core.py
@@ -9,6 +9,7 @@
 from hibiscuspoint.core.control import ControlLeader, ControlState, Propose
 from hibiscuspoint.document import Document
 from hibiscuspoint.ids import InstanceId
+from hibiscuspoint.util.units import MICROSECONDS_PER_SECOND, NANOSECONDS_PER_SECOND
 from hibiscuspoint.wire import common_pb2, peer_pb2
 
 if TYPE_CHECKING:
@@ -23,8 +24,6 @@
 REPORTS_PER_S = 4
 ANNOUNCEMENTS_PER_S = 5
 TICKS_PER_S = 10
-MICROSECONDS = 1_000_000
-NANOSECONDS = 1_000_000_000
 
 
 class _Environment:
@@ -72,7 +71,7 @@
             incarnation=1,
             availability_zone=f"zone-{number % ZONES}",
             address=f"{name}:1",
-            sent_at_ns=int(self.now * NANOSECONDS),
+            sent_at_ns=int(self.now * NANOSECONDS_PER_SECOND),
             document_number=1,
             holders_version=update.holders_version,
         )
@@ -123,7 +122,7 @@
     started = time.process_time()
     for chosen in arguments:
         call(*chosen)
-    return round(MICROSECONDS * (time.process_time() - started) / len(arguments), 1)
+    return round(MICROSECONDS_PER_SECOND * (time.process_time() - started) / len(arguments), 1)
 
 
 def _round(environment: _Environment) -> dict[str, float]:
@@ -150,7 +149,7 @@
         entries * REPORTS_PER_S * (means["report_us"] + means["update_us"])
         + targets * ANNOUNCEMENTS_PER_S * means["announcement_us"]
         + TICKS_PER_S * means["tick_us"]
-    ) / MICROSECONDS
+    ) / MICROSECONDS_PER_SECOND
     return {
         "groups": len(environment.groups),
         "targets": targets,
--- a/benchmarks/control_log.py
+++ b/benchmarks/control_log.py
@@ -21,6 +21,7 @@
 
 from hibiscuspoint.components.consensus import ReplicatedLog
 from hibiscuspoint.ids import InstanceId
+from hibiscuspoint.util.units import MICROSECONDS_PER_SECOND
 from hibiscuspoint.wire import record_pb2
 from hibiscuspoint.wire.consensus_pb2_grpc import add_ConsensusServicer_to_server
 
@@ -118,7 +119,7 @@
         while time.monotonic() - started < arguments.duration:
             sent = time.monotonic()
             await log.propose(COMMAND)
-            histogram.record_value(int((time.monotonic() - sent) * 1e6))
+            histogram.record_value(int((time.monotonic() - sent) * MICROSECONDS_PER_SECOND))
 
     await asyncio.gather(*(propose_repeatedly() for _ in range(arguments.concurrency)))
     elapsed = time.monotonic() - started
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -17,6 +17,7 @@
 from hibiscuspoint.load.ports import PortAllocator
 from hibiscuspoint.util.channels import open_channel
 from hibiscuspoint.util.clock import suspend_aware
+from hibiscuspoint.util.units import NANOSECONDS_PER_SECOND
 from hibiscuspoint.wire import common_pb2, peer_pb2, peer_pb2_grpc, target_pb2, target_pb2_grpc
 
 if TYPE_CHECKING:
@@ -31,7 +32,6 @@
 ZONES = 5
 SLOTS = 2
 CONNECTIONS = 16
-NANOSECONDS = 1_000_000_000
 SERVER_OPTIONS = (("grpc.so_reuseport", 0),)
 
 
@@ -111,7 +111,7 @@
             incarnation=1,
             availability_zone=self._zone,
             address="127.0.0.1:9",
-            sent_at_ns=int(suspend_aware() * NANOSECONDS),
+            sent_at_ns=int(suspend_aware() * NANOSECONDS_PER_SECOND),
             document_number=last.document_number,
             document_digest=last.document_digest,
             holders_version=last.holders_version,
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -16,6 +16,7 @@
 from hibiscuspoint.load.caller import Caller
 from hibiscuspoint.load.latency import Latencies
 from hibiscuspoint.load.topology import Topology
+from hibiscuspoint.util.units import MICROSECONDS_PER_SECOND
 from hibiscuspoint.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -111,7 +112,7 @@
     """Offer reads at multiples of what the slots of one group carry."""
     deployment = options.deployment
     slots = deployment.slots * deployment.targets_per_group
-    capacity = slots / (SERVICE_TIME_US / 1e6)
+    capacity = slots / (SERVICE_TIME_US / MICROSECONDS_PER_SECOND)
     seconds = options.choose(6.0, 3.0)
     direct = {
         f"{multiple}x": await _direct(options, capacity * multiple, seconds)
--- a/hibiscuspoint/cli/commands/execute.py
+++ b/hibiscuspoint/cli/commands/execute.py
@@ -18,6 +18,7 @@
 )
 from hibiscuspoint.cli.results import results_data, results_text
 from hibiscuspoint.cli.session_file import SessionFile
+from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
 from hibiscuspoint.verdict import Verdict
 from hibiscuspoint.wire import caller_pb2, common_pb2
 
@@ -103,7 +104,7 @@
             caller=args.caller,
             group=args.group,
             token=session.load(),
-            timeout_ms=int(args.timeout * 1000),
+            timeout_ms=int(args.timeout * MILLISECONDS_PER_SECOND),
         )
         if args.transaction is not None:
             request.statements.extend(read_statements(args.transaction))
@@ -130,7 +131,7 @@
             raise UsageError("--max-age-ms contradicts --write.")
         if args.id is not None and not args.write:
             raise UsageError("--id needs --write.")
-        if not 0 <= args.max_age_ms < 2**32 or args.timeout >= 2**32 / 1000:
+        if not 0 <= args.max_age_ms < 2**32 or args.timeout >= 2**32 / MILLISECONDS_PER_SECOND:
             raise UsageError("--max-age-ms and --timeout must fit into 32 bits of ms.")
 
 
--- a/hibiscuspoint/cli/commands/history.py
+++ b/hibiscuspoint/cli/commands/history.py
@@ -8,6 +8,7 @@
 from hibiscuspoint.cli.command import RemoteCommand, commands
 from hibiscuspoint.cli.output import as_dict
 from hibiscuspoint.util.text import format_table
+from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
 
 if TYPE_CHECKING:
     import argparse
@@ -43,7 +44,8 @@
         reply = await client.history(self.args.limit)
         entries = sorted(reply.entries, key=lambda entry: entry.number, reverse=True)
         rows = [
-            (entry.number, entry.digest, _time(entry.accepted_at_ms / 1000.0)) for entry in entries
+            (entry.number, entry.digest, _time(entry.accepted_at_ms / MILLISECONDS_PER_SECOND))
+            for entry in entries
         ]
         text = format_table(["number", "digest", "accepted"], rows)
         self.output.result([as_dict(entry) for entry in entries], text)
--- a/hibiscuspoint/cli/in_force.py
+++ b/hibiscuspoint/cli/in_force.py
@@ -7,6 +7,7 @@
 
 from hibiscuspoint.cli.errors import IncompleteAnswerError, UsageError
 from hibiscuspoint.document import Document
+from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
 from hibiscuspoint.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -64,4 +65,4 @@
             f"Document {number} arrived with another digest than {entry.digest}.",
             verdict=Verdict.NOT_RUN,
         )
-    return document, entry.accepted_at_ms / 1000.0
+    return document, entry.accepted_at_ms / MILLISECONDS_PER_SECOND
--- a/hibiscuspoint/components/control_effects.py
+++ b/hibiscuspoint/components/control_effects.py
@@ -21,6 +21,7 @@
 from hibiscuspoint.errors import NotLeaderError
 from hibiscuspoint.ids import Term
 from hibiscuspoint.telemetry import catalogue, log_event
+from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
 from hibiscuspoint.wire import target_pb2
 
 if TYPE_CHECKING:
@@ -43,8 +44,6 @@
 #: Longest time in seconds to wait for the answer of a target.
 CALL_SECONDS = 0.5
 
-MILLISECONDS = 1000
-
 
 class EffectRunner:
     """Starts one task for each effect and hands the answers back as decisions."""
@@ -136,7 +135,7 @@
     def _elapsed_ms(self, group: GroupId) -> int:
         """Return the time since the term was opened; 0 when an earlier leader opened it."""
         now = self._clock.monotonic()
-        return int((now - self._opened_at.pop(group, now)) * MILLISECONDS)
+        return int((now - self._opened_at.pop(group, now)) * MILLISECONDS_PER_SECOND)
 
     async def _seal(self, group: GroupId, member: MemberAddress, term: Term) -> None:
         admin = self._driver.admin
--- a/hibiscuspoint/components/entry.py
+++ b/hibiscuspoint/components/entry.py
@@ -13,6 +13,7 @@
 from hibiscuspoint.errors import HibiscusError, LimitError, NotReadyError, RequestError, TokenError
 from hibiscuspoint.ids import GroupId, Term
 from hibiscuspoint.telemetry import catalogue, log_event
+from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
 from hibiscuspoint.wire import common_pb2, peer_pb2
 
 if TYPE_CHECKING:
@@ -37,7 +38,6 @@
 
 logger = logging.getLogger(__name__)
 
-MILLISECONDS = 1000
 
 #: Greatest number of bytes of a character in UTF-8.
 MAX_CHARACTER_BYTES = 4
@@ -134,7 +134,7 @@
             inner,
             inner.statements,
             LogPosition(Term(message.mark.term), message.mark.index),
-            self._clock.monotonic() + message.remaining_ms / MILLISECONDS,
+            self._clock.monotonic() + message.remaining_ms / MILLISECONDS_PER_SECOND,
             inner.read.max_age_ms if inner.HasField("read") else None,
         )
 
@@ -159,7 +159,7 @@
             message,
             message.statements,
             marks.mark(GroupId(message.group)),
-            started + timeout_ms / MILLISECONDS,
+            started + timeout_ms / MILLISECONDS_PER_SECOND,
             self._max_age_ms(message, rules),
         )
         return request, marks
--- a/hibiscuspoint/components/entry_state.py
+++ b/hibiscuspoint/components/entry_state.py
@@ -15,15 +15,13 @@
 from hibiscuspoint.document import Document
 from hibiscuspoint.errors import ConfigurationError
 from hibiscuspoint.ids import AvailabilityZone, GroupId, InstanceId, TargetId, Term
+from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND, NANOSECONDS_PER_SECOND
 
 if TYPE_CHECKING:
     from hibiscuspoint.wire import peer_pb2
 
 __all__ = ["EntryState"]
 
-MILLISECONDS = 1000
-NANOSECONDS = 1_000_000_000
-
 
 class EntryState:
     """Document, holders and routes in force at an entry.
@@ -64,7 +62,7 @@
         """
         if not self._fence.accept(update.control_term, update.document_number):
             return False
-        self._contact.contact(update.echo_sent_at_ns / NANOSECONDS)
+        self._contact.contact(update.echo_sent_at_ns / NANOSECONDS_PER_SECOND)
         if update.document and update.document_number > self.document_number:
             self._take_document(update.document)
         for item in update.holders:
@@ -78,7 +76,7 @@
 
     def apply_routes(self, update: peer_pb2.ControlUpdate) -> list[GroupId]:
         """Apply the routes of an update and return the groups whose route was taken over."""
-        asked_at = update.echo_sent_at_ns / NANOSECONDS
+        asked_at = update.echo_sent_at_ns / NANOSECONDS_PER_SECOND
         applied = []
         for message in update.routes:
             grant = _grant_from_message(message, asked_at)
@@ -113,7 +111,7 @@
         primary=TargetId(message.primary),
         members=members,
         ack_quorum=message.ack_quorum,
-        lease_seconds=message.lease_ms / MILLISECONDS,
+        lease_seconds=message.lease_ms / MILLISECONDS_PER_SECOND,
         asked_at=asked_at,
         history=TermHistory([(Term(item.term), item.start) for item in message.history]),
         paused=message.paused,
--- a/hibiscuspoint/components/forwarding.py
+++ b/hibiscuspoint/components/forwarding.py
@@ -8,6 +8,7 @@
 from hibiscuspoint.core.position import LogPosition
 from hibiscuspoint.errors import ERROR_CODES, HibiscusError
 from hibiscuspoint.ids import CallerId, GroupId, RequestId, TargetId, Term
+from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
 from hibiscuspoint.verdict import Verdict
 from hibiscuspoint.wire import caller_pb2, common_pb2, peer_pb2
 
@@ -23,8 +24,6 @@
     "result_reply",
 ]
 
-MILLISECONDS = 1000
-
 
 def request_from_message(
     message: caller_pb2.ExecuteRequest,
@@ -45,7 +44,7 @@
         statements=tuple(statements),
         mark=mark,
         deadline=deadline,
-        max_age=None if max_age_ms is None else max_age_ms / MILLISECONDS,
+        max_age=None if max_age_ms is None else max_age_ms / MILLISECONDS_PER_SECOND,
         request_id=RequestId(message.idempotency.id) if has_id else None,
         issued_at_ms=message.idempotency.issued_at_ms,
     )
@@ -57,14 +56,14 @@
         caller=request.caller, group=request.group, statements=request.statements
     )
     if request.max_age is not None:
-        message.read.max_age_ms = int(request.max_age * MILLISECONDS)
+        message.read.max_age_ms = int(request.max_age * MILLISECONDS_PER_SECOND)
     if request.request_id is not None:
         message.idempotency.id = request.request_id
         message.idempotency.issued_at_ms = request.issued_at_ms
     return peer_pb2.ForwardRequest(
         request=message,
         mark=common_pb2.Position(term=request.mark.term, index=request.mark.index),
-        remaining_ms=max(0, int((request.deadline - now) * MILLISECONDS)),
+        remaining_ms=max(0, int((request.deadline - now) * MILLISECONDS_PER_SECOND)),
     )
 
 
--- a/hibiscuspoint/components/holders.py
+++ b/hibiscuspoint/components/holders.py
@@ -14,6 +14,7 @@
 from hibiscuspoint.ids import GroupId, TargetId
 from hibiscuspoint.telemetry import catalogue, log_event
 from hibiscuspoint.util.tasks import spawn
+from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND, NANOSECONDS_PER_SECOND
 from hibiscuspoint.wire import peer_pb2
 
 if TYPE_CHECKING:
@@ -34,9 +35,6 @@
 #: Margin for the difference of clock rates (design D7).
 CLOCK_RATE_MARGIN = 0.02
 
-MILLISECONDS = 1000
-NANOSECONDS = 1_000_000_000
-
 
 class Holders(Component):
     """Holds connections for the groups that control assigned to this instance."""
@@ -92,8 +90,8 @@
         for share in update.shares:
             lane = lanes.get(TargetId(share.target))
             if lane is not None:
-                seconds = share.lease_ms / MILLISECONDS * (1 - CLOCK_RATE_MARGIN)
-                ends = update.echo_sent_at_ns / NANOSECONDS + seconds
+                seconds = share.lease_ms / MILLISECONDS_PER_SECOND * (1 - CLOCK_RATE_MARGIN)
+                ends = update.echo_sent_at_ns / NANOSECONDS_PER_SECOND + seconds
                 lane.set_share(share.connections, ends, share.sequence)
 
     def tick(self, now: float) -> None:
--- a/hibiscuspoint/components/operator_service.py
+++ b/hibiscuspoint/components/operator_service.py
@@ -24,6 +24,7 @@
 )
 from hibiscuspoint.ids import GroupId, InstanceId, TargetId
 from hibiscuspoint.telemetry import catalogue, log_event
+from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
 from hibiscuspoint.wire import common_pb2, peer_pb2, peer_pb2_grpc, record_pb2
 
 if TYPE_CHECKING:
@@ -52,8 +53,6 @@
 #: an entry reports every 0.25 s.
 SETTLE_SECONDS = 1.0
 
-MILLISECONDS = 1000
-
 
 class OperatorService(peer_pb2_grpc.OperatorServicer):
     """Serves on every instance and forwards to the leader.
@@ -197,7 +196,7 @@
             number=document.number,
             digest=document.digest,
             document=document.text,
-            accepted_at_ms=int(self._control.clock.unix() * MILLISECONDS),
+            accepted_at_ms=int(self._control.clock.unix() * MILLISECONDS_PER_SECOND),
         )
         await self._control.log.propose(record_pb2.Command(accept_document=body))
         log_event(
--- a/hibiscuspoint/components/reporting.py
+++ b/hibiscuspoint/components/reporting.py
@@ -11,6 +11,7 @@
 from hibiscuspoint.components.events import report_due
 from hibiscuspoint.core.entry.drain import DrainPhase
 from hibiscuspoint.telemetry import catalogue, log_event
+from hibiscuspoint.util.units import NANOSECONDS_PER_SECOND
 from hibiscuspoint.wire import peer_pb2
 
 if TYPE_CHECKING:
@@ -27,8 +28,6 @@
 
 logger = logging.getLogger(__name__)
 
-NANOSECONDS = 1_000_000_000
-
 
 class Reporting(Component):
     """Reports to control and follows its request to drain."""
@@ -59,7 +58,7 @@
 
     def make_report(self) -> peer_pb2.EntryReport:
         """Return the report that is sent now; leases that are not needed are handed back."""
-        now_ns = int(self._clock.monotonic() * NANOSECONDS)
+        now_ns = int(self._clock.monotonic() * NANOSECONDS_PER_SECOND)
         document = self._state.document
         self._log_drained()
         report = peer_pb2.EntryReport(
@@ -74,7 +73,7 @@
             drained=self._drain.phase is DrainPhase.DRAINED,
             holders_version=self._state.holders_version,
         )
-        self._holders.fill_report(report, now_ns / NANOSECONDS)
+        self._holders.fill_report(report, now_ns / NANOSECONDS_PER_SECOND)
         return report
 
     def _log_drained(self) -> None:
--- a/hibiscuspoint/components/status.py
+++ b/hibiscuspoint/components/status.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
 from hibiscuspoint.wire import common_pb2, peer_pb2
 
 if TYPE_CHECKING:
@@ -13,8 +14,6 @@
 
 __all__ = ["build_status"]
 
-MILLISECONDS = 1000
-
 
 def build_status(environment: str, control: Control) -> peer_pb2.StatusReply:
     """Return the state that the leader knows.
@@ -42,7 +41,7 @@
                 address=entry.address,
                 document_number=entry.document_number,
                 draining=entry.draining,
-                silent_ms=int((now - entry.seen_at) * MILLISECONDS),
+                silent_ms=int((now - entry.seen_at) * MILLISECONDS_PER_SECOND),
             )
         )
     for member in control.log.members():
@@ -81,7 +80,7 @@
         term=info.term,
         received=common_pb2.Position(term=info.received.term, index=info.received.index),
         applied=info.applied,
-        silent_ms=int((now - info.seen_at) * MILLISECONDS),
+        silent_ms=int((now - info.seen_at) * MILLISECONDS_PER_SECOND),
         leaving=info.leaving,
     )
     holdings = leader.holdings.get(record.group)
--- a/hibiscuspoint/core/control/updates.py
+++ b/hibiscuspoint/core/control/updates.py
@@ -9,6 +9,7 @@
 from hibiscuspoint.core.control.group import RouteState
 from hibiscuspoint.core.control.leases import LEASE_SECONDS
 from hibiscuspoint.core.control.state import GroupPhase
+from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
 from hibiscuspoint.wire import peer_pb2
 
 if TYPE_CHECKING:
@@ -24,8 +25,6 @@
 
 __all__ = ["UpdateBuilder"]
 
-MILLISECONDS = 1000
-
 
 class UpdateBuilder:
     """Builds the update of one entry; an update carries only what concerns that entry."""
@@ -141,7 +140,7 @@
             paused=state is RouteState.PAUSED or not is_holder,
         )
         if self._may_use_primary(state, is_holder, record, entry, now):
-            route.lease_ms = int(LEASE_SECONDS * MILLISECONDS)
+            route.lease_ms = int(LEASE_SECONDS * MILLISECONDS_PER_SECOND)
             self._ledger.grant(record.group, entry.instance, record.term, now)
         self._add_members(route, record)
         for term, start in record.starts:
@@ -192,7 +191,7 @@
                     peer_pb2.ShareGrant(
                         target=member,
                         connections=connections,
-                        lease_ms=int(LEASE_SECONDS * MILLISECONDS),
+                        lease_ms=int(LEASE_SECONDS * MILLISECONDS_PER_SECOND),
                         sequence=sequence,
                     )
                 )
--- a/hibiscuspoint/core/entry/idempotency.py
+++ b/hibiscuspoint/core/entry/idempotency.py
@@ -12,6 +12,7 @@
     IdempotencyExpiredError,
     RequestError,
 )
+from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
 from hibiscuspoint.wire import common_pb2
 
 if TYPE_CHECKING:
@@ -56,7 +57,7 @@
         """
         if not 1 <= len(request_id) <= MAX_ID_LENGTH:
             raise RequestError(f"The request id must have 1 to {MAX_ID_LENGTH} characters.")
-        age = unix_now - issued_at_ms / 1000
+        age = unix_now - issued_at_ms / MILLISECONDS_PER_SECOND
         if age < -self.skew:
             raise RequestError(
                 f"The request id is issued {-age:.0f} s in the future.",
@@ -71,7 +72,7 @@
         Rows are kept for twice the retention, so that an id whose request is still on its way at
         the end of the retention finds its row.
         """
-        return int((unix_now - 2 * self.retention) * 1000)
+        return int((unix_now - 2 * self.retention) * MILLISECONDS_PER_SECOND)
 
 
 def request_digest(statements: Iterable[common_pb2.Statement]) -> bytes:
--- a/hibiscuspoint/load/caller.py
+++ b/hibiscuspoint/load/caller.py
@@ -16,6 +16,7 @@
 from hibiscuspoint.load.entries import EntryPool
 from hibiscuspoint.load.errors import EntryLostError, EntryUnreachableError
 from hibiscuspoint.load.transaction import Transaction
+from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
 from hibiscuspoint.wire import caller_pb2
 
 if TYPE_CHECKING:
@@ -57,7 +58,7 @@
     @classmethod
     def issue(cls, request_id: RequestId) -> Self:
         """Return the identification of a request issued now."""
-        return cls(request_id, int(time.time() * 1000))
+        return cls(request_id, int(time.time() * MILLISECONDS_PER_SECOND))
 
 
 class Caller:
@@ -220,7 +221,7 @@
             group=group,
             token=self._token,
             statements=statements,
-            timeout_ms=max(1, int(timeout * 1000)),
+            timeout_ms=max(1, int(timeout * MILLISECONDS_PER_SECOND)),
         )
 
     def _pass_avoided(self) -> None:
--- a/hibiscuspoint/load/checker.py
+++ b/hibiscuspoint/load/checker.py
@@ -14,6 +14,7 @@
 from hibiscuspoint.load.bounds import KnownVersions, item_of
 from hibiscuspoint.load.history import Kind, Outcome
 from hibiscuspoint.registry import Registry
+from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -134,7 +135,7 @@
     """
     known = KnownVersions(history.operations)
     for read in _successful_reads(history, Kind.REGISTER_READ, Kind.PAIR_READ):
-        oldest = read.invoked_at - read.max_age_ms / 1000
+        oldest = read.invoked_at - read.max_age_ms / MILLISECONDS_PER_SECOND
         expected = known.before(item_of(read), oldest)
         if _lowest(read) < expected:
             yield Violation(
--- a/hibiscuspoint/load/latency.py
+++ b/hibiscuspoint/load/latency.py
@@ -4,6 +4,8 @@
 
 from hdrh.histogram import HdrHistogram
 
+from hibiscuspoint.util.units import MICROSECONDS_PER_SECOND
+
 __all__ = ["Latencies"]
 
 #: Range of recorded latencies in microseconds: 1 us to 10 min.
@@ -25,7 +27,7 @@
 
     def record(self, seconds: float) -> None:
         """Record a latency in seconds."""
-        microseconds = max(LOWEST_US, min(HIGHEST_US, round(seconds * 1e6)))
+        microseconds = max(LOWEST_US, min(HIGHEST_US, round(seconds * MICROSECONDS_PER_SECOND)))
         self._histogram.record_value(microseconds)
 
     def percentile(self, percent: float) -> float:
--- a/hibiscuspoint/standin/config.py
+++ b/hibiscuspoint/standin/config.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.ids import AvailabilityZone, GroupId, TargetId
+from hibiscuspoint.util.units import MICROSECONDS_PER_SECOND, MILLISECONDS_PER_SECOND
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -33,7 +34,7 @@
     service_time: float = 0.0
     ship_delay: float = 0.0
     apply_delay: float = 0.0
-    connect_delay: float = DEFAULT_CONNECT_DELAY_MS / 1000
+    connect_delay: float = DEFAULT_CONNECT_DELAY_MS / MILLISECONDS_PER_SECOND
     one_way_delay: float = 0.0
     tls_certificate: Path | None = None
     tls_key: Path | None = None
@@ -56,11 +57,11 @@
             advertise=flags.advertise,
             slots=flags.slots,
             connections=flags.connections,
-            service_time=flags.service_time_us / 1e6,
-            ship_delay=flags.ship_delay_ms / 1000,
-            apply_delay=flags.apply_delay_ms / 1000,
-            connect_delay=flags.connect_delay_ms / 1000,
-            one_way_delay=flags.one_way_delay_ms / 1000,
+            service_time=flags.service_time_us / MICROSECONDS_PER_SECOND,
+            ship_delay=flags.ship_delay_ms / MILLISECONDS_PER_SECOND,
+            apply_delay=flags.apply_delay_ms / MILLISECONDS_PER_SECOND,
+            connect_delay=flags.connect_delay_ms / MILLISECONDS_PER_SECOND,
+            one_way_delay=flags.one_way_delay_ms / MILLISECONDS_PER_SECOND,
             tls_certificate=flags.tls_certificate,
             tls_key=flags.tls_key,
             tls_ca=flags.tls_ca,
--- a/hibiscuspoint/standin/faults.py
+++ b/hibiscuspoint/standin/faults.py
@@ -6,6 +6,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from hibiscuspoint.util.units import MICROSECONDS_PER_SECOND, MILLISECONDS_PER_SECOND
 from hibiscuspoint.wire import target_pb2
 
 if TYPE_CHECKING:
@@ -70,11 +71,11 @@
     def update(self, settings: target_pb2.FaultSettings) -> None:
         """Change the switches that are set in a message."""
         if settings.HasField("ship_delay_ms"):
-            self.ship_delay = settings.ship_delay_ms / 1000
+            self.ship_delay = settings.ship_delay_ms / MILLISECONDS_PER_SECOND
         if settings.HasField("apply_delay_ms"):
-            self.apply_delay = settings.apply_delay_ms / 1000
+            self.apply_delay = settings.apply_delay_ms / MILLISECONDS_PER_SECOND
         if settings.HasField("service_time_us"):
-            self.service_time = settings.service_time_us / 1e6
+            self.service_time = settings.service_time_us / MICROSECONDS_PER_SECOND
         if settings.HasField("silence_announcements"):
             self.silence_announcements = settings.silence_announcements
         if settings.HasField("freeze"):
@@ -88,9 +89,9 @@
     def to_message(self) -> target_pb2.FaultSettings:
         """Return the state of the switches."""
         return target_pb2.FaultSettings(
-            ship_delay_ms=round(self.ship_delay * 1000),
-            apply_delay_ms=round(self.apply_delay * 1000),
-            service_time_us=round(self.service_time * 1e6),
+            ship_delay_ms=round(self.ship_delay * MILLISECONDS_PER_SECOND),
+            apply_delay_ms=round(self.apply_delay * MILLISECONDS_PER_SECOND),
+            service_time_us=round(self.service_time * MICROSECONDS_PER_SECOND),
             freeze=self._frozen,
             silence_announcements=self.silence_announcements,
             leaving=self.is_leaving,
--- a/hibiscuspoint/standin/measure.py
+++ b/hibiscuspoint/standin/measure.py
@@ -12,6 +12,7 @@
 from hibiscuspoint.drivers import StandinDriver
 from hibiscuspoint.ids import Incarnation, InstanceId, TargetId
 from hibiscuspoint.standin.values import to_statement
+from hibiscuspoint.util.units import MICROSECONDS_PER_SECOND
 from hibiscuspoint.wire import target_pb2
 
 if TYPE_CHECKING:
@@ -44,7 +45,7 @@
 ) -> None:
     while (started := time.perf_counter()) < end:
         await connection.run(run, TIMEOUT_S)
-        latencies.record_value(int((time.perf_counter() - started) * 1e6))
+        latencies.record_value(int((time.perf_counter() - started) * MICROSECONDS_PER_SECOND))
 
 
 async def _measure(name: str, connections: Sequence[StandinConnection], seconds: float) -> None:
--- a/hibiscuspoint/telemetry/burn.py
+++ b/hibiscuspoint/telemetry/burn.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
@@ -181,7 +183,7 @@
             )
         )
     if stated.read_latency_ms is not None and stated.read_in_time is not None:
-        bound = stated.read_latency_ms / 1000.0
+        bound = stated.read_latency_ms / MILLISECONDS_PER_SECOND
         levels.append(
             Level(
                 group.name,
--- a/tests/builders_control.py
+++ b/tests/builders_control.py
@@ -4,6 +4,7 @@
 
 from hibiscuspoint.core.control import ControlLeader, ControlState, MemberReport, Propose
 from hibiscuspoint.ids import GroupId, InstanceId, TargetId, Term
+from hibiscuspoint.util.units import NANOSECONDS_PER_SECOND
 from hibiscuspoint.wire import common_pb2, peer_pb2, record_pb2
 from tests.builders import document, position
 
@@ -22,7 +23,6 @@
 
 GROUP = GroupId("ledger")
 MEMBERS = ("a", "b", "c")
-NANOSECONDS = 1_000_000_000
 
 
 def command(**body: object) -> record_pb2.Command:
@@ -57,7 +57,7 @@
         "incarnation": 1,
         "availability_zone": "z1",
         "address": f"{instance}:1",
-        "sent_at_ns": int(now * NANOSECONDS),
+        "sent_at_ns": int(now * NANOSECONDS_PER_SECOND),
         **changes,
     }
     return peer_pb2.EntryReport(instance=instance, **values)
--- a/tests/core/control/actors.py
+++ b/tests/core/control/actors.py
@@ -9,6 +9,7 @@
 from hibiscuspoint.core.entry import AckTracker, CloseConnection, ConnectionPool, Lend
 from hibiscuspoint.core.position import ZERO, LogPosition
 from hibiscuspoint.ids import TargetId, Term
+from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND, NANOSECONDS_PER_SECOND
 from hibiscuspoint.wire import peer_pb2
 from tests.builders_control import GROUP, MEMBERS, report, share
 
@@ -138,7 +139,7 @@
         route = self.state.routes.primary(GROUP, self.now)
         known = self.state.routes.route(GROUP) is not None
         if known and (route is None or (route.paused and not self.pending)):
-            sent_at = message.sent_at_ns / 1_000_000_000
+            sent_at = message.sent_at_ns / NANOSECONDS_PER_SECOND
             term = self.state.routes.release(GROUP, math.nextafter(sent_at, 0.0))
             message.released.append(peer_pb2.RouteRelease(group=GROUP, term=term))
         return message
@@ -156,7 +157,10 @@
         for item in update.shares:
             if item.sequence >= self.sequences[item.target]:
                 self.sequences[item.target] = item.sequence
-                ends = update.echo_sent_at_ns / 1_000_000_000 + item.lease_ms / 1000
+                ends = (
+                    update.echo_sent_at_ns / NANOSECONDS_PER_SECOND
+                    + item.lease_ms / MILLISECONDS_PER_SECOND
+                )
                 self.lease_ends[item.target] = ends
                 effects = self.pools[item.target].set_share(item.connections, ends, self.now)
                 self.carry_out(item.target, effects)
--- a/tests/core/control/test_switchover.py
+++ b/tests/core/control/test_switchover.py
@@ -6,6 +6,7 @@
 
 from hibiscuspoint.core.control import Follow, Promote, RouteState, Seal
 from hibiscuspoint.core.control.switchover import Switchover, SwitchoverState
+from hibiscuspoint.util.units import NANOSECONDS_PER_SECOND
 from hibiscuspoint.wire import peer_pb2
 from tests.builders_control import GROUP, Control, member_report, started_state
 
@@ -24,7 +25,9 @@
     """Both holders finish their work and hand their leases back."""
     for name in ("e1", "e2"):
         released = [peer_pb2.RouteRelease(group=GROUP, term=1)]
-        update = control.report(name, released=released, sent_at_ns=int(control.now * 1e9) + 1)
+        update = control.report(
+            name, released=released, sent_at_ns=int(control.now * NANOSECONDS_PER_SECOND) + 1
+        )
         assert update.routes[0].lease_ms == 0
 
 
