Compute the ends of leases in one module

Cause: the clock rate margin of design D7 was defined three times (leases.py, routes.py and holders.py), and its use was written out in five places. Change: hibiscuspoint/core/lease.py holds the margin and the functions holder_end and grantor_end.

--- a/hibiscuspoint/components/holders.py
+++ b/hibiscuspoint/components/holders.py
@@ -10,6 +10,7 @@
 
 from hibiscuspoint.components.events import report_due
 from hibiscuspoint.components.holder import GroupHolder, HolderContext
+from hibiscuspoint.core.lease import holder_end
 from hibiscuspoint.errors import NoHolderError
 from hibiscuspoint.ids import GroupId, TargetId
 from hibiscuspoint.telemetry import catalogue, log_event
@@ -32,9 +33,6 @@
 #: Seconds between two deletions of old request ids.
 PURGE_INTERVAL_SECONDS = 600.0
 
-#: Margin for the difference of clock rates (design D7).
-CLOCK_RATE_MARGIN = 0.02
-
 
 class Holders(Component):
     """Holds connections for the groups that control assigned to this instance."""
@@ -90,8 +88,8 @@
         for share in update.shares:
             lane = lanes.get(TargetId(share.target))
             if lane is not None:
-                seconds = share.lease_ms / MILLISECONDS_PER_SECOND * (1 - CLOCK_RATE_MARGIN)
-                ends = update.echo_sent_at_ns / NANOSECONDS_PER_SECOND + seconds
+                requested_at = update.echo_sent_at_ns / NANOSECONDS_PER_SECOND
+                ends = holder_end(requested_at, share.lease_ms / MILLISECONDS_PER_SECOND)
                 lane.set_share(share.connections, ends, share.sequence)
 
     def tick(self, now: float) -> None:
--- a/hibiscuspoint/core/control/entries.py
+++ b/hibiscuspoint/core/control/entries.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
-from hibiscuspoint.core.control.leases import CLOCK_MARGIN, LEASE_SECONDS
+from hibiscuspoint.core.control.leases import LEASE_SECONDS
+from hibiscuspoint.core.lease import grantor_end
 from hibiscuspoint.ids import AvailabilityZone, Incarnation, InstanceId
 
 if TYPE_CHECKING:
@@ -104,7 +105,7 @@
     def leases_ended(self, instance: InstanceId, now: float) -> bool:
         """Tell whether every lease of an entry has run out since its last report."""
         info = self._entries.get(instance)
-        return info is None or now - info.seen_at > LEASE_SECONDS * (1 + CLOCK_MARGIN)
+        return info is None or now > grantor_end(info.seen_at, LEASE_SECONDS)
 
     def forgive_stall(self, stalled: float, now: float) -> None:
         """Count a time in which this process did not run not as silence of the entries."""
--- a/hibiscuspoint/core/control/holdings.py
+++ b/hibiscuspoint/core/control/holdings.py
@@ -7,8 +7,9 @@
 
 from hibiscuspoint.core.control.effects import Propose, Terminate
 from hibiscuspoint.core.control.holders import choose_holders
-from hibiscuspoint.core.control.leases import CLOCK_MARGIN, LEASE_SECONDS
+from hibiscuspoint.core.control.leases import LEASE_SECONDS
 from hibiscuspoint.core.control.shares import ShareLedger
+from hibiscuspoint.core.lease import grantor_end
 from hibiscuspoint.ids import TargetId
 from hibiscuspoint.wire import record_pb2
 
@@ -67,7 +68,7 @@
         self._rules = rules
         self._targets = targets
         self._first_sequence = control_term << SEQUENCE_BITS
-        self._leases_known_from = since + LEASE_SECONDS * (1 + CLOCK_MARGIN)
+        self._leases_known_from = grantor_end(since, LEASE_SECONDS)
         self._settled_from = since + SETTLE_SECONDS
         self._earlier = record.holders
         self._holders: list[InstanceId] = []
--- a/hibiscuspoint/core/control/leases.py
+++ b/hibiscuspoint/core/control/leases.py
@@ -5,18 +5,17 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from hibiscuspoint.core.lease import grantor_end
+
 if TYPE_CHECKING:
     from hibiscuspoint.ids import GroupId, InstanceId, Term
 
-__all__ = ["CLOCK_MARGIN", "LEASE_SECONDS", "LeaseLedger"]
+__all__ = ["LEASE_SECONDS", "LeaseLedger"]
 
 #: Duration of a route lease in seconds. Longer than an election of the control group, so that the
 #: loss of the control leader does not interrupt writes.
 LEASE_SECONDS = 2.5
 
-#: Greatest relative difference of the rates of two monotonic clocks.
-CLOCK_MARGIN = 0.02
-
 
 @dataclass(frozen=True)
 class _Grant:
@@ -32,12 +31,12 @@
     """
 
     def __init__(self, leader_since: float) -> None:
-        self._unknown_until = leader_since + LEASE_SECONDS * (1 + CLOCK_MARGIN)
+        self._unknown_until = grantor_end(leader_since, LEASE_SECONDS)
         self._grants: dict[GroupId, dict[InstanceId, _Grant]] = {}
 
     def grant(self, group: GroupId, instance: InstanceId, term: Term, now: float) -> None:
         """Record a lease that is about to be sent."""
-        until = now + LEASE_SECONDS * (1 + CLOCK_MARGIN)
+        until = grantor_end(now, LEASE_SECONDS)
         self._grants.setdefault(group, {})[instance] = _Grant(term, until)
 
     def may_hold_earlier(self, now: float) -> bool:
--- a/hibiscuspoint/core/entry/routes.py
+++ b/hibiscuspoint/core/entry/routes.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
+from hibiscuspoint.core.lease import holder_end
 from hibiscuspoint.core.position import TermHistory
 from hibiscuspoint.ids import GroupId, TargetId, Term
 
@@ -14,8 +15,6 @@
 
 __all__ = ["ContactMonitor", "DocumentFence", "Route", "RouteGrant", "RouteMember", "RouteTable"]
 
-#: Margin for the difference of clock rates (design D7).
-_CLOCK_RATE_MARGIN = 0.02
 #: Seconds without contact with the leader after which an entry stops serving (design D13).
 _CONTACT_SECONDS = 5.0
 
@@ -170,7 +169,7 @@
         )
         if is_void or update.lease_seconds <= 0:
             return -math.inf
-        return update.asked_at + update.lease_seconds * (1 - _CLOCK_RATE_MARGIN)
+        return holder_end(update.asked_at, update.lease_seconds)
 
 
 class DocumentFence:
