Write all error messages in one style

Cause: 193 messages of exceptions started in lower case and had no final period, 58 were written as sentences, so the command line and the replies mixed both. Change: the 58 messages follow the others; the command line prints the messages of argparse as they are. Codes and hints are unchanged; no page and no test quotes a changed text.

--- a/hibiscuspoint/cli/acts.py
+++ b/hibiscuspoint/cli/acts.py
@@ -25,7 +25,7 @@
     :raises IncompleteAnswerError: the act is neither accepted nor refused with an error.
     """
     if not reply.accepted:
-        raise IncompleteAnswerError("The instance neither accepted nor refused the act.")
+        raise IncompleteAnswerError("the instance neither accepted nor refused the act")
     return reply
 
 
--- a/hibiscuspoint/cli/client.py
+++ b/hibiscuspoint/cli/client.py
@@ -142,7 +142,7 @@
                 return await getattr(stub, method)(request, timeout=left)
             except grpc.aio.AioRpcError as error:
                 if error.code() is grpc.StatusCode.PERMISSION_DENIED:
-                    message = f"{address} refused the call: {error.details()}."
+                    message = f"{address} refused the call: {error.details()}"
                     raise AccessRefusedError(message) from None
                 reason = f"{error.code().name} {error.details() or ''}".strip()
                 return _Failure(address, reason, error.code() is not grpc.StatusCode.UNIMPLEMENTED)
@@ -191,5 +191,5 @@
     latest = {failure.address: failure.reason for failure in failures}
     reasons = "; ".join(f"{address}: {reason}" for address, reason in latest.items())
     if is_act and any(failure.was_sent for failure in failures):
-        return OutcomeUnknownError(f"The request was sent, but no reply arrived ({reasons}).")
-    return UnreachableError(f"No instance answered ({reasons}).")
+        return OutcomeUnknownError(f"the request was sent, but no reply arrived ({reasons})")
+    return UnreachableError(f"no instance answered ({reasons})")
--- a/hibiscuspoint/cli/commands/execute.py
+++ b/hibiscuspoint/cli/commands/execute.py
@@ -93,7 +93,7 @@
         verdict = Verdict(reply.verdict).name
         self.output.result(results_data(reply, verdict), results_text(reply))
         if unsaved:
-            raise SessionFileError(f"The session token was not saved: {unsaved}.")
+            raise SessionFileError(f"the session token was not saved: {unsaved}")
         return 0
 
     def _request(self, session: SessionFile) -> caller_pb2.ExecuteRequest:
@@ -124,15 +124,15 @@
         """
         args = self.args
         if (args.statement is None) == (args.transaction is None):
-            raise UsageError("Exactly one of STATEMENT and --transaction is needed.")
+            raise UsageError("exactly one of STATEMENT and --transaction is needed")
         if args.transaction is not None and args.parameter:
-            raise UsageError("--parameter contradicts --transaction.")
+            raise UsageError("--parameter contradicts --transaction")
         if args.write and args.max_age_ms:
-            raise UsageError("--max-age-ms contradicts --write.")
+            raise UsageError("--max-age-ms contradicts --write")
         if args.id is not None and not args.write:
-            raise UsageError("--id needs --write.")
+            raise UsageError("--id needs --write")
         if not 0 <= args.max_age_ms < 2**32 or args.timeout >= 2**32 / MILLISECONDS_PER_SECOND:
-            raise UsageError("--max-age-ms and --timeout must fit into 32 bits of ms.")
+            raise UsageError("--max-age-ms and --timeout must fit into 32 bits of ms")
 
 
 def _save(session: SessionFile, token: bytes) -> str:
--- a/hibiscuspoint/cli/commands/promote.py
+++ b/hibiscuspoint/cli/commands/promote.py
@@ -76,7 +76,7 @@
         problems = trial_problems(in_force, time.time())
         problems += burn_problems(in_force.document, samples, time.time())
         if problems:
-            raise PromotionRefusedError(f"The promotion is refused: {'; '.join(problems)}.")
+            raise PromotionRefusedError(f"the promotion is refused: {'; '.join(problems)}")
         number = status.document_number + 1
         text = promoted(in_force.document, self.args.to_environment, number)
         await submit(destination, Document.from_text(text), self.args, self.output)
@@ -104,7 +104,7 @@
             return []
         if self.args.samples is None:
             raise UsageError(
-                "The document states service levels; --samples is needed to check them.",
+                "the document states service levels; --samples is needed to check them",
                 hint="Collect samples with 'hibiscuspoint report burn --scrape'.",
             )
         return SampleFile(self.args.samples).read(since=time.time() - SAMPLE_SECONDS)
@@ -113,7 +113,7 @@
 def _expect_environment(status: peer_pb2.StatusReply, name: str, option: str) -> None:
     if status.environment != name:
         raise UsageError(
-            f"The instances of {option} belong to {status.environment!r}, not to {name!r}."
+            f"the instances of {option} belong to {status.environment!r}, not to {name!r}"
         )
 
 
--- a/hibiscuspoint/cli/commands/report.py
+++ b/hibiscuspoint/cli/commands/report.py
@@ -90,7 +90,7 @@
             except OSError as error:
                 missing.append(f"{address}: {error}")
         if not samples:
-            raise UnreachableError(f"No entry gave metrics ({'; '.join(missing)}).")
+            raise UnreachableError(f"no entry gave metrics ({'; '.join(missing)})")
         for line in missing:
             self.output.progress(f"No sample of {line}.")
         return samples
--- a/hibiscuspoint/cli/commands/switchover.py
+++ b/hibiscuspoint/cli/commands/switchover.py
@@ -75,4 +75,4 @@
         if group.group == name:
             return group
     known = ", ".join(group.group for group in status.groups) or "none"
-    raise UsageError(f"Group {name!r} does not exist; known groups: {known}.")
+    raise UsageError(f"group {name!r} does not exist; known groups: {known}")
--- a/hibiscuspoint/cli/in_force.py
+++ b/hibiscuspoint/cli/in_force.py
@@ -35,7 +35,7 @@
     status = await client.status()
     if status.document_number == 0:
         raise UsageError(
-            f"Environment {status.environment!r} has no document yet.",
+            f"environment {status.environment!r} has no document yet",
             hint="Submit the first document, number 1, with 'hibiscuspoint apply'.",
         )
     document, accepted_at = await fetch_document(client, status.document_number)
@@ -55,14 +55,14 @@
             break
     else:
         raise UsageError(
-            f"The history holds no document {number}.",
+            f"the history holds no document {number}",
             hint="Run 'hibiscuspoint history' for the numbers that it holds.",
         )
     entry = found[0]
     document = Document.from_text(entry.document, source=f"document {number}")
     if document.digest != entry.digest:
         raise IncompleteAnswerError(
-            f"Document {number} arrived with another digest than {entry.digest}.",
+            f"document {number} arrived with another digest than {entry.digest}",
             verdict=Verdict.NOT_RUN,
         )
     return document, entry.accepted_at_ms / MILLISECONDS_PER_SECOND
--- a/hibiscuspoint/cli/main.py
+++ b/hibiscuspoint/cli/main.py
@@ -36,8 +36,7 @@
 
     def error(self, message: str) -> NoReturn:
         self.print_usage(sys.stderr)
-        sentence = f"{message[:1].upper()}{message[1:].rstrip('.')}."
-        Output(is_json=False).error(UsageError(sentence))
+        Output(is_json=False).error(UsageError(message))
         raise SystemExit(int(ExitStatus.USAGE))
 
 
@@ -89,7 +88,7 @@
         os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
         return int(ExitStatus.FAILURE)
     except OSError as error:
-        output.error(UsageError(f"{error.filename or 'The system'}: {error.strerror or error}."))
+        output.error(UsageError(f"{error.filename or 'the system'}: {error.strerror or error}"))
         return int(ExitStatus.USAGE)
     except KeyboardInterrupt:
         return INTERRUPTED
--- a/hibiscuspoint/cli/options.py
+++ b/hibiscuspoint/cli/options.py
@@ -107,7 +107,7 @@
     :raises ConfigurationError: a TLS file is not valid.
     """
     if not connect:
-        raise UsageError("No instance is named; --connect is missing.")
+        raise UsageError("no instance is named; --connect is missing")
     return Client(connect, _transport(args), args.timeout)
 
 
@@ -115,9 +115,9 @@
     files = (args.tls_certificate, args.tls_key, args.tls_ca)
     if args.plain_text:
         if any(files):
-            raise UsageError("--plain-text contradicts the --tls options.")
+            raise UsageError("--plain-text contradicts the --tls options")
         return Transport(TlsMode.PLAIN_TEXT, None, MESSAGE_BYTES)
     if (args.tls_certificate is None) != (args.tls_key is None):
-        raise UsageError("--tls-certificate and --tls-key need each other.")
+        raise UsageError("--tls-certificate and --tls-key need each other")
     mode = TlsMode.SERVER if args.tls_certificate is None else TlsMode.MUTUAL
     return Transport(mode, TlsFiles(*files), MESSAGE_BYTES)
--- a/hibiscuspoint/cli/request.py
+++ b/hibiscuspoint/cli/request.py
@@ -50,7 +50,7 @@
         common_pb2.Statement(sql=line) for line in lines if line and not line.startswith("--")
     ]
     if not statements:
-        raise UsageError(f"{path} holds no statement.")
+        raise UsageError(f"{path} holds no statement")
     return statements
 
 
@@ -69,7 +69,7 @@
     except ValueError:
         parsed = None
     if parsed is None or parsed.version != 7:
-        raise UsageError(f"{text!r} is not a UUID version 7; '--id new' makes one.")
+        raise UsageError(f"{text!r} is not a UUID version 7; '--id new' makes one")
     issued_at_ms = parsed.int >> 80
     return caller_pb2.Idempotency(id=str(parsed), issued_at_ms=issued_at_ms)
 
@@ -80,16 +80,16 @@
     :raises IncompleteAnswerError: it does not, or a row count or digest differs.
     """
     if reply.call_id != request.call_id:
-        raise IncompleteAnswerError("The reply belongs to another request.")
+        raise IncompleteAnswerError("the reply belongs to another request")
     if reply.verdict != Verdict.DONE.value:
-        raise IncompleteAnswerError("The reply has no error and no verdict DONE.")
+        raise IncompleteAnswerError("the reply has no error and no verdict DONE")
     if len(reply.results) != len(request.statements):
         raise IncompleteAnswerError(
-            f"The reply has {len(reply.results)} results for {len(request.statements)} statements."
+            f"the reply has {len(reply.results)} results for {len(request.statements)} statements"
         )
     for result in reply.results:
         digest = xxhash.xxh64()
         for row in result.rows:
             digest.update(row.SerializeToString(deterministic=True))
         if result.row_count != len(result.rows) or result.digest != digest.intdigest():
-            raise IncompleteAnswerError("The rows of the reply are not complete.")
+            raise IncompleteAnswerError("the rows of the reply are not complete")
--- a/hibiscuspoint/cli/submission.py
+++ b/hibiscuspoint/cli/submission.py
@@ -28,8 +28,8 @@
     reply = await client.submit(document.text)
     if not reply.accepted or (reply.number, reply.digest) != (document.number, document.digest):
         raise IncompleteAnswerError(
-            f"The reply to document {document.number} names document {reply.number} "
-            f"with digest {reply.digest or '(none)'}."
+            f"the reply to document {document.number} names document {reply.number} "
+            f"with digest {reply.digest or '(none)'}"
         )
     if args.wait:
         await wait_for_number(client, document.number, output, args.wait_seconds)
--- a/hibiscuspoint/cli/waiting.py
+++ b/hibiscuspoint/cli/waiting.py
@@ -47,7 +47,7 @@
             return progress
         if time.monotonic() >= deadline:
             raise WaitError(
-                f"Not finished after {seconds:g} s: {progress}.", verdict=Verdict.MAY_HAVE_RUN
+                f"not finished after {seconds:g} s: {progress}", verdict=Verdict.MAY_HAVE_RUN
             )
         await asyncio.sleep(POLL_SECONDS)
 
@@ -58,7 +58,7 @@
         return await step()
     except HibiscusError as error:
         if error.verdict is Verdict.MAY_HAVE_RUN or error.code in {"HP1003", "HP3002"}:
-            return False, shown or error.message.rstrip(".")
+            return False, shown or error.message
         raise
 
 
--- a/hibiscuspoint/components/consensus.py
+++ b/hibiscuspoint/components/consensus.py
@@ -210,7 +210,7 @@
         return progress
 
     def _not_leader(self) -> NotLeaderError:
-        return NotLeaderError(f"Instance {self._instance} is not the control leader.")
+        return NotLeaderError(f"instance {self._instance} is not the control leader")
 
     def _receive(self, message: Message) -> None:
         self._inbox.append(message)
--- a/hibiscuspoint/components/proposals.py
+++ b/hibiscuspoint/components/proposals.py
@@ -66,7 +66,7 @@
     def reject_appended(self) -> None:
         """Reject all appended commands; a later leader may still commit them."""
         error = NotLeaderError(
-            "Leadership was lost before the command was committed.",
+            "leadership was lost before the command was committed",
             hint="Read the state from the new leader; the command may be committed there.",
             verdict=Verdict.MAY_HAVE_RUN,
         )
--- a/hibiscuspoint/core/consensus/node.py
+++ b/hibiscuspoint/core/consensus/node.py
@@ -205,7 +205,7 @@
     def _require_leadership(self, now: float) -> None:
         self._set_time(now)
         if not self.is_leader(now):
-            raise NotLeaderError(f"Instance {self.me.instance} is not the control leader.")
+            raise NotLeaderError(f"instance {self.me.instance} is not the control leader")
 
     def _accepts(self, message: Message) -> bool:
         """Tell whether a message is meant for this disk and its group."""
--- a/hibiscuspoint/core/entry/admission.py
+++ b/hibiscuspoint/core/entry/admission.py
@@ -104,7 +104,7 @@
         depth = len(queue) if queue else 0
         starts_at = now + self._wait_behind(self._ahead(request.caller, depth))
         if not self._can_finish(starts_at, request.deadline):
-            raise OverloadError("The request cannot finish before its deadline.")
+            raise OverloadError("the request cannot finish before its deadline")
         if self._length >= self._max_length:
             self._make_room(request.caller, depth)
         self._queues.setdefault(request.caller, deque()).append(request)
@@ -214,7 +214,7 @@
         if depth + 1 > self._max_length // callers or len(self._queues.get(longest, ())) <= (
             depth + 1
         ):
-            raise OverloadError("The queue of the group is full.")
+            raise OverloadError("the queue of the group is full")
         queue = self._queues[longest]
         self._dropped.append(queue.pop())
         self._length -= 1
--- a/hibiscuspoint/core/entry/idempotency.py
+++ b/hibiscuspoint/core/entry/idempotency.py
@@ -56,15 +56,15 @@
         :raises IdempotencyExpiredError: the id is older than the retention; it may have run.
         """
         if not 1 <= len(request_id) <= MAX_ID_LENGTH:
-            raise RequestError(f"The request id must have 1 to {MAX_ID_LENGTH} characters.")
+            raise RequestError(f"the request id must have 1 to {MAX_ID_LENGTH} characters")
         age = unix_now - issued_at_ms / MILLISECONDS_PER_SECOND
         if age < -self.skew:
             raise RequestError(
-                f"The request id is issued {-age:.0f} s in the future.",
+                f"the request id is issued {-age:.0f} s in the future",
                 hint="Correct the clock of the caller.",
             )
         if age > self.retention:
-            raise IdempotencyExpiredError("The request id is older than the retention.")
+            raise IdempotencyExpiredError("the request id is older than the retention")
 
     def purge_before_ms(self, unix_now: float) -> int:
         """Return the issue time in Unix ms before which rows are deleted.
@@ -94,7 +94,7 @@
     :raises IdempotencyConflictError: the id was used for another request; this one did not run.
     """
     if recorded != digest:
-        raise IdempotencyConflictError("The request id was used for another request.")
+        raise IdempotencyConflictError("the request id was used for another request")
 
 
 def create_table() -> common_pb2.Statement:
--- a/hibiscuspoint/core/entry/outcome.py
+++ b/hibiscuspoint/core/entry/outcome.py
@@ -68,7 +68,7 @@
             content = OutcomeContent.FromString(encoded)
         except DecodeError:
             raise IdempotencyConflictError(
-                "The recorded outcome of the request id is damaged.",
+                "the recorded outcome of the request id is damaged",
                 hint="Check the outcome in the database.",
                 verdict=Verdict.MAY_HAVE_RUN,
             ) from None
--- a/hibiscuspoint/core/entry/reads.py
+++ b/hibiscuspoint/core/entry/reads.py
@@ -234,6 +234,6 @@
 def _missed_deadline(primary: PrimaryState) -> HibiscusError:
     if primary.usable:
         return DeadlineError(
-            "The time of the read ended before a target could take it.", verdict=Verdict.NOT_RUN
+            "the time of the read ended before a target could take it", verdict=Verdict.NOT_RUN
         )
-    return NoPrimaryError("No primary and no replica could take the read before its deadline.")
+    return NoPrimaryError("no primary and no replica could take the read before its deadline")
--- a/hibiscuspoint/core/entry/session.py
+++ b/hibiscuspoint/core/entry/session.py
@@ -83,9 +83,9 @@
 
     def __init__(self, environment: str, keys: list[bytes]) -> None:
         if not 1 <= len(keys) <= _MAX_KEYS:
-            raise ConfigurationError(f"{len(keys)} token keys are given; 1 or 2 are needed.")
+            raise ConfigurationError(f"{len(keys)} token keys are given; 1 or 2 are needed")
         if any(len(key) < _MIN_KEY_BYTES for key in keys):
-            raise ConfigurationError(f"A token key is shorter than {_MIN_KEY_BYTES} bytes.")
+            raise ConfigurationError(f"a token key is shorter than {_MIN_KEY_BYTES} bytes")
         name = environment.encode()
         context = len(name).to_bytes(4, "big") + name
         # The key of each id and the bytes that its signatures cover before the marks.
@@ -101,7 +101,7 @@
         try:
             keys = [bytes.fromhex(key) for key in hex_keys]
         except ValueError:
-            raise ConfigurationError("A token key is not hexadecimal.") from None
+            raise ConfigurationError("a token key is not hexadecimal") from None
         return cls(environment, keys)
 
     def ensure_room(self, marks: SessionMarks, group: GroupId) -> None:
@@ -151,10 +151,10 @@
         try:
             message = SessionContent.FromString(content)
         except DecodeError:
-            raise TokenError("The session token has no valid content.") from None
+            raise TokenError("the session token has no valid content") from None
         groups = message.groups
         if not len(groups) == len(message.terms) == len(message.indexes):
-            raise TokenError("The session token has no valid content.")
+            raise TokenError("the session token has no valid content")
         marks = zip(groups, message.terms, message.indexes, strict=True)
         return SessionMarks(
             {GroupId(group): LogPosition(Term(term), index) for group, term, index in marks}
@@ -162,15 +162,15 @@
 
     def _verified(self, token: bytes) -> bytes:
         if not _MAC_END < len(token) <= MAX_TOKEN_BYTES or token[:1] != _VERSION:
-            raise TokenError("The session token is damaged.")
+            raise TokenError("the session token is damaged")
         known = self._keys.get(token[1 : 1 + _KEY_ID_BYTES])
         if known is None:
-            raise TokenError("The session token is signed with an unknown key.")
+            raise TokenError("the session token is signed with an unknown key")
         key, context = known
         content = token[_MAC_END:]
         expected = hmac.digest(key, context + content, "sha256")
         if not hmac.compare_digest(expected, token[1 + _KEY_ID_BYTES : _MAC_END]):
-            raise TokenError("The signature of the session token is wrong.")
+            raise TokenError("the signature of the session token is wrong")
         return content
 
 
@@ -180,7 +180,7 @@
 
 def _too_large(size: int, verdict: Verdict) -> LimitError:
     return LimitError(
-        f"The session uses too many groups: its token needs {size} bytes of {MAX_TOKEN_BYTES}.",
+        f"the session uses too many groups: its token needs {size} bytes of {MAX_TOKEN_BYTES}",
         hint="Start a new session, or use fewer groups in one session.",
         verdict=verdict,
     )
--- a/hibiscuspoint/core/entry/transaction.py
+++ b/hibiscuspoint/core/entry/transaction.py
@@ -117,9 +117,9 @@
         :raises TransactionStateError: the step does not fit; it did not run.
         """
         if self._phase not in (TransactionPhase.OPENING, TransactionPhase.ACTIVE):
-            raise _step_error(f"The transaction is {self._phase.value} and takes no step.")
+            raise _step_error(f"the transaction is {self._phase.value} and takes no step")
         if self._awaits_answer:
-            raise _step_error("The previous step of the transaction is not answered.")
+            raise _step_error("the previous step of the transaction is not answered")
         self._is_first_step = self._phase is TransactionPhase.OPENING
         self._phase = TransactionPhase.COMMITTING if commit else TransactionPhase.ACTIVE
         self._awaits_answer = True
@@ -142,7 +142,7 @@
         :raises TransactionStateError: no answered commit is pending.
         """
         if self._phase is not TransactionPhase.COMMITTING or self._awaits_answer:
-            raise TransactionStateError(f"The transaction is {self._phase.value}, not committing.")
+            raise TransactionStateError(f"the transaction is {self._phase.value}, not committing")
         self._phase = TransactionPhase.COMMITTED
 
     def roll_back(self) -> ConnectionFate:
@@ -151,7 +151,7 @@
         :raises TransactionStateError: the commit was sent, or the transaction has an outcome.
         """
         if self._phase not in (TransactionPhase.OPENING, TransactionPhase.ACTIVE):
-            raise _step_error(f"The transaction is {self._phase.value} and cannot roll back.")
+            raise _step_error(f"the transaction is {self._phase.value} and cannot roll back")
         fate = self._fate_without_answer()
         self._finish(TransactionPhase.ROLLED_BACK)
         return fate
@@ -164,7 +164,7 @@
         :raises TransactionStateError: the transaction already has an outcome.
         """
         if not self.is_open:
-            raise TransactionStateError(f"The transaction is already {self._phase.value}.")
+            raise TransactionStateError(f"the transaction is already {self._phase.value}")
         if failure in _ANSWERS:
             return self._fail_by_answer(failure)
         return self._fail_without_answer(failure)
@@ -205,7 +205,7 @@
 
     def _expect_answer(self) -> None:
         if not self._awaits_answer:
-            raise TransactionStateError("The target owes no answer to this transaction.")
+            raise TransactionStateError("the target owes no answer to this transaction")
 
     def _finish(self, phase: TransactionPhase) -> None:
         self._phase = phase
--- a/hibiscuspoint/errors.py
+++ b/hibiscuspoint/errors.py
@@ -35,7 +35,7 @@
 class HibiscusError(Exception):
     """Base of all errors that reach a caller or an operator.
 
-    :param message: one sentence that states what is wrong.
+    :param message: what is wrong, in one sentence without capital first letter and final period.
     :param hint: what the reader can do; the default of the class is used when empty.
     :param verdict: whether the request ran; the default of the class is used when ``None``.
     :param rolled_back: true when the commit was never sent, so the target rolls back.
--- a/hibiscuspoint/telemetry/samples.py
+++ b/hibiscuspoint/telemetry/samples.py
@@ -87,7 +87,7 @@
     try:
         parse_address(address)
     except ValueError as error:
-        raise ConfigurationError(f"{address!r} is not an address: {error}.") from None
+        raise ConfigurationError(f"{address!r} is not an address: {error}") from None
     url = f"http://{address}/metrics"
     # Addresses are those of the system itself; a proxy of the user's shell must not see them.
     opener = urllib.request.build_opener(urllib.request.ProxyHandler({}))
