Remove public items that nothing uses

Cause: a search over hibiscuspoint/ and benchmarks/ found public items without any use or with use in tests alone: Verdict.is_retryable, TipSamples.age_bound, AckTracker.fail_all, GroupQueue.is_paused, DrainState.may_hand_back, RetryBudget.saved, TransactionState.awaits_answer, TransactionFailure.CALLER_GONE, StandinWatch.is_connected and the stand-in's Session.is_writer. Change: they are removed. No test is removed. Tests that used one check the same with what the product uses: TipSamples.tip_after in place of age_bound (a bound below 3.6 s at time 5.0 is a tip sampled after 1.4), take_failed in place of fail_all, the phase in place of may_hand_back, and the test's own record of the unanswered step in place of awaits_answer. On a scratch copy, the changed tests fail when tip_after returns the sample before, when the oldest samples are dropped, and when a connection with an unanswered step is reused.

--- a/hibiscuspoint/core/entry/acknowledgement.py
+++ b/hibiscuspoint/core/entry/acknowledgement.py
@@ -110,11 +110,6 @@
         failed, self._failed = self._failed, []
         return failed
 
-    def fail_all(self) -> list[object]:
-        """Return and forget all waiters, on loss of the term."""
-        self._fail_waiting()
-        return self.take_failed()
-
     def _fail_waiting(self) -> None:
         self._failed += [waiter for _, _, waiter in sorted(self._waiting, key=lambda w: w[1])]
         self._waiting.clear()
--- a/hibiscuspoint/core/entry/admission.py
+++ b/hibiscuspoint/core/entry/admission.py
@@ -74,11 +74,6 @@
         """Return how many requests may run at once."""
         return self._concurrency
 
-    @property
-    def is_paused(self) -> bool:
-        """Tell whether requests are held for a switchover."""
-        return self._paused
-
     @property
     def service_time(self) -> float:
         """Return the mean service time in seconds; 0 before the first measurement."""
--- a/hibiscuspoint/core/entry/drain.py
+++ b/hibiscuspoint/core/entry/drain.py
@@ -48,11 +48,6 @@
         """Tell whether the load balancer should send callers; also ``go_elsewhere`` if not."""
         return self._phase is DrainPhase.SERVING
 
-    @property
-    def may_hand_back(self) -> bool:
-        """Tell whether leases and shares may be handed back and the process may exit."""
-        return self._phase is DrainPhase.DRAINED
-
     def start(self, now: float) -> None:
         """Begin the stop; further calls change nothing."""
         if self._phase is DrainPhase.SERVING:
--- a/hibiscuspoint/core/entry/freshness.py
+++ b/hibiscuspoint/core/entry/freshness.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from bisect import bisect_left, bisect_right
 from collections import OrderedDict
 
@@ -83,13 +82,6 @@
         """Give up all pending samples, when the connection that carried them closed."""
         self._pending.clear()
 
-    def age_bound(self, applied_index: int, now: float) -> float:
-        """Return the greatest possible age in seconds of data at this index; inf if unknown."""
-        reached = bisect_right(self._tips, applied_index)
-        if reached == 0:
-            return math.inf
-        return now - self._sent[reached - 1]
-
     def tip_after(self, earliest: float) -> int | None:
         """Return the lowest tip that a request sent at or after ``earliest`` saw."""
         first = bisect_left(self._sent, earliest)
--- a/hibiscuspoint/core/entry/retry.py
+++ b/hibiscuspoint/core/entry/retry.py
@@ -35,11 +35,6 @@
         self._burst = burst
         self._saved = burst
 
-    @property
-    def saved(self) -> float:
-        """Return how many retries are available."""
-        return self._saved
-
     def set_ratio(self, ratio: float) -> None:
         """Set how many retries one request earns."""
         self._ratio = ratio
--- a/hibiscuspoint/core/entry/transaction.py
+++ b/hibiscuspoint/core/entry/transaction.py
@@ -43,8 +43,6 @@
     CONNECTION_LOST = "connection_lost"
     #: The time of the transaction ended.
     TIMEOUT = "timeout"
-    #: The caller's stream ended.
-    CALLER_GONE = "caller_gone"
     #: The route lease ended or the group has a new term.
     TERM_LOST = "term_lost"
 
@@ -106,11 +104,6 @@
             TransactionPhase.COMMITTING,
         )
 
-    @property
-    def awaits_answer(self) -> bool:
-        """Tell whether the target owes an answer."""
-        return self._awaits_answer
-
     def send_step(self, commit: bool = False) -> None:
         """Record, before it is sent, a step with or without the commit.
 
--- a/hibiscuspoint/drivers/watch.py
+++ b/hibiscuspoint/drivers/watch.py
@@ -62,11 +62,6 @@
         self._own_samples = 0
         self._task = asyncio.create_task(self._run())
 
-    @property
-    def is_connected(self) -> bool:
-        """Tell whether progress arrived on the current stream."""
-        return self._is_connected
-
     def sample(self, sample_id: int) -> None:
         """Ask for the current position; ids are from 1 to 2**63 - 1."""
         self._outgoing.append(sample_id)
--- a/hibiscuspoint/standin/session.py
+++ b/hibiscuspoint/standin/session.py
@@ -62,11 +62,6 @@
         """Tell whether a transaction is open."""
         return self._in_transaction
 
-    @property
-    def is_writer(self) -> bool:
-        """Tell whether the open transaction may write."""
-        return self._is_writer
-
     def start_run(self) -> None:
         """Prepare for the next run of the client."""
         if not self._in_transaction and not self.was_aborted:
--- a/hibiscuspoint/verdict.py
+++ b/hibiscuspoint/verdict.py
@@ -16,8 +16,3 @@
     NOT_RUN = 2
     #: A target may have received the request; its outcome is unknown.
     MAY_HAVE_RUN = 3
-
-    @property
-    def is_retryable(self) -> bool:
-        """Tell whether any request, idempotent or not, may be sent again."""
-        return self is Verdict.NOT_RUN
--- a/tests/core/entry/test_acknowledgement.py
+++ b/tests/core/entry/test_acknowledgement.py
@@ -96,7 +96,7 @@
     tracker.wait(position(1, 8), "diverged")
     _receive(tracker, 20, term=2)
     assert tracker.take_confirmed() == []
-    assert tracker.fail_all() == [9, "diverged"]
+    assert tracker.take_failed() == [9, "diverged"]
     assert tracker.is_confirmed(position(1, 4))
 
 
--- a/tests/core/entry/test_drain.py
+++ b/tests/core/entry/test_drain.py
@@ -16,10 +16,10 @@
     assert not drain.accepts_new(11.0)
     drain.end_request()
     assert drain.tick(12.0) is DrainPhase.DRAINING
-    assert not drain.may_hand_back
+    assert drain.phase is DrainPhase.DRAINING
     drain.end_transaction()
     assert drain.tick(12.0) is DrainPhase.DRAINED
-    assert drain.may_hand_back
+    assert drain.phase is DrainPhase.DRAINED
 
 
 def test_stop_ends_after_its_limit():
--- a/tests/core/entry/test_reads.py
+++ b/tests/core/entry/test_reads.py
@@ -74,9 +74,10 @@
     plan = _plan(read, replicas, samples, now)
     oldest = arrived_at if max_age is None else now - max_age
     required = max(mark, sum(at < oldest for at in acknowledged))
+    for earliest in (sent for sent, _ in exchanges):
+        tip = samples.tip_after(earliest)
+        assert tip is None or tip >= sum(at < earliest for at in acknowledged)
     for state in replicas:
-        bound = samples.age_bound(state.applied, now)
-        assert state.applied >= sum(at < now - bound for at in acknowledged)
         if plan == ServeFromReplica(state.target):
             assert state.applied >= required
     accepted = ReadPlanner().accepts_answer(
@@ -89,7 +90,7 @@
     """Dropping the oldest samples would leave a lagging replica without a bound."""
     samples = _samples(*((i / 1000, i) for i in range(5000)))
     assert len(samples._sent) <= 128
-    assert 3.0 <= samples.age_bound(2000, 5.0) < 3.6
+    assert samples.tip_after(1.4) <= 2000 < samples.tip_after(2.001)
 
 
 def test_samples_of_an_earlier_term_or_lease_are_void():
@@ -99,8 +100,9 @@
     assert samples.answer(samples.send(2.0), Term(1), 10, lease_valid=False) is None
     samples.answer(samples.send(2.0), Term(2), 12, True)
     assert samples.answer(late, Term(1), 10, True) is None
-    assert samples.age_bound(11, 3.0) == float("inf")
-    assert samples.age_bound(12, 3.0) == 1.0
+    assert samples.tip_after(0.0) == 12
+    assert samples.tip_after(2.0) == 12
+    assert samples.tip_after(2.1) is None
 
 
 def test_one_sample_serves_all_waiting_reads_and_a_lost_one_is_repeated():
--- a/tests/core/entry/test_transaction.py
+++ b/tests/core/entry/test_transaction.py
@@ -49,11 +49,10 @@
             fate = state.step_answered()
             assert fate is (ConnectionFate.RESET if commits else ConnectionFate.KEEP)
         ran = ran or end not in _ANSWERS
-    _end(state, end, commits, ran)
+    _end(state, end, commits, owes, ran)
 
 
-def _end(state, end, commits, ran):
-    owes = state.awaits_answer
+def _end(state, end, commits, owes, ran):
     if end == "roll_back":
         if commits:
             with pytest.raises(TransactionStateError):
