Connect to another holder in one place

Change: Router.connect does it for both, so TransactionStreams needs no channels; the transaction at another holder has a module of its own, components/forwarded.py.

--- a/hibiscuspoint/components/router.py
+++ b/hibiscuspoint/components/router.py
@@ -99,6 +99,19 @@
         finally:
             self._waiting -= 1
 
+    async def connect(self, address: str, remaining: float) -> peer_pb2_grpc.PeerStub:
+        """Return the stub of another holder once a connection to it is ready.
+
+        :param remaining: seconds that are left to the request.
+        :raises DeadlineError: no time is left; nothing was sent.
+        :raises NoHolderError: the holder cannot be reached in time.
+        """
+        if remaining <= 0:
+            raise DeadlineError("the time of the request ended", verdict=Verdict.NOT_RUN)
+        if not await self._channels.is_ready(address, min(CONNECT_SECONDS, remaining)):
+            raise NoHolderError(f"the holder at {address} cannot be reached")
+        return peer_pb2_grpc.PeerStub(self._channels.get(address))
+
     async def _run_at(
         self, request: GroupRequest, instance: InstanceId, address: str
     ) -> GroupResult:
@@ -112,15 +125,10 @@
         return request.is_read or request.request_id is not None
 
     async def _forward(self, request: GroupRequest, address: str) -> GroupResult:
-        now = self._clock.monotonic()
-        remaining = request.deadline - now
-        if remaining <= 0:
-            raise DeadlineError("the time of the request ended", verdict=Verdict.NOT_RUN)
-        if not await self._channels.is_ready(address, min(CONNECT_SECONDS, remaining)):
-            raise NoHolderError(f"the holder at {address} cannot be reached")
+        remaining = request.deadline - self._clock.monotonic()
+        stub = await self.connect(address, remaining)
         message = forward_message(request, self._clock.monotonic())
         try:
-            stub = peer_pb2_grpc.PeerStub(self._channels.get(address))
             reply = await stub.Forward(message, timeout=remaining + GRACE_SECONDS)
         except grpc.aio.AioRpcError as error:
             if error.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
--- a/hibiscuspoint/components/transactions.py
+++ b/hibiscuspoint/components/transactions.py
@@ -7,25 +7,17 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
-import grpc
-
-from hibiscuspoint.components.forwarding import (
-    error_reply,
-    forward_message,
-    result_from_forward,
-    result_reply,
-)
+from hibiscuspoint.components.forwarded import ForwardedTransaction
+from hibiscuspoint.components.forwarding import error_reply, result_reply
 from hibiscuspoint.errors import (
-    DeadlineError,
     HibiscusError,
-    HolderLostError,
     LimitError,
     NoHolderError,
     RequestError,
     TransactionStateError,
 )
 from hibiscuspoint.verdict import Verdict
-from hibiscuspoint.wire import caller_pb2, common_pb2, peer_pb2, peer_pb2_grpc
+from hibiscuspoint.wire import caller_pb2, common_pb2, peer_pb2
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -33,7 +25,6 @@
     from hibiscuspoint.components.entry import Entry
     from hibiscuspoint.components.holder import GroupRequest, GroupResult
     from hibiscuspoint.components.holders import Holders
-    from hibiscuspoint.components.peers import PeerChannels
     from hibiscuspoint.components.router import Router
     from hibiscuspoint.core.entry.session import SessionMarks
     from hibiscuspoint.core.ports import Clock
@@ -42,9 +33,6 @@
 
 __all__ = ["TransactionStreams"]
 
-#: Longest time in seconds to connect to a holder before the next one is tried.
-CONNECT_SECONDS = 0.5
-
 
 class TransactionPath(Protocol):
     """A transaction at this holder or at another one."""
@@ -94,7 +82,6 @@
         entry: Entry,
         holders: Holders,
         router: Router,
-        channels: PeerChannels,
         limits: LimitSettings,
         clock: Clock,
         metrics: Metrics,
@@ -102,7 +89,6 @@
         self._entry = entry
         self._holders = holders
         self._router = router
-        self._channels = channels
         self._limits = limits
         self._clock = clock
         self._metrics = metrics
@@ -253,13 +239,8 @@
 
     async def _begin_forwarded(self, request: GroupRequest, address: str) -> TransactionPath:
         remaining = request.deadline - self._clock.monotonic()
-        if remaining <= 0:
-            raise DeadlineError("the time of the request ended", verdict=Verdict.NOT_RUN)
-        if not await self._channels.is_ready(address, min(CONNECT_SECONDS, remaining)):
-            raise NoHolderError(f"the holder at {address} cannot be reached")
-        call = peer_pb2_grpc.PeerStub(self._channels.get(address)).ForwardTransact(
-            timeout=remaining
-        )
+        stub = await self._router.connect(address, remaining)
+        call = stub.ForwardTransact(timeout=remaining)
         return ForwardedTransaction(call, request, self._clock)
 
     def _reply(
@@ -288,84 +269,6 @@
             del self._open[caller]
 
 
-class ForwardedTransaction:
-    """A transaction that runs at another holder."""
-
-    def __init__(
-        self, call: grpc.aio.StreamStreamCall, request: GroupRequest, clock: Clock
-    ) -> None:
-        self._call = call
-        self._request = request
-        self._clock = clock
-        self._is_begun = False
-        self._is_open = True
-
-    @property
-    def is_open(self) -> bool:
-        """Tell whether the transaction takes further steps."""
-        return self._is_open
-
-    async def run(self, statements: tuple[common_pb2.Statement, ...]) -> GroupResult:
-        """Run a step.
-
-        :raises HibiscusError: the transaction is rolled back.
-        """
-        if self._is_begun:
-            run = caller_pb2.TransactStep(statements=statements)
-            return await self._exchange(caller_pb2.TransactRequest(run=run))
-        self._is_begun = True
-        message = forward_message(self._request, self._clock.monotonic())
-        step = caller_pb2.TransactRequest(begin=message.request)
-        return await self._exchange(step, message)
-
-    async def commit(self) -> GroupResult:
-        """Commit.
-
-        :raises HibiscusError: with the verdict of the transaction.
-        """
-        end = caller_pb2.TransactEnd(commit=True)
-        result = await self._exchange(caller_pb2.TransactRequest(end=end), commits=True)
-        self._is_open = False
-        return result
-
-    async def roll_back(self) -> GroupResult:
-        """Roll back."""
-        result = await self._exchange(
-            caller_pb2.TransactRequest(end=caller_pb2.TransactEnd(commit=False))
-        )
-        self._is_open = False
-        return result
-
-    def close(self) -> None:
-        """Give the transaction up; the holder rolls it back."""
-        self._is_open = False
-        self._call.cancel()
-
-    async def _exchange(
-        self,
-        step: caller_pb2.TransactRequest,
-        opening: peer_pb2.ForwardRequest | None = None,
-        commits: bool = False,
-    ) -> GroupResult:
-        message = peer_pb2.ForwardTransactRequest(step=step)
-        if opening is not None:
-            message.mark.CopyFrom(opening.mark)
-            message.remaining_ms = opening.remaining_ms
-        try:
-            await self._call.write(message)
-            reply = await self._call.read()
-        except (grpc.aio.AioRpcError, asyncio.InvalidStateError):
-            reply = grpc.aio.EOF
-        if reply is grpc.aio.EOF:
-            self._is_open = False
-            raise HolderLostError("the holder was lost", rolled_back=not commits)
-        try:
-            return result_from_forward(reply)
-        except HibiscusError:
-            self._is_open = False
-            raise
-
-
 def _forward_reply(result: GroupResult) -> peer_pb2.ForwardReply:
     position = common_pb2.Position(term=result.position.term, index=result.position.index)
     return peer_pb2.ForwardReply(reply=result_reply(result), position=position)
--- a/hibiscuspoint/daemon/node.py
+++ b/hibiscuspoint/daemon/node.py
@@ -127,7 +127,6 @@
             self._entry,
             self._holders,
             router,
-            self._channels,
             settings.limits,
             self._clock,
             self._metrics,
--- a/tests/components/entry_harness.py
+++ b/tests/components/entry_harness.py
@@ -103,7 +103,7 @@
         parts = (settings, clock, self.metrics)
         entry = Entry(state, self.holders, self.holders, codec, DrainState(), *parts)
         entry.register(runtime)
-        streams = TransactionStreams(entry, self.holders, self.holders, None, *parts)
+        streams = TransactionStreams(entry, self.holders, self.holders, *parts)
         self._service = CallerService(runtime, streams)
         self._transport = Transport(TlsMode.PLAIN_TEXT, None, settings.message_bytes)
 
