State units, errors and parameters in the core and the drivers

Cause: time constants of the control group and of the watch had no comment, sizes of the sample history had names that do not explain them, and parameters in seconds, Unix or monotonic, and some raised errors were not documented. Change: comments and docstrings only.

--- a/hibiscuspoint/core/consensus/log.py
+++ b/hibiscuspoint/core/consensus/log.py
@@ -109,7 +109,10 @@
         self._configurations += [e for e in entries if isinstance(e.payload, Configuration)]
 
     def compact(self, snapshot: Snapshot) -> None:
-        """Replace entries up to the snapshot index; a few of them stay readable."""
+        """Replace entries up to the snapshot index; ``RETAINED_ENTRIES`` of them stay readable.
+
+        :raises ValueError: the log ends before the entries to drop.
+        """
         base = max(self._base_index, snapshot.index - RETAINED_ENTRIES)
         base_term = self.term_at(base)
         if base_term is None:
--- a/hibiscuspoint/core/consensus/messages.py
+++ b/hibiscuspoint/core/consensus/messages.py
@@ -74,7 +74,10 @@
 
 @dataclass(frozen=True, slots=True)
 class SnapshotRequest:
-    """Replaces the log of a member that is too far behind."""
+    """Replaces the log of a member that is too far behind.
+
+    :param sent_at: monotonic seconds of the leader; the reply echoes it.
+    """
 
     snapshot: Snapshot
     sent_at: float
@@ -84,6 +87,7 @@
 class AppendReply:
     """Answers an append or snapshot request.
 
+    :param sent_at: the time in the request.
     :param index: on success the highest index known to match; otherwise the rejected
         ``prev_index``.
     :param conflict_term: term of the entry at the rejected index; 0 when there is none.
--- a/hibiscuspoint/core/consensus/progress.py
+++ b/hibiscuspoint/core/consensus/progress.py
@@ -26,7 +26,9 @@
     """Replication state of one member.
 
     :param next_index: first entry to send next.
-    :param contact: clock of the leader at which the latest answered request was sent.
+    :param match_index: highest index that the member is known to hold.
+    :param contact: monotonic seconds of the leader at which the latest answered request was sent.
+    :param snapshot_sent_at: monotonic seconds at which the latest snapshot was sent.
     """
 
     next_index: int
--- a/hibiscuspoint/core/consensus/timing.py
+++ b/hibiscuspoint/core/consensus/timing.py
@@ -16,7 +16,9 @@
     "SNAPSHOT_RETRY",
 ]
 
+#: Time between two heartbeats of the leader (design D12).
 HEARTBEAT_INTERVAL = 0.150
+#: Range of the random time without a leader after which a member stands for election (design D12).
 ELECTION_TIMEOUT_MIN = 1.0
 ELECTION_TIMEOUT_MAX = 2.0
 
@@ -24,12 +26,16 @@
 #: shorter, so that it ends first even when the clock rates of two instances differ by 10%.
 LEASE_DURATION = 0.9
 
+#: Time between two probes of the other members while the control group is formed.
 PROBE_INTERVAL = 0.3
+#: Time after which an unanswered snapshot is sent again.
 SNAPSHOT_RETRY = 2.0
 
+#: Greatest number of entries in one message.
 MAX_BATCH_ENTRIES = 256
 #: Keeps a message below the default gRPC limit of 4 MiB.
 MAX_BATCH_BYTES = 512 * 1024
+#: Entries that may be sent to a member and not yet acknowledged by it.
 MAX_IN_FLIGHT_ENTRIES = 4096
 
 #: Entries kept in memory before the snapshot index, so that a follower that is slightly behind
--- a/hibiscuspoint/core/control/entries.py
+++ b/hibiscuspoint/core/control/entries.py
@@ -108,7 +108,10 @@
         return info is None or now > grantor_end(info.seen_at, LEASE_SECONDS)
 
     def forgive_stall(self, stalled: float, now: float) -> None:
-        """Count a time in which this process did not run not as silence of the entries."""
+        """Leave a time in which this process did not run out of the silence of all entries.
+
+        :param stalled: seconds in which this process did not run.
+        """
         for entry in list(self._entries.values()):
             seen_at = min(now, entry.seen_at + stalled)
             self._entries[entry.instance] = replace(entry, seen_at=seen_at)
--- a/hibiscuspoint/core/entry/admission.py
+++ b/hibiscuspoint/core/entry/admission.py
@@ -16,6 +16,7 @@
 # Gains of the service time estimate and its deviation, as for the timers of TCP (RFC 6298).
 _MEAN_GAIN = 1 / 8
 _DEVIATION_GAIN = 1 / 4
+# Deviations added to the mean, so that few admitted requests miss their deadline.
 _DEVIATION_FACTOR = 2
 # Refusals on an idle group after which one request runs in spite of the estimate. Without it, an
 # estimate that a slow period raised above the deadlines would never be measured again.
--- a/hibiscuspoint/core/entry/freshness.py
+++ b/hibiscuspoint/core/entry/freshness.py
@@ -9,10 +9,15 @@
 
 __all__ = ["TipSamples"]
 
+#: Unanswered samples that are kept; the oldest is given up for a new one.
 _MAX_PENDING = 64
+#: Answered samples that are kept before they are thinned out.
 _MAX_SAMPLES = 128
+#: Greatest number of samples after thinning out; the rest is room for new ones.
 _KEPT_WHEN_FULL = 96
+#: Newest samples that thinning out keeps whatever their distance.
 _NEWEST_KEPT = 32
+#: Least distance of older samples after thinning out, as a share of their age.
 _RELATIVE_DISTANCE = 1 / 12
 #: Seconds after which an unanswered sample is given up, as for silent connections (D11).
 _PENDING_SECONDS = 0.5
--- a/hibiscuspoint/core/entry/idempotency.py
+++ b/hibiscuspoint/core/entry/idempotency.py
@@ -52,6 +52,7 @@
     def check(self, request_id: RequestId, issued_at_ms: int, unix_now: float) -> None:
         """Check an id before its request is sent.
 
+        :param unix_now: Unix time in seconds.
         :raises RequestError: the id is empty, too long or issued in the future; it did not run.
         :raises IdempotencyExpiredError: the id is older than the retention; it may have run.
         """
@@ -71,6 +72,8 @@
 
         Rows are kept for twice the retention, so that an id whose request is still on its way at
         the end of the retention finds its row.
+
+        :param unix_now: Unix time in seconds.
         """
         return int((unix_now - 2 * self.retention) * MILLISECONDS_PER_SECOND)
 
--- a/hibiscuspoint/core/entry/pool.py
+++ b/hibiscuspoint/core/entry/pool.py
@@ -111,6 +111,8 @@
 
         A smaller share closes connections that are being opened, then the longest unused ones;
         busy ones are closed when they return.
+
+        :param lease_ends: monotonic seconds at which the lease of the share ends.
         """
         self._share = connections
         self._lease_ends = lease_ends
--- a/hibiscuspoint/core/entry/reads.py
+++ b/hibiscuspoint/core/entry/reads.py
@@ -38,6 +38,8 @@
 class Read:
     """A read that waits for a plan; times are monotonic seconds.
 
+    :param arrived_at: when the read reached the holder.
+    :param deadline: when its time ends.
     :param mark: the session mark of the group.
     :param max_age: greatest accepted age in seconds; None for a linearizable read.
     """
--- a/hibiscuspoint/core/entry/retry.py
+++ b/hibiscuspoint/core/entry/retry.py
@@ -36,7 +36,7 @@
         self._saved = burst
 
     def set_ratio(self, ratio: float) -> None:
-        """Set how many retries one request earns."""
+        """Set how many retries one request earns, as ``ratio`` of the constructor."""
         self._ratio = ratio
 
     def request(self) -> None:
@@ -59,6 +59,7 @@
         needed most when many requests fail.
 
         :param attempt: number of the failed attempt, from 1.
+        :param deadline: monotonic seconds at which the time of the request ends.
         """
         if verdict is Verdict.DONE or now >= deadline:
             return RetryDecision.GIVE_UP
--- a/hibiscuspoint/core/entry/session.py
+++ b/hibiscuspoint/core/entry/session.py
@@ -24,6 +24,7 @@
 MAX_TOKEN_BYTES = 512
 
 _VERSION = b"\x01"
+# A token is the version, the key id, the HMAC-SHA256 and the encoded SessionContent.
 _KEY_ID_BYTES = 4
 _MAC_BYTES = 32
 _MAC_END = 1 + _KEY_ID_BYTES + _MAC_BYTES
--- a/hibiscuspoint/core/ports.py
+++ b/hibiscuspoint/core/ports.py
@@ -61,7 +61,10 @@
 
 
 class TargetAdmin(Protocol):
-    """Calls of control to targets; ``timeout`` is in seconds."""
+    """Calls of control to targets; ``timeout`` is in seconds.
+
+    A call that fails or has no answer in time raises the ``AdminError`` of the drivers.
+    """
 
     async def seal(self, address: str, term: int, *, timeout: float) -> target_pb2.SealReply:
         """Raise the sealed term of a target."""
--- a/hibiscuspoint/drivers/liveness.py
+++ b/hibiscuspoint/drivers/liveness.py
@@ -10,7 +10,6 @@
 
 __all__ = ["LivenessTimer"]
 
-
 # A check that runs this late means that this process was held up and may have unread replies.
 HELD_UP_S = 0.1
 
@@ -59,7 +58,11 @@
         self._handle: asyncio.TimerHandle | None = None
 
     def start(self, *, timeout: float, expected: float) -> None:
-        """Start to wait for an answer."""
+        """Start to wait for an answer.
+
+        :param timeout: seconds until the deadline of the answer.
+        :param expected: usual seconds of the answer.
+        """
         self._deadline = self._loop.time() + timeout
         self._pinged_at = None
         self._schedule(expected + self._overdue)
--- a/hibiscuspoint/drivers/watch.py
+++ b/hibiscuspoint/drivers/watch.py
@@ -20,8 +20,11 @@
 
 logger = logging.getLogger(__name__)
 
+#: Time between two samples of the watch itself, which show that the stream is not silent.
 SAMPLE_INTERVAL_S = 0.5
+#: Time without a message after which a stream is closed and opened again.
 SILENCE_S = 1.0
+#: Shortest and longest wait before a stream is opened again; it doubles while attempts fail.
 FIRST_BACKOFF_S = 0.05
 LAST_BACKOFF_S = 1.0
 # Sample ids from here up belong to the watch itself.
