State unit and effect of constants without a comment

Cause: time limits, backoffs and sizes of the control streams, the command line and the stand-in had names that tell neither their unit nor what happens at the limit. Change: comments only.

--- a/hibiscuspoint/cli/client.py
+++ b/hibiscuspoint/cli/client.py
@@ -28,6 +28,7 @@
 
 #: Time to open one connection; a reachable instance needs a few milliseconds.
 CONNECT_SECONDS = 2.0
+#: Time between two rounds over the named instances.
 RETRY_SECONDS = 0.25
 #: Time to find out why a connection failed.
 PROBE_SECONDS = 0.5
--- a/hibiscuspoint/cli/options.py
+++ b/hibiscuspoint/cli/options.py
@@ -28,7 +28,9 @@
 
 #: Documents and results are small; the limit of the entries is the one that counts.
 MESSAGE_BYTES = 64 * 1024 * 1024
+#: Default of --timeout in seconds.
 DEFAULT_TIMEOUT = 10.0
+#: Default of --wait-seconds.
 DEFAULT_WAIT = 60.0
 
 
--- a/hibiscuspoint/components/consensus.py
+++ b/hibiscuspoint/components/consensus.py
@@ -48,6 +48,7 @@
 TICK_MIN = 0.005
 TICK_MAX = 0.1
 
+#: Seconds between two looks at the progress of a repair.
 REPAIR_INTERVAL = 0.02
 
 #: Applied entries after which a snapshot replaces them.
--- a/hibiscuspoint/components/consensus_link.py
+++ b/hibiscuspoint/components/consensus_link.py
@@ -32,15 +32,19 @@
     ("grpc.max_reconnect_backoff_ms", 500),
 ]
 
+#: Longest time in seconds to connect to a peer.
 _CONNECT_TIMEOUT = 2.0
+#: Shortest and longest wait in seconds before a stream is opened again; it doubles until a reply.
 _BACKOFF_MIN = 0.1
 _BACKOFF_MAX = 1.0
 
+#: Requests that may wait for one peer; further ones are dropped.
 _QUEUE_LENGTH = 256
 
 #: A stream on which a request stays unanswered for this many checks is replaced. Checks are
 #: counted, so that a pause of this process does not count as silence of the peer.
 _SILENT_CHECKS = 3
+#: Seconds between two checks.
 _CHECK_INTERVAL = 0.2
 
 
--- a/hibiscuspoint/standin/announcer.py
+++ b/hibiscuspoint/standin/announcer.py
@@ -23,7 +23,9 @@
 
 logger = logging.getLogger(__name__)
 
+#: Time between two announcements (design section 5).
 INTERVAL_S = 0.2
+#: Longest time for the reply to an announcement.
 TIMEOUT_S = 0.3
 
 
--- a/hibiscuspoint/standin/connection.py
+++ b/hibiscuspoint/standin/connection.py
@@ -25,6 +25,7 @@
 
 logger = logging.getLogger(__name__)
 
+#: Limits of one part of an answer; larger results are sent in several parts.
 MAX_PART_ROWS = 256
 MAX_PART_BYTES = 64 * 1024
 
--- a/hibiscuspoint/standin/replication.py
+++ b/hibiscuspoint/standin/replication.py
@@ -27,10 +27,15 @@
 
 logger = logging.getLogger(__name__)
 
+#: Greatest size of the records in one message to a follower.
 MAX_SHIP_BYTES = 1024 * 1024
+#: Records that a replica applies before other tasks run.
 MAX_APPLY_RECORDS = 500
+#: Longest time without a message to a follower.
 SHIP_HEARTBEAT_S = 0.25
+#: Time without a reply after which the stream to a follower is closed.
 SHIP_REPLY_TIMEOUT_S = 1.0
+#: Time before a stream to a follower is opened again.
 SHIP_RETRY_S = 0.1
 
 
--- a/hibiscuspoint/standin/server.py
+++ b/hibiscuspoint/standin/server.py
@@ -26,6 +26,7 @@
 
 logger = logging.getLogger(__name__)
 
+#: Least time between two messages of a watch that answer no sample.
 PROGRESS_INTERVAL_S = 0.005
 
 Failure = target_pb2.Failure
--- a/hibiscuspoint/telemetry/samples.py
+++ b/hibiscuspoint/telemetry/samples.py
@@ -32,6 +32,7 @@
 
 __all__ = ["CALLER_FAULTS", "GroupCounters", "Sample", "SampleFile", "parse_metrics", "scrape"]
 
+#: Longest time in seconds to fetch the metrics of one address.
 SCRAPE_TIMEOUT = 5.0
 MAX_SCRAPE_BYTES = 16 * 1024 * 1024
 
