Remove state of the entry core that nothing reads

Cause: a second search by class found the properties group, term and confirmed of AckTracker, TipSamples.lost and MemberProgress.seen_at without use in hibiscuspoint/ and benchmarks/. The number of seconds per hour was written twice. Change: they are removed, with the group parameter of AckTracker; SECONDS_PER_HOUR is in util/units.py. MemberProgress states its units and GroupHolder.require_route its second error. No test is removed; the tests of AckTracker ask is_confirmed for the records on both sides of the limit in place of confirmed. On a scratch copy, the changed tests fail when a new term keeps the confirmed index, when a target that is no member counts, and when the confirmed index goes back.

--- a/hibiscuspoint/components/holder/group.py
+++ b/hibiscuspoint/components/holder/group.py
@@ -173,6 +173,7 @@
         """Return the route under a valid lease.
 
         :raises NoPrimaryError: there is none; nothing was sent.
+        :raises NoHolderError: this holder has no connections to the primary; nothing was sent.
         """
         route = self._context.routes.primary(self._group, self._context.clock.monotonic())
         if route is None or route.primary not in self._lanes:
--- a/hibiscuspoint/components/holder/progress.py
+++ b/hibiscuspoint/components/holder/progress.py
@@ -35,12 +35,17 @@
 
 @dataclass
 class MemberProgress:
-    """The last progress that a member reported."""
+    """The last progress that a member reported.
+
+    :param received: the last record that is durable at the member.
+    :param applied: index of the last record that reads see.
+    :param apply_rate: records applied per second; ``None`` until it is measured.
+    :param rate_from: monotonic seconds and applied index at which the present measurement began.
+    """
 
     term: Term = Term(0)
     received: LogPosition = ZERO
     applied: int = 0
-    seen_at: float = 0.0
     apply_rate: float | None = None
     rate_from: tuple[float, int] | None = None
 
@@ -54,7 +59,6 @@
         self.term = Term(progress.term)
         self.received = LogPosition(Term(progress.received.term), progress.received.index)
         self.applied = progress.applied
-        self.seen_at = now
         self._measure_rate(now)
 
     def _measure_rate(self, now: float) -> None:
@@ -96,7 +100,7 @@
         """Follow a route; a new term discards what depends on the old one."""
         if self._acks is None:
             # The quorum of a group is fixed when the group is formed.
-            self._acks = AckTracker(self._group, route.ack_quorum)
+            self._acks = AckTracker(route.ack_quorum)
         self._route = route
         members = {member.target for member in route.members}
         self._acks.start_term(route.term, route.history, members)
--- a/hibiscuspoint/components/holder/writes.py
+++ b/hibiscuspoint/components/holder/writes.py
@@ -18,6 +18,7 @@
     TargetLostError,
 )
 from hibiscuspoint.ids import CallerId
+from hibiscuspoint.util.units import SECONDS_PER_HOUR
 from hibiscuspoint.verdict import Verdict
 from hibiscuspoint.wire import target_pb2
 
@@ -33,8 +34,6 @@
 
 __all__ = ["WriteRunner", "failure_to_error"]
 
-SECONDS_PER_HOUR = 3600.0
-
 #: Longest time in seconds of one deletion of old request ids.
 PURGE_SECONDS = 10.0
 
--- a/hibiscuspoint/core/entry/acknowledgement.py
+++ b/hibiscuspoint/core/entry/acknowledgement.py
@@ -12,7 +12,7 @@
     from collections.abc import Iterable
 
     from hibiscuspoint.core.position import LogPosition
-    from hibiscuspoint.ids import GroupId, TargetId
+    from hibiscuspoint.ids import TargetId
 
 __all__ = ["AckTracker"]
 
@@ -23,12 +23,10 @@
     A member counts only when its last received record was written in the current term, as in
     Raft's commit rule: a record of an older term on a quorum can still be overwritten.
 
-    :param group: the group that is tracked.
     :param quorum: members that must hold a record, the primary counted.
     """
 
-    def __init__(self, group: GroupId, quorum: int) -> None:
-        self._group = group
+    def __init__(self, quorum: int) -> None:
         self._quorum = quorum
         self._term = Term(0)
         self._history = TermHistory()
@@ -40,21 +38,6 @@
         self._sequence = 0
         self._failed: list[object] = []
 
-    @property
-    def group(self) -> GroupId:
-        """Return the group."""
-        return self._group
-
-    @property
-    def term(self) -> Term:
-        """Return the current term; 0 before the first."""
-        return self._term
-
-    @property
-    def confirmed(self) -> int:
-        """Return the highest confirmed index; 0 while the current term has none."""
-        return self._confirmed
-
     def start_term(self, term: Term, history: TermHistory, members: Iterable[TargetId]) -> None:
         """Begin a term, or update the members of the current one; a lower term is ignored.
 
--- a/hibiscuspoint/core/entry/freshness.py
+++ b/hibiscuspoint/core/entry/freshness.py
@@ -83,10 +83,6 @@
         self._add(sent_at, tip_index)
         return sent_at
 
-    def lost(self) -> None:
-        """Give up all pending samples, when the connection that carried them closed."""
-        self._pending.clear()
-
     def tip_after(self, earliest: float) -> int | None:
         """Return the lowest tip that a request sent at or after ``earliest`` saw."""
         first = bisect_left(self._sent, earliest)
--- a/hibiscuspoint/core/entry/idempotency.py
+++ b/hibiscuspoint/core/entry/idempotency.py
@@ -12,7 +12,7 @@
     IdempotencyExpiredError,
     RequestError,
 )
-from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
+from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND, SECONDS_PER_HOUR
 from hibiscuspoint.wire import common_pb2
 
 if TYPE_CHECKING:
@@ -35,8 +35,6 @@
 #: Greatest length of a request id in characters; the portable key length of the table.
 MAX_ID_LENGTH = 128
 
-_DAY_SECONDS = 24 * 3600.0
-
 
 @dataclass(frozen=True, slots=True)
 class IdempotencyPolicy:
@@ -46,7 +44,7 @@
     :param skew: accepted difference of the caller's clock in seconds.
     """
 
-    retention: float = _DAY_SECONDS
+    retention: float = 24 * SECONDS_PER_HOUR
     skew: float = 60.0
 
     def check(self, request_id: RequestId, issued_at_ms: int, unix_now: float) -> None:
--- a/hibiscuspoint/util/units.py
+++ b/hibiscuspoint/util/units.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
-__all__ = ["MICROSECONDS_PER_SECOND", "MILLISECONDS_PER_SECOND", "NANOSECONDS_PER_SECOND"]
+__all__ = [
+    "MICROSECONDS_PER_SECOND",
+    "MILLISECONDS_PER_SECOND",
+    "NANOSECONDS_PER_SECOND",
+    "SECONDS_PER_HOUR",
+]
 
 #: For ``*_ms`` fields of messages, settings and documents.
 MILLISECONDS_PER_SECOND = 1000
@@ -12,3 +17,6 @@
 
 #: For ``*_ns`` fields of messages between instances.
 NANOSECONDS_PER_SECOND = 1_000_000_000
+
+#: For ``*_hours`` keys of documents.
+SECONDS_PER_HOUR = 3600
--- a/tests/core/control/actors.py
+++ b/tests/core/control/actors.py
@@ -107,7 +107,7 @@
         self.is_frozen = False
         self.stream = (0, 0)
         self.state = EntryState("trial")
-        self.acks = AckTracker(GROUP, 2)
+        self.acks = AckTracker(2)
         self.pools = {name: ConnectionPool() for name in MEMBERS}
         self.lease_ends = dict.fromkeys(MEMBERS, -math.inf)
         self.sequences = dict.fromkeys(MEMBERS, 0)
--- a/tests/core/entry/test_acknowledgement.py
+++ b/tests/core/entry/test_acknowledgement.py
@@ -9,7 +9,6 @@
 from hibiscuspoint.core.position import LogPosition, TermHistory
 from hibiscuspoint.ids import TargetId, Term
 from tests.builders import position, term_history
-from tests.builders_entry import GROUP
 
 _MEMBERS = [TargetId(name) for name in "abc"]
 _MEMBER = st.sampled_from(_MEMBERS)
@@ -28,7 +27,7 @@
         self.logs = {member: [] for member in _MEMBERS}
         self.accepts = dict.fromkeys(_MEMBERS, 0)
         self.starts, self.reports, self.promised = [], [], set()
-        self.tracker = AckTracker(GROUP, quorum=2)
+        self.tracker = AckTracker(quorum=2)
         self.term = 0
         self.promote(_MEMBERS)
 
@@ -40,7 +39,8 @@
         self.logs[self.primary].append(self.term)
         self.starts.append((Term(self.term), len(self.logs[self.primary])))
         self.tracker.start_term(Term(self.term), TermHistory(self.starts), _MEMBERS)
-        assert self.tracker.confirmed == 0
+        records = [position(*record) for record in self._records(self.primary)]
+        assert not any(map(self.tracker.is_confirmed, records))
 
     @rule()
     def write(self):
@@ -64,18 +64,20 @@
 
     @invariant()
     def confirmed_records_survive(self):
-        for log in self.logs.values():
-            records = {(term, index) for index, term in enumerate(log, start=1)}
+        for member in self.logs:
+            records = self._records(member)
             self.promised |= {r for r in records if self.tracker.is_confirmed(position(*r))}
-        primary = self.logs[self.primary]
-        assert self.promised <= {(term, index) for index, term in enumerate(primary, start=1)}
+        assert self.promised <= self._records(self.primary)
+
+    def _records(self, member):
+        return {(term, index) for index, term in enumerate(self.logs[member], start=1)}
 
 
 TestReplicatedGroup = ReplicatedGroup.TestCase
 
 
 def _tracker():
-    tracker = AckTracker(GROUP, quorum=2)
+    tracker = AckTracker(quorum=2)
     tracker.start_term(Term(1), term_history((1, 1)), _MEMBERS)
     return tracker
 
@@ -104,7 +106,8 @@
     """A target that is no member is not sealed by a promotion, so its copy proves nothing."""
     tracker = _tracker()
     _receive(tracker, 5, members=[_MEMBERS[0], TargetId("x")])
-    assert tracker.confirmed == 0
+    assert not tracker.is_confirmed(position(1, 1))
     _receive(tracker, 7)
     tracker.start_term(Term(1), term_history((1, 1)), _MEMBERS[1:])
-    assert tracker.confirmed == 7
+    assert tracker.is_confirmed(position(1, 7))
+    assert not tracker.is_confirmed(position(1, 8))
