Build the reply to another entry in one place

Cause: entry.py and transactions.py built it in the same way; the least time of a rollback was an unnamed number; a message said "its time ended" without a subject; Turns.turn did not state its second error. Change: forwarding.forward_reply, ROLL_BACK_SECONDS, the text of the message, the docstring.

--- a/hibiscuspoint/components/entry.py
+++ b/hibiscuspoint/components/entry.py
@@ -7,7 +7,12 @@
 
 from circuits import Component, handler
 
-from hibiscuspoint.components.forwarding import error_reply, request_from_message, result_reply
+from hibiscuspoint.components.forwarding import (
+    error_reply,
+    forward_reply,
+    request_from_message,
+    result_reply,
+)
 from hibiscuspoint.components.request_meter import RequestMeter
 from hibiscuspoint.core.position import LogPosition
 from hibiscuspoint.errors import HibiscusError, LimitError, NotReadyError, RequestError, TokenError
@@ -124,8 +129,7 @@
             return peer_pb2.ForwardReply(reply=error_reply(error))
         finally:
             self._drain.end_request()
-        position = common_pb2.Position(term=result.position.term, index=result.position.index)
-        return peer_pb2.ForwardReply(reply=result_reply(result), position=position)
+        return forward_reply(result)
 
     def forwarded_request(self, message: peer_pb2.ForwardRequest) -> GroupRequest:
         """Return the request that another entry forwarded."""
--- a/hibiscuspoint/components/forwarding.py
+++ b/hibiscuspoint/components/forwarding.py
@@ -19,6 +19,7 @@
     "error_from_reply",
     "error_reply",
     "forward_message",
+    "forward_reply",
     "request_from_message",
     "result_from_forward",
     "result_reply",
@@ -91,6 +92,12 @@
     )
 
 
+def forward_reply(result: GroupResult) -> peer_pb2.ForwardReply:
+    """Return the reply that carries a result and its position to another entry."""
+    position = common_pb2.Position(term=result.position.term, index=result.position.index)
+    return peer_pb2.ForwardReply(reply=result_reply(result), position=position)
+
+
 def error_from_reply(reply: caller_pb2.ExecuteReply) -> HibiscusError:
     """Return the error of a reply."""
     error_class = ERROR_CODES.get(reply.error.code, HibiscusError)
--- a/hibiscuspoint/components/holder/transactions.py
+++ b/hibiscuspoint/components/holder/transactions.py
@@ -28,6 +28,9 @@
 
 __all__ = ["OpenTransaction", "TransactionRunner"]
 
+#: Least time in seconds for a rollback, also after the deadline of the transaction.
+ROLL_BACK_SECONDS = 0.1
+
 
 class TransactionRunner:
     """Opens interactive transactions of one group."""
@@ -135,7 +138,9 @@
         self._state.send_step(commit=run.commit)
         remaining = self._deadline - self._holder.context.clock.monotonic()
         if remaining <= 0:
-            raise self._fail(TransactionFailure.TIMEOUT, DeadlineError("its time ended"))
+            raise self._fail(
+                TransactionFailure.TIMEOUT, DeadlineError("the time of the transaction ended")
+            )
         self._is_begun = True
         try:
             result = await self._lent.connection.run(run, remaining)
@@ -178,7 +183,7 @@
         connection = self._lent.connection
         if not connection.in_transaction:
             return
-        remaining = max(0.1, self._deadline - self._holder.context.clock.monotonic())
+        remaining = max(ROLL_BACK_SECONDS, self._deadline - self._holder.context.clock.monotonic())
         run = target_pb2.Run(term=self._route.term, rollback=True)
         try:
             await connection.run(run, remaining)
--- a/hibiscuspoint/components/holder/turns.py
+++ b/hibiscuspoint/components/holder/turns.py
@@ -54,6 +54,7 @@
 
         :param deadline: monotonic time in seconds.
         :raises OverloadError: the request cannot finish in time or the queue is full.
+        :raises DeadlineError: the deadline passed before the turn came.
         """
         await self._admit(caller, deadline)
         turn = Turn()
--- a/hibiscuspoint/components/transactions.py
+++ b/hibiscuspoint/components/transactions.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from hibiscuspoint.components.forwarded import ForwardedTransaction
-from hibiscuspoint.components.forwarding import error_reply, result_reply
+from hibiscuspoint.components.forwarding import error_reply, forward_reply, result_reply
 from hibiscuspoint.errors import (
     HibiscusError,
     LimitError,
@@ -183,9 +183,9 @@
         )
         path = await self._holders.begin(request)
         try:
-            yield _forward_reply(await path.run(request.statements))
+            yield forward_reply(await path.run(request.statements))
             async for step in steps:
-                yield _forward_reply(await self._work(path, step.step))
+                yield forward_reply(await self._work(path, step.step))
                 if not path.is_open:
                     return
         finally:
@@ -269,10 +269,5 @@
             del self._open[caller]
 
 
-def _forward_reply(result: GroupResult) -> peer_pb2.ForwardReply:
-    position = common_pb2.Position(term=result.position.term, index=result.position.index)
-    return peer_pb2.ForwardReply(reply=result_reply(result), position=position)
-
-
 def _call_id(step: caller_pb2.TransactRequest) -> int:
     return getattr(step, step.WhichOneof("step")).call_id if step.WhichOneof("step") else 0
