--- a/hibiscuspoint/components/consensus.py
+++ b/hibiscuspoint/components/consensus.py
@@ -48,6 +48,7 @@
 TICK_MIN = 0.005
 TICK_MAX = 0.1
 
+#: Seconds between two looks at the progress of a repair.
 REPAIR_INTERVAL = 0.02
 
 #: Applied entries after which a snapshot replaces them.
@@ -210,7 +211,7 @@
         return progress
 
     def _not_leader(self) -> NotLeaderError:
-        return NotLeaderError(f"Instance {self._instance} is not the control leader.")
+        return NotLeaderError(f"instance {self._instance} is not the control leader")
 
     def _receive(self, message: Message) -> None:
         self._inbox.append(message)
--- a/hibiscuspoint/components/entry.py
+++ b/hibiscuspoint/components/entry.py
@@ -7,12 +7,18 @@
 
 from circuits import Component, handler
 
-from hibiscuspoint.components.forwarding import error_reply, request_from_message, result_reply
+from hibiscuspoint.components.forwarding import (
+    error_reply,
+    forward_reply,
+    request_from_message,
+    result_reply,
+)
 from hibiscuspoint.components.request_meter import RequestMeter
 from hibiscuspoint.core.position import LogPosition
 from hibiscuspoint.errors import HibiscusError, LimitError, NotReadyError, RequestError, TokenError
 from hibiscuspoint.ids import GroupId, Term
 from hibiscuspoint.telemetry import catalogue, log_event
+from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
 from hibiscuspoint.wire import common_pb2, peer_pb2
 
 if TYPE_CHECKING:
@@ -37,7 +43,6 @@
 
 logger = logging.getLogger(__name__)
 
-MILLISECONDS = 1000
 
 #: Greatest number of bytes of a character in UTF-8.
 MAX_CHARACTER_BYTES = 4
@@ -124,8 +129,7 @@
             return peer_pb2.ForwardReply(reply=error_reply(error))
         finally:
             self._drain.end_request()
-        position = common_pb2.Position(term=result.position.term, index=result.position.index)
-        return peer_pb2.ForwardReply(reply=result_reply(result), position=position)
+        return forward_reply(result)
 
     def forwarded_request(self, message: peer_pb2.ForwardRequest) -> GroupRequest:
         """Return the request that another entry forwarded."""
@@ -134,7 +138,7 @@
             inner,
             inner.statements,
             LogPosition(Term(message.mark.term), message.mark.index),
-            self._clock.monotonic() + message.remaining_ms / MILLISECONDS,
+            self._clock.monotonic() + message.remaining_ms / MILLISECONDS_PER_SECOND,
             inner.read.max_age_ms if inner.HasField("read") else None,
         )
 
@@ -159,7 +163,7 @@
             message,
             message.statements,
             marks.mark(GroupId(message.group)),
-            started + timeout_ms / MILLISECONDS,
+            started + timeout_ms / MILLISECONDS_PER_SECOND,
             self._max_age_ms(message, rules),
         )
         return request, marks
--- a/hibiscuspoint/core/control/entries.py
+++ b/hibiscuspoint/core/control/entries.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
-from hibiscuspoint.core.control.leases import CLOCK_MARGIN, LEASE_SECONDS
+from hibiscuspoint.core.control.leases import LEASE_SECONDS
+from hibiscuspoint.core.lease import grantor_end
 from hibiscuspoint.ids import AvailabilityZone, Incarnation, InstanceId
 
 if TYPE_CHECKING:
@@ -104,10 +105,13 @@
     def leases_ended(self, instance: InstanceId, now: float) -> bool:
         """Tell whether every lease of an entry has run out since its last report."""
         info = self._entries.get(instance)
-        return info is None or now - info.seen_at > LEASE_SECONDS * (1 + CLOCK_MARGIN)
+        return info is None or now > grantor_end(info.seen_at, LEASE_SECONDS)
 
     def forgive_stall(self, stalled: float, now: float) -> None:
-        """Count a time in which this process did not run not as silence of the entries."""
+        """Leave a time in which this process did not run out of the silence of all entries.
+
+        :param stalled: seconds in which this process did not run.
+        """
         for entry in list(self._entries.values()):
             seen_at = min(now, entry.seen_at + stalled)
             self._entries[entry.instance] = replace(entry, seen_at=seen_at)
--- a/hibiscuspoint/core/entry/admission.py
+++ b/hibiscuspoint/core/entry/admission.py
@@ -16,6 +16,7 @@
 # Gains of the service time estimate and its deviation, as for the timers of TCP (RFC 6298).
 _MEAN_GAIN = 1 / 8
 _DEVIATION_GAIN = 1 / 4
+# Deviations added to the mean, so that few admitted requests miss their deadline.
 _DEVIATION_FACTOR = 2
 # Refusals on an idle group after which one request runs in spite of the estimate. Without it, an
 # estimate that a slow period raised above the deadlines would never be measured again.
@@ -74,11 +75,6 @@
         """Return how many requests may run at once."""
         return self._concurrency
 
-    @property
-    def is_paused(self) -> bool:
-        """Tell whether requests are held for a switchover."""
-        return self._paused
-
     @property
     def service_time(self) -> float:
         """Return the mean service time in seconds; 0 before the first measurement."""
@@ -104,7 +100,7 @@
         depth = len(queue) if queue else 0
         starts_at = now + self._wait_behind(self._ahead(request.caller, depth))
         if not self._can_finish(starts_at, request.deadline):
-            raise OverloadError("The request cannot finish before its deadline.")
+            raise OverloadError("the request cannot finish before its deadline")
         if self._length >= self._max_length:
             self._make_room(request.caller, depth)
         self._queues.setdefault(request.caller, deque()).append(request)
@@ -214,7 +210,7 @@
         if depth + 1 > self._max_length // callers or len(self._queues.get(longest, ())) <= (
             depth + 1
         ):
-            raise OverloadError("The queue of the group is full.")
+            raise OverloadError("the queue of the group is full")
         queue = self._queues[longest]
         self._dropped.append(queue.pop())
         self._length -= 1
--- a/hibiscuspoint/core/entry/freshness.py
+++ b/hibiscuspoint/core/entry/freshness.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from bisect import bisect_left, bisect_right
 from collections import OrderedDict
 
@@ -10,10 +9,15 @@
 
 __all__ = ["TipSamples"]
 
+#: Unanswered samples that are kept; the oldest is given up for a new one.
 _MAX_PENDING = 64
+#: Answered samples that are kept before they are thinned out.
 _MAX_SAMPLES = 128
+#: Greatest number of samples after thinning out; the rest is room for new ones.
 _KEPT_WHEN_FULL = 96
+#: Newest samples that thinning out keeps whatever their distance.
 _NEWEST_KEPT = 32
+#: Least distance of older samples after thinning out, as a share of their age.
 _RELATIVE_DISTANCE = 1 / 12
 #: Seconds after which an unanswered sample is given up, as for silent connections (D11).
 _PENDING_SECONDS = 0.5
@@ -79,17 +83,6 @@
         self._add(sent_at, tip_index)
         return sent_at
 
-    def lost(self) -> None:
-        """Give up all pending samples, when the connection that carried them closed."""
-        self._pending.clear()
-
-    def age_bound(self, applied_index: int, now: float) -> float:
-        """Return the greatest possible age in seconds of data at this index; inf if unknown."""
-        reached = bisect_right(self._tips, applied_index)
-        if reached == 0:
-            return math.inf
-        return now - self._sent[reached - 1]
-
     def tip_after(self, earliest: float) -> int | None:
         """Return the lowest tip that a request sent at or after ``earliest`` saw."""
         first = bisect_left(self._sent, earliest)
--- a/hibiscuspoint/core/entry/idempotency.py
+++ b/hibiscuspoint/core/entry/idempotency.py
@@ -12,6 +12,7 @@
     IdempotencyExpiredError,
     RequestError,
 )
+from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND, SECONDS_PER_HOUR
 from hibiscuspoint.wire import common_pb2
 
 if TYPE_CHECKING:
@@ -34,8 +35,6 @@
 #: Greatest length of a request id in characters; the portable key length of the table.
 MAX_ID_LENGTH = 128
 
-_DAY_SECONDS = 24 * 3600.0
-
 
 @dataclass(frozen=True, slots=True)
 class IdempotencyPolicy:
@@ -45,33 +44,36 @@
     :param skew: accepted difference of the caller's clock in seconds.
     """
 
-    retention: float = _DAY_SECONDS
+    retention: float = 24 * SECONDS_PER_HOUR
     skew: float = 60.0
 
     def check(self, request_id: RequestId, issued_at_ms: int, unix_now: float) -> None:
         """Check an id before its request is sent.
 
+        :param unix_now: Unix time in seconds.
         :raises RequestError: the id is empty, too long or issued in the future; it did not run.
         :raises IdempotencyExpiredError: the id is older than the retention; it may have run.
         """
         if not 1 <= len(request_id) <= MAX_ID_LENGTH:
-            raise RequestError(f"The request id must have 1 to {MAX_ID_LENGTH} characters.")
-        age = unix_now - issued_at_ms / 1000
+            raise RequestError(f"the request id must have 1 to {MAX_ID_LENGTH} characters")
+        age = unix_now - issued_at_ms / MILLISECONDS_PER_SECOND
         if age < -self.skew:
             raise RequestError(
-                f"The request id is issued {-age:.0f} s in the future.",
+                f"the request id is issued {-age:.0f} s in the future",
                 hint="Correct the clock of the caller.",
             )
         if age > self.retention:
-            raise IdempotencyExpiredError("The request id is older than the retention.")
+            raise IdempotencyExpiredError("the request id is older than the retention")
 
     def purge_before_ms(self, unix_now: float) -> int:
         """Return the issue time in Unix ms before which rows are deleted.
 
         Rows are kept for twice the retention, so that an id whose request is still on its way at
         the end of the retention finds its row.
+
+        :param unix_now: Unix time in seconds.
         """
-        return int((unix_now - 2 * self.retention) * 1000)
+        return int((unix_now - 2 * self.retention) * MILLISECONDS_PER_SECOND)
 
 
 def request_digest(statements: Iterable[common_pb2.Statement]) -> bytes:
@@ -93,7 +95,7 @@
     :raises IdempotencyConflictError: the id was used for another request; this one did not run.
     """
     if recorded != digest:
-        raise IdempotencyConflictError("The request id was used for another request.")
+        raise IdempotencyConflictError("the request id was used for another request")
 
 
 def create_table() -> common_pb2.Statement:
--- a/hibiscuspoint/core/entry/reads.py
+++ b/hibiscuspoint/core/entry/reads.py
@@ -38,6 +38,8 @@
 class Read:
     """A read that waits for a plan; times are monotonic seconds.
 
+    :param arrived_at: when the read reached the holder.
+    :param deadline: when its time ends.
     :param mark: the session mark of the group.
     :param max_age: greatest accepted age in seconds; None for a linearizable read.
     """
@@ -234,6 +236,6 @@
 def _missed_deadline(primary: PrimaryState) -> HibiscusError:
     if primary.usable:
         return DeadlineError(
-            "The time of the read ended before a target could take it.", verdict=Verdict.NOT_RUN
+            "the time of the read ended before a target could take it", verdict=Verdict.NOT_RUN
         )
-    return NoPrimaryError("No primary and no replica could take the read before its deadline.")
+    return NoPrimaryError("no primary and no replica could take the read before its deadline")
--- a/hibiscuspoint/telemetry/samples.py
+++ b/hibiscuspoint/telemetry/samples.py
@@ -32,6 +32,7 @@
 
 __all__ = ["CALLER_FAULTS", "GroupCounters", "Sample", "SampleFile", "parse_metrics", "scrape"]
 
+#: Longest time in seconds to fetch the metrics of one address.
 SCRAPE_TIMEOUT = 5.0
 MAX_SCRAPE_BYTES = 16 * 1024 * 1024
 
@@ -87,7 +88,7 @@
     try:
         parse_address(address)
     except ValueError as error:
-        raise ConfigurationError(f"{address!r} is not an address: {error}.") from None
+        raise ConfigurationError(f"{address!r} is not an address: {error}") from None
     url = f"http://{address}/metrics"
     # Addresses are those of the system itself; a proxy of the user's shell must not see them.
     opener = urllib.request.build_opener(urllib.request.ProxyHandler({}))
