Bind an instance to the name in its certificate

Cause: with mutual TLS a listed certificate could report, vote and hand leases back in the name of any instance. A consensus reply counts only from the instance that was called. The settings refuse a list of instances without the instance itself or a control instance. Plain text and server TLS have no client certificates and are not affected, except by the rule for replies. The messages of the Peer service name no sender.

--- a/hibiscuspoint/components/consensus_transport.py
+++ b/hibiscuspoint/components/consensus_transport.py
@@ -4,11 +4,14 @@
 
 import asyncio
 import logging
+from functools import partial
 from typing import TYPE_CHECKING
 
+from hibiscuspoint.components.access import EXCHANGE_METHOD, LOGGED_CHARACTERS
 from hibiscuspoint.components.consensus_link import PeerLink
 from hibiscuspoint.components.consensus_servicer import ExchangeServicer
 from hibiscuspoint.core.consensus.messages import REQUESTS
+from hibiscuspoint.telemetry import catalogue, log_event
 from hibiscuspoint.wire.consensus import decode_message, encode_message
 
 if TYPE_CHECKING:
@@ -64,7 +67,8 @@
     def start(self) -> None:
         """Connect to all peers."""
         for peer, address in self._addresses.items():
-            link = PeerLink(address, self._channel_factory, self._decode, self._generation)
+            receive = partial(self._decode_reply, peer)
+            link = PeerLink(address, self._channel_factory, receive, self._generation)
             self._links[peer] = link
             self._tasks.append(asyncio.create_task(link.run()))
 
@@ -92,6 +96,24 @@
             if link.is_idle(_IDLE_PROBE):
                 link.send(encode_message(node.probe(peer)))
 
+    def _decode_reply(self, peer: InstanceId, envelope: Envelope) -> None:
+        """Take a reply from the instance to which the stream leads, and from no other one.
+
+        TLS proves the address of a server; the settings tell which instance serves there.
+        """
+        claimed = envelope.source.instance
+        if claimed == peer:
+            self._decode(envelope)
+            return
+        log_event(
+            logger,
+            catalogue.IDENTITY_REFUSED,
+            peer=self._addresses[peer],
+            names=[peer],
+            claimed=claimed[:LOGGED_CHARACTERS],
+            method=EXCHANGE_METHOD,
+        )
+
     def _decode(self, envelope: Envelope) -> None:
         try:
             message = decode_message(envelope)
--- a/hibiscuspoint/settings/model.py
+++ b/hibiscuspoint/settings/model.py
@@ -10,7 +10,7 @@
 
 # pydantic evaluates the annotations at run time, so these imports are needed then.
 from hibiscuspoint.settings.paths import SettingsPath
-from hibiscuspoint.settings.security import SessionSettings, TlsSettings
+from hibiscuspoint.settings.security import SessionSettings, TlsMode, TlsSettings
 from hibiscuspoint.util.address import Address, PeerAddress
 from hibiscuspoint.util.schema import (
     Problem,
@@ -245,14 +245,30 @@
         node, _ = inspect(NodeIdentity, data.get("node"), source)
         listen, _ = inspect(ListenSettings, data.get("listen"), source)
         control, _ = inspect(ControlSettings, data.get("control"), source, context)
+        tls, _ = inspect(TlsSettings, data.get("tls"), source, context)
+        found = []
         if node is not None and control is not None:
-            found = _contradictions(node, control, listen)
-            problems += [Problem(source, key, reason) for key, reason in found]
+            found += _contradictions(node, control, listen)
+            found += _unnamed_instances(node, control, tls)
+        problems += [Problem(source, key, reason) for key, reason in found]
         if settings is None or problems:
             raise configuration_error(problems)
         return settings
 
 
+def _unnamed_instances(
+    node: NodeIdentity, control: ControlSettings, tls: TlsSettings | None
+) -> list[tuple[str, str]]:
+    """Return key and reason of each known instance whose certificate would be refused."""
+    if tls is None or tls.mode is not TlsMode.MUTUAL:
+        return []
+    known = {node.instance, *control.members}
+    return [
+        ("tls.instances", f"does not name the instance {instance!r}")
+        for instance in sorted(known - set(tls.instances))
+    ]
+
+
 def _contradictions(
     node: NodeIdentity, control: ControlSettings, listen: ListenSettings | None
 ) -> list[tuple[str, str]]:
--- a/hibiscuspoint/settings/security.py
+++ b/hibiscuspoint/settings/security.py
@@ -119,8 +119,11 @@
     instances: tuple[CertificateName, ...] = option(
         (),
         strict=False,
-        doc="Names of the instances' certificates. They may call every internal service.",
-        allowed="subject alternative names, compared exactly; required with mutual, only there",
+        doc="Names of the instances' certificates. They may call every internal service. A "
+        "certificate may act only as the instances that it names: one of its subject alternative "
+        "names must be equal to node.instance.",
+        allowed="subject alternative names, compared exactly; required with mutual, only there; "
+        "with this instance and every control instance",
     )
     operators: tuple[CertificateName, ...] = option(
         (),
--- a/hibiscuspoint/telemetry/catalogue.py
+++ b/hibiscuspoint/telemetry/catalogue.py
@@ -41,6 +41,16 @@
     "names",
     "method",
 )
+IDENTITY_REFUSED = define_event(
+    109,
+    "identity-refused",
+    WARNING,
+    "{peer} may not act as instance {claimed}.",
+    "peer",
+    "names",
+    "claimed",
+    "method",
+)
 DRAIN_STARTED = define_event(
     110, "drain-started", INFO, "{subject} started to drain.", "subject", "open_requests"
 )
--- a/tests/components/test_access.py
+++ b/tests/components/test_access.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 import grpc
+import pytest
 import trustme
 
 from hibiscuspoint.components.access import AccessInterceptor, AccessPolicy
@@ -58,6 +59,38 @@
         yield consensus_pb2.Envelope()
 
 
+class _Recorder(_Services):
+    """Records the messages of streams that reach the services."""
+
+    def __init__(self) -> None:
+        self.taken: list[str] = []
+
+    async def Attach(self, requests, context):
+        async for report in requests:
+            self.taken.append(report.instance)
+            yield peer_pb2.ControlUpdate()
+        # The last update of a stream that ends, as ControlService sends it.
+        yield peer_pb2.ControlUpdate(redirect="10.0.0.9:7400")
+
+    async def Exchange(self, requests, context):
+        async for envelope in requests:
+            self.taken.append(envelope.source.instance)
+            yield consensus_pb2.Envelope()
+
+
+def _report(instance: str) -> peer_pb2.EntryReport:
+    return peer_pb2.EntryReport(instance=instance)
+
+
+def _envelope(instance: str) -> consensus_pb2.Envelope:
+    return consensus_pb2.Envelope(source=consensus_pb2.Member(instance=instance))
+
+
+CLAIMS = {
+    "Attach": (peer_pb2_grpc.ControlStub, _report),
+    "Exchange": (consensus_pb2_grpc.ConsensusStub, _envelope),
+}
+
 CALLS = {
     "Status": (peer_pb2_grpc.OperatorStub, peer_pb2.StatusRequest),
     "Forward": (peer_pb2_grpc.PeerStub, peer_pb2.ForwardRequest),
@@ -82,13 +115,19 @@
 
 
 @asynccontextmanager
-async def _serve(transport: Transport, *, for_callers: bool = False) -> AsyncIterator[str]:
+async def _serve(
+    transport: Transport,
+    *,
+    for_callers: bool = False,
+    policy: AccessPolicy = POLICY,
+    services: _Services | None = None,
+) -> AsyncIterator[str]:
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
         address = f"127.0.0.1:{probe.getsockname()[1]}"
-    interceptors = [] if for_callers else [AccessInterceptor(POLICY)]
+    interceptors = [] if for_callers else [AccessInterceptor(policy)]
     server = grpc.aio.server(interceptors=interceptors)
-    services = _Services()
+    services = services or _Services()
     caller_pb2_grpc.add_CallerServicer_to_server(services, server)
     if not for_callers:
         peer_pb2_grpc.add_OperatorServicer_to_server(services, server)
@@ -180,3 +219,52 @@
             await channels.close()
 
     asyncio.run(run())
+
+
+async def _claim(channel: grpc.aio.Channel, method: str, *instances: str) -> list[str]:
+    """Send a message in the name of each instance and return what came back."""
+    stub, build = CLAIMS[method]
+    call = getattr(stub(channel), method)(timeout=10)
+    outcomes = []
+    for instance in instances:
+        try:
+            await call.write(build(instance))
+            answer = await call.read()
+        except grpc.aio.AioRpcError as error:
+            return [*outcomes, error.code().name]
+        outcomes.append("served" if answer is not grpc.aio.EOF else (await call.code()).name)
+    call.cancel()
+    return outcomes
+
+
+@pytest.mark.parametrize("method", CLAIMS)
+def test_certificate_acts_only_as_the_instance_that_it_names(tmp_path, caplog, method):
+    """Guards against an instance that reports, votes or hands leases back for another one."""
+    ca = trustme.CA()
+    policy = AccessPolicy(frozenset({"ba-1", "ba-2", "ba-3"}), frozenset(), frozenset())
+    recorder = _Recorder()
+
+    async def run() -> list[list[str]]:
+        server = _transport(tmp_path / "server", ca, "ba-1")
+        client = _transport(tmp_path / "client", ca, "ba-2")
+        async with _serve(server, policy=policy, services=recorder) as address:
+            async with client.channel(address) as channel:
+                own = await _claim(channel, method, "ba-2", "ba-2")
+                # The claim is checked in each message of a stream, not only in the first one.
+                changed = await _claim(channel, method, "ba-2", "ba-3")
+                others = [await _claim(channel, method, name) for name in ("ba-1", "", "BA-2")]
+        return [own, changed, *others]
+
+    with caplog.at_level(logging.WARNING):
+        outcomes = asyncio.run(run())
+    assert outcomes == [["served", "served"], ["served", REFUSED], *[[REFUSED]] * 3]
+    assert recorder.taken == ["ba-2"] * 3
+    events = [record for record in caplog.records if record.event == "identity-refused"]
+    assert [event.claimed for event in events] == ["ba-3", "ba-1", "", "BA-2"]
+    assert all(event.names == ["127.0.0.1", "ba-2"] for event in events)
+
+
+def test_name_that_is_no_listed_instance_is_no_identity():
+    """Guards against an operator's certificate, or a removed instance, that acts as an instance."""
+    policy = AccessPolicy(frozenset({"ba-1"}), frozenset({"alice"}), frozenset())
+    assert policy.identities(["127.0.0.1", "ba-1", "ba-2", "alice"]) == {"ba-1"}
--- a/tests/components/test_consensus.py
+++ b/tests/components/test_consensus.py
@@ -16,11 +16,15 @@
 from hibiscuspoint.components.consensus import ReplicatedLog
 from hibiscuspoint.components.consensus_link import PeerLink
 from hibiscuspoint.components.consensus_servicer import ExchangeServicer
+from hibiscuspoint.components.consensus_transport import Transport
 from hibiscuspoint.core.consensus import RepairPhase
+from hibiscuspoint.core.consensus.membership import DiskId, Member
+from hibiscuspoint.core.consensus.messages import Message, Probe, ProbeReply
 from hibiscuspoint.errors import NotLeaderError
 from hibiscuspoint.ids import InstanceId
 from hibiscuspoint.verdict import Verdict
 from hibiscuspoint.wire import consensus_pb2, record_pb2
+from hibiscuspoint.wire.consensus import encode_message
 from hibiscuspoint.wire.consensus_pb2_grpc import add_ConsensusServicer_to_server
 from tests.core.consensus.cluster import History
 
@@ -268,3 +272,50 @@
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
         await server.stop(0)
+
+
+class ImpostorServicer(ExchangeServicer):
+    """Replies to each request under its own name and then under another one."""
+
+    async def Exchange(self, request_iterator, context):
+        async for envelope in request_iterator:
+            for name in ("b", "c"):
+                source = Member(InstanceId(name), DiskId(f"disk of {name}"))
+                yield encode_message(
+                    Message(
+                        source, InstanceId("a"), DiskId(""), "", envelope.term, ProbeReply(None)
+                    )
+                )
+
+
+def test_reply_under_the_name_of_another_instance_is_discarded(caplog):
+    """One control instance could otherwise give the votes of all others."""
+    received = asyncio.run(_answers_of_an_impostor())
+    assert {message.source.instance for message in received} == {"b"}
+    refused = [r for r in caplog.records if getattr(r, "event", "") == "identity-refused"]
+    assert refused
+    assert {record.claimed for record in refused} == {"c"}
+
+
+async def _answers_of_an_impostor() -> list[Message]:
+    """Return the messages that reach the node behind a stream to an impostor."""
+    server, received = grpc.aio.server(), []
+    add_ConsensusServicer_to_server(ImpostorServicer(lambda _: None), server)
+    port = server.add_insecure_port("127.0.0.1:0")
+    await server.start()
+    peers = {InstanceId("a"): "127.0.0.1:1", InstanceId("b"): f"127.0.0.1:{port}"}
+    transport = Transport(
+        InstanceId("a"), peers, grpc.aio.insecure_channel, received.append, lambda: 0
+    )
+    transport.start()
+    try:
+        for term in (1, 2):
+            probe = Message(
+                Member(InstanceId("a"), DiskId("d")), InstanceId("b"), DiskId(""), "", term, Probe()
+            )
+            transport.send(probe)
+            await wait_until(lambda term=term: [m.term for m in received][-1:] == [term])
+    finally:
+        await transport.stop()
+        await server.stop(0)
+    return received
--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -13,6 +13,8 @@
 from hibiscuspoint.settings import NodeSettings, TlsMode
 from tests.builders import node_settings, toml_tables
 
+MUTUAL = dict.fromkeys(("certificate", "key", "ca"), __file__) | {"mode": "mutual"}
+
 
 def _refusal(**changes) -> str:
     with pytest.raises(ConfigurationError) as caught:
@@ -62,10 +64,9 @@
         ({"control": {"members": {"ba-1": "[::]:7400"}}}, "can connect"),
         ({"tls": {"mode": "mutual"}}, "requires ca, certificate, key"),
         # Without the list every certificate of the authority could act as an instance.
-        (
-            {"tls": dict.fromkeys(("certificate", "key", "ca"), __file__) | {"mode": "mutual"}},
-            "requires instances",
-        ),
+        ({"tls": MUTUAL}, "requires instances"),
+        # An instance that is not in the list is refused by all others, and refuses itself.
+        ({"tls": MUTUAL | {"instances": ["ba-2"]}}, "does not name the instance 'ba-1'"),
         ({"tls": {"operators": ["alice"]}}, "contradicts operators"),
         ({"tls": {"ca": "ca.pem"}}, "contradicts ca"),
         ({"tls": {"mode": "server", "certificate": "c" * 300, "key": "k"}}, "does not exist"),
--- a/tests/system/test_mutual_tls.py
+++ b/tests/system/test_mutual_tls.py
@@ -210,6 +210,31 @@
     address = environment.topology.instances[leader].address
     codes = asyncio.run(_forwarded(address, environment.directory / "alice"))
     assert codes == [grpc.StatusCode.PERMISSION_DENIED, grpc.StatusCode.UNAVAILABLE]
+    # An instance that reports as another one could hand its leases back and end its writes.
+    own, claimed = sorted(set(environment.topology.instances) - {leader})
+    report = peer_pb2.EntryReport(instance=claimed, incarnation=2**62, draining=True)
+    files = environment.topology.directory / own / "tls"
+    assert asyncio.run(_reported(address, files, report)) is grpc.StatusCode.PERMISSION_DENIED
+    (event,) = environment.events(leader, "identity-refused")
+    assert (event["claimed"], event["names"][-1]) == (claimed, own)
+    entries = json.loads(environment.run("status", "--output", "json"))["instances"]
+    assert not any(entry.get("draining") for entry in entries)
+
+
+async def _reported(
+    address: str, directory: Path, report: peer_pb2.EntryReport
+) -> grpc.StatusCode | None:
+    """Return the status of a report, ``None`` when it was answered."""
+    certificate, key, ca = [(directory / f"{name}.pem").read_bytes() for name in FILES]
+    credentials = grpc.ssl_channel_credentials(ca, key, certificate)
+    async with grpc.aio.secure_channel(address, credentials) as channel:
+        call = peer_pb2_grpc.ControlStub(channel).Attach(timeout=30)
+        await call.write(report)
+        try:
+            answer = await call.read()
+        except grpc.aio.AioRpcError as error:
+            return error.code()
+        return await call.code() if answer is grpc.aio.EOF else None
 
 
 async def _forwarded(address: str, directory: Path) -> list[grpc.StatusCode]:
