Log why connections to a target cannot be opened

Cause: a holder counted a refused or overdue connection but logged nothing, so an operator could not tell a lost target from one that does not accept the connection. Change: connection-failed (413) states the reason at the first failure, and again only after a connection was opened in between. The reason is the status text of gRPC without its traces.

--- a/hibiscuspoint/components/holder/lane.py
+++ b/hibiscuspoint/components/holder/lane.py
@@ -75,6 +75,7 @@
         self._tasks: set[asyncio.Task] = set()
         self._sequence = 0
         self._waiters: set[asyncio.Future] = set()
+        self._has_failed = False
         self._limit = ConcurrencyLimit(1)
         self._in_flight = 0
         self._service_time = 0.0
@@ -284,9 +285,10 @@
                 instance_incarnation=context.incarnation,
             )
         except ConnectError as error:
-            self._observe_failure(error.failure)
+            self._observe_failure(error)
             self._carry_out(self._pool.lost(connection_id, context.clock.monotonic()))
             return
+        self._has_failed = False
         self._connections[connection_id] = connection
         log_event(logger, catalogue.CONNECTION_OPENED, target=self._target)
         now = context.clock.monotonic()
@@ -296,11 +298,17 @@
             connection.close()
             self._carry_out(self._pool.lost(connection_id, now))
 
-    def _observe_failure(self, failure: ConnectFailure) -> None:
-        if failure is ConnectFailure.REFUSED:
+    def _observe_failure(self, error: ConnectError) -> None:
+        if error.failure is ConnectFailure.REFUSED:
             self._observations.refusals += 1
-        elif failure is ConnectFailure.TIMED_OUT:
+        elif error.failure is ConnectFailure.TIMED_OUT:
             self._observations.timeouts += 1
+        else:
+            return
+        # Attempts repeat until one succeeds, so only the first failure is logged.
+        if not self._has_failed:
+            self._has_failed = True
+            log_event(logger, catalogue.CONNECTION_FAILED, target=self._target, reason=str(error))
 
     def _is_closing(self, connection_id: ConnectionId) -> bool:
         return self._pool.state(connection_id) is ConnectionState.CLOSING
--- a/hibiscuspoint/drivers/standin.py
+++ b/hibiscuspoint/drivers/standin.py
@@ -97,7 +97,8 @@
                 message = f"target {target} at {address} did not answer in time"
                 raise ConnectError(ConnectFailure.TIMED_OUT, message) from error
             if isinstance(error, grpc.aio.AioRpcError | asyncio.InvalidStateError):
-                message = f"target {target} at {address} refused the connection: {error}"
+                reason = error.details() if isinstance(error, grpc.aio.AioRpcError) else error
+                message = f"target {target} at {address} refused the connection: {reason}"
                 raise ConnectError(ConnectFailure.REFUSED, message) from error
             raise
         return StandinConnection(
--- a/hibiscuspoint/telemetry/catalogue.py
+++ b/hibiscuspoint/telemetry/catalogue.py
@@ -218,6 +218,15 @@
     "target",
 )
 
+CONNECTION_FAILED = define_event(
+    413,
+    "connection-failed",
+    WARNING,
+    "Connections to {target} cannot be opened: {reason}",
+    "target",
+    "reason",
+)
+
 # 500: requests
 REQUEST_REFUSED = define_event(
     501,
