Encrypt connections to targets

Cause: data connections, watch streams and the calls of control to targets were plain text. Change: [target_driver] ca turns on TLS for all of them, certificate and key add a client certificate. Files are read again for each new connection and stream; control channels are replaced when they change. Without ca everything stays plain text, with the event targets-in-plain-text (112). The stand-in serves and ships its log with TLS (--serve-tls server or mutual). certificate-reloaded and certificate-refused name the files, as an instance now has two sets. The cost of TLS per statement is not measured.

--- a/hibiscuspoint/components/tls.py
+++ b/hibiscuspoint/components/tls.py
@@ -58,6 +58,7 @@
         self._certificate = certificate
         self._key = key
         self._ca = ca
+        self._names = [str(path) for path in (certificate, key, ca) if path is not None]
         self._lock = threading.Lock()
         self._seen: tuple[tuple[int, ...], ...] = ()
         self._generation = 0
@@ -79,9 +80,33 @@
             try:
                 self._refresh()
             except (OSError, ValueError) as error:
-                log_event(logger, catalogue.CERTIFICATE_REFUSED, reason=str(error))
+                log_event(
+                    logger, catalogue.CERTIFICATE_REFUSED, files=self._names, reason=str(error)
+                )
             return self._contents
 
+    def channel_credentials(self, *, is_mutual: bool = True) -> grpc.ChannelCredentials:
+        """Return the credentials of a client from the files as they are now.
+
+        :param is_mutual: present the certificate, if there is one.
+        """
+        contents = self.current()
+        return grpc.ssl_channel_credentials(
+            root_certificates=contents.ca,
+            private_key=contents.key if is_mutual else None,
+            certificate_chain=contents.certificate if is_mutual else None,
+        )
+
+    def server_credentials(self, *, is_mutual: bool) -> grpc.ServerCredentials:
+        """Return the credentials of a port, which follow changes of the files.
+
+        :param is_mutual: require a certificate of the client.
+        """
+        source = _ServerConfiguration(self, is_mutual)
+        return grpc.dynamic_ssl_server_credentials(
+            source.current(), source.changed, require_client_authentication=is_mutual
+        )
+
     def _refresh(self) -> None:
         stamp = self._stamp()
         if stamp == self._seen:
@@ -93,7 +118,7 @@
         self._seen = stamp
         self._contents = contents
         self._generation += 1
-        log_event(logger, catalogue.CERTIFICATE_RELOADED)
+        log_event(logger, catalogue.CERTIFICATE_RELOADED, files=self._names)
 
     def _stamp(self) -> tuple[tuple[int, ...], ...]:
         stats = [path.stat() for path in (self._certificate, self._key, self._ca) if path]
@@ -167,7 +192,8 @@
             log_event(logger, catalogue.PLAIN_TEXT_IN_USE, address=address)
             server.add_insecure_port(address)
             return
-        server.add_secure_port(address, self._server_credentials(self._files, for_callers))
+        is_mutual = self._mode is TlsMode.MUTUAL and not for_callers
+        server.add_secure_port(address, self._files.server_credentials(is_mutual=is_mutual))
 
     def channel(self, address: str, options: Sequence[tuple[str, int]] = ()) -> grpc.aio.Channel:
         """Open a channel with the certificate files as they are now.
@@ -178,22 +204,9 @@
         merged = [*self._options, ("grpc.enable_http_proxy", 0), *options]
         if self._files is None:
             return grpc.aio.insecure_channel(address, options=merged)
-        contents = self._files.current()
-        is_mutual = self._mode is TlsMode.MUTUAL
-        credentials = grpc.ssl_channel_credentials(
-            root_certificates=contents.ca,
-            private_key=contents.key if is_mutual else None,
-            certificate_chain=contents.certificate if is_mutual else None,
-        )
+        credentials = self._files.channel_credentials(is_mutual=self._mode is TlsMode.MUTUAL)
         return grpc.aio.secure_channel(address, credentials, options=merged)
 
-    def _server_credentials(self, files: TlsFiles, for_callers: bool) -> grpc.ServerCredentials:
-        is_mutual = self._mode is TlsMode.MUTUAL and not for_callers
-        source = _ServerConfiguration(files, is_mutual)
-        return grpc.dynamic_ssl_server_credentials(
-            source.current(), source.changed, require_client_authentication=is_mutual
-        )
-
 
 class _ServerConfiguration:
     """Certificate configuration of a port; gRPC asks for changes at each handshake."""
--- a/hibiscuspoint/daemon/node.py
+++ b/hibiscuspoint/daemon/node.py
@@ -67,6 +67,8 @@
         self._clock = SystemClock()
         self._metrics = Metrics()
         self._transport = Transport.from_settings(settings.tls, settings.limits.message_bytes)
+        driver_class = target_drivers.get(settings.target_driver.kind)
+        self._driver = driver_class.from_settings(settings.target_driver)
         self._codec = TokenCodec(settings.node.environment, list(settings.session.key_bytes))
         self._incarnation = Incarnation(time.time_ns())
         self._drain = DrainState()
@@ -100,7 +102,6 @@
         settings = self._settings
         self._runtime = Runtime()
         self._channels = PeerChannels(self._transport)
-        self._driver = target_drivers.get(settings.target_driver.kind).from_config()
         self._state = EntryState(settings.node.environment)
         context = HolderContext(
             instance=self._instance,
@@ -173,6 +174,8 @@
         return self._transport.channel(address, list(options or ()))
 
     async def _start(self) -> None:
+        if self._settings.target_driver.ca is None:
+            log_event(logger, catalogue.TARGETS_IN_PLAIN_TEXT)
         self._servers = self._make_servers()
         for server in self._servers:
             await server.start()
--- a/hibiscuspoint/drivers/admin.py
+++ b/hibiscuspoint/drivers/admin.py
@@ -8,7 +8,7 @@
 import grpc
 
 from hibiscuspoint.drivers.errors import AdminError
-from hibiscuspoint.util.channels import open_channel
+from hibiscuspoint.drivers.security import open_target_channel
 from hibiscuspoint.wire import target_pb2, target_pb2_grpc
 
 if TYPE_CHECKING:
@@ -16,17 +16,26 @@
 
     from google.protobuf.message import Message
 
+    from hibiscuspoint.components.tls import TlsFiles
+
 __all__ = ["AdminClient"]
 
+#: Seconds that calls in progress may take when changed certificate files replace their channel.
+RETIRE_GRACE_S = 60.0
+
 
 class AdminClient:
     """Seals, promotes, follows and terminates.
 
-    A channel on which a call fails is dropped, because a silent TCP connection stays silent.
+    A channel on which a call fails is dropped, because a silent TCP connection stays silent. All
+    channels are replaced when the certificate files change.
+
+    :param tls: certificate files; ``None`` for plain text.
     """
 
-    def __init__(self, credentials: grpc.ChannelCredentials | None = None) -> None:
-        self._credentials = credentials
+    def __init__(self, tls: TlsFiles | None = None) -> None:
+        self._tls = tls
+        self._generation = tls.generation if tls is not None else 0
         self._channels: dict[str, grpc.aio.Channel] = {}
         self._closing: set[asyncio.Task[None]] = set()
 
@@ -76,9 +85,7 @@
             await channel.close()
 
     async def _call(self, address: str, method: str, request: Message, timeout: float) -> Message:
-        channel = self._channels.get(address)
-        if channel is None:
-            channel = self._channels[address] = open_channel(address, self._credentials)
+        channel = self._channel(address)
         stub = target_pb2_grpc.TargetStub(channel)
         try:
             return await getattr(stub, method)(request, timeout=timeout)
@@ -89,10 +96,23 @@
                 is_refused=error.code() is grpc.StatusCode.UNAVAILABLE,
             ) from error
 
+    def _channel(self, address: str) -> grpc.aio.Channel:
+        if self._tls is not None and self._tls.generation != self._generation:
+            self._generation = self._tls.generation
+            replaced, self._channels = self._channels, {}
+            for channel in replaced.values():
+                self._close(channel, RETIRE_GRACE_S)
+        if address not in self._channels:
+            self._channels[address] = open_target_channel(address, self._tls)
+        return self._channels[address]
+
     def _drop(self, address: str, channel: grpc.aio.Channel) -> None:
         if self._channels.get(address) is not channel:
             return
         del self._channels[address]
-        task = asyncio.create_task(channel.close())
+        self._close(channel)
+
+    def _close(self, channel: grpc.aio.Channel, grace: float | None = None) -> None:
+        task = asyncio.create_task(channel.close(grace))
         self._closing.add(task)
         task.add_done_callback(self._closing.discard)
--- a/hibiscuspoint/drivers/standin.py
+++ b/hibiscuspoint/drivers/standin.py
@@ -10,18 +10,20 @@
 
 import grpc
 
+from hibiscuspoint.components.tls import TlsFiles
 from hibiscuspoint.drivers.admin import AdminClient
 from hibiscuspoint.drivers.connection import StandinConnection
 from hibiscuspoint.drivers.errors import ConnectError, ConnectFailure
 from hibiscuspoint.drivers.registry import target_drivers
+from hibiscuspoint.drivers.security import open_target_channel
 from hibiscuspoint.drivers.watch import StandinWatch
-from hibiscuspoint.util.channels import open_channel
 from hibiscuspoint.wire import target_pb2, target_pb2_grpc
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from hibiscuspoint.ids import Incarnation, InstanceId, TargetId
+    from hibiscuspoint.settings import TargetDriverSettings
 
 __all__ = ["StandinDriver", "StandinDriverConfig"]
 
@@ -38,13 +40,14 @@
     :param connect_timeout: seconds until an attempt to connect is given up.
     :param overdue: seconds by which an answer may be late before a ping is sent (D11).
     :param silence: seconds after a ping within which something must arrive (D11).
-    :param credentials: TLS credentials; ``None`` for plain text.
+    :param tls: files of the authorities of targets and of the certificate that is shown to them;
+        ``None`` for plain text.
     """
 
     connect_timeout: float = 1.0
     overdue: float = 0.5
     silence: float = 0.5
-    credentials: grpc.ChannelCredentials | None = None
+    tls: TlsFiles | None = None
 
 
 @target_drivers.register("standin")
@@ -53,7 +56,7 @@
 
     def __init__(self, config: StandinDriverConfig) -> None:
         self._config = config
-        self._admin = AdminClient(config.credentials)
+        self._admin = AdminClient(config.tls)
         # Incarnations of an earlier process must not repeat.
         self._incarnations = count(time.time_ns())
 
@@ -62,6 +65,18 @@
         """Return a driver; without a configuration the defaults apply."""
         return cls(config or StandinDriverConfig())
 
+    @classmethod
+    def from_settings(cls, settings: TargetDriverSettings) -> StandinDriver:
+        """Return a driver with the settings of an instance.
+
+        :raises ConfigurationError: the TLS files are not valid.
+        """
+        if settings.ca is None:
+            return cls(StandinDriverConfig())
+        return cls(
+            StandinDriverConfig(tls=TlsFiles(settings.certificate, settings.key, settings.ca))
+        )
+
     @property
     def admin(self) -> AdminClient:
         """Return the client for seal, promote, follow and terminate."""
@@ -84,7 +99,7 @@
             instance_incarnation=instance_incarnation,
             connection_incarnation=next(self._incarnations),
         )
-        channel = open_channel(address, self._config.credentials)
+        channel = open_target_channel(address, self._config.tls)
         try:
             call = target_pb2_grpc.TargetStub(channel).Open()
             async with asyncio.timeout(self._config.connect_timeout):
@@ -117,9 +132,7 @@
         on_lost: Callable[[], None] | None = None,
     ) -> StandinWatch:
         """Follow the progress of a target until the watch is closed."""
-        return StandinWatch(
-            address, on_progress, on_lost=on_lost, credentials=self._config.credentials
-        )
+        return StandinWatch(address, on_progress, on_lost=on_lost, tls=self._config.tls)
 
     async def close(self) -> None:
         """Close the shared channels; connections and watches are closed by their owners."""
--- a/hibiscuspoint/drivers/watch.py
+++ b/hibiscuspoint/drivers/watch.py
@@ -9,13 +9,15 @@
 
 import grpc
 
-from hibiscuspoint.util.channels import open_channel
+from hibiscuspoint.drivers.security import open_target_channel
 from hibiscuspoint.util.tasks import run_until_first
 from hibiscuspoint.wire import target_pb2, target_pb2_grpc
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from hibiscuspoint.components.tls import TlsFiles
+
 __all__ = ["StandinWatch"]
 
 logger = logging.getLogger(__name__)
@@ -41,6 +43,7 @@
 
     :param on_progress: called for each progress; ``sample_id`` is 0 unless it answers a sample.
     :param on_lost: called when an established stream ends.
+    :param tls: certificate files, read for each new stream; ``None`` for plain text.
     """
 
     def __init__(
@@ -49,12 +52,12 @@
         on_progress: Callable[[target_pb2.Progress], None],
         *,
         on_lost: Callable[[], None] | None = None,
-        credentials: grpc.ChannelCredentials | None = None,
+        tls: TlsFiles | None = None,
     ) -> None:
         self._address = address
         self._on_progress = on_progress
         self._on_lost = on_lost
-        self._credentials = credentials
+        self._tls = tls
         self._outgoing: deque[int] = deque()
         self._wake = asyncio.Event()
         self._is_connected = False
@@ -79,7 +82,7 @@
     async def _run(self) -> None:
         backoff = FIRST_BACKOFF_S
         while True:
-            channel = open_channel(self._address, self._credentials, KEEPALIVE_OPTIONS)
+            channel = open_target_channel(self._address, self._tls, KEEPALIVE_OPTIONS)
             try:
                 await self._follow(target_pb2_grpc.TargetStub(channel).Watch())
             except (grpc.aio.AioRpcError, asyncio.InvalidStateError, TimeoutError) as error:
--- a/hibiscuspoint/settings/model.py
+++ b/hibiscuspoint/settings/model.py
@@ -10,7 +10,7 @@
 
 # pydantic evaluates the annotations at run time, so these imports are needed then.
 from hibiscuspoint.settings.paths import SettingsPath
-from hibiscuspoint.settings.security import SessionSettings, TlsMode, TlsSettings
+from hibiscuspoint.settings.security import SessionSettings, TlsMode, TlsSettings, check_files
 from hibiscuspoint.util.address import Address, PeerAddress
 from hibiscuspoint.util.schema import (
     Problem,
@@ -199,6 +199,24 @@
     """How targets are reached."""
 
     kind: Name = option("standin", doc="Registered name of the target driver.", allowed="standin")
+    ca: SettingsPath | None = option(
+        None,
+        doc="PEM file with the authorities that sign the targets' certificates. With it, every "
+        "connection to a target uses TLS, and the certificate of a target must name the IP number "
+        "that the target announces; without it, connections to targets are plain text, which is "
+        "reported by a warning event.",
+        allowed="path, relative to the settings file",
+    )
+    certificate: SettingsPath | None = option(
+        None,
+        doc="PEM file with the certificate chain that is shown to targets.",
+        allowed="path; only with ca and key",
+    )
+    key: SettingsPath | None = option(
+        None,
+        doc="PEM file with the private key of that certificate.",
+        allowed="path; only with ca and certificate",
+    )
 
     @field_validator("kind")
     @classmethod
@@ -207,6 +225,15 @@
             raise ValueError("is not the name of a target driver")
         return kind
 
+    @model_validator(mode="after")
+    def _check_files(self) -> TargetDriverSettings:
+        if (self.certificate is None) != (self.key is None):
+            raise ValueError("certificate and key need each other")
+        if self.certificate is not None and self.ca is None:
+            raise ValueError("certificate and key are only used with ca")
+        check_files(self.ca, self.certificate, self.key)
+        return self
+
 
 class NodeSettings(StrictModel):
     """Settings of one instance."""
--- a/hibiscuspoint/settings/security.py
+++ b/hibiscuspoint/settings/security.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-__all__ = ["MIN_KEY_BYTES", "SessionSettings", "TlsMode", "TlsSettings"]
+__all__ = ["MIN_KEY_BYTES", "SessionSettings", "TlsMode", "TlsSettings", "check_files"]
 
 #: RFC 2104, section 3: a key shorter than the hash output weakens the HMAC.
 MIN_KEY_BYTES = 32
@@ -96,6 +96,16 @@
         return False
 
 
+def check_files(*paths: Path | None) -> None:
+    """Check that files exist.
+
+    :raises ValueError: names those that do not.
+    """
+    absent = [str(path) for path in paths if path is not None and not _is_file(path)]
+    if absent:
+        raise ValueError(f"does not exist or is not a file: {', '.join(absent)}")
+
+
 class TlsSettings(StrictModel):
     """Files of the certificate, its key and the authority."""
 
@@ -152,9 +162,7 @@
         stated = sorted(name for name, path in files.items() if path is not None)
         if self.mode is TlsMode.PLAIN_TEXT and stated:
             raise ValueError(f"mode 'plain-text' contradicts {', '.join(stated)}")
-        absent = [str(path) for path in files.values() if path is not None and not _is_file(path)]
-        if absent:
-            raise ValueError(f"does not exist or is not a file: {', '.join(absent)}")
+        check_files(*files.values())
         return self
 
     @model_validator(mode="after")
--- a/hibiscuspoint/standin/announcer.py
+++ b/hibiscuspoint/standin/announcer.py
@@ -8,7 +8,6 @@
 
 import grpc
 
-from hibiscuspoint.components.tls import TlsFiles
 from hibiscuspoint.standin.arrivals import ChangeSignal
 from hibiscuspoint.standin.replication import position_message
 from hibiscuspoint.util.channels import open_channel
@@ -51,7 +50,7 @@
         self._receivers = cycle(config.announce)
         self._receiver = ""
         self._channel: grpc.aio.Channel | None = None
-        self._tls = _tls_files(config)
+        self._tls = config.tls_files()
         self._generation = 0
         self._signal = ChangeSignal()
         self._urgent_state = self._urgent()
@@ -94,9 +93,7 @@
         if self._tls is None:
             return open_channel(address)
         self._generation = self._tls.generation
-        contents = self._tls.current()
-        credentials = grpc.ssl_channel_credentials(contents.ca, contents.key, contents.certificate)
-        return open_channel(address, credentials)
+        return open_channel(address, self._tls.channel_credentials())
 
     async def _send(self, channel: grpc.aio.Channel) -> bool:
         stub = peer_pb2_grpc.ControlStub(channel)
@@ -129,9 +126,3 @@
             leaving=self._faults.is_leaving,
             incarnation=self._incarnation,
         )
-
-
-def _tls_files(config: StandinConfig) -> TlsFiles | None:
-    if config.tls_certificate is None:
-        return None
-    return TlsFiles(config.tls_certificate, config.tls_key, config.tls_ca)
--- a/hibiscuspoint/standin/config.py
+++ b/hibiscuspoint/standin/config.py
@@ -4,19 +4,28 @@
 
 import argparse
 from dataclasses import dataclass
+from enum import Enum
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+from hibiscuspoint.components.tls import TlsFiles
 from hibiscuspoint.ids import AvailabilityZone, GroupId, TargetId
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-__all__ = ["StandinConfig", "build_parser"]
+__all__ = ["ServeTls", "StandinConfig", "build_parser"]
 
 DEFAULT_CONNECT_DELAY_MS = 10
 
 
+class ServeTls(Enum):
+    """Protection of the port of a target."""
+
+    SERVER = "server"
+    MUTUAL = "mutual"
+
+
 @dataclass(frozen=True)
 class StandinConfig:
     """Identity, limits and delays of a target; delays are in seconds."""
@@ -38,6 +47,16 @@
     tls_certificate: Path | None = None
     tls_key: Path | None = None
     tls_ca: Path | None = None
+    serve_tls: ServeTls | None = None
+
+    def tls_files(self) -> TlsFiles | None:
+        """Return the certificate files, ``None`` when none are named.
+
+        :raises ConfigurationError: the files are not valid.
+        """
+        if self.tls_certificate is None:
+            return None
+        return TlsFiles(self.tls_certificate, self.tls_key, self.tls_ca)
 
     @classmethod
     def from_arguments(cls, arguments: Sequence[str] | None = None) -> StandinConfig:
@@ -45,7 +64,11 @@
 
         :raises SystemExit: the arguments are not valid.
         """
-        flags = build_parser().parse_args(arguments)
+        parser = build_parser()
+        flags = parser.parse_args(arguments)
+        files = (flags.tls_certificate, flags.tls_key, flags.tls_ca)
+        if flags.serve_tls and None in files:
+            parser.error("--serve-tls needs --tls-certificate, --tls-key and --tls-ca")
         return cls(
             target=TargetId(flags.target),
             group=GroupId(flags.group),
@@ -64,6 +87,7 @@
             tls_certificate=flags.tls_certificate,
             tls_key=flags.tls_key,
             tls_ca=flags.tls_ca,
+            serve_tls=ServeTls(flags.serve_tls) if flags.serve_tls else None,
         )
 
 
@@ -99,6 +123,11 @@
     for name in ("certificate", "key", "ca"):
         text = f"PEM file of the {name} for announcements; plain text without the three"
         parser.add_argument(f"--tls-{name}", type=Path, help=text)
+    parser.add_argument(
+        "--serve-tls",
+        choices=[mode.value for mode in ServeTls],
+        help="serve and ship the log with TLS; mutual: only clients with a certificate",
+    )
     return parser
 
 
--- a/hibiscuspoint/standin/replication.py
+++ b/hibiscuspoint/standin/replication.py
@@ -10,15 +10,16 @@
 import grpc
 
 from hibiscuspoint.core.position import LogPosition
+from hibiscuspoint.drivers.security import open_target_channel
 from hibiscuspoint.ids import Term
 from hibiscuspoint.standin.arrivals import ChangeSignal
-from hibiscuspoint.util.channels import open_channel
 from hibiscuspoint.util.tasks import run_until_first
 from hibiscuspoint.wire import common_pb2, target_pb2, target_pb2_grpc
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from hibiscuspoint.components.tls import TlsFiles
     from hibiscuspoint.standin.arrivals import Arrivals
     from hibiscuspoint.standin.engine import Engine
     from hibiscuspoint.standin.faults import Faults
@@ -92,13 +93,20 @@
     """Keeps one follower up to date while the engine is primary of a term."""
 
     def __init__(
-        self, engine: Engine, arrivals: Arrivals, faults: Faults, term: int, address: str
+        self,
+        engine: Engine,
+        arrivals: Arrivals,
+        faults: Faults,
+        term: int,
+        address: str,
+        tls: TlsFiles | None,
     ) -> None:
         self._engine = engine
         self._arrivals = arrivals
         self._faults = faults
         self._term = term
         self._address = address
+        self._tls = tls
         self._signal = ChangeSignal()
         self._sent = LogPosition(Term(0), 0)
         self._unanswered = 0
@@ -111,7 +119,7 @@
     async def run(self) -> None:
         """Ship until the engine loses its role or the task is cancelled."""
         while self._is_current():
-            channel = open_channel(self._address)
+            channel = open_target_channel(self._address, self._tls)
             try:
                 await self._ship(target_pb2_grpc.TargetStub(channel).Ship())
             except (_ShipError, TimeoutError, grpc.aio.AioRpcError, asyncio.InvalidStateError) as e:
@@ -202,12 +210,18 @@
 
 
 class Replication:
-    """Shippers of a primary, one for each follower."""
+    """Shippers of a primary, one for each follower.
 
-    def __init__(self, engine: Engine, arrivals: Arrivals, faults: Faults) -> None:
+    :param tls: certificate files; ``None`` for plain text.
+    """
+
+    def __init__(
+        self, engine: Engine, arrivals: Arrivals, faults: Faults, tls: TlsFiles | None = None
+    ) -> None:
         self._engine = engine
         self._arrivals = arrivals
         self._faults = faults
+        self._tls = tls
         self._shippers: dict[str, tuple[_Shipper, asyncio.Task[None]]] = {}
         self._term = 0
         engine.add_listener(self._wake)
@@ -222,7 +236,9 @@
         for address in set(self._shippers) - wanted:
             self._shippers.pop(address)[1].cancel()
         for address in wanted - set(self._shippers):
-            shipper = _Shipper(self._engine, self._arrivals, self._faults, self._term, address)
+            shipper = _Shipper(
+                self._engine, self._arrivals, self._faults, self._term, address, self._tls
+            )
             self._shippers[address] = shipper, asyncio.create_task(shipper.run())
 
     def stop(self) -> None:
--- a/hibiscuspoint/standin/server.py
+++ b/hibiscuspoint/standin/server.py
@@ -9,6 +9,7 @@
 import grpc
 
 from hibiscuspoint.standin.arrivals import Arrivals, ChangeSignal
+from hibiscuspoint.standin.config import ServeTls
 from hibiscuspoint.standin.connection import ServerConnection, Workplace
 from hibiscuspoint.standin.engine import Engine
 from hibiscuspoint.standin.replication import Applier, Replication, position_message, receive
@@ -44,7 +45,8 @@
         self._engine = Engine(config.data_directory)
         arrivals = Arrivals(self._engine)
         self._applier = Applier(self._engine, arrivals, faults)
-        self._replication = Replication(self._engine, arrivals, faults)
+        self._tls = config.tls_files() if config.serve_tls is not None else None
+        self._replication = Replication(self._engine, arrivals, faults, self._tls)
         self._workplace = Workplace(
             engine=self._engine,
             faults=faults,
@@ -74,11 +76,18 @@
         """
         target_pb2_grpc.add_TargetServicer_to_server(self, self._grpc)
         host = self._config.listen.rpartition(":")[0]
-        port = self._grpc.add_insecure_port(self._config.listen)
+        port = self._add_port()
         self._address = f"{host}:{port}"
         await self._grpc.start()
         self._apply_task = asyncio.create_task(self._applier.run())
 
+    def _add_port(self) -> int:
+        if self._tls is None:
+            return self._grpc.add_insecure_port(self._config.listen)
+        is_mutual = self._config.serve_tls is ServeTls.MUTUAL
+        credentials = self._tls.server_credentials(is_mutual=is_mutual)
+        return self._grpc.add_secure_port(self._config.listen, credentials)
+
     async def stop(self) -> None:
         """Stop serving; open transactions are rolled back."""
         self._replication.stop()
--- a/hibiscuspoint/telemetry/catalogue.py
+++ b/hibiscuspoint/telemetry/catalogue.py
@@ -20,13 +20,14 @@
     104, "plain-text-in-use", WARNING, "Connections are not encrypted on {address}.", "address"
 )
 CERTIFICATE_RELOADED = define_event(
-    105, "certificate-reloaded", INFO, "The certificate files were read again."
+    105, "certificate-reloaded", INFO, "The certificate files were read again.", "files"
 )
 CERTIFICATE_REFUSED = define_event(
     106,
     "certificate-refused",
     ERROR,
     "The changed certificate files are not valid; the previous ones stay in use: {reason}",
+    "files",
     "reason",
 )
 READINESS_CHANGED = define_event(
@@ -57,6 +58,9 @@
 DRAIN_FINISHED = define_event(
     111, "drain-finished", INFO, "{subject} finished draining.", "subject", "interrupted"
 )
+TARGETS_IN_PLAIN_TEXT = define_event(
+    112, "targets-in-plain-text", WARNING, "Connections to targets are not encrypted."
+)
 
 COMPONENT_FAILED = define_event(
     120, "component-failed", ERROR, "A handler of an event failed: {reason}", "reason"
@@ -217,7 +221,6 @@
     "A connection to {target} did not answer a ping and was closed.",
     "target",
 )
-
 CONNECTION_FAILED = define_event(
     413,
     "connection-failed",
--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -77,6 +77,9 @@
         ({"session": {"keys": None, "keys_file": "absent"}}, "cannot be read"),
         ({"limits": {"message_bytes": 65_536, "statement_bytes": 65_537}}, "is larger than"),
         ({"target_driver": {"kind": "other"}}, "not the name of a target driver"),
+        ({"target_driver": {"certificate": __file__}}, "certificate and key need each other"),
+        ({"target_driver": {"certificate": __file__, "key": __file__}}, "only used with ca"),
+        ({"target_driver": {"ca": "absent.pem"}}, "does not exist"),
     ],
 )
 def test_contradictions_are_refused(changes, reason):
--- a/tests/standin/harness.py
+++ b/tests/standin/harness.py
@@ -19,6 +19,7 @@
     from collections.abc import AsyncIterator, Callable
     from pathlib import Path
 
+    from hibiscuspoint.components.tls import TlsFiles
     from hibiscuspoint.drivers.answer import RunResult
     from hibiscuspoint.drivers.connection import StandinConnection
 
@@ -31,14 +32,17 @@
 
 
 class Cluster:
-    """Stand-ins by target id and a driver for them."""
+    """Stand-ins by target id and a driver for them.
 
-    def __init__(self, directory: Path) -> None:
+    :param tls: certificate files of the driver; ``None`` for plain text.
+    """
+
+    def __init__(self, directory: Path, tls: TlsFiles | None = None) -> None:
         self._directory = directory
         self.servers: dict[str, StandinServer] = {}
         # The longer silence keeps a busy machine from being taken for a dead connection.
         self.driver = StandinDriver.from_config(
-            StandinDriverConfig(connect_timeout=DEADLINE_S, overdue=0.1, silence=2.0)
+            StandinDriverConfig(connect_timeout=DEADLINE_S, overdue=0.1, silence=2.0, tls=tls)
         )
         self.connections: list[StandinConnection] = []
 
@@ -94,9 +98,11 @@
 
 
 @asynccontextmanager
-async def open_cluster(directory: Path, *targets: str, **config: object) -> AsyncIterator[Cluster]:
+async def open_cluster(
+    directory: Path, *targets: str, driver_tls: TlsFiles | None = None, **config: object
+) -> AsyncIterator[Cluster]:
     """Start stand-ins and stop them afterwards."""
-    cluster = Cluster(directory)
+    cluster = Cluster(directory, driver_tls)
     try:
         for target in targets:
             await cluster.start(target, **config)
--- a/tests/system/test_mutual_tls.py
+++ b/tests/system/test_mutual_tls.py
@@ -14,6 +14,9 @@
 import trustme
 
 from hibiscuspoint.cli.main import main
+from hibiscuspoint.components.tls import TlsFiles
+from hibiscuspoint.drivers import AdminError, StandinDriver
+from hibiscuspoint.drivers.standin import StandinDriverConfig
 from hibiscuspoint.errors import HibiscusError
 from hibiscuspoint.ids import CallerId, GroupId, RequestId
 from hibiscuspoint.load.answers import statement
@@ -42,18 +45,28 @@
 
 
 class Environment:
-    """A launched topology with the files of everyone who connects to it."""
+    """A launched topology with the files of everyone who connects to it.
 
-    def __init__(self, launch: Callable[[Layout], Topology], directory: Path) -> None:
+    :param has_target_tls: whether targets serve only clients with a certificate.
+    """
+
+    def __init__(
+        self, launch: Callable[[Layout], Topology], directory: Path, *, has_target_tls: bool = False
+    ) -> None:
         self.directory = directory
         names = [f"instance-{number}" for number in (1, 2, 3)]
         lists = {"instances": names, "operators": ["alice"], "targets": ["targets"]}
+        node_options = {"tls": {"mode": "mutual", **PATHS, **lists}}
+        target_options = {f"tls-{name}": f"{directory}/targets/{name}.pem" for name in FILES}
+        if has_target_tls:
+            node_options["target_driver"] = {n: f"target-{PATHS[n]}" for n in FILES}
+            target_options["serve-tls"] = "mutual"
         self.layout = Layout(
             entries=3,
             has_latency=False,
             has_caller_port=True,
-            node_options={"tls": {"mode": "mutual", **PATHS, **lists}},
-            target_options={f"tls-{name}": f"{directory}/targets/{name}.pem" for name in FILES},
+            node_options=node_options,
+            target_options=target_options,
         )
         self.topology = launch(self.layout)
         self.reloads = 0
@@ -68,8 +81,10 @@
         for name, plan in self.topology.instances.items():
             host = plan.address.partition(":")[0]
             _write(self.topology.directory / name / "tls", name, host, signer, *trusted)
+            _write(self.topology.directory / name / "target-tls", name, host, signer, *trusted)
+        host = next(iter(self.topology.targets.values())).address.partition(":")[0]
         for name, directory in (("targets", "targets"), ("alice", "alice")):
-            _write(self.directory / directory, name, "127.0.0.1", signer, *trusted)
+            _write(self.directory / directory, name, host, signer, *trusted)
 
     async def replace(self, signer: trustme.CA, *trusted: trustme.CA) -> None:
         """Write all files anew and wait until every instance uses them."""
@@ -78,10 +93,15 @@
 
         async def is_loaded() -> bool:
             names = self.topology.instances
-            return all(len(self.events(n, "certificate-reloaded")) >= self.reloads for n in names)
+            return all(self._reloads(name) >= self.reloads for name in names)
 
         await wait_until(is_loaded, "reload of the certificates")
 
+    def _reloads(self, instance: str) -> int:
+        """Return how often an instance read the files of ``[tls]`` again."""
+        found = self.events(instance, "certificate-reloaded")
+        return sum(event["files"][0].endswith(f"/{PATHS['certificate']}") for event in found)
+
     def events(self, instance: str, event: str) -> list[dict]:
         """Return the events of one kind that an instance wrote."""
         text = (self.topology.directory / instance / "events.jsonl").read_text(encoding="utf-8")
@@ -190,6 +210,57 @@
     asyncio.run(run())
 
 
+def test_targets_with_tls_are_reached_through_a_renewal(launch, tmp_path):
+    """Guards against plain text to targets, and against a promotion that fails after a renewal."""
+    environment = Environment(launch, tmp_path, has_target_tls=True)
+    old, new = trustme.CA(), trustme.CA()
+    environment.issue(old, old)
+    environment.topology.launch()
+    environment.apply(1)
+
+    async def run() -> None:
+        writer = Writer(environment.callers, old, new)
+        await writer.write("CREATE TABLE item (id INTEGER PRIMARY KEY)")
+        task = asyncio.ensure_future(writer.run())
+        for signer, trusted in ((old, (old, new)), (new, (old, new)), (new, (new,))):
+            await environment.replace(signer, *trusted)
+            await writer.progress()
+        # Control and holders now meet a primary to which they have no connection.
+        status = json.loads(await asyncio.to_thread(environment.run, "status", "--output", "json"))
+        primary = status["groups"][0]["primary"]
+        environment.topology.process(primary).kill()
+        await writer.progress()
+
+        async def is_reported() -> bool:
+            names = environment.topology.instances
+            events = [e for n in names for e in environment.events(n, "connection-failed")]
+            return primary in [event["target"] for event in events]
+
+        await wait_until(is_reported, "report of the failed connections")
+        assert await writer.finish(task) == writer.acknowledged
+
+    asyncio.run(run())
+    topology = environment.topology
+    survivor = next(p for n, p in topology.targets.items() if topology.process(n).is_running)
+    own = topology.directory / "instance-1" / "target-tls"
+    files = TlsFiles(*(own / f"{name}.pem" for name in FILES))
+    assert asyncio.run(_reaches(survivor.address, files))
+    assert not asyncio.run(_reaches(survivor.address, None))
+    assert not any(environment.events(n, "targets-in-plain-text") for n in topology.instances)
+
+
+async def _reaches(address: str, tls: TlsFiles | None) -> bool:
+    """Tell whether a driver can make a control call; sealing at term 0 changes nothing."""
+    driver = StandinDriver(StandinDriverConfig(tls=tls))
+    try:
+        await driver.admin.seal(address, 0, timeout=30)
+    except AdminError:
+        return False
+    finally:
+        await driver.close()
+    return True
+
+
 def test_strangers_are_refused(environment):
     """Guards against anyone but the listed names acting on an environment."""
     ca, other = trustme.CA(), trustme.CA()
