--- a/hibiscuspoint/settings/model.py
+++ b/hibiscuspoint/settings/model.py
@@ -10,7 +10,7 @@
 
 # pydantic evaluates the annotations at run time, so these imports are needed then.
 from hibiscuspoint.settings.paths import SettingsPath
-from hibiscuspoint.settings.security import SessionSettings, TlsSettings
+from hibiscuspoint.settings.security import SessionSettings, TlsMode, TlsSettings, check_files
 from hibiscuspoint.util.address import Address, PeerAddress
 from hibiscuspoint.util.schema import (
     Problem,
@@ -199,6 +199,24 @@
     """How targets are reached."""
 
     kind: Name = option("standin", doc="Registered name of the target driver.", allowed="standin")
+    ca: SettingsPath | None = option(
+        None,
+        doc="PEM file with the authorities that sign the targets' certificates. With it, every "
+        "connection to a target uses TLS, and the certificate of a target must name the IP number "
+        "that the target announces; without it, connections to targets are plain text, which is "
+        "reported by a warning event.",
+        allowed="path, relative to the settings file",
+    )
+    certificate: SettingsPath | None = option(
+        None,
+        doc="PEM file with the certificate chain that is shown to targets.",
+        allowed="path; only with ca and key",
+    )
+    key: SettingsPath | None = option(
+        None,
+        doc="PEM file with the private key of that certificate.",
+        allowed="path; only with ca and certificate",
+    )
 
     @field_validator("kind")
     @classmethod
@@ -207,6 +225,15 @@
             raise ValueError("is not the name of a target driver")
         return kind
 
+    @model_validator(mode="after")
+    def _check_files(self) -> TargetDriverSettings:
+        if (self.certificate is None) != (self.key is None):
+            raise ValueError("certificate and key need each other")
+        if self.certificate is not None and self.ca is None:
+            raise ValueError("certificate and key are only used with ca")
+        check_files(self.ca, self.certificate, self.key)
+        return self
+
 
 class NodeSettings(StrictModel):
     """Settings of one instance."""
@@ -245,14 +272,30 @@
         node, _ = inspect(NodeIdentity, data.get("node"), source)
         listen, _ = inspect(ListenSettings, data.get("listen"), source)
         control, _ = inspect(ControlSettings, data.get("control"), source, context)
+        tls, _ = inspect(TlsSettings, data.get("tls"), source, context)
+        found = []
         if node is not None and control is not None:
-            found = _contradictions(node, control, listen)
-            problems += [Problem(source, key, reason) for key, reason in found]
+            found += _contradictions(node, control, listen)
+            found += _unnamed_instances(node, control, tls)
+        problems += [Problem(source, key, reason) for key, reason in found]
         if settings is None or problems:
             raise configuration_error(problems)
         return settings
 
 
+def _unnamed_instances(
+    node: NodeIdentity, control: ControlSettings, tls: TlsSettings | None
+) -> list[tuple[str, str]]:
+    """Return key and reason of each known instance whose certificate would be refused."""
+    if tls is None or tls.mode is not TlsMode.MUTUAL:
+        return []
+    known = {node.instance, *control.members}
+    return [
+        ("tls.instances", f"does not name the instance {instance!r}")
+        for instance in sorted(known - set(tls.instances))
+    ]
+
+
 def _contradictions(
     node: NodeIdentity, control: ControlSettings, listen: ListenSettings | None
 ) -> list[tuple[str, str]]:
--- a/hibiscuspoint/telemetry/catalogue.py
+++ b/hibiscuspoint/telemetry/catalogue.py
@@ -20,13 +20,14 @@
     104, "plain-text-in-use", WARNING, "Connections are not encrypted on {address}.", "address"
 )
 CERTIFICATE_RELOADED = define_event(
-    105, "certificate-reloaded", INFO, "The certificate files were read again."
+    105, "certificate-reloaded", INFO, "The certificate files were read again.", "files"
 )
 CERTIFICATE_REFUSED = define_event(
     106,
     "certificate-refused",
     ERROR,
     "The changed certificate files are not valid; the previous ones stay in use: {reason}",
+    "files",
     "reason",
 )
 READINESS_CHANGED = define_event(
@@ -41,12 +42,25 @@
     "names",
     "method",
 )
+IDENTITY_REFUSED = define_event(
+    109,
+    "identity-refused",
+    WARNING,
+    "{peer} may not act as instance {claimed}.",
+    "peer",
+    "names",
+    "claimed",
+    "method",
+)
 DRAIN_STARTED = define_event(
     110, "drain-started", INFO, "{subject} started to drain.", "subject", "open_requests"
 )
 DRAIN_FINISHED = define_event(
     111, "drain-finished", INFO, "{subject} finished draining.", "subject", "interrupted"
 )
+TARGETS_IN_PLAIN_TEXT = define_event(
+    112, "targets-in-plain-text", WARNING, "Connections to targets are not encrypted."
+)
 
 COMPONENT_FAILED = define_event(
     120, "component-failed", ERROR, "A handler of an event failed: {reason}", "reason"
@@ -207,6 +221,14 @@
     "A connection to {target} did not answer a ping and was closed.",
     "target",
 )
+CONNECTION_FAILED = define_event(
+    413,
+    "connection-failed",
+    WARNING,
+    "Connections to {target} cannot be opened: {reason}",
+    "target",
+    "reason",
+)
 
 # 500: requests
 REQUEST_REFUSED = define_event(
