Keep the drain of a target in the control log

Cause: the mark of a drained target was memory of the control leader, so a new leader gave the target new work. A core test with a restored state showed it: the target was no longer leaving.

Change: the command DrainTarget records the target and the incarnation that it announced; the target is leaving while it announces that incarnation. A restart ends the drain. The last 1,024 drains are kept. A repeated drain of the same incarnation proposes nothing. The state machine test of control drains members and requires that they serve again after a restart.

--- a/hibiscuspoint/components/operator_service.py
+++ b/hibiscuspoint/components/operator_service.py
@@ -228,7 +228,11 @@
     async def _drain_target(self, target: TargetId) -> peer_pb2.ActReply:
         leader = self._require_leader()
         info = leader.targets.get(target)
-        leader.targets.mark_leaving(target)
+        if not self._control.state.is_drained(target, info.incarnation):
+            body = record_pb2.DrainTarget(
+                group=info.group, target=target, incarnation=info.incarnation
+            )
+            await self._control.log.propose(record_pb2.Command(drain_target=body))
         # Reads chosen before the entries learned of it may still be on their way to the target.
         quiet_from = self._control.clock.monotonic() + SETTLE_SECONDS
 
--- a/hibiscuspoint/core/control/leader.py
+++ b/hibiscuspoint/core/control/leader.py
@@ -42,7 +42,7 @@
     ) -> None:
         self._state = state
         self._control_term = control_term
-        self._targets = TargetDirectory()
+        self._targets = TargetDirectory(state)
         self._entries = EntryDirectory()
         self._ledger = LeaseLedger(now)
         self._since = now
--- a/hibiscuspoint/core/control/state.py
+++ b/hibiscuspoint/core/control/state.py
@@ -6,7 +6,7 @@
 from enum import Enum
 
 from hibiscuspoint.core.position import TermHistory
-from hibiscuspoint.ids import GroupId, InstanceId, TargetId, Term
+from hibiscuspoint.ids import GroupId, Incarnation, InstanceId, TargetId, Term
 from hibiscuspoint.wire import record_pb2
 
 __all__ = ["AcceptedDocument", "ControlState", "GroupPhase", "GroupRecord"]
@@ -17,6 +17,10 @@
 #: Accepted documents kept with their text.
 DOCUMENT_HISTORY_LIMIT = 64
 
+#: Drains of targets that are kept. There are 590 targets at full size, each with one drain at most;
+#: older ones belong to targets that never came back.
+DRAIN_LIMIT = 1024
+
 
 class GroupPhase(Enum):
     """Progress of the promotion that opened the current term of a group."""
@@ -69,6 +73,7 @@
     def __init__(self) -> None:
         self._groups: dict[GroupId, GroupRecord] = {}
         self._documents: list[AcceptedDocument] = []
+        self._drains: dict[TargetId, record_pb2.DrainTarget] = {}
         self._handlers = {
             "form_group": self._form_group,
             "open_term": self._open_term,
@@ -76,6 +81,7 @@
             "start_term": self._start_term,
             "accept_document": self._accept_document,
             "set_holders": self._set_holders,
+            "drain_target": self._drain_target,
         }
 
     @property
@@ -93,6 +99,14 @@
         """Return the document that was accepted last."""
         return self._documents[-1] if self._documents else None
 
+    def is_drained(self, target: TargetId, incarnation: Incarnation) -> bool:
+        """Tell whether an operator takes this incarnation of a target out of service.
+
+        A target that was restarted has another incarnation and is used again.
+        """
+        drain = self._drains.get(target)
+        return drain is not None and drain.incarnation == incarnation
+
     def apply(self, index: int, command: record_pb2.Command) -> None:
         """Apply a committed command."""
         handler = self._handlers.get(command.WhichOneof("body") or "")
@@ -106,6 +120,7 @@
             snapshot.groups.append(_group_to_message(record))
         for document in self._documents:
             snapshot.documents.append(_document_to_message(document))
+        snapshot.drains.extend(self._drains.values())
         return snapshot.SerializeToString()
 
     def restore(self, data: bytes) -> None:
@@ -114,6 +129,7 @@
         groups = [_group_from_message(message) for message in snapshot.groups]
         self._groups = {record.group: record for record in groups}
         self._documents = [_document_from_message(message) for message in snapshot.documents]
+        self._drains = {TargetId(message.target): message for message in snapshot.drains}
 
     def _form_group(self, body: record_pb2.FormGroup) -> None:
         group = GroupId(body.group)
@@ -149,6 +165,13 @@
         if record is not None:
             record.holders = tuple(InstanceId(instance) for instance in body.instances)
 
+    def _drain_target(self, body: record_pb2.DrainTarget) -> None:
+        target = TargetId(body.target)
+        self._drains.pop(target, None)
+        self._drains[target] = body
+        for oldest in list(self._drains)[:-DRAIN_LIMIT]:
+            del self._drains[oldest]
+
     def _accept_document(self, body: record_pb2.AcceptDocument) -> None:
         current = self.document.number if self.document else 0
         if body.number != current + 1:
--- a/hibiscuspoint/core/control/targets.py
+++ b/hibiscuspoint/core/control/targets.py
@@ -7,9 +7,10 @@
 
 from hibiscuspoint.core.control.effects import MemberAddress
 from hibiscuspoint.core.position import LogPosition
-from hibiscuspoint.ids import AvailabilityZone, GroupId, TargetId, Term
+from hibiscuspoint.ids import AvailabilityZone, GroupId, Incarnation, TargetId, Term
 
 if TYPE_CHECKING:
+    from hibiscuspoint.core.control.state import ControlState
     from hibiscuspoint.wire import peer_pb2
 
 __all__ = ["TargetDirectory", "TargetInfo"]
@@ -33,6 +34,7 @@
     slots: int
     max_connections: int
     leaving: bool
+    incarnation: Incarnation
     seen_at: float
 
     @property
@@ -60,42 +62,46 @@
             slots=message.slots,
             max_connections=message.max_connections,
             leaving=message.leaving,
+            incarnation=Incarnation(message.incarnation),
             seen_at=now,
         )
 
 
 class TargetDirectory:
-    """Soft state about all targets, rebuilt from announcements."""
+    """Soft state about all targets, rebuilt from announcements.
 
-    def __init__(self) -> None:
+    :param state: replicated state; a target that an operator drains is leaving, whatever it
+        announces.
+    """
+
+    def __init__(self, state: ControlState) -> None:
+        self._state = state
         self._targets: dict[TargetId, TargetInfo] = {}
         self._groups: dict[GroupId, set[TargetId]] = {}
-        self._leaving: set[TargetId] = set()
-
-    def mark_leaving(self, target: TargetId) -> None:
-        """Treat a target as leaving, as an operator asked, whatever it announces."""
-        self._leaving.add(target)
-        self._targets[target] = replace(self._targets[target], leaving=True)
 
     def record(self, info: TargetInfo) -> bool:
         """Keep an announcement and tell whether it changes more than positions and times."""
         previous = self._targets.get(info.target)
-        if info.target in self._leaving:
-            info = replace(info, leaving=True)
         self._targets[info.target] = info
         self._groups.setdefault(info.group, set()).add(info.target)
         return previous is None or previous.role != info.role
 
     def get(self, target: TargetId) -> TargetInfo | None:
         """Return the last announcement of a target."""
-        return self._targets.get(target)
+        info = self._targets.get(target)
+        return self._with_drain(info) if info is not None else None
 
     def of_group(self, group: GroupId) -> list[TargetInfo]:
         """Return the targets that announced themselves for a group, ordered by id."""
         infos = (self._targets[target] for target in sorted(self._groups.get(group, ())))
-        return [info for info in infos if info.group == group]
+        return [self._with_drain(info) for info in infos if info.group == group]
 
     def is_live(self, target: TargetId, now: float) -> bool:
         """Tell whether a target announced itself recently."""
         info = self._targets.get(target)
         return info is not None and now - info.seen_at < TARGET_LIVE_SECONDS
+
+    def _with_drain(self, info: TargetInfo) -> TargetInfo:
+        if info.leaving or not self._state.is_drained(info.target, info.incarnation):
+            return info
+        return replace(info, leaving=True)
--- a/tests/builders_control.py
+++ b/tests/builders_control.py
@@ -16,6 +16,7 @@
     "command",
     "member_report",
     "report",
+    "restored",
     "share",
     "started_state",
 ]
@@ -94,6 +95,13 @@
     return state
 
 
+def restored(state: ControlState) -> ControlState:
+    """Return the state of a member that restarts from a snapshot."""
+    copy = ControlState()
+    copy.restore(state.snapshot())
+    return copy
+
+
 class Control:
     """A control leader of one group, whose time passes in steps of 100 ms.
 
--- a/tests/core/control/actors.py
+++ b/tests/core/control/actors.py
@@ -29,6 +29,7 @@
     own_term: int = 0
     is_primary: bool = False
     is_running: bool = True
+    incarnation: int = 1
     is_leaving: bool = False
     #: Receives no log; control still reaches it.
     is_behind: bool = False
@@ -92,6 +93,7 @@
     def crash(self) -> None:
         """Stop; what is durable stays."""
         self.is_running = self.is_primary = False
+        self.incarnation += 1
         self.connections.clear()
 
 
--- a/tests/core/control/test_machine.py
+++ b/tests/core/control/test_machine.py
@@ -129,6 +129,10 @@
     def leave(self, member, leaving):
         self.world.members[member].is_leaving = leaving
 
+    @rule(member=TARGETS)
+    def drain_member(self, member):
+        self.world.drain(self.world.members[member])
+
     @rule(member=TARGETS | st.none())
     def switch_over(self, member):
         wanted = TargetId(member) if member else None
@@ -195,6 +199,8 @@
         world = self.world
         for member in world.members.values():
             member.is_running, member.is_leaving, member.is_behind = True, False, False
+            # A drain ends with a restart.
+            member.incarnation += 1
         for entry in world.entries.values():
             entry.is_frozen = entry.is_draining = False
             entry.is_idle = True
--- a/tests/core/control/world.py
+++ b/tests/core/control/world.py
@@ -82,6 +82,13 @@
         body = record_pb2.AcceptDocument(number=number, digest=f"{holders}", document=text)
         self.proposals.append(record_pb2.Command(accept_document=body))
 
+    def drain(self, member: Member) -> None:
+        """Propose to take a target out of service."""
+        body = record_pb2.DrainTarget(
+            group=GROUP, target=member.name, incarnation=member.incarnation
+        )
+        self.proposals.append(record_pb2.Command(drain_target=body))
+
     def new_leader(self, committed: int) -> None:
         """Replace the leader; a part of its proposals was committed, the rest is lost."""
         self.commit(committed)
@@ -188,6 +195,7 @@
             received=common_pb2.Position(term=member.last.term, index=member.last.index),
             max_connections=LIMIT,
             leaving=member.is_leaving,
+            incarnation=member.incarnation,
         )
         self.send(lambda: self.run(self.leader.announced(message, self.leader_now)))
 
