Test that a drain of a target outlives the control leader

Cause: the core test does not cover the command of the operator, the proposal and the announcements of a restarted process.

Change: a system test drains a replica under load, kills the control leader, repeats the drain under the new one and restarts the target.

--- a/tests/system/test_planned.py
+++ b/tests/system/test_planned.py
@@ -10,6 +10,7 @@
 from hibiscuspoint.errors import NotReadyError
 from hibiscuspoint.load.answers import statement
 from hibiscuspoint.load.history import Outcome
+from hibiscuspoint.load.operator_client import Operator
 from hibiscuspoint.load.topology import wait_until
 from tests.system.builders import caller, index_of, layout
 from tests.system.trial import DEADLINE_S, eventually, trial
@@ -17,6 +18,7 @@
 if TYPE_CHECKING:
     from hibiscuspoint.ids import GroupId
     from hibiscuspoint.load.topology import Topology
+    from hibiscuspoint.wire import peer_pb2
 
 CREATE = "CREATE TABLE IF NOT EXISTS planned (name TEXT NOT NULL)"
 INSERT = "INSERT INTO planned (name) VALUES (?)"
@@ -50,6 +52,52 @@
     asyncio.run(scenario())
 
 
+def test_drain_of_a_target_outlives_the_control_leader(launch):
+    """An election would return a target to service that an operator took out of it (G7)."""
+
+    async def scenario() -> None:
+        topology = launch(layout())
+        async with trial(topology) as load:
+            primary, leader = await load.primary(), await topology.leader()
+            target = next(name for name in topology.targets if name != primary)
+            address = next(a for n, a in _addresses(topology).items() if n != leader)
+            assert await _drained(address, target)
+            topology.process(leader).kill()
+            await load.status(
+                lambda status: status.leader != leader and _leaving(status) == {target},
+                "the drain goes on under a new leader",
+            )
+            assert await _drained(address, target)
+            await load.progress()
+            topology.process(target).kill()
+            topology.process(target).start()
+            await load.status(lambda status: not _leaving(status), "the restarted target is used")
+            topology.process(leader).start()
+            await load.ready(leader)
+
+    asyncio.run(scenario())
+
+
+def _addresses(topology: Topology) -> dict[str, str]:
+    return {name: plan.address for name, plan in topology.instances.items()}
+
+
+def _leaving(status: peer_pb2.StatusReply) -> set[str]:
+    return {target.target for target in status.groups[0].targets if target.leaving}
+
+
+async def _drained(address: str, target: str) -> bool:
+    """Drain a target, repeating the command until it is reported finished."""
+    operator = Operator(address)
+    try:
+        async with asyncio.timeout(DEADLINE_S):
+            while not (await operator.drain(target)).finished:
+                continue
+        return True
+    finally:
+        await operator.close()
+
+
 def test_switchover(launch):
     """A planned change of the primary that refuses a request with time left (measure 1)."""
 
