Take leases of the old term back under a new control leader

Cause: while a group is sealing or its primary is chosen, an update carried no route of the group, so entries kept the lease of the old term until it ended. A new leader counted nothing that entries handed back, and waited 2.55 s from its election for leases of its predecessor.

Change: an update revokes the leases of the last started term while a promotion is under way. Reports carry the highest control term of which the entry accepted an update; a lease handed back by an entry that accepted this leader counts also for leases of the predecessor, because the entry accepts none of a lower control term any more. So that a new leader knows all that may have a lease, only entries in SetHolders get one, and they stay there until they handed it back.

The test of a holder whose removal is under way let the entry keep its lease for ever; a real entry hands it back, and its removal now waits for that. The test does so too, and also requires that the entry gets no lease meanwhile.

--- a/hibiscuspoint/components/entry_state.py
+++ b/hibiscuspoint/components/entry_state.py
@@ -45,6 +45,11 @@
         """Return the number of the document in force; 0 without one."""
         return self.document.number if self.document is not None else 0
 
+    @property
+    def control_term(self) -> int:
+        """Return the highest control term of which an update was accepted."""
+        return self._fence.control_term
+
     def has_group(self, group: str) -> bool:
         """Tell whether the document in force has a group."""
         return self.document is not None and group in self.document.groups
@@ -86,6 +91,11 @@
                 applied.append(grant.group)
         return applied
 
+    def revoke_routes(self, update: peer_pb2.ControlUpdate) -> list[GroupId]:
+        """End the leases that an update revokes and return the groups that had one."""
+        revoked = [(GroupId(item.group), Term(item.term)) for item in update.revoked]
+        return [group for group, term in revoked if self.routes.revoke(group, term)]
+
     def _take_document(self, text: str) -> None:
         try:
             document = Document.from_text(text, source="document in force")
--- a/hibiscuspoint/components/holders.py
+++ b/hibiscuspoint/components/holders.py
@@ -84,7 +84,8 @@
         for group, holder in self._groups.items():
             if not self.is_holder(group):
                 holder.hand_back_waiting()
-        for group in self._state.apply_routes(update):
+        changed = self._state.revoke_routes(update) + self._state.apply_routes(update)
+        for group in changed:
             holder = self._holder(group)
             if holder is not None:
                 holder.set_route(self._state.routes.route(group))
--- a/hibiscuspoint/components/reporting.py
+++ b/hibiscuspoint/components/reporting.py
@@ -73,6 +73,7 @@
             draining=not self._drain.is_ready,
             drained=self._drain.phase is DrainPhase.DRAINED,
             holders_version=self._state.holders_version,
+            control_term=self._state.control_term,
         )
         self._holders.fill_report(report, now_ns / NANOSECONDS)
         return report
--- a/hibiscuspoint/core/control/holdings.py
+++ b/hibiscuspoint/core/control/holdings.py
@@ -7,7 +7,6 @@
 
 from hibiscuspoint.core.control.effects import Propose, Terminate
 from hibiscuspoint.core.control.holders import choose_holders
-from hibiscuspoint.core.control.leases import CLOCK_MARGIN, LEASE_SECONDS
 from hibiscuspoint.core.control.shares import ShareLedger
 from hibiscuspoint.ids import TargetId
 from hibiscuspoint.wire import record_pb2
@@ -15,6 +14,7 @@
 if TYPE_CHECKING:
     from hibiscuspoint.core.control.effects import Effect
     from hibiscuspoint.core.control.entries import EntryDirectory, EntryInfo
+    from hibiscuspoint.core.control.leases import LeaseLedger
     from hibiscuspoint.core.control.state import GroupRecord
     from hibiscuspoint.core.control.targets import TargetDirectory, TargetInfo
     from hibiscuspoint.document.model import GroupModel
@@ -47,8 +47,8 @@
 class GroupHoldings:
     """Decides which entries hold connections of a group, and how many each.
 
-    An entry is written to the control log before its first share is granted, so that a later
-    leader knows whose connections may still be open.
+    An entry is written to the control log before its first share and its first route lease are
+    granted, so that a later leader knows whose connections may be open and who may use the primary.
 
     :param rules: the group in the document.
     :param control_term: term of the control group; orders the sequences of grants.
@@ -60,6 +60,7 @@
         record: GroupRecord,
         rules: GroupModel,
         targets: TargetDirectory,
+        leases: LeaseLedger,
         control_term: int,
         since: float,
     ) -> None:
@@ -67,7 +68,7 @@
         self._rules = rules
         self._targets = targets
         self._first_sequence = control_term << SEQUENCE_BITS
-        self._leases_known_from = since + LEASE_SECONDS * (1 + CLOCK_MARGIN)
+        self._leases = leases
         self._settled_from = since + SETTLE_SECONDS
         self._earlier = record.holders
         self._holders: list[InstanceId] = []
@@ -106,6 +107,10 @@
         ]
         return ready or self._holders
 
+    def may_lease(self, instance: InstanceId) -> bool:
+        """Tell whether a later leader would know that an entry has a route lease."""
+        return instance in self._recorded_holders()
+
     def is_settled(self, entries: EntryDirectory, now: float) -> bool:
         """Tell whether holders may change.
 
@@ -211,7 +216,7 @@
         return effects
 
     def _is_lost(self, instance: InstanceId, entries: EntryDirectory, now: float) -> bool:
-        if now < self._leases_known_from:
+        if not self._leases.is_known(now):
             return False
         return entries.leases_ended(instance, now)
 
@@ -233,7 +238,8 @@
 
     def _record_holders(self, now: float) -> list[Effect]:
         charged = {i for ledger in self._ledgers.values() for i in ledger.instances}
-        wanted = set(self._holders) | (charged & set(self._record.holders))
+        leased = self._leases.may_be_held_by(self._record.group, now)
+        wanted = set(self._holders) | ((charged | leased) & set(self._record.holders))
         if len(self._ledgers) < len(self._record.members):
             wanted |= set(self._record.holders)
         if wanted == set(self._record.holders) or now - self._proposed_at < RETRY_SECONDS:
--- a/hibiscuspoint/core/control/leader.py
+++ b/hibiscuspoint/core/control/leader.py
@@ -99,7 +99,7 @@
         if not self._entries.record(info):
             return []
         for released in message.released:
-            self._ledger.release(GroupId(released.group), info.instance, Term(released.term))
+            self._released(info.instance, released, message.control_term)
         for share in message.shares:
             self._share_reported(info.instance, share)
         for observation in message.observations:
@@ -214,9 +214,10 @@
             return
         record = self._state.groups[group]
         self._updates.add_concerned(group, record.holders)
+        self._ledger.expect_earlier(group, record.holders)
         self._groups[group] = GroupController(record, self._targets, self._ledger, now)
         self._holdings[group] = GroupHoldings(
-            record, rules, self._targets, self._control_term, self._since
+            record, rules, self._targets, self._ledger, self._control_term, self._since
         )
 
     def _form_groups(self, now: float) -> list[Effect]:
@@ -234,6 +235,15 @@
             effects.append(Propose(record_pb2.Command(form_group=body)))
         return effects
 
+    def _released(
+        self, instance: InstanceId, released: peer_pb2.RouteRelease, control_term: int
+    ) -> None:
+        group = GroupId(released.group)
+        self._ledger.release(group, instance, Term(released.term))
+        # An entry that accepted no update of this leader may still take one of its predecessor.
+        if control_term == self._control_term:
+            self._ledger.release_earlier(group, instance)
+
     def _share_reported(self, instance: InstanceId, share: peer_pb2.ShareUse) -> None:
         holdings = self._holdings_of(TargetId(share.target))
         if holdings is not None:
--- a/hibiscuspoint/core/control/leases.py
+++ b/hibiscuspoint/core/control/leases.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from hibiscuspoint.ids import GroupId, InstanceId, Term
 
 __all__ = ["CLOCK_MARGIN", "LEASE_SECONDS", "LeaseLedger"]
@@ -34,6 +36,15 @@
     def __init__(self, leader_since: float) -> None:
         self._unknown_until = leader_since + LEASE_SECONDS * (1 + CLOCK_MARGIN)
         self._grants: dict[GroupId, dict[InstanceId, _Grant]] = {}
+        self._earlier: dict[GroupId, set[InstanceId]] = {}
+
+    def expect_earlier(self, group: GroupId, instances: Iterable[InstanceId]) -> None:
+        """Note the only entries that may have leases of the previous leader of a group."""
+        self._earlier[group] = set(instances)
+
+    def release_earlier(self, group: GroupId, instance: InstanceId) -> None:
+        """Record that an entry has no lease of the previous leader and accepts none any more."""
+        self._earlier.get(group, set()).discard(instance)
 
     def grant(self, group: GroupId, instance: InstanceId, term: Term, now: float) -> None:
         """Record a lease that is about to be sent."""
@@ -52,7 +63,7 @@
 
     def is_clear(self, group: GroupId, term: Term, now: float) -> bool:
         """Tell whether no entry can still use a primary of a term before ``term``."""
-        if not self.is_known(now):
+        if not self._is_earlier_clear(group, now):
             return False
         grants = self._grants.get(group, {}).values()
         return all(grant.term >= term or grant.until < now for grant in grants)
@@ -65,3 +76,11 @@
         """Return the entries that may hold a lease of the group."""
         grants = self._grants.get(group, {})
         return {instance for instance, grant in grants.items() if grant.until >= now}
+
+    def may_be_held_by(self, group: GroupId, now: float) -> set[InstanceId]:
+        """Return the entries that may hold a lease of this or the previous leader."""
+        held = self.held_by(group, now)
+        return held if self.is_known(now) else held | self._earlier.get(group, set())
+
+    def _is_earlier_clear(self, group: GroupId, now: float) -> bool:
+        return self.is_known(now) or self._earlier.get(group) == set()
--- a/hibiscuspoint/core/control/updates.py
+++ b/hibiscuspoint/core/control/updates.py
@@ -130,6 +130,7 @@
     ) -> None:
         record = controller.record
         if record.primary is None or record.phase is not GroupPhase.STARTED:
+            _add_revocation(update, record)
             return
         state = controller.route_state
         is_holder = entry.instance in holding.holders
@@ -140,7 +141,9 @@
             ack_quorum=record.ack_quorum,
             paused=state is RouteState.PAUSED or not is_holder,
         )
-        if self._may_use_primary(state, is_holder, record, entry, now):
+        if holding.may_lease(entry.instance) and self._may_use_primary(
+            state, is_holder, record, entry, now
+        ):
             route.lease_ms = int(LEASE_SECONDS * MILLISECONDS)
             self._ledger.grant(record.group, entry.instance, record.term, now)
         self._add_members(route, record)
@@ -198,6 +201,13 @@
                 )
 
 
+def _add_revocation(update: peer_pb2.ControlUpdate, record: GroupRecord) -> None:
+    """Ask for the leases of the last started term, which a promotion under way waits for."""
+    if record.starts:
+        term, _ = record.starts[-1]
+        update.revoked.append(peer_pb2.RouteRelease(group=record.group, term=term))
+
+
 def _holders_message(
     group: GroupId, holders: list[InstanceId], addresses: dict[InstanceId, str]
 ) -> peer_pb2.GroupHolders:
--- a/hibiscuspoint/core/entry/routes.py
+++ b/hibiscuspoint/core/entry/routes.py
@@ -146,6 +146,17 @@
         self._routes[group] = replace(route, lease_ends=-math.inf)
         return route.term
 
+    def revoke(self, group: GroupId, term: Term) -> bool:
+        """End the lease of a group, as control opened a term above ``term``.
+
+        :returns: whether there was a lease of this or a lower term. No later grant gives one.
+        """
+        route = self._routes.get(group)
+        if route is None or route.term > term or route.lease_ends == -math.inf:
+            return False
+        self.release(group)
+        return True
+
     def expired(self, now: float) -> list[Route]:
         """Return the routes whose lease ended since the last call."""
         ended = [
--- a/tests/core/control/actors.py
+++ b/tests/core/control/actors.py
@@ -132,6 +132,7 @@
             draining=self.is_draining,
             document_number=self.state.document_number,
             holders_version=self.state.holders_version,
+            control_term=self.state.control_term,
         )
         for target, pool in self.pools.items():
             if self.state.routes.route(GROUP) is not None:
@@ -151,7 +152,7 @@
             return
         assert self.state.document_number >= self.highest_document
         self.highest_document = self.state.document_number
-        for _ in self.state.apply_routes(update):
+        for _ in self.state.revoke_routes(update) + self.state.apply_routes(update):
             route = self.state.routes.route(GROUP)
             self.acks.start_term(route.term, route.history, map(TargetId, MEMBERS))
             self.settle_writes()
--- a/tests/core/control/test_leader.py
+++ b/tests/core/control/test_leader.py
@@ -90,35 +90,50 @@
     assert "e1" in control.holdings._ledgers["a"].instances
 
 
-def test_holder_is_recorded_before_its_share():
+def test_holder_is_recorded_before_its_share_and_its_lease():
     """A later leader must know every instance that may have connections."""
     control = Control(started_state(holders=()))
     control.step()
     assert [p.command.set_holders.instances for p in control.take(Propose)] == [["e1", "e2"]]
     control.run(0.5)
     assert control.holdings.charged("a") == 0
+    assert not any(route.lease_ms for route in control.updates["e1"].routes)
     control.run(1.0)
     control.commit()
     control.run(0.2)
     assert control.holdings.charged("a") == 8
 
 
-def test_holder_whose_removal_is_under_way_gets_no_share():
+def test_holder_whose_removal_is_under_way_gets_no_share_and_no_lease():
     """The removal would take effect after the grant, and a new leader would not know the holder."""
     control = running_control()
-    control.entries["e2"]["draining"] = True
+    control.entries["e2"] = {"draining": True, "released": release(1)}
     control.run(1.5)
     removal = control.take(Propose)
     assert [list(p.command.set_holders.instances) for p in removal] == [["e1"]] * len(removal)
     assert removal
-    del control.entries["e2"]["draining"]
+    control.entries["e2"] = {}
     control.run(0.5)
     assert control.holdings.share("a", "e2")[0] == 0
+    assert control.updates["e2"].routes[0].lease_ms == 0
     control.state.apply(0, removal[0].command)
     control.run(1.5)
     assert control.commit() == ["set_holders"]
     control.run(0.5)
     assert control.holdings.share("a", "e2")[0] == 4
+    assert control.updates["e2"].routes[0].lease_ms > 0
+
+
+def test_former_holder_is_recorded_until_it_hands_its_lease_back():
+    """A new leader that does not know it would start a term while it uses the old primary (G2)."""
+    control = running_control()
+    control.entries["e2"]["draining"] = True
+    control.run(4.0)
+    assert control.commit() == []
+    control.entries["e2"]["released"] = release(1)
+    control.run(1.5)
+    control.commit()
+    assert control.state.groups[GROUP].holders == ("e1",)
 
 
 def test_rendezvous_hashing_moves_few_groups():
--- a/tests/core/control/test_promotion.py
+++ b/tests/core/control/test_promotion.py
@@ -16,7 +16,7 @@
     judge_submission,
 )
 from hibiscuspoint.errors import ConfigurationConflictError, ConfigurationError
-from hibiscuspoint.wire import record_pb2
+from hibiscuspoint.wire import peer_pb2, record_pb2
 from tests.builders import document
 from tests.builders_control import (
     GROUP,
@@ -27,6 +27,7 @@
     member_report,
     started_state,
 )
+from tests.core.control.world import World
 
 
 def opened(term: int = 2, chosen: str = "", **group: object) -> Control:
@@ -113,6 +114,56 @@
     assert control.take(PublishRoutes)
 
 
+def test_new_leader_takes_the_leases_of_the_old_term_back_at_once():
+    """Writes would wait 2.55 s for leases that entries can hand back (measure 1)."""
+    world = World((1.0,) * 4)
+    world.settle(4.0)
+    record = world.state.groups[GROUP]
+    opened_term = record.term + 1
+    body = record_pb2.OpenTerm(group=GROUP, term=opened_term)
+    world.state.apply(0, command(open_term=body))
+    world.new_leader(0)
+    world.settle(1.0)
+    record = world.state.groups[GROUP]
+    assert (record.term, record.phase) == (opened_term, GroupPhase.STARTED)
+
+
+def hand_back(control: Control, name: str, control_term: int) -> None:
+    """An entry that accepted an update of a control term hands its lease of term 1 back."""
+    assert [(r.group, r.term) for r in control.updates[name].revoked] == [(GROUP, 1)]
+    released = [peer_pb2.RouteRelease(group=GROUP, term=1)]
+    control.entries[name] = {"released": released, "control_term": control_term}
+
+
+def test_new_leader_waits_only_for_entries_that_keep_a_lease():
+    """A term that starts while one entry uses the old primary would lose its writes (G2)."""
+    control = opened(chosen="b")
+    control.step()
+    hand_back(control, "e1", control_term=1)
+    for target in ("b", "c"):
+        join(control, target, 8)
+    control.run(0.5)
+    assert control.commit() == []
+    hand_back(control, "e2", control_term=1)
+    control.run(0.2)
+    assert control.commit() == ["start_term"]
+
+
+def test_entry_that_accepted_no_update_of_the_new_leader_may_keep_its_lease():
+    """An update of the previous leader, still on its way, could grant the lease again (G2)."""
+    control = opened(chosen="b")
+    control.step()
+    for name in ("e1", "e2"):
+        hand_back(control, name, control_term=0)
+    while control.now < 2.5:
+        for target in ("b", "c"):
+            join(control, target, 8)
+        control.step()
+        assert control.commit() == []
+    control.run(0.2)
+    assert control.commit() == ["start_term"]
+
+
 def test_term_starts_only_when_the_quorum_holds_its_first_record():
     """A second failure would otherwise remove what the new primary acknowledged."""
     control = opened(chosen="b")
--- a/tests/core/entry/test_routes.py
+++ b/tests/core/entry/test_routes.py
@@ -98,6 +98,20 @@
     assert table.route(GROUP).term == 1
 
 
+def test_revoked_term_is_not_used_again():
+    """Control starts the next term once the lease is handed back; a late grant must not count."""
+    table = RouteTable()
+    assert not table.revoke(GROUP, Term(1))
+    table.apply(grant(2, asked_at=10.0))
+    assert not table.revoke(GROUP, Term(1)), "the lease of a higher term stays"
+    assert table.primary(GROUP, 10.1).term == 2
+    assert table.revoke(GROUP, Term(2))
+    table.apply(grant(2, asked_at=10.2))
+    assert table.primary(GROUP, 10.3) is None
+    table.apply(grant(3, asked_at=10.2))
+    assert table.primary(GROUP, 10.3).term == 3
+
+
 def test_document_never_reverts():
     """An isolated control instance that returns must not bring an old document back (G9)."""
     fence = DocumentFence()
