Stop the daemon when its control log fails

Cause: nothing handled the event control_log_failed, so an instance whose disk failed to sync served on without control and was never restarted.

Change: the daemon writes event 222 (control-log-failed), stops as after SIGTERM, because its entry still serves, and exits with status 3.

--- a/hibiscuspoint/components/consensus_events.py
+++ b/hibiscuspoint/components/consensus_events.py
@@ -16,4 +16,4 @@
 
 
 class control_log_failed(Event):  # noqa: N801
-    """The log stopped for good; the argument is the error. The process must be restarted."""
+    """The log stopped for good; the argument is the error. The daemon stops for a restart."""
--- a/hibiscuspoint/daemon/main.py
+++ b/hibiscuspoint/daemon/main.py
@@ -10,6 +10,7 @@
 
 from hibiscuspoint import __version__
 from hibiscuspoint.daemon.node import Node
+from hibiscuspoint.daemon.status import DaemonStatus
 from hibiscuspoint.errors import ConfigurationError
 from hibiscuspoint.settings import NodeSettings
 from hibiscuspoint.telemetry import catalogue, log_event, setup_logging
@@ -21,8 +22,6 @@
 
 logger = logging.getLogger(__name__)
 
-EXIT_SETTINGS = 2
-
 
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run the daemon and return its exit code."""
@@ -39,6 +38,6 @@
         print(f"{error.code}: {error.message}\n{error.hint}", file=sys.stderr)
         setup_logging("error", None, "unknown")
         log_event(logger, catalogue.SETTINGS_REFUSED, reason=error.message)
-        return EXIT_SETTINGS
+        return DaemonStatus.SETTINGS_REFUSED
     setup_logging(settings.log.level.value, settings.log.file, settings.node.instance)
     return asyncio.run(node.run())
--- a/hibiscuspoint/daemon/node.py
+++ b/hibiscuspoint/daemon/node.py
@@ -34,6 +34,7 @@
 from hibiscuspoint.components.transactions import TransactionStreams
 from hibiscuspoint.core.entry.drain import DrainPhase, DrainState
 from hibiscuspoint.core.entry.session import TokenCodec
+from hibiscuspoint.daemon.failures import FailureWatch
 from hibiscuspoint.drivers import target_drivers
 from hibiscuspoint.ids import Incarnation, InstanceId
 from hibiscuspoint.settings import TlsMode
@@ -81,7 +82,10 @@
         return cls(settings)
 
     async def run(self) -> int:
-        """Serve until SIGTERM or SIGINT, and return the exit code."""
+        """Serve until SIGTERM, SIGINT or a failure that needs a restart; return the exit status.
+
+        The stop after a failure is a planned one, as the entry still serves.
+        """
         self._stopping = asyncio.Event()
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
@@ -93,12 +97,14 @@
         await self._drain_work()
         ticker.cancel()
         await self._stop()
-        log_event(logger, catalogue.DAEMON_STOPPED, status=0)
-        return 0
+        status = self._failures.status
+        log_event(logger, catalogue.DAEMON_STOPPED, status=int(status))
+        return int(status)
 
     def _build(self) -> None:
         settings = self._settings
         self._runtime = Runtime()
+        self._failures = FailureWatch(self._stopping.set).register(self._runtime)
         self._channels = PeerChannels(self._transport)
         self._driver = target_drivers.get(settings.target_driver.kind).from_config()
         self._state = EntryState(settings.node.environment)
--- a/hibiscuspoint/telemetry/catalogue.py
+++ b/hibiscuspoint/telemetry/catalogue.py
@@ -90,6 +90,13 @@
     "disk",
     "bytes_removed",
 )
+CONTROL_LOG_FAILED = define_event(
+    222,
+    "control-log-failed",
+    ERROR,
+    "The control log stopped and the daemon stops for a restart: {reason}",
+    "reason",
+)
 REPAIR_STARTED = define_event(
     230, "repair-started", INFO, "Repair of {subject} started.", "subject"
 )
