--- a/hibiscuspoint/components/consensus.py
+++ b/hibiscuspoint/components/consensus.py
@@ -24,6 +24,7 @@
 from hibiscuspoint.core.consensus.repair import RepairPhase
 from hibiscuspoint.core.consensus.state import Role
 from hibiscuspoint.errors import NotLeaderError
+from hibiscuspoint.settings import DEFAULT_COMPACTION_ENTRIES
 from hibiscuspoint.storage.control_disk import ControlDisk
 from hibiscuspoint.util.clock import suspend_aware
 from hibiscuspoint.verdict import Verdict
@@ -50,9 +51,6 @@
 
 REPAIR_INTERVAL = 0.02
 
-#: Applied entries after which a snapshot replaces them.
-COMPACTION_ENTRIES = 1000
-
 
 class ReplicatedLog(Component):
     """One member of the control group.
@@ -81,7 +79,7 @@
         channel_factory: Callable[..., grpc.aio.Channel] = grpc.aio.insecure_channel,
         channel_generation: Callable[[], int] = lambda: 0,
         clock: Callable[[], float] = suspend_aware,
-        compaction_entries: int = COMPACTION_ENTRIES,
+        compaction_entries: int = DEFAULT_COMPACTION_ENTRIES,
     ) -> None:
         self._instance = instance
         self._peers = dict(peers)
--- a/hibiscuspoint/daemon/node.py
+++ b/hibiscuspoint/daemon/node.py
@@ -168,6 +168,7 @@
                 machine,
                 channel_factory=self._open_control_channel,
                 channel_generation=lambda: self._channels.generation,
+                compaction_entries=settings.control.compaction_entries,
             ).register(self._runtime)
             self._control = Control(
                 self._instance, self._log, machine, self._driver, self._clock, self._metrics
--- a/hibiscuspoint/settings/__init__.py
+++ b/hibiscuspoint/settings/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from hibiscuspoint.settings.model import (
+    DEFAULT_COMPACTION_ENTRIES,
     ControlSettings,
     LimitSettings,
     ListenSettings,
@@ -16,6 +17,7 @@
 from hibiscuspoint.settings.security import SessionSettings, TlsMode, TlsSettings
 
 __all__ = [
+    "DEFAULT_COMPACTION_ENTRIES",
     "ControlSettings",
     "LimitSettings",
     "ListenSettings",
--- a/hibiscuspoint/settings/model.py
+++ b/hibiscuspoint/settings/model.py
@@ -23,6 +23,7 @@
 )
 
 __all__ = [
+    "DEFAULT_COMPACTION_ENTRIES",
     "ControlSettings",
     "LimitSettings",
     "ListenSettings",
@@ -35,6 +36,7 @@
 ]
 
 CONTROL_SIZES = (1, 3, 5)
+DEFAULT_COMPACTION_ENTRIES = 1000
 _NAME_RULE = "1 to 64 of a-z, 0-9, '.', '_' and '-', starting with a letter or digit"
 Name = Annotated[str, StringConstraints(pattern=r"^[a-z0-9][a-z0-9._-]{0,63}$")]
 
@@ -137,6 +139,13 @@
         doc="Directory of the control log; required with the role control.",
         allowed="path, relative to the settings file",
     )
+    compaction_entries: int = option(
+        DEFAULT_COMPACTION_ENTRIES,
+        doc="Applied entries of the control log after which a snapshot replaces them.",
+        unit="entries",
+        ge=10,
+        le=100_000,
+    )
 
     @field_validator("members")
     @classmethod
--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -29,6 +29,7 @@
     assert settings.control.data_directory == tmp_path / "data"
     assert settings.session.key_bytes == (bytes([0x1F]) * 32, bytes([0x2E]) * 32)
     assert settings.tls.mode is TlsMode.PLAIN_TEXT
+    assert settings.control.compaction_entries == 1000
 
 
 def test_all_problems_are_listed_at_once():
@@ -52,6 +53,8 @@
         ({"node": {"instance": "ba-9"}}, "does not name 'ba-9'"),
         ({"control": {"data_directory": None}}, "is required with role 'control'"),
         ({"control": {"members": {}}}, "has 0 entries"),
+        ({"control": {"compaction_entries": 9}}, "at least 10"),
+        ({"control": {"compaction_entries": 100_001}}, "at most 100000"),
         ({"listen": {"address": "127.0.0.1:7409"}}, "but listen.address is 127.0.0.1:7409"),
         ({"listen": {"advertise": "127.0.0.1:7409"}}, "but listen.advertise is 127.0.0.1:7409"),
         ({"listen": {"http": "127.0.0.1:7400"}}, "address and http are equal"),
--- a/tests/system/test_control.py
+++ b/tests/system/test_control.py
@@ -21,10 +21,15 @@
     from collections.abc import AsyncIterator
 
     from hibiscuspoint.load.topology import Topology
+    from hibiscuspoint.wire import peer_pb2
 
 #: Documents accepted before all processes restart.
 CHANGES = 300
 ROUNDS = 10
+#: Entries of the control log after which a snapshot replaces them, below the default of 1,000.
+COMPACTION_ENTRIES = 50
+#: Snapshots that every control instance writes during the changes.
+COMPACTIONS = 5
 
 
 def test_old_leader_returns_after_long_isolation(launch, network):
@@ -177,25 +182,72 @@
     async def scenario() -> None:
         topology = launch(layout())
         async with trial(topology) as load:
-            operator = Operator(topology.addresses[0])
-            last = topology.document_number + CHANGES
-            for number in range(topology.document_number + 1, last + 1):
-                text = submission(topology, number, default_timeout_ms=5000 + number)
-                accepted = await operator.submit(text)
-            await operator.close()
-            names = [*topology.instances, *topology.targets]
-            for name in names:
-                topology.process(name).kill()
-            for name in names:
-                topology.process(name).start()
-            await _is_in_force(topology, load, last)
-            assert (await first_status(topology)).document_digest == accepted.digest
+            async for accepted in _changes(topology):
+                last = accepted
+            _restart_all(topology)
+            await _is_in_force(topology, load, last.number)
+            assert (await first_status(topology)).document_digest == last.digest
             await load.ready(*topology.instances)
             await load.served_everywhere()
 
     asyncio.run(scenario())
 
 
+def test_all_processes_restart_from_snapshots_and_a_wiped_one_is_repaired(launch):
+    """A snapshot that lacks state, or that an empty disk does not get, would lose it (G9, D12)."""
+
+    async def scenario() -> None:
+        options = {"control": {"compaction_entries": COMPACTION_ENTRIES}}
+        topology = launch(layout(node_options=options))
+        async with trial(topology) as load:
+            control = [name for name, plan in topology.instances.items() if plan.is_control]
+            seen: dict[str, set[str]] = {name: set() for name in control}
+            async for accepted in _changes(topology):
+                last = accepted
+                for name in control:
+                    seen[name].update(_snapshots(topology, name))
+            assert min(map(len, seen.values())) >= COMPACTIONS, seen
+            wiped, killed, kept = control
+            _restart_all(topology, wiped)
+            await _is_in_force(topology, load, last.number)
+            await _repair(topology, wiped, topology.instances[kept].address)
+            assert _snapshots(topology, wiped), "the log of the others no longer has the entries"
+            topology.process(killed).kill()
+            status = await load.status(lambda s: s.leader in (wiped, kept), "a leader remains")
+            assert (status.document_number, status.document_digest) == (last.number, last.digest)
+            await load.served_everywhere()
+
+    asyncio.run(scenario())
+
+
+async def _changes(topology: Topology) -> AsyncIterator[peer_pb2.SubmitReply]:
+    """Submit many different documents, one after the other, and yield the answers."""
+    operator = Operator(topology.addresses[0])
+    first = topology.document_number + 1
+    try:
+        for number in range(first, first + CHANGES):
+            text = submission(topology, number, default_timeout_ms=5000 + number)
+            yield await operator.submit(text)
+    finally:
+        await operator.close()
+
+
+def _restart_all(topology: Topology, *wiped: str) -> None:
+    """Kill every process, remove the data of some instances, and start all again."""
+    names = [*topology.instances, *topology.targets]
+    for name in names:
+        topology.process(name).kill()
+    for name in wiped:
+        topology.wipe(name)
+    for name in names:
+        topology.process(name).start()
+
+
+def _snapshots(topology: Topology, instance: str) -> set[str]:
+    """Return the names of the snapshots on the disk of a control instance."""
+    return {p.name for p in topology.data_directory(instance).glob("consensus/snapshot-*")}
+
+
 @pytest.mark.parametrize("second", ["leader", "other"])
 def test_repair_and_loss_of_a_second_instance(launch, second):
     """A repair reported done too early would lose the log with the next instance (D12)."""
