--- a/tests/core/control/actors.py
+++ b/tests/core/control/actors.py
@@ -30,6 +30,7 @@
     own_term: int = 0
     is_primary: bool = False
     is_running: bool = True
+    incarnation: int = 1
     is_leaving: bool = False
     #: Receives no log; control still reaches it.
     is_behind: bool = False
@@ -93,6 +94,7 @@
     def crash(self) -> None:
         """Stop; what is durable stays."""
         self.is_running = self.is_primary = False
+        self.incarnation += 1
         self.connections.clear()
 
 
@@ -131,6 +133,7 @@
             draining=self.is_draining,
             document_number=self.state.document_number,
             holders_version=self.state.holders_version,
+            control_term=self.state.control_term,
         )
         for target, pool in self.pools.items():
             if self.state.routes.route(GROUP) is not None:
@@ -150,7 +153,7 @@
             return
         assert self.state.document_number >= self.highest_document
         self.highest_document = self.state.document_number
-        for _ in self.state.apply_routes(update):
+        for _ in self.state.revoke_routes(update) + self.state.apply_routes(update):
             route = self.state.routes.route(GROUP)
             self.acks.start_term(route.term, route.history, map(TargetId, MEMBERS))
             self.settle_writes()
