Keep a holder working after a route without its primary

Cause: a new control leader that was never reached by a primary, because both were cut off from each other, sends routes that do not list the primary. A holder that had no connection to it raised KeyError while it took this route over, and again for each later route, so that the group accepted no write for ever. A crash of a process, a load that ended by itself and a lost quorum were ruled out by the report of the failed test. Change: the holder takes a route without the primary's address over and refuses requests for the primary as for one without a lease.

--- a/hibiscuspoint/components/holder/group.py
+++ b/hibiscuspoint/components/holder/group.py
@@ -119,7 +119,7 @@
                 lane = TargetLane(self._context, member.target, member.address)
                 self._lanes[member.target] = lane
             lane.set_address(member.address)
-        if self._primary not in (None, route.primary):
+        if self._primary != route.primary and self._primary in self._lanes:
             self._lanes[self._primary].refuse_waiters(
                 NoPrimaryError(f"target {self._primary} is no longer the primary")
             )
@@ -201,7 +201,9 @@
         """Let as many requests run as the limits of the targets allow."""
         primary = self._primary
         replicas = (lane.limit.value for target, lane in self._lanes.items() if target != primary)
-        self._primary_turns.set_concurrency(self._lanes[primary].limit.value)
+        # A new control leader that has not heard the primary sends a route without its address.
+        if primary in self._lanes:
+            self._primary_turns.set_concurrency(self._lanes[primary].limit.value)
         self._read_turns.set_concurrency(READS_PER_SLOT * max(1, sum(replicas)))
 
     def _waiting(self) -> int:
--- a/tests/system/test_primary.py
+++ b/tests/system/test_primary.py
@@ -70,6 +70,25 @@
     asyncio.run(scenario())
 
 
+def test_primary_cut_off_together_with_the_control_leader(launch, network):
+    """A leader that keeps its primary on the smaller side would stop all writes (G1, G2)."""
+
+    async def scenario() -> None:
+        topology = launch(layout(ship_delay_ms=LOSS_SHIP_DELAY_MS), network)
+        async with trial(topology) as load:
+            primary, leader = await load.primary(), await topology.leader()
+            network.isolate({primary, leader})
+            await load.replaced(primary)
+            await load.progress()
+            await load.ready(leader, expected=False)
+            network.heal()
+            await load.ready(leader)
+            await load.served_everywhere()
+            await _all_follow(load)
+
+    asyncio.run(scenario())
+
+
 async def _entry_beside(topology: Topology, load: Trial, is_holder: bool) -> str:
     """Return an entry; the control group keeps its majority without it."""
     holders = await load.holders()
