Fail a system test in which a handler of an event failed

Cause: a holder that failed on each update of control was seen only as a load without progress, and would not have been seen at all on another holder. Change: system tests read the logs of all instances at their end.

--- a/tests/system/trial.py
+++ b/tests/system/trial.py
@@ -37,6 +37,8 @@
 LOAD_LIMIT_S = 110.0
 #: Acknowledged operations that show that the system works again.
 PROGRESS = 60
+#: Event of an instance that left out the handling of something.
+COMPONENT_FAILED = '"event": "component-failed"'
 
 _WRITES = [kind.value for kind in Kind if not kind.is_read]
 _runs = itertools.count(1)
@@ -205,6 +207,7 @@
         tested.history = await runner.history()
         _judge(tested.history)
         topology.check_processes()
+        _judge_logs(topology)
     except Exception:
         print(await report(topology, runner.recorder.operations))
         if running is not None and running.done():
@@ -219,6 +222,14 @@
         await runner.close()
 
 
+def _judge_logs(topology: Topology) -> None:
+    """Check that no handler of an event failed; the process goes on without what it left out."""
+    for name in topology.instances:
+        path = topology.directory / name / "events.jsonl"
+        failed = [line for line in path.read_text().splitlines() if COMPONENT_FAILED in line]
+        assert not failed, f"{name}: {failed[0]}"
+
+
 def _judge(history: History) -> None:
     violations = check(history)
     assert not violations, f"{len(violations)} violations, first: {violations[:5]}"
