Tell in the reply that the rows of a replay were not recorded

Cause: an outcome larger than 16 KB is recorded without its rows. The holder read that mark of the record and dropped it, so the replay left the entry with a row count and no rows, as if they had been lost on the way. Change: ExecuteReply.without_rows, set by the holder, kept by the entry that forwards. The write runner builds its result in one type, GroupResult. A test harness runs a holder over stand-ins in the test process.

--- a/hibiscuspoint/components/forwarding.py
+++ b/hibiscuspoint/components/forwarding.py
@@ -76,6 +76,7 @@
         served_by=result.served_by or "",
         from_replica=result.from_replica,
         replayed=result.replayed,
+        without_rows=result.without_rows,
     )
 
 
@@ -123,4 +124,5 @@
         served_by=TargetId(reply.served_by),
         from_replica=reply.from_replica,
         replayed=reply.replayed,
+        without_rows=reply.without_rows,
     )
--- a/hibiscuspoint/components/holder/context.py
+++ b/hibiscuspoint/components/holder/context.py
@@ -57,10 +57,15 @@
 
 @dataclass(frozen=True)
 class GroupResult:
-    """The whole answer to a request."""
+    """The whole answer to a request.
+
+    :param replayed: the results are the recorded outcome of an earlier request with the same id.
+    :param without_rows: the rows of this replay were too large to be recorded.
+    """
 
     results: list[common_pb2.ResultSet] = field(default_factory=list)
     position: LogPosition = ZERO
     served_by: TargetId | None = None
     from_replica: bool = False
     replayed: bool = False
+    without_rows: bool = False
--- a/hibiscuspoint/components/holder/writes.py
+++ b/hibiscuspoint/components/holder/writes.py
@@ -100,17 +100,12 @@
         async with holder.primary_turns.turn(request.caller, request.deadline) as turn:
             with holder.primary_work():
                 route = holder.require_route()
-                result, replayed = await self._run(request, route, turn)
+                result = await self._run(request, route, turn)
         with holder.primary_work():
             await self._confirm(result, route, request.deadline)
-        return GroupResult(
-            results=result.results,
-            position=result.position,
-            served_by=route.primary,
-            replayed=replayed,
-        )
+        return result
 
-    async def _run(self, request: GroupRequest, route: Route, turn: Turn) -> tuple[RunResult, bool]:
+    async def _run(self, request: GroupRequest, route: Route, turn: Turn) -> GroupResult:
         lane = self._holder.lanes[route.primary]
         lent = await lane.acquire(request.deadline)
         try:
@@ -119,7 +114,7 @@
                 raise NoPrimaryError("the primary changed before the request was sent")
             started = self._holder.context.clock.monotonic()
             if request.request_id is None:
-                outcome = await self._run_once(request, route, lane, lent), False
+                outcome = await self._run_once(request, route, lane, lent)
             else:
                 outcome = await self._run_with_id(request, route, lane, lent)
             turn.service_time = self._holder.context.clock.monotonic() - started
@@ -129,15 +124,16 @@
 
     async def _run_once(
         self, request: GroupRequest, route: Route, lane: TargetLane, lent: LentConnection
-    ) -> RunResult:
+    ) -> GroupResult:
         run = target_pb2.Run(
             term=route.term, begin=True, statements=request.statements, commit=True
         )
-        return await self._send(lane, lent, run, request.deadline)
+        ran = await self._send(lane, lent, run, request.deadline)
+        return GroupResult(ran.results, ran.position, lane.target)
 
     async def _run_with_id(
         self, request: GroupRequest, route: Route, lane: TargetLane, lent: LentConnection
-    ) -> tuple[RunResult, bool]:
+    ) -> GroupResult:
         digest = idempotency.request_digest(request.statements)
         claim = idempotency.claim(request.request_id, request.issued_at_ms, digest)
         first = target_pb2.Run(term=route.term, begin=True, statements=[claim, *request.statements])
@@ -147,12 +143,12 @@
             recorded = await self._recorded(request, digest, route.term, lane, lent)
             if recorded is None:
                 raise
-            return recorded, True
+            return recorded
         results = ran.results[1:]
         store = idempotency.store_outcome(request.request_id, Outcome.of(results).encode())
         second = target_pb2.Run(term=route.term, statements=[store], commit=True)
         committed = await self._send(lane, lent, second, request.deadline)
-        return type(committed)(results=results, position=committed.position), False
+        return GroupResult(results, committed.position, lane.target)
 
     async def _recorded(
         self,
@@ -161,7 +157,7 @@
         term: Term,
         lane: TargetLane,
         lent: LentConnection,
-    ) -> RunResult | None:
+    ) -> GroupResult | None:
         """Return the recorded answer of an id, at the position at which it was read."""
         query = target_pb2.Run(
             term=term, read_only=True, statements=[idempotency.lookup(request.request_id)]
@@ -173,7 +169,13 @@
         recorded_digest, outcome = rows[0].values
         idempotency.check_digest(recorded_digest.blob, digest)
         recorded = Outcome.decode(outcome.blob)
-        return type(found)(results=list(recorded.results), position=found.position)
+        return GroupResult(
+            results=list(recorded.results),
+            position=found.position,
+            served_by=lane.target,
+            replayed=True,
+            without_rows=recorded.without_rows,
+        )
 
     async def _look_up_after(self, request: GroupRequest, error: HibiscusError) -> GroupResult:
         """Resolve an unknown outcome by its id at the current primary."""
@@ -195,11 +197,9 @@
             raise error from None
         if found is None:
             raise error
-        return GroupResult(
-            results=found.results, position=found.position, served_by=route.primary, replayed=True
-        )
+        return found
 
-    async def _confirm(self, result: RunResult, route: Route, deadline: float) -> None:
+    async def _confirm(self, result: GroupResult, route: Route, deadline: float) -> None:
         holder = self._holder
         started = holder.context.clock.monotonic()
         confirmed = await holder.progress.wait_confirmed(result.position, deadline)
--- a/hibiscuspoint/core/entry/__init__.py
+++ b/hibiscuspoint/core/entry/__init__.py
@@ -21,6 +21,7 @@
 )
 from hibiscuspoint.core.entry.outcome import (
     MAX_OUTCOME_BYTES,
+    WITHOUT_ROWS_NOTE,
     Outcome,
 )
 from hibiscuspoint.core.entry.pool import (
@@ -71,6 +72,7 @@
 __all__ = [
     "MAX_OUTCOME_BYTES",
     "MAX_TOKEN_BYTES",
+    "WITHOUT_ROWS_NOTE",
     "AckTracker",
     "CloseConnection",
     "ConnectionFate",
--- a/hibiscuspoint/core/entry/outcome.py
+++ b/hibiscuspoint/core/entry/outcome.py
@@ -15,11 +15,17 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-__all__ = ["MAX_OUTCOME_BYTES", "Outcome"]
+__all__ = ["MAX_OUTCOME_BYTES", "WITHOUT_ROWS_NOTE", "Outcome"]
 
 #: Greatest size of a recorded outcome; larger ones are recorded without rows.
 MAX_OUTCOME_BYTES = 16 * 1024
 
+#: What a caller is told about a replay without rows.
+WITHOUT_ROWS_NOTE = (
+    f"The request ran before; its results were larger than {MAX_OUTCOME_BYTES} bytes, so their "
+    "rows were not recorded."
+)
+
 
 @dataclass(frozen=True, slots=True)
 class Outcome:
@@ -41,12 +47,7 @@
     @property
     def note(self) -> str:
         """Return what a replay tells its caller; empty when the results are complete."""
-        if not self.without_rows:
-            return ""
-        return (
-            "The request ran before; its results were larger than "
-            f"{MAX_OUTCOME_BYTES} bytes, so their rows were not recorded."
-        )
+        return WITHOUT_ROWS_NOTE if self.without_rows else ""
 
     @classmethod
     def of(cls, results: Sequence[common_pb2.ResultSet]) -> Outcome:
--- a/tests/components/entry_harness.py
+++ b/tests/components/entry_harness.py
@@ -67,12 +67,13 @@
         self.reached = 0
         #: Raised in place of an answer.
         self.error: Exception | None = None
+        self.result = GroupResult(served_by=TargetId("ledger-1"))
 
     def answer(self) -> GroupResult:
         self.reached += 1
         if self.error is not None:
             raise self.error
-        return GroupResult(served_by=TargetId("ledger-1"))
+        return self.result
 
     def candidates(self, request: Any) -> list[tuple[InstanceId, str]]:
         return [(self.instance, "")]
--- a/tests/core/entry/test_idempotency.py
+++ b/tests/core/entry/test_idempotency.py
@@ -83,6 +83,7 @@
         assert list(replayed.results) == results
     else:
         assert sum(map(sum, sizes)) > MAX_OUTCOME_BYTES / 2
+        assert not any(result.rows or result.columns for result in replayed.results)
 
 
 def test_outcome_of_a_very_long_batch_fits():
