Return a replay without recorded rows as an answer

Cause: the caller library and "hibiscuspoint exec" rejected a repeated request whose rows were not recorded as incomplete (HP5003, HP3006), although the request ran once and its outcome is known. Change: a replay marked without_rows is an answer with verdict DONE, the counts of each statement and no rows. Any other answer that is short of rows, and a marked one that has rows, columns or too few results, is still rejected.

--- a/hibiscuspoint/cli/request.py
+++ b/hibiscuspoint/cli/request.py
@@ -77,19 +77,32 @@
 def check_results(request: caller_pb2.ExecuteRequest, reply: caller_pb2.ExecuteReply) -> None:
     """Check that a reply is complete and belongs to the request.
 
+    Only a replay may state that it comes without its rows, and then without all of them.
+
     :raises IncompleteAnswerError: it does not, or a row count or digest differs.
     """
     if reply.call_id != request.call_id:
         raise IncompleteAnswerError("the reply belongs to another request")
     if reply.verdict != Verdict.DONE.value:
         raise IncompleteAnswerError("the reply has no error and no verdict DONE")
-    if len(reply.results) != len(request.statements):
+    if reply.without_rows and not reply.replayed:
+        raise IncompleteAnswerError("the reply has no rows and is not a replay")
+    has_no_results = reply.without_rows and not reply.results
+    if len(reply.results) != len(request.statements) and not has_no_results:
         raise IncompleteAnswerError(
             f"the reply has {len(reply.results)} results for {len(request.statements)} statements"
         )
-    for result in reply.results:
-        digest = xxhash.xxh64()
-        for row in result.rows:
-            digest.update(row.SerializeToString(deterministic=True))
-        if result.row_count != len(result.rows) or result.digest != digest.intdigest():
-            raise IncompleteAnswerError("the rows of the reply are not complete")
+    is_complete = _has_no_rows if reply.without_rows else _has_all_rows
+    if not all(is_complete(result) for result in reply.results):
+        raise IncompleteAnswerError("the rows of the reply are not complete")
+
+
+def _has_no_rows(result: common_pb2.ResultSet) -> bool:
+    return not result.rows and not result.columns
+
+
+def _has_all_rows(result: common_pb2.ResultSet) -> bool:
+    digest = xxhash.xxh64()
+    for row in result.rows:
+        digest.update(row.SerializeToString(deterministic=True))
+    return result.row_count == len(result.rows) and result.digest == digest.intdigest()
--- a/hibiscuspoint/load/answers.py
+++ b/hibiscuspoint/load/answers.py
@@ -23,11 +23,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Result:
-    """The whole result of one statement."""
+    """The whole result of one statement.
+
+    :param row_count: number of rows of the statement, also in an answer without rows.
+    """
 
     columns: tuple[str, ...]
     rows: tuple[tuple[Scalar, ...], ...]
     affected_rows: int
+    row_count: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,6 +39,9 @@
     """The verified answer to one call.
 
     :param entry: ``ip:port`` of the entry that answered.
+    :param replayed: the request ran before; the results are those recorded under its id.
+    :param without_rows: true for a replay whose rows were too large to be recorded. The results
+        then have their counts only; there are none when even the counts were too large.
     """
 
     results: tuple[Result, ...]
@@ -42,6 +49,7 @@
     served_by: str
     from_replica: bool
     replayed: bool
+    without_rows: bool
     go_elsewhere: bool
 
     @property
@@ -103,16 +111,21 @@
         raise IncompleteAnswerError(f"call {call_id} received the answer to call {reply.call_id}")
     if reply.verdict != Verdict.DONE.value or reply.error.code:
         raise error_from_reply(reply)
-    if statements is not None and len(reply.results) != statements:
+    if reply.without_rows and not reply.replayed:
+        raise IncompleteAnswerError(f"call {call_id} received no rows and is not a replay")
+    has_no_results = reply.without_rows and not reply.results
+    if statements is not None and len(reply.results) != statements and not has_no_results:
         raise IncompleteAnswerError(
             f"call {call_id} sent {statements} statements and received {len(reply.results)} results"
         )
+    verify_result = _verify_counts if reply.without_rows else _verify_result
     return Answer(
-        results=tuple(_verify_result(result, call_id) for result in reply.results),
+        results=tuple(verify_result(result, call_id) for result in reply.results),
         entry=entry,
         served_by=reply.served_by,
         from_replica=reply.from_replica,
         replayed=reply.replayed,
+        without_rows=reply.without_rows,
         go_elsewhere=reply.go_elsewhere,
     )
 
@@ -125,4 +138,11 @@
     if result.digest != rows_digest(result.rows):
         raise IncompleteAnswerError(f"call {call_id} received rows that do not match their digest")
     rows = tuple(tuple(decode_value(value) for value in row.values) for row in result.rows)
-    return Result(tuple(result.columns), rows, result.affected_rows)
+    return Result(tuple(result.columns), rows, result.affected_rows, result.row_count)
+
+
+def _verify_counts(result: common_pb2.ResultSet, call_id: int) -> Result:
+    """Return the counts of a result whose rows were not recorded."""
+    if result.rows or result.columns:
+        raise IncompleteAnswerError(f"call {call_id} received a part of rows that are not recorded")
+    return Result((), (), result.affected_rows, result.row_count)
--- a/tests/cli/test_execute.py
+++ b/tests/cli/test_execute.py
@@ -128,6 +128,50 @@
     assert "HP3006" in err
 
 
+@pytest.mark.parametrize("with_counts", [True, False])
+def test_replay_without_rows_prints_why(run, trial, with_counts):
+    """Guards against a missing reason, and against a replay that counts as incomplete (D8)."""
+    default = trial._execute
+
+    def replay(request):
+        reply = default(request)
+        reply.replayed = reply.without_rows = True
+        del reply.results[0].rows[:], reply.results[0].columns[:]
+        if not with_counts:
+            del reply.results[:]
+        return reply
+
+    trial._execute = replay
+    status, out, _ = run(*WRITE, connect=trial)
+    assert status == 0
+    assert "their rows were not recorded" in out
+    assert ("2 rows, not recorded" in out) == with_counts
+    data = json.loads(run(*WRITE, "--output", "json", connect=trial)[1])
+    assert data["without_rows"] and data["replayed"]
+    assert [result["row_count"] for result in data["results"]] == [2] * with_counts
+
+
+@pytest.mark.parametrize("fault", ["rows", "first_run", "unmarked", "results"])
+def test_other_reply_without_rows_is_refused(run, trial, fault):
+    """Guards against missing rows that pass for a replay whose rows were not recorded."""
+    default = trial._execute
+
+    def damaged(request):
+        reply = default(request)
+        reply.replayed = fault != "first_run"
+        reply.without_rows = fault != "unmarked"
+        if fault == "results":
+            reply.results.add()
+        if fault != "rows":
+            del reply.results[0].rows[:]
+        return reply
+
+    trial._execute = damaged
+    status, out, err = run(*WRITE, connect=trial)
+    assert (status, out) == (3, "")
+    assert "HP3006" in err
+
+
 @pytest.mark.parametrize(
     "arguments",
     [
--- a/tests/load/test_caller.py
+++ b/tests/load/test_caller.py
@@ -140,6 +140,67 @@
     run(test)
 
 
+def _without_rows(reply):
+    reply.replayed = True
+    reply.without_rows = True
+    for result in reply.results:
+        del result.rows[:]
+
+
+def _without_results(reply):
+    _without_rows(reply)
+    del reply.results[:]
+
+
+@pytest.mark.parametrize(("change", "row_counts"), [(_without_rows, [2]), (_without_results, [])])
+def test_replay_whose_rows_were_not_recorded_is_an_answer(change, row_counts):
+    """A write that ran must not be reported as a broken answer when it is repeated (D8)."""
+
+    async def test(session, fake):
+        fake.change = change
+        answer = await session.write(GROUP, READ)
+        assert answer.replayed and answer.without_rows
+        assert [result.row_count for result in answer.results] == row_counts
+        assert answer.rows == ()
+
+    run(test)
+
+
+def _part_of_the_rows(reply):
+    _without_rows(reply)
+    reply.results[0].rows.add()
+
+
+def _first_run_without_rows(reply):
+    _without_rows(reply)
+    reply.replayed = False
+
+
+def _replay_short_of_rows(reply):
+    _without_rows(reply)
+    reply.without_rows = False
+
+
+def _replay_short_of_results(reply):
+    _without_rows(reply)
+    del reply.results[1:]
+
+
+@pytest.mark.parametrize(
+    "damage",
+    [_part_of_the_rows, _first_run_without_rows, _replay_short_of_rows, _replay_short_of_results],
+)
+def test_other_answers_without_rows_are_errors(damage):
+    """G4: only a replay that says so may come without its rows, and then without all of them."""
+
+    async def test(session, fake):
+        fake.change = damage
+        with pytest.raises(IncompleteAnswerError):
+            await session.write(GROUP, READ, READ)
+
+    run(test)
+
+
 def test_token_follows_the_session_to_other_entries():
     """G1 depends on the token of the last reply reaching the next entry."""
 
