Sample the primary's tip again when its watch stream ends

Cause: a tip sample whose stream ended is never answered, but it counted as under way until it timed out after 500 ms, as the holder never passed on_lost to the driver. The driver also reported only streams that had been established, so a sample dropped with a failed attempt to connect went unreported. Change: on_lost is part of the driver port and is called for each stream or attempt that ends. For the primary, the holder drops the pending samples and wakes the waiting reads, which sample again over the next stream. The same happens when the address of the primary changes.

--- a/hibiscuspoint/components/holder/progress.py
+++ b/hibiscuspoint/components/holder/progress.py
@@ -190,11 +190,15 @@
             return
         if known is not None:
             known[1].close()
+            self._on_lost(target)
 
         def on_progress(progress: target_pb2.Progress) -> None:
             self._on_progress(target, progress)
 
-        watch = self._context.driver.watch(address, on_progress)
+        def on_lost() -> None:
+            self._on_lost(target)
+
+        watch = self._context.driver.watch(address, on_progress, on_lost=on_lost)
         self._watches[target] = (address, watch)
 
     def _on_progress(self, target: TargetId, progress: target_pb2.Progress) -> None:
@@ -207,6 +211,13 @@
         self._resolve_waiters()
         self.notify()
 
+    def _on_lost(self, target: TargetId) -> None:
+        """Let waiting reads sample again when the stream to the primary ended."""
+        if self._route.primary != target:
+            return
+        self._samples.drop_pending()
+        self.notify()
+
     def _answer_sample(self, target: TargetId, progress: target_pb2.Progress, now: float) -> None:
         route = self._context.routes.primary(self._group, now)
         lease_valid = route is not None and route.primary == target and progress.primary
--- a/hibiscuspoint/core/entry/freshness.py
+++ b/hibiscuspoint/core/entry/freshness.py
@@ -83,6 +83,10 @@
         self._add(sent_at, tip_index)
         return sent_at
 
+    def drop_pending(self) -> None:
+        """Give up the samples under way, as the stream to the primary that carried them ended."""
+        self._pending.clear()
+
     def tip_after(self, earliest: float) -> int | None:
         """Return the lowest tip that a request sent at or after ``earliest`` saw."""
         first = bisect_left(self._sent, earliest)
--- a/hibiscuspoint/core/ports.py
+++ b/hibiscuspoint/core/ports.py
@@ -108,9 +108,17 @@
         """Open a connection."""
 
     def watch(
-        self, address: str, on_progress: Callable[[target_pb2.Progress], None]
+        self,
+        address: str,
+        on_progress: Callable[[target_pb2.Progress], None],
+        *,
+        on_lost: Callable[[], None] | None = None,
     ) -> TargetWatch:
-        """Follow the progress of a target."""
+        """Follow the progress of a target.
+
+        :param on_lost: called when no sample asked for until then will be answered any more;
+            later ones are sent once the target can be reached.
+        """
 
     async def close(self) -> None:
         """Close what is shared between connections."""
--- a/hibiscuspoint/drivers/watch.py
+++ b/hibiscuspoint/drivers/watch.py
@@ -40,10 +40,11 @@
 class StandinWatch:
     """Follows the progress of one target and reconnects when the stream ends or goes silent.
 
-    Samples that have no answer when the stream ends are dropped; ``on_lost`` reports it.
+    Samples that have no answer when a stream ends, or when an attempt to open one fails, are
+    dropped; ``on_lost`` reports it.
 
     :param on_progress: called for each progress; ``sample_id`` is 0 unless it answers a sample.
-    :param on_lost: called when an established stream ends.
+    :param on_lost: called when a stream ends or an attempt to open one fails.
     """
 
     def __init__(
@@ -89,10 +90,9 @@
             await asyncio.sleep(backoff)
 
     def _lose(self) -> None:
-        was_connected = self._is_connected
         self._is_connected = False
         self._outgoing.clear()
-        if was_connected and self._on_lost is not None:
+        if self._on_lost is not None:
             self._on_lost()
 
     async def _follow(self, call: grpc.aio.StreamStreamCall) -> None:
--- a/tests/core/entry/test_reads.py
+++ b/tests/core/entry/test_reads.py
@@ -115,6 +115,18 @@
     assert samples.needs_sample_after(0.9, now=1.6)
 
 
+def test_samples_of_an_ended_stream_are_repeated_at_once():
+    """A read that waits for a sample that nobody answers would wait 500 ms for nothing."""
+    samples = _samples((1.0, 10))
+    lost = samples.send(2.0)
+    samples.drop_pending()
+    assert samples.needs_sample_after(1.5, now=2.0)
+    assert samples.answer(lost, Term(1), 12, True) is None
+    assert samples.tip_after(0.5) == 10
+    samples.answer(samples.send(2.1), Term(1), 12, True)
+    assert not samples.needs_sample_after(1.5, now=2.1)
+
+
 _READ = Read(0.0, 1.0, ZERO, 1.0)
 
 
--- a/tests/drivers/test_driver.py
+++ b/tests/drivers/test_driver.py
@@ -144,6 +144,22 @@
     asyncio.run(scenario())
 
 
+def test_watch_reports_samples_that_a_failed_attempt_did_not_send(tmp_path):
+    """A sample dropped with an attempt to connect would be waited for until it times out."""
+
+    async def scenario():
+        async with open_cluster(tmp_path, "a") as cluster:
+            address = await cluster.stop("a")
+            losses = []
+            watch = cluster.driver.watch(address, print, on_lost=lambda: losses.append(1))
+            for attempts in (1, 2):
+                watch.sample(attempts)
+                await until(lambda: len(losses) >= attempts)  # noqa: B023 - awaited at once
+            watch.close()
+
+    asyncio.run(scenario())
+
+
 def test_pong_keeps_a_slow_answer_alive(tmp_path):
     """A slow statement must not be taken for a dead connection."""
 
