State why the reconnect options of gRPC differ

Cause: grpc.min_reconnect_backoff_ms (1,000) above max_reconnect_backoff_ms (500) looks like a mistake. Change: a comment in consensus_link.py and one in the caller library, which has the same pair. The values stay: the first limits one connection attempt, the second the wait between attempts.

--- a/hibiscuspoint/components/consensus_link.py
+++ b/hibiscuspoint/components/consensus_link.py
@@ -22,7 +22,10 @@
 logger = logging.getLogger(__name__)
 
 #: A local subchannel pool makes a new channel use a new connection, so that one that went silent
-#: is not used again.
+#: is not used again. The minimum reconnect backoff is no wait: gRPC grants each attempt at least
+#: that time (MIN_CONNECT_TIMEOUT of its connection backoff protocol), so it may exceed the maximum.
+#: An attempt at a silent peer ends after 1 s, which leaves time for a second one within the connect
+#: timeout; the wait after a refused attempt grows from 100 to 500 ms.
 CHANNEL_OPTIONS = [
     ("grpc.use_local_subchannel_pool", 1),
     ("grpc.keepalive_time_ms", 10_000),
--- a/hibiscuspoint/load/entries.py
+++ b/hibiscuspoint/load/entries.py
@@ -28,7 +28,8 @@
 AVOID_S = 5.0
 
 #: gRPC must not repeat a call by itself, because that would hide whether it ran. A local subchannel
-#: pool gives each pool its own TCP connections. Short backoffs make a restarted entry usable soon.
+#: pool gives each pool its own TCP connections. Short backoffs make a restarted entry usable soon;
+#: the minimum is the time granted to an attempt to connect, not a wait between attempts.
 CHANNEL_OPTIONS = (
     ("grpc.enable_retries", 0),
     ("grpc.use_local_subchannel_pool", 1),
