Do not take a target that accepts slowly for a refusing one

Cause: gRPC gave an attempt to connect 100 ms, as the minimum reconnect backoff is the time granted to an attempt. A target that took longer to answer, because its process was busy or frozen, was reported as refusing connections, and a refused call is taken as proof that its process is gone. Change: an attempt may take 1.5 s, longer than the connect timeout of a target (1 s) and of control calls (0.5 s), so that the timeout decides.

--- a/hibiscuspoint/util/channels.py
+++ b/hibiscuspoint/util/channels.py
@@ -12,7 +12,9 @@
     # Each channel has a TCP connection of its own.
     ("grpc.use_local_subchannel_pool", 1),
     ("grpc.initial_reconnect_backoff_ms", 100),
-    ("grpc.min_reconnect_backoff_ms", 100),
+    # The time granted to an attempt to connect, not a wait. With less than the connect timeout of a
+    # target, 1 s, a target that is slow to accept looks like one that refuses connections.
+    ("grpc.min_reconnect_backoff_ms", 1500),
     ("grpc.max_reconnect_backoff_ms", 1000),
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
--- a/tests/drivers/test_driver.py
+++ b/tests/drivers/test_driver.py
@@ -236,6 +236,29 @@
     asyncio.run(scenario())
 
 
+def test_target_that_accepts_late_is_not_refused():
+    """A busy target taken for a dead one would be replaced on its first slow connection (D4)."""
+
+    async def scenario():
+        async def stay_silent(reader, writer):
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(stay_silent, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        driver = StandinDriver.from_config(StandinDriverConfig(connect_timeout=0.5))
+        with pytest.raises(ConnectError) as late:
+            await driver.connect("a", address, instance="i", instance_incarnation=1)
+        assert late.value.failure is ConnectFailure.TIMED_OUT
+        with pytest.raises(AdminError) as unanswered:
+            await driver.admin.seal(address, 1, timeout=0.5)
+        assert not unanswered.value.is_refused
+        await driver.close()
+        server.close()
+
+    asyncio.run(scenario())
+
+
 def test_driver_is_registered():
     """Documents name the driver."""
     assert target_drivers.get("standin") is StandinDriver
