Move the TLS credentials out of the components

Cause: target drivers, the stand-in and the command line imported a module of the circuits components, which import the drivers, only for certificate files. Change: the module is the package security now, its tests likewise. Two tests of isolation share their steps.

--- a/hibiscuspoint/cli/client.py
+++ b/hibiscuspoint/cli/client.py
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from hibiscuspoint.components.tls import Transport
+    from hibiscuspoint.security import Transport
     from hibiscuspoint.wire import caller_pb2
 
 __all__ = ["Client"]
--- a/hibiscuspoint/cli/options.py
+++ b/hibiscuspoint/cli/options.py
@@ -10,7 +10,7 @@
 
 from hibiscuspoint.cli.client import Client
 from hibiscuspoint.cli.errors import UsageError
-from hibiscuspoint.components.tls import TlsFiles, Transport
+from hibiscuspoint.security import TlsFiles, Transport
 from hibiscuspoint.settings import TlsMode
 from hibiscuspoint.util.address import parse_address
 
--- a/hibiscuspoint/components/peers.py
+++ b/hibiscuspoint/components/peers.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     import grpc
 
-    from hibiscuspoint.components.tls import Transport
+    from hibiscuspoint.security import Transport
 
 __all__ = ["PEER_SERVER_OPTIONS", "PeerChannels"]
 
--- a/hibiscuspoint/daemon/node.py
+++ b/hibiscuspoint/daemon/node.py
@@ -30,13 +30,13 @@
 from hibiscuspoint.components.reporting import Reporting
 from hibiscuspoint.components.router import Router
 from hibiscuspoint.components.runtime import Runtime, SystemClock
-from hibiscuspoint.components.tls import Transport
 from hibiscuspoint.components.transactions import TransactionStreams
 from hibiscuspoint.core.entry.drain import DrainPhase, DrainState
 from hibiscuspoint.core.entry.session import TokenCodec
 from hibiscuspoint.daemon.failures import FailureWatch
 from hibiscuspoint.drivers import target_drivers
 from hibiscuspoint.ids import Incarnation, InstanceId
+from hibiscuspoint.security import Transport
 from hibiscuspoint.settings import TlsMode
 from hibiscuspoint.telemetry import Metrics, catalogue, log_event
 from hibiscuspoint.util.tasks import spawn
--- a/hibiscuspoint/drivers/admin.py
+++ b/hibiscuspoint/drivers/admin.py
@@ -16,7 +16,7 @@
 
     from google.protobuf.message import Message
 
-    from hibiscuspoint.components.tls import TlsFiles
+    from hibiscuspoint.security import TlsFiles
 
 __all__ = ["AdminClient"]
 
--- a/hibiscuspoint/drivers/security.py
+++ b/hibiscuspoint/drivers/security.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     import grpc
 
-    from hibiscuspoint.components.tls import TlsFiles
+    from hibiscuspoint.security import TlsFiles
 
 __all__ = ["open_target_channel"]
 
--- a/hibiscuspoint/drivers/standin.py
+++ b/hibiscuspoint/drivers/standin.py
@@ -10,13 +10,13 @@
 
 import grpc
 
-from hibiscuspoint.components.tls import TlsFiles
 from hibiscuspoint.drivers.admin import AdminClient
 from hibiscuspoint.drivers.connection import StandinConnection
 from hibiscuspoint.drivers.errors import ConnectError, ConnectFailure
 from hibiscuspoint.drivers.registry import target_drivers
 from hibiscuspoint.drivers.security import open_target_channel
 from hibiscuspoint.drivers.watch import StandinWatch
+from hibiscuspoint.security import TlsFiles
 from hibiscuspoint.wire import target_pb2, target_pb2_grpc
 
 if TYPE_CHECKING:
--- a/hibiscuspoint/drivers/watch.py
+++ b/hibiscuspoint/drivers/watch.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from hibiscuspoint.components.tls import TlsFiles
+    from hibiscuspoint.security import TlsFiles
 
 __all__ = ["StandinWatch"]
 
--- a/hibiscuspoint/standin/config.py
+++ b/hibiscuspoint/standin/config.py
@@ -8,8 +8,8 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from hibiscuspoint.components.tls import TlsFiles
 from hibiscuspoint.ids import AvailabilityZone, GroupId, TargetId
+from hibiscuspoint.security import TlsFiles
 from hibiscuspoint.util.units import MICROSECONDS_PER_SECOND, MILLISECONDS_PER_SECOND
 
 if TYPE_CHECKING:
--- a/hibiscuspoint/standin/replication.py
+++ b/hibiscuspoint/standin/replication.py
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from hibiscuspoint.components.tls import TlsFiles
+    from hibiscuspoint.security import TlsFiles
     from hibiscuspoint.standin.arrivals import Arrivals
     from hibiscuspoint.standin.engine import Engine
     from hibiscuspoint.standin.faults import Faults
--- a/tests/cli/environment.py
+++ b/tests/cli/environment.py
@@ -11,8 +11,8 @@
 import grpc
 import xxhash
 
-from hibiscuspoint.components.tls import Transport
 from hibiscuspoint.document import Document
+from hibiscuspoint.security import Transport
 from hibiscuspoint.settings import TlsMode
 from hibiscuspoint.wire import caller_pb2, caller_pb2_grpc, common_pb2, peer_pb2, peer_pb2_grpc
 
--- a/tests/cli/test_acts.py
+++ b/tests/cli/test_acts.py
@@ -8,7 +8,7 @@
 import trustme
 
 from hibiscuspoint.cli.main import main
-from hibiscuspoint.components.tls import TlsFiles, Transport
+from hibiscuspoint.security import TlsFiles, Transport
 from hibiscuspoint.settings import TlsMode
 from hibiscuspoint.wire import peer_pb2
 from tests.cli.environment import Environment, error
--- a/tests/components/entry_harness.py
+++ b/tests/components/entry_harness.py
@@ -15,11 +15,11 @@
 from hibiscuspoint.components.entry_state import EntryState
 from hibiscuspoint.components.holder import GroupResult
 from hibiscuspoint.components.runtime import Runtime
-from hibiscuspoint.components.tls import Transport
 from hibiscuspoint.components.transactions import TransactionStreams
 from hibiscuspoint.core.entry.drain import DrainState
 from hibiscuspoint.core.entry.session import TokenCodec
 from hibiscuspoint.ids import InstanceId, TargetId
+from hibiscuspoint.security import Transport
 from hibiscuspoint.settings import LimitSettings, TlsMode
 from hibiscuspoint.telemetry import Metrics
 from hibiscuspoint.wire import caller_pb2_grpc, peer_pb2
--- a/tests/components/test_access.py
+++ b/tests/components/test_access.py
@@ -14,7 +14,7 @@
 
 from hibiscuspoint.components.access import AccessInterceptor, AccessPolicy
 from hibiscuspoint.components.peers import CHECK_SECONDS, PeerChannels
-from hibiscuspoint.components.tls import TlsFiles, Transport
+from hibiscuspoint.security import TlsFiles, Transport
 from hibiscuspoint.settings import TlsMode
 from hibiscuspoint.wire import (
     caller_pb2,
--- a/tests/drivers/test_tls.py
+++ b/tests/drivers/test_tls.py
@@ -9,9 +9,9 @@
 import pytest
 import trustme
 
-from hibiscuspoint.components.tls import TlsFiles
 from hibiscuspoint.drivers import AdminError, ConnectError, ConnectFailure, StandinDriver
 from hibiscuspoint.drivers.standin import StandinDriverConfig
+from hibiscuspoint.security import TlsFiles
 from hibiscuspoint.standin.config import ServeTls, StandinConfig
 from tests.standin.harness import CREATE, DEADLINE_S, insert, open_cluster, run, texts, until
 
--- /dev/null
+++ b/tests/security/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the circuits security."""
--- a/tests/components/test_tls.py
+++ b/tests/security/test_tls.py
@@ -10,8 +10,8 @@
 import pytest
 import trustme
 
-from hibiscuspoint.components.tls import TlsFiles, Transport
 from hibiscuspoint.errors import ConfigurationError
+from hibiscuspoint.security import TlsFiles, Transport
 from hibiscuspoint.settings import TlsMode
 from hibiscuspoint.wire import peer_pb2, peer_pb2_grpc
 
--- a/tests/standin/harness.py
+++ b/tests/standin/harness.py
@@ -19,9 +19,9 @@
     from collections.abc import AsyncIterator, Callable
     from pathlib import Path
 
-    from hibiscuspoint.components.tls import TlsFiles
     from hibiscuspoint.drivers.answer import RunResult
     from hibiscuspoint.drivers.connection import StandinConnection
+    from hibiscuspoint.security import TlsFiles
 
 __all__ = ["CREATE", "Cluster", "insert", "open_cluster", "run", "spawn", "texts", "until"]
 
--- a/tests/system/test_mutual_tls.py
+++ b/tests/system/test_mutual_tls.py
@@ -14,7 +14,6 @@
 import trustme
 
 from hibiscuspoint.cli.main import main
-from hibiscuspoint.components.tls import TlsFiles
 from hibiscuspoint.drivers import AdminError, StandinDriver
 from hibiscuspoint.drivers.standin import StandinDriverConfig
 from hibiscuspoint.errors import HibiscusError
@@ -23,6 +22,7 @@
 from hibiscuspoint.load.caller import Caller, Idempotency, Roaming
 from hibiscuspoint.load.layout import Layout, document
 from hibiscuspoint.load.topology import Topology, wait_until
+from hibiscuspoint.security import TlsFiles
 from hibiscuspoint.wire import peer_pb2, peer_pb2_grpc
 
 if TYPE_CHECKING:
--- a/tests/system/test_primary.py
+++ b/tests/system/test_primary.py
@@ -11,7 +11,9 @@
 from tests.system.trial import Trial, trial
 
 if TYPE_CHECKING:
+    from hibiscuspoint.ids import InstanceId, TargetId
     from hibiscuspoint.load.topology import Topology
+    from tests.system.network import Network
 
 
 def test_primary_killed_and_its_successor_too(launch):
@@ -58,14 +60,7 @@
         async with trial(topology) as load:
             primary = await load.primary()
             entry = await _entry_beside(topology, load, is_holder)
-            network.isolate({primary, entry})
-            await load.replaced(primary)
-            await load.progress()
-            await load.ready(entry, expected=False)
-            network.heal()
-            await load.ready(entry)
-            await load.served_everywhere()
-            await _all_follow(load)
+            await _isolate(load, network, (primary, entry))
 
     asyncio.run(scenario())
 
@@ -77,19 +72,25 @@
         topology = launch(layout(ship_delay_ms=LOSS_SHIP_DELAY_MS), network)
         async with trial(topology) as load:
             primary, leader = await load.primary(), await topology.leader()
-            network.isolate({primary, leader})
-            await load.replaced(primary)
-            await load.progress()
-            await load.ready(leader, expected=False)
-            network.heal()
-            await load.ready(leader)
-            await load.served_everywhere()
-            await _all_follow(load)
+            await _isolate(load, network, (primary, leader))
 
     asyncio.run(scenario())
 
 
-async def _entry_beside(topology: Topology, load: Trial, is_holder: bool) -> str:
+async def _isolate(load: Trial, network: Network, side: tuple[TargetId, InstanceId]) -> None:
+    """Cut the primary and an entry off until the group works without them, and heal the cut."""
+    primary, entry = side
+    network.isolate(side)
+    await load.replaced(primary)
+    await load.progress()
+    await load.ready(entry, expected=False)
+    network.heal()
+    await load.ready(entry)
+    await load.served_everywhere()
+    await _all_follow(load)
+
+
+async def _entry_beside(topology: Topology, load: Trial, is_holder: bool) -> InstanceId:
     """Return an entry; the control group keeps its majority without it."""
     holders = await load.holders()
     if is_holder:
