Match the answer to a promotion with the members that it listed

Cause: control took any answer of the primary as one to its latest list of members. When a member appeared while an earlier call was under way, the answer to that call ended the repeats; if the later call was lost, the primary never shipped its log to the new member. With another member lost, no write would have reached a quorum again. Found by reading, not seen in a run. Change: a report carries the members of the call that it answers. Result: the new test of the decision failed before.

--- a/hibiscuspoint/components/control_effects.py
+++ b/hibiscuspoint/components/control_effects.py
@@ -175,7 +175,7 @@
             log_event(
                 logger, catalogue.PRIMARY_PROMOTED, group=group, target=member.target, term=term
             )
-        self._joined(group, member, state)
+        self._joined(group, member, state, members)
 
     async def _follow(
         self, group: GroupId, member: MemberAddress, term: Term, primary: MemberAddress
@@ -185,10 +185,15 @@
         state = await admin.follow(member.address, term, followed, timeout=CALL_SECONDS)
         self._joined(group, member, state)
 
-    def _joined(self, group: GroupId, member: MemberAddress, state: target_pb2.MemberState) -> None:
-        report = MemberReport(
-            member.target, state.accepted, Term(state.sealed_term), _position(state.received)
-        )
+    def _joined(
+        self,
+        group: GroupId,
+        member: MemberAddress,
+        state: target_pb2.MemberState,
+        listed: tuple[MemberAddress, ...] = (),
+    ) -> None:
+        sealed_term, last = Term(state.sealed_term), _position(state.received)
+        report = MemberReport(member.target, state.accepted, sealed_term, last, listed)
         now = self._clock.monotonic()
         self._decide(lambda leader: leader.joined(group, report, now))
 
--- a/hibiscuspoint/core/control/group.py
+++ b/hibiscuspoint/core/control/group.py
@@ -171,8 +171,8 @@
         self._steps.joined(report, now)
         if report.accepted:
             self._reports[report.target] = (report.last, now)
-        if report.accepted and report.target == self._record.primary:
-            self._told_members = self._sent_members
+        if report.accepted and report.target == self._record.primary and report.listed:
+            self._told_members = report.listed
 
     def refused(self, target: TargetId, now: float) -> None:
         """Record that the address of a member refused a call of control."""
--- a/hibiscuspoint/core/control/promotion.py
+++ b/hibiscuspoint/core/control/promotion.py
@@ -37,12 +37,17 @@
 
 @dataclass(frozen=True)
 class MemberReport:
-    """Answer of a member to a step; ``last`` is the last record of its log."""
+    """Answer of a member to a step.
+
+    :param last: last record of its log.
+    :param listed: members that the answered promotion listed; empty for other steps.
+    """
 
     target: TargetId
     accepted: bool
     sealed_term: Term
     last: LogPosition
+    listed: tuple[MemberAddress, ...] = ()
 
 
 @dataclass
--- a/tests/core/control/test_promotion.py
+++ b/tests/core/control/test_promotion.py
@@ -197,6 +197,26 @@
     assert {m.target for m in control.take(Promote)[-1].members} == set(MEMBERS)
 
 
+def test_answer_to_an_earlier_list_of_members_does_not_count_for_a_later_one():
+    """A primary that missed the later list would never ship its log to the member in it."""
+    control = Control(started_state())
+    late = control.targets.pop("c")
+    control.step()
+    earlier = control.take(Promote)[-1]
+    control.targets["c"] = late
+    control.step()
+    assert len(control.take(Promote)[-1].members) == 3
+    answer = member_report("a", 1, 1, listed=earlier.members)
+    control.effects += control.leader.joined(GROUP, answer, control.now)
+    control.run(1.0)
+    again = control.take(Promote)
+    assert again, "the list with the late member had no answer"
+    answer = member_report("a", 1, 1, listed=again[-1].members)
+    control.effects += control.leader.joined(GROUP, answer, control.now)
+    control.run(1.0)
+    assert control.take(Promote) == []
+
+
 def test_member_of_a_lower_term_is_told_to_follow():
     """A member that missed the promotion would otherwise stay outside of the quorum."""
     control = Control(started_state(term=3))
--- a/tests/core/control/world.py
+++ b/tests/core/control/world.py
@@ -178,7 +178,8 @@
         else:
             followers = tuple(m.target for m in effect.members if m.target != target)
             accepted = member.promote(effect.term, followers)
-        answer = MemberReport(target, accepted, Term(member.sealed), member.last)
+        listed = effect.members if isinstance(effect, Promote) else ()
+        answer = MemberReport(target, accepted, Term(member.sealed), member.last, listed)
         decide = leader.sealed if isinstance(effect, Seal) else leader.joined
         return lambda: decide(GROUP, answer, self.leader_now)
 
