Use one piece of code for channels, leases and the primary's connections

Cause: the announcer opened channels with or without TLS beside the function of the drivers that does the same; the lease ledger had two opposite names for one comparison; the holder looked up the connections to the primary in three ways, each with its own guard; two tests replaced the authority in equal steps. Change: the function is in the package security and serves the announcer too; may_hold_earlier is gone in favour of is_known; one property of the holder gives the connections to the primary; the tests share their steps. Behaviour and assertions are as before. Result: tests of core/control, components, drivers, standin and security pass.

--- a/hibiscuspoint/components/holder/group.py
+++ b/hibiscuspoint/components/holder/group.py
@@ -98,6 +98,15 @@
         """Return the runner of interactive transactions."""
         return self._transactions
 
+    @property
+    def _primary_lane(self) -> TargetLane | None:
+        """Return the connections to the primary.
+
+        ``None`` without a route, and for a primary that the control leader has not heard yet: the
+        route then lacks its address.
+        """
+        return self._lanes.get(self._primary)
+
     @property
     def is_idle_at_primary(self) -> bool:
         """Tell whether no request or transaction is in progress at the primary."""
@@ -119,8 +128,9 @@
                 lane = TargetLane(self._context, member.target, member.address)
                 self._lanes[member.target] = lane
             lane.set_address(member.address)
-        if self._primary != route.primary and self._primary in self._lanes:
-            self._lanes[self._primary].refuse_waiters(
+        former = self._primary_lane
+        if former is not None and self._primary != route.primary:
+            former.refuse_waiters(
                 NoPrimaryError(f"target {self._primary} is no longer the primary")
             )
         self._primary = route.primary
@@ -176,9 +186,10 @@
         :raises NoHolderError: this holder has no connections to the primary; nothing was sent.
         """
         route = self._context.routes.primary(self._group, self._context.clock.monotonic())
-        if route is None or route.primary not in self._lanes:
+        lane = None if route is None else self._lanes.get(route.primary)
+        if lane is None:
             raise NoPrimaryError(f"group {self._group} has no primary under a valid lease")
-        if self._lanes[route.primary].pool.share == 0:
+        if lane.pool.share == 0:
             raise NoHolderError(f"this holder has no connections to target {route.primary} yet")
         return route
 
@@ -199,11 +210,10 @@
 
     def refresh_concurrency(self) -> None:
         """Let as many requests run as the limits of the targets allow."""
-        primary = self._primary
-        replicas = (lane.limit.value for target, lane in self._lanes.items() if target != primary)
-        # A new control leader that has not heard the primary sends a route without its address.
-        if primary in self._lanes:
-            self._primary_turns.set_concurrency(self._lanes[primary].limit.value)
+        primary = self._primary_lane
+        replicas = (lane.limit.value for lane in self._lanes.values() if lane is not primary)
+        if primary is not None:
+            self._primary_turns.set_concurrency(primary.limit.value)
         self._read_turns.set_concurrency(READS_PER_SLOT * max(1, sum(replicas)))
 
     def _waiting(self) -> int:
--- a/hibiscuspoint/core/control/leases.py
+++ b/hibiscuspoint/core/control/leases.py
@@ -50,10 +50,6 @@
         until = grantor_end(now, LEASE_SECONDS)
         self._grants.setdefault(group, {})[instance] = _Grant(term, until)
 
-    def may_hold_earlier(self, now: float) -> bool:
-        """Tell whether leases of the previous leader, which are not listed here, may be in use."""
-        return now < self._unknown_until
-
     def release(self, group: GroupId, instance: InstanceId, term: Term) -> None:
         """Record that an entry handed back its lease of a term."""
         grant = self._grants.get(group, {}).get(instance)
--- a/hibiscuspoint/core/control/updates.py
+++ b/hibiscuspoint/core/control/updates.py
@@ -162,7 +162,7 @@
             return False
         if state is RouteState.GRANTED and is_holder:
             return True
-        if self._ledger.may_hold_earlier(now) and entry.instance in record.holders:
+        if not self._ledger.is_known(now) and entry.instance in record.holders:
             return True
         return entry.instance in self._ledger.held_by(record.group, now)
 
--- a/hibiscuspoint/drivers/admin.py
+++ b/hibiscuspoint/drivers/admin.py
@@ -8,7 +8,7 @@
 import grpc
 
 from hibiscuspoint.drivers.errors import AdminError
-from hibiscuspoint.drivers.security import open_target_channel
+from hibiscuspoint.security import open_secured_channel
 from hibiscuspoint.wire import target_pb2, target_pb2_grpc
 
 if TYPE_CHECKING:
@@ -114,7 +114,7 @@
             for channel in replaced.values():
                 self._close(channel, RETIRE_GRACE_S)
         if address not in self._channels:
-            self._channels[address] = open_target_channel(address, self._tls)
+            self._channels[address] = open_secured_channel(address, self._tls)
         return self._channels[address]
 
     def _drop(self, address: str, channel: grpc.aio.Channel) -> None:
--- a/hibiscuspoint/drivers/standin.py
+++ b/hibiscuspoint/drivers/standin.py
@@ -14,9 +14,8 @@
 from hibiscuspoint.drivers.connection import StandinConnection
 from hibiscuspoint.drivers.errors import ConnectError, ConnectFailure
 from hibiscuspoint.drivers.registry import target_drivers
-from hibiscuspoint.drivers.security import open_target_channel
 from hibiscuspoint.drivers.watch import StandinWatch
-from hibiscuspoint.security import TlsFiles
+from hibiscuspoint.security import TlsFiles, open_secured_channel
 from hibiscuspoint.wire import target_pb2, target_pb2_grpc
 
 if TYPE_CHECKING:
@@ -99,7 +98,7 @@
             instance_incarnation=instance_incarnation,
             connection_incarnation=next(self._incarnations),
         )
-        channel = open_target_channel(address, self._config.tls)
+        channel = open_secured_channel(address, self._config.tls)
         try:
             call = target_pb2_grpc.TargetStub(channel).Open()
             async with asyncio.timeout(self._config.connect_timeout):
--- a/hibiscuspoint/drivers/watch.py
+++ b/hibiscuspoint/drivers/watch.py
@@ -9,7 +9,7 @@
 
 import grpc
 
-from hibiscuspoint.drivers.security import open_target_channel
+from hibiscuspoint.security import open_secured_channel
 from hibiscuspoint.util.tasks import run_until_first
 from hibiscuspoint.wire import target_pb2, target_pb2_grpc
 
@@ -81,7 +81,7 @@
     async def _run(self) -> None:
         backoff = FIRST_BACKOFF_S
         while True:
-            channel = open_target_channel(self._address, self._tls, KEEPALIVE_OPTIONS)
+            channel = open_secured_channel(self._address, self._tls, KEEPALIVE_OPTIONS)
             try:
                 await self._follow(target_pb2_grpc.TargetStub(channel).Watch())
             except (grpc.aio.AioRpcError, asyncio.InvalidStateError, TimeoutError) as error:
--- a/hibiscuspoint/security/__init__.py
+++ b/hibiscuspoint/security/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from hibiscuspoint.security.channels import open_secured_channel
 from hibiscuspoint.security.tls import TlsContents, TlsFiles, Transport
 
-__all__ = ["TlsContents", "TlsFiles", "Transport"]
+__all__ = ["TlsContents", "TlsFiles", "Transport", "open_secured_channel"]
--- a/hibiscuspoint/drivers/security.py
+++ b/hibiscuspoint/security/channels.py
@@ -1,4 +1,4 @@
-"""Channels to targets, with TLS or in plain text."""
+"""Channels with TLS or in plain text."""
 
 from __future__ import annotations
 
@@ -9,12 +9,12 @@
 if TYPE_CHECKING:
     import grpc
 
-    from hibiscuspoint.security import TlsFiles
+    from hibiscuspoint.security.tls import TlsFiles
 
-__all__ = ["open_target_channel"]
+__all__ = ["open_secured_channel"]
 
 
-def open_target_channel(
+def open_secured_channel(
     address: str, tls: TlsFiles | None, options: tuple[tuple[str, int], ...] = ()
 ) -> grpc.aio.Channel:
     """Return a channel with its own TCP connection.
--- a/hibiscuspoint/standin/announcer.py
+++ b/hibiscuspoint/standin/announcer.py
@@ -8,9 +8,9 @@
 
 import grpc
 
+from hibiscuspoint.security import open_secured_channel
 from hibiscuspoint.standin.arrivals import ChangeSignal
 from hibiscuspoint.standin.replication import position_message
-from hibiscuspoint.util.channels import open_channel
 from hibiscuspoint.wire import peer_pb2, peer_pb2_grpc
 
 if TYPE_CHECKING:
@@ -92,10 +92,9 @@
             await self._drop_channel()
 
     def _open(self, address: str) -> grpc.aio.Channel:
-        if self._tls is None:
-            return open_channel(address)
-        self._generation = self._tls.generation
-        return open_channel(address, self._tls.channel_credentials())
+        if self._tls is not None:
+            self._generation = self._tls.generation
+        return open_secured_channel(address, self._tls)
 
     async def _send(self, channel: grpc.aio.Channel) -> bool:
         stub = peer_pb2_grpc.ControlStub(channel)
--- a/hibiscuspoint/standin/replication.py
+++ b/hibiscuspoint/standin/replication.py
@@ -10,8 +10,8 @@
 import grpc
 
 from hibiscuspoint.core.position import LogPosition
-from hibiscuspoint.drivers.security import open_target_channel
 from hibiscuspoint.ids import Term
+from hibiscuspoint.security import open_secured_channel
 from hibiscuspoint.standin.arrivals import ChangeSignal
 from hibiscuspoint.util.tasks import run_until_first
 from hibiscuspoint.wire import common_pb2, target_pb2, target_pb2_grpc
@@ -124,7 +124,7 @@
     async def run(self) -> None:
         """Ship until the engine loses its role or the task is cancelled."""
         while self._is_current():
-            channel = open_target_channel(self._address, self._tls)
+            channel = open_secured_channel(self._address, self._tls)
             try:
                 await self._ship(target_pb2_grpc.TargetStub(channel).Ship())
             except (_ShipError, TimeoutError, grpc.aio.AioRpcError, asyncio.InvalidStateError) as e:
--- a/tests/system/test_mutual_tls.py
+++ b/tests/system/test_mutual_tls.py
@@ -174,6 +174,19 @@
         return [number for (number,) in answer.rows]
 
 
+async def _replace_authority(
+    environment: Environment, old: trustme.CA, new: trustme.CA
+) -> tuple[Writer, asyncio.Task]:
+    """Replace the authority while writes go on, and return the writer and its running task."""
+    writer = Writer(environment.callers, old, new)
+    await writer.write("CREATE TABLE item (id INTEGER PRIMARY KEY)")
+    task = asyncio.ensure_future(writer.run())
+    for signer, trusted in ((old, (old, new)), (new, (old, new)), (new, (new,))):
+        await environment.replace(signer, *trusted)
+        await writer.progress()
+    return writer, task
+
+
 @pytest.fixture
 def environment(launch: Callable[[Layout], Topology], tmp_path: Path) -> Environment:
     """Return an environment that is not started."""
@@ -188,12 +201,7 @@
     environment.apply(1)
 
     async def run() -> None:
-        writer = Writer(environment.callers, old, new)
-        await writer.write("CREATE TABLE item (id INTEGER PRIMARY KEY)")
-        task = asyncio.ensure_future(writer.run())
-        for signer, trusted in ((old, (old, new)), (new, (old, new)), (new, (new,))):
-            await environment.replace(signer, *trusted)
-            await writer.progress()
+        writer, task = await _replace_authority(environment, old, new)
         # A new process trusts only the new authority, so nobody may still use the old one.
         restarted = environment.topology.process("instance-3")
         restarted.terminate()
@@ -219,12 +227,7 @@
     environment.apply(1)
 
     async def run() -> None:
-        writer = Writer(environment.callers, old, new)
-        await writer.write("CREATE TABLE item (id INTEGER PRIMARY KEY)")
-        task = asyncio.ensure_future(writer.run())
-        for signer, trusted in ((old, (old, new)), (new, (old, new)), (new, (new,))):
-            await environment.replace(signer, *trusted)
-            await writer.progress()
+        writer, task = await _replace_authority(environment, old, new)
         # Control and holders now meet a primary to which they have no connection.
         status = json.loads(await asyncio.to_thread(environment.run, "status", "--output", "json"))
         primary = status["groups"][0]["primary"]
