--- a/hibiscuspoint/components/attachment.py
+++ b/hibiscuspoint/components/attachment.py
@@ -42,6 +42,8 @@
 
     :param members: addresses of the control instances.
     :param make_report: builds the report that is sent next.
+    :param on_update: called with each update before its event is fired.
+    :param on_detached: called when the stream to the leader ended.
     """
 
     channel = "attachment"
@@ -52,10 +54,16 @@
         channels: PeerChannels,
         members: list[str],
         make_report: Callable[[], peer_pb2.EntryReport],
+        *,
+        on_update: Callable[[peer_pb2.ControlUpdate], None] = lambda update: None,
+        on_detached: Callable[[], None] = lambda: None,
     ) -> None:
         super().__init__()
+        self._on_update = on_update
+        self._on_detached = on_detached
         self._runtime = runtime
         self._channels = channels
+        self._members = list(members)
         self._candidates = cycle(members)
         self._make_report = make_report
         self._redirect = ""
@@ -68,6 +76,12 @@
         """Send a report without waiting for the interval."""
         self._news.set()
 
+    def set_members(self, members: list[str]) -> None:
+        """Replace the control instances that are tried; the same list changes nothing."""
+        if members != self._members:
+            self._members = list(members)
+            self._candidates = cycle(members)
+
     def start(self) -> None:
         """Start to attach."""
         self._task = spawn(self._run(), "attachment")
@@ -88,6 +102,7 @@
             except (grpc.aio.AioRpcError, asyncio.InvalidStateError, TimeoutError) as error:
                 logger.debug("attachment to %s ended: %s", address, error)
             finally:
+                self._on_detached()
                 await channel.close()
             if not self._redirect:
                 await asyncio.sleep(RETRY_SECONDS)
@@ -109,6 +124,7 @@
             if not update.control_term:
                 return
             self._heard_at = loop.time()
+            self._on_update(update)
             self._runtime.dispatch(update_received(update))
 
     async def _send(self, call: grpc.aio.StreamStreamCall, address: str) -> None:
--- a/hibiscuspoint/components/consensus.py
+++ b/hibiscuspoint/components/consensus.py
@@ -19,7 +19,7 @@
 from hibiscuspoint.components.consensus_transport import Transport
 from hibiscuspoint.components.effect_runner import EffectRunner
 from hibiscuspoint.components.proposals import Proposals
-from hibiscuspoint.core.consensus.membership import Member
+from hibiscuspoint.core.consensus.membership import Member, VoterContact
 from hibiscuspoint.core.consensus.node import Node
 from hibiscuspoint.core.consensus.repair import RepairPhase
 from hibiscuspoint.core.consensus.state import Role
@@ -30,7 +30,7 @@
 from hibiscuspoint.verdict import Verdict
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable
+    from collections.abc import AsyncIterator, Callable, Collection
     from pathlib import Path
 
     from hibiscuspoint.components.consensus_servicer import ExchangeServicer
@@ -66,6 +66,8 @@
     :param channel_generation: returns a number whose change asks for new channels.
     :param clock: returns seconds of a clock that never steps.
     :param compaction_entries: applied entries after which a snapshot replaces them.
+    :param open_membership: the id of an instance is its address, voters are added and replaced by
+        :meth:`admit`, and ``peers`` are only the instances that form the group.
     """
 
     channel = "control_log"
@@ -81,15 +83,22 @@
         channel_generation: Callable[[], int] = lambda: 0,
         clock: Callable[[], float] = suspend_aware,
         compaction_entries: int = DEFAULT_COMPACTION_ENTRIES,
+        open_membership: bool = False,
     ) -> None:
         self._instance = instance
+        self._open_membership = open_membership
         self._peers = dict(peers)
         self._data_directory = data_directory
         self._state_machine = state_machine
         self._clock = clock
         self._compaction_entries = compaction_entries
         self._transport = Transport(
-            instance, peers, channel_factory, self._receive, channel_generation
+            instance,
+            peers,
+            channel_factory,
+            self._receive,
+            channel_generation,
+            open_membership=open_membership,
         )
         self._proposals = Proposals()
         self._inbox: list[Message] = []
@@ -125,7 +134,33 @@
     def leader_address(self) -> str:
         """Return the address of the leader; empty when it is unknown."""
         leader = self.leader
-        return self._peers.get(leader, "") if leader else ""
+        if leader is None:
+            return ""
+        return leader if self._open_membership else self._peers.get(leader, "")
+
+    @property
+    def disk(self) -> str:
+        """Return the identity of the disk; empty before :meth:`start` and after an error."""
+        return self._node.me.disk if self._node is not None else ""
+
+    @property
+    def voters(self) -> list[VoterContact]:
+        """Return the voters with the time of their last answer, while this instance leads."""
+        if self._node is None:
+            return []
+        node = self._node
+        contacts = []
+        for voter in sorted(node.configuration.voters):
+            progress = node.progress_of(voter)
+            contact = progress.contact if progress is not None else float("-inf")
+            answered_at = self._clock() if voter == node.me else contact
+            contacts.append(VoterContact(voter.instance, voter.disk, answered_at))
+        return contacts
+
+    @property
+    def is_changing_voters(self) -> bool:
+        """Tell whether a change of the voters is not complete yet."""
+        return self._node is not None and self._node.configuration.is_joint
 
     async def start(self) -> None:
         """Open the disk, recover the state and join the group.
@@ -146,6 +181,7 @@
             recovered=log.recovered,
             draw=random.random,
             now=self._clock(),
+            open_membership=self._open_membership,
         )
         self._transport.start()
         self._ticker = asyncio.create_task(self._tick_forever())
@@ -175,7 +211,33 @@
         """Return the status of all control instances, sorted by instance."""
         if self._node is None:
             return []
-        return member_statuses(self._node, frozenset(self._peers), self._clock())
+        instances = frozenset(self._peers)
+        if self._open_membership:
+            instances = frozenset(member.instance for member in self._node.configuration.members)
+        return member_statuses(self._node, instances, self._clock())
+
+    def admit(self, instance: InstanceId, replaced: InstanceId | None, since: float) -> RepairPhase:
+        """Perform the next step of making the disk of an instance a voter.
+
+        :param replaced: instance whose voter it replaces; ``None`` adds a voter.
+        :param since: when the change was decided, on the clock of the log.
+        :raises NotLeaderError: this instance does not lead.
+        :raises RequestError: the instance is this one.
+        """
+        if self._node is None:
+            raise self._not_leader()
+        if self._node.disk_of(instance) is None:
+            self._transport.send(self._node.probe(instance))
+        progress, effects = self._node.admit(instance, replaced, since, self._clock())
+        self._step(lambda _: effects)
+        return progress.phase
+
+    def retain_peers(self, candidates: Collection[InstanceId]) -> None:
+        """Keep streams to the members and candidates of the group only."""
+        if self._node is None:
+            return
+        members = {member.instance for member in self._node.configuration.members}
+        self._transport.retain((members | set(candidates)) - {self._instance})
 
     async def repair(self, instance: InstanceId) -> AsyncIterator[RepairProgress]:
         """Replace the lost disk of an instance by its new one, yielding each progress.
--- a/hibiscuspoint/components/consensus_transport.py
+++ b/hibiscuspoint/components/consensus_transport.py
@@ -15,7 +15,7 @@
 from hibiscuspoint.wire.consensus import decode_message, encode_message
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable, Collection, Mapping
 
     import grpc
 
@@ -41,6 +41,7 @@
     :param channel_factory: creates a channel like ``grpc.aio.insecure_channel``.
     :param receive: called with each message.
     :param generation: returns a number whose change asks for new channels.
+    :param open_membership: the id of an instance is its address, and any instance may be a peer.
     """
 
     def __init__(
@@ -50,13 +51,16 @@
         channel_factory: Callable[..., grpc.aio.Channel],
         receive: Callable[[Message], None],
         generation: Callable[[], int],
+        *,
+        open_membership: bool = False,
     ) -> None:
+        self._open_membership = open_membership
         self._receive = receive
         self._channel_factory = channel_factory
         self._generation = generation
         self._addresses = {peer: address for peer, address in peers.items() if peer != instance}
         self._links: dict[InstanceId, PeerLink] = {}
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks: dict[InstanceId, asyncio.Task[None]] = {}
         self._servicer = ExchangeServicer(self._decode)
 
     @property
@@ -67,17 +71,24 @@
     def start(self) -> None:
         """Connect to all peers."""
         for peer, address in self._addresses.items():
-            receive = partial(self._decode_reply, peer)
-            link = PeerLink(address, self._channel_factory, receive, self._generation)
-            self._links[peer] = link
-            self._tasks.append(asyncio.create_task(link.run()))
+            self._connect(peer, address)
+
+    def retain(self, instances: Collection[InstanceId]) -> None:
+        """End the streams to instances that are not peers any more, and connect to new ones."""
+        for peer in set(self._links) - set(instances):
+            del self._links[peer]
+            self._tasks.pop(peer).cancel()
+        for peer in set(instances) - set(self._links):
+            self._addresses[peer] = peer
+            self._connect(peer, peer)
 
     async def stop(self) -> None:
         """End all streams."""
         self._servicer.close()
-        for task in self._tasks:
+        tasks = list(self._tasks.values())
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
         self._tasks.clear()
         self._links.clear()
 
@@ -87,6 +98,9 @@
         if not isinstance(message.body, REQUESTS) and self._servicer.reply(envelope):
             return
         link = self._links.get(message.target)
+        if link is None and self._open_membership:
+            self._addresses[message.target] = message.target
+            link = self._connect(message.target, message.target)
         if link is not None:
             link.send(envelope)
 
@@ -96,6 +110,13 @@
             if link.is_idle(_IDLE_PROBE):
                 link.send(encode_message(node.probe(peer)))
 
+    def _connect(self, peer: InstanceId, address: str) -> PeerLink:
+        receive = partial(self._decode_reply, peer)
+        link = PeerLink(address, self._channel_factory, receive, self._generation)
+        self._links[peer] = link
+        self._tasks[peer] = asyncio.create_task(link.run())
+        return link
+
     def _decode_reply(self, peer: InstanceId, envelope: Envelope) -> None:
         """Take a reply from the instance to which the stream leads, and from no other one.
 
--- a/hibiscuspoint/components/control.py
+++ b/hibiscuspoint/components/control.py
@@ -2,46 +2,30 @@
 
 from __future__ import annotations
 
-import asyncio
-import itertools
 import logging
 from typing import TYPE_CHECKING
 
-from circuits import Component, handler
-
 from hibiscuspoint.components.control_effects import EffectRunner
-from hibiscuspoint.core.control import ControlLeader, PublishHolders, PublishRoutes
+from hibiscuspoint.components.leading import Leading
+from hibiscuspoint.core.control import ControlLeader
 from hibiscuspoint.document import Document
 from hibiscuspoint.errors import ConfigurationError
 from hibiscuspoint.telemetry import catalogue, log_event
-from hibiscuspoint.util.tasks import spawn
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from hibiscuspoint.components.consensus import ReplicatedLog
     from hibiscuspoint.components.control_state import ControlStateMachine
-    from hibiscuspoint.core.control import ControlState, Effect
     from hibiscuspoint.core.ports import Clock, TargetDriver
     from hibiscuspoint.ids import GroupId, InstanceId
     from hibiscuspoint.telemetry.metrics import Metrics
-    from hibiscuspoint.wire import peer_pb2
 
 __all__ = ["Control"]
 
 logger = logging.getLogger(__name__)
 
-#: Seconds between two ticks of the groups that change their primary.
-TICK_SECONDS = 0.02
-
-#: Ticks after which all groups are looked at.
-FULL_TICK_INTERVAL = 5
-
 
-class Control(Component):
-    """Runs the decisions of the control leader; does nothing on other instances."""
-
-    channel = "control"
+class Control(Leading[ControlLeader]):
+    """Leads groups with a fixed member list whose commits the proxy acknowledges."""
 
     def __init__(
         self,
@@ -52,119 +36,15 @@
         clock: Clock,
         metrics: Metrics,
     ) -> None:
-        super().__init__()
-        self._instance = instance
-        self._log = log
-        self._machine = machine
-        self._clock = clock
-        self._metrics = metrics
-        self._leader: ControlLeader | None = None
-        self._runner = EffectRunner(log, machine, driver, self._take_effects, clock)
+        self._driver = driver
         self._logged_holders: dict[GroupId, list[InstanceId]] = {}
-        self._streams: dict[InstanceId, Callable[[], None]] = {}
-        self._draining: set[InstanceId] = set()
-        self._task: asyncio.Task | None = None
-
-    @property
-    def leader(self) -> ControlLeader | None:
-        """Return the decisions while this instance leads under a valid leadership lease."""
-        return self._leader if self._log.is_leader else None
-
-    @property
-    def log(self) -> ReplicatedLog:
-        """Return the replicated log."""
-        return self._log
-
-    @property
-    def state(self) -> ControlState:
-        """Return the replicated state."""
-        return self._machine.state
-
-    @property
-    def clock(self) -> Clock:
-        """Return the clock."""
-        return self._clock
-
-    def start(self) -> None:
-        """Start the timer."""
-        self._task = spawn(self._tick_forever(), "control leader timer")
-
-    async def stop(self) -> None:
-        """Stop the timer and the calls in progress."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
-        self._runner.cancel()
-
-    def attach(self, instance: InstanceId, wake: Callable[[], None]) -> None:
-        """Register the stream of an entry; ``wake`` makes it send an update."""
-        self._streams[instance] = wake
-
-    def detach(self, instance: InstanceId, wake: Callable[[], None]) -> None:
-        """Forget the stream of an entry unless a newer one took its place."""
-        if self._streams.get(instance) is wake:
-            del self._streams[instance]
+        super().__init__(instance, log, machine, clock, metrics)
 
-    def request_drain(self, instance: InstanceId) -> None:
-        """Ask an entry to drain with its next update."""
-        self._draining.add(instance)
-        self._wake([instance])
+    def _make_runner(self) -> EffectRunner:
+        return EffectRunner(self._log, self._machine, self._driver, self.take_effects, self._clock)
 
-    def update_for(self, instance: InstanceId) -> peer_pb2.ControlUpdate | None:
-        """Return the update for an entry; ``None`` when this instance does not lead."""
-        leader = self.leader
-        if leader is None or leader.entries.get(instance) is None:
-            return None
-        update = leader.update_for(instance, self._clock.monotonic())
-        update.drain = instance in self._draining
-        return update
-
-    def reported(self, report: peer_pb2.EntryReport) -> bool:
-        """Take a report of an entry; returns false when this instance does not lead."""
-        leader = self.leader
-        if leader is None:
-            return False
-        self._run(leader.reported(report, self._clock.monotonic()))
-        return True
-
-    def announced(self, announcement: peer_pb2.Announcement) -> bool:
-        """Take an announcement of a target; returns false when this instance does not lead."""
-        leader = self.leader
-        if leader is None:
-            return False
-        self._run(leader.announced(announcement, self._clock.monotonic()))
-        return True
-
-    @handler("leadership_gained", channel="*")
-    def _on_leadership_gained(self, term: int) -> None:
-        now = self._clock.monotonic()
-        self._leader = ControlLeader(self._instance, term, self._machine.state, now)
-        self._metrics.leader.set(1)
-        log_event(logger, catalogue.LEADERSHIP_GAINED, term=term)
-        self._take_document()
-
-    @handler("leadership_lost", channel="*")
-    def _on_leadership_lost(self) -> None:
-        if self._leader is None:
-            return
-        self._leader = None
-        self._draining.clear()
-        self._runner.cancel()
-        self._metrics.leader.set(0)
-        term = self._log.control_term
-        log_event(logger, catalogue.LEADERSHIP_LOST, term=term, reason="lease ended")
-        self._wake(list(self._streams))
-
-    @handler("command_applied", channel="*")
-    def _on_command_applied(self, name: str, group: GroupId | None) -> None:
-        leader = self._leader
-        if leader is None:
-            return
-        if name == "accept_document":
-            self._take_document()
-            self._wake(list(self._streams))
-        if group is not None and self._log.is_leader:
-            self._run(leader.tick_group(group, self._clock.monotonic()))
+    def _make_leader(self, term: int, now: float) -> ControlLeader:
+        return ControlLeader(self._instance, term, self._machine.state, now)
 
     def _take_document(self) -> None:
         accepted = self._machine.state.document
@@ -183,48 +63,10 @@
             return
         self._leader.set_document(document)
 
-    async def _tick_forever(self) -> None:
-        for count in itertools.count():
-            leader = self.leader
-            if leader is not None:
-                is_full = count % FULL_TICK_INTERVAL == 0
-                tick = leader.tick if is_full else leader.tick_active
-                self._run(tick(self._clock.monotonic()))
-            await asyncio.sleep(TICK_SECONDS)
-
-    def _take_effects(self, decide: Callable[[ControlLeader], list[Effect]]) -> None:
-        """Run a decision if this instance still leads, for answers that arrive later."""
-        leader = self.leader
-        if leader is not None:
-            self._run(decide(leader))
-
-    def _run(self, effects: list[Effect]) -> None:
-        for effect in effects:
-            if isinstance(effect, PublishRoutes):
-                self._wake(self._concerned(effect.group))
-            elif isinstance(effect, PublishHolders):
-                self._log_holders()
-                self._wake(list(self._streams))
-            else:
-                self._runner.run(effect)
-
-    def _log_holders(self) -> None:
+    def _holders_published(self) -> None:
         """Write the holders that changed since this instance leads."""
         for group in self._machine.state.groups:
             holders = list(self._leader.holders(group)) if self._leader is not None else []
             if holders and holders != self._logged_holders.get(group):
                 self._logged_holders[group] = holders
                 log_event(logger, catalogue.HOLDER_CHANGED, group=group, holders=holders)
-
-    def _concerned(self, group: GroupId) -> list[InstanceId]:
-        record = self._machine.state.groups.get(group)
-        holders = set(record.holders) if record is not None else set()
-        if self._leader is not None:
-            holders |= set(self._leader.holders(group))
-        return [instance for instance in holders if instance in self._streams]
-
-    def _wake(self, instances: list[InstanceId]) -> None:
-        for instance in instances:
-            wake = self._streams.get(instance)
-            if wake is not None:
-                wake()
--- a/hibiscuspoint/components/control_service.py
+++ b/hibiscuspoint/components/control_service.py
@@ -13,8 +13,8 @@
 
     import grpc
 
-    from hibiscuspoint.components.control import Control
     from hibiscuspoint.components.leader_client import LeaderClient
+    from hibiscuspoint.components.leading import Leading
 
 __all__ = ["ControlService"]
 
@@ -25,7 +25,7 @@
     :param control: ``None`` on an instance without the role control.
     """
 
-    def __init__(self, control: Control | None, leader: LeaderClient) -> None:
+    def __init__(self, control: Leading | None, leader: LeaderClient) -> None:
         self._control = control
         self._leader = leader
 
@@ -33,7 +33,7 @@
         self, request: peer_pb2.Announcement, context: grpc.aio.ServicerContext
     ) -> peer_pb2.AnnounceReply:
         """Take an announcement of a target or forward it to the leader."""
-        if self._control is not None and self._control.announced(request):
+        if self._control is not None and await self._control.announced(request):
             return peer_pb2.AnnounceReply(accepted=True)
         if request.forwarded and self._control is not None:
             return peer_pb2.AnnounceReply(accepted=False)
@@ -46,6 +46,7 @@
     ) -> AsyncIterator[peer_pb2.ControlUpdate]:
         """Exchange reports and updates with an entry."""
         if self._control is None:
+            yield peer_pb2.ControlUpdate(redirect=self._leader.known_leader)
             return
         stream = _AttachedStream(self._control)
         reader = asyncio.ensure_future(stream.read(request_iterator))
@@ -62,7 +63,7 @@
 class _AttachedStream:
     """The stream of one entry; updates are built when they are sent."""
 
-    def __init__(self, control: Control) -> None:
+    def __init__(self, control: Leading) -> None:
         self._control = control
         self._due = asyncio.Event()
         self._ended = False
--- a/hibiscuspoint/components/entry_state.py
+++ b/hibiscuspoint/components/entry_state.py
@@ -18,24 +18,37 @@
 from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND, NANOSECONDS_PER_SECOND
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from hibiscuspoint.core.sessions import RoutingTable
     from hibiscuspoint.wire import peer_pb2
 
+    AnyDocument = Document | RoutingTable
+
 __all__ = ["EntryState"]
 
 
+def _parse_document(text: str) -> Document:
+    return Document.from_text(text, source="document in force")
+
+
 class EntryState:
     """Document, holders and routes in force at an entry.
 
     :param environment: environment of this instance; documents of another one are refused.
+    :param parse: reads the text of a document; raises ``ConfigurationError``.
     """
 
-    def __init__(self, environment: str) -> None:
+    def __init__(
+        self, environment: str, parse: Callable[[str], AnyDocument] = _parse_document
+    ) -> None:
         self._environment = environment
+        self._parse = parse
         self._fence = DocumentFence()
         self._contact = ContactMonitor()
         self._holders: dict[GroupId, list[tuple[InstanceId, str]]] = {}
         self.routes = RouteTable()
-        self.document: Document | None = None
+        self.document: AnyDocument | None = None
         self.holders_version = 0
 
     @property
@@ -96,7 +109,7 @@
 
     def _take_document(self, text: str) -> None:
         try:
-            document = Document.from_text(text, source="document in force")
+            document = self._parse(text)
         except ConfigurationError:
             # An instance of an older version keeps its document; status shows its number.
             return
--- /dev/null
+++ b/hibiscuspoint/components/failover_control.py
@@ -0,0 +1,132 @@
+"""The component that leads groups whose targets acknowledge commits by themselves."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from hibiscuspoint.components.failover_effects import FailoverEffects
+from hibiscuspoint.components.leading import Leading
+from hibiscuspoint.core.consensus.repair import RepairPhase
+from hibiscuspoint.core.failover import FailoverLeader, choose_voter_change
+from hibiscuspoint.errors import HibiscusError
+from hibiscuspoint.telemetry import catalogue, log_event
+from hibiscuspoint.util.tasks import spawn
+
+if TYPE_CHECKING:
+    from hibiscuspoint.components.consensus import ReplicatedLog
+    from hibiscuspoint.components.control_state import ControlStateMachine
+    from hibiscuspoint.components.target_poller import TargetPoller
+    from hibiscuspoint.core.failover import VoterChange
+    from hibiscuspoint.core.ports import Clock, PromotionAuthority
+    from hibiscuspoint.ids import InstanceId
+    from hibiscuspoint.telemetry.metrics import Metrics
+
+__all__ = ["FailoverControl"]
+
+logger = logging.getLogger(__name__)
+
+#: Seconds between two looks at the targets to poll and at the voters.
+UPKEEP_SECONDS = 0.1
+
+#: Seconds after its last report in which an instance counts as one that is there.
+REPORTED_SECONDS = 1.0
+
+
+class FailoverControl(Leading[FailoverLeader]):
+    """Runs the failover decisions, polls targets and keeps up the number of voters.
+
+    :param wanted_voters: voters of the control group, as far as there are disks for them.
+    """
+
+    def __init__(
+        self,
+        instance: InstanceId,
+        log: ReplicatedLog,
+        machine: ControlStateMachine,
+        poller: TargetPoller,
+        authority: PromotionAuthority,
+        clock: Clock,
+        metrics: Metrics,
+        wanted_voters: int,
+    ) -> None:
+        self._poller = poller
+        self._authority = authority
+        self._wanted_voters = wanted_voters
+        self._change: VoterChange | None = None
+        self._change_since = 0.0
+        self._upkeep: asyncio.Task | None = None
+        poller.set_decide(self.take_effects)
+        super().__init__(instance, log, machine, clock, metrics)
+
+    def start(self) -> None:
+        """Start the timers."""
+        super().start()
+        self._upkeep = spawn(self._keep_up_forever(), "upkeep of voters and polls")
+
+    async def stop(self) -> None:
+        """Stop the timers and the calls in progress."""
+        if self._upkeep is not None:
+            self._upkeep.cancel()
+            await asyncio.gather(self._upkeep, return_exceptions=True)
+        self._poller.stop()
+        await super().stop()
+
+    def _make_runner(self) -> FailoverEffects:
+        return FailoverEffects(
+            self._log,
+            self._machine,
+            self._poller,
+            self._authority,
+            self.take_effects,
+            self._clock,
+        )
+
+    def _make_leader(self, term: int, now: float) -> FailoverLeader:
+        return FailoverLeader(self._instance, term, self._machine.state, now)
+
+    async def _keep_up_forever(self) -> None:
+        while True:
+            leader = self.leader
+            if leader is None:
+                self._poller.stop()
+                self._change = None
+                self._log.retain_peers(())
+            else:
+                active = {group for group, c in leader.groups.items() if c.is_active}
+                self._poller.follow(leader.targets(), active)
+                leader.control_members = [voter.instance for voter in self._log.voters]
+                self._keep_voters(leader)
+            await asyncio.sleep(UPKEEP_SECONDS)
+
+    def _keep_voters(self, leader: FailoverLeader) -> None:
+        now = self._clock.monotonic()
+        disks = leader.disks(now, REPORTED_SECONDS)
+        self._log.retain_peers(disks.keys())
+        change = choose_voter_change(
+            self._log.voters, disks, self._wanted_voters, self._instance, now
+        )
+        if change is None and not self._log.is_changing_voters:
+            self._change = None
+            return
+        if change != self._change and change is not None:
+            self._change, self._change_since = change, now
+            log_event(
+                logger,
+                catalogue.VOTER_CHANGE_STARTED,
+                subject=change.incoming,
+                replaced=change.replaced or "",
+            )
+        if self._change is None:
+            return
+        try:
+            phase = self._log.admit(
+                self._change.incoming, self._change.replaced, self._change_since
+            )
+        except HibiscusError as error:
+            logger.debug("the voters were not changed: %s", error)
+            return
+        if phase is RepairPhase.DONE:
+            log_event(logger, catalogue.VOTER_CHANGE_FINISHED, subject=self._change.incoming)
+            self._change = None
--- /dev/null
+++ b/hibiscuspoint/components/failover_effects.py
@@ -0,0 +1,160 @@
+"""Carries out failover effects at the control log, the targets and the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from hibiscuspoint.core.control import PrimarySuspected, Propose
+from hibiscuspoint.core.failover import PauseReplica, RequestPromotion, ResumeReplica, StepDown
+from hibiscuspoint.core.ports import PromotionOutcome
+from hibiscuspoint.errors import NotLeaderError
+from hibiscuspoint.ids import Term
+from hibiscuspoint.telemetry import catalogue, log_event
+from hibiscuspoint.util.tasks import spawn
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+    from hibiscuspoint.components.consensus import ReplicatedLog
+    from hibiscuspoint.components.control_state import ControlStateMachine
+    from hibiscuspoint.components.target_poller import TargetPoller
+    from hibiscuspoint.core.control import Effect
+    from hibiscuspoint.core.failover import FailoverLeader, GroupFailover
+    from hibiscuspoint.core.ports import Clock, PromotionAuthority
+    from hibiscuspoint.ids import GroupId
+    from hibiscuspoint.wire import record_pb2
+
+    #: Runs a decision with the leader if this instance still leads.
+    Decide = Callable[[Callable[[FailoverLeader], list[Effect]]], None]
+
+__all__ = ["FailoverEffects"]
+
+logger = logging.getLogger(__name__)
+
+#: Longest time in seconds to wait for the platform's answer to a promotion. A repeated request is
+#: harmless, so an answer that takes longer is asked for again.
+PROMOTION_SECONDS = 1.0
+
+
+class FailoverEffects:
+    """Starts one task for each effect and hands the answers back as decisions."""
+
+    def __init__(
+        self,
+        log: ReplicatedLog,
+        machine: ControlStateMachine,
+        poller: TargetPoller,
+        authority: PromotionAuthority,
+        decide: Decide,
+        clock: Clock,
+    ) -> None:
+        self._log = log
+        self._machine = machine
+        self._poller = poller
+        self._authority = authority
+        self._decide = decide
+        self._clock = clock
+        self._tasks: set[asyncio.Task] = set()
+
+    def run(self, effect: Effect) -> None:
+        """Start to carry out an effect."""
+        match effect:
+            case Propose(command):
+                self._start(self._propose(command), "proposal")
+            case PauseReplica(group, member, term):
+                self._start(self._pause(group, member.target, term), "pause of a replica")
+            case StepDown(group, member, term):
+                self._start(self._step_down(group, member.target, term), "end of a primary")
+            case ResumeReplica(_, member):
+                self._start(self._poller.resume(member.target), "resumption of a replica")
+            case RequestPromotion(group, target, token):
+                self._start(self._promote(group, target, token), "promotion")
+            case PrimarySuspected(group, primary, suspicion):
+                log_event(
+                    logger,
+                    catalogue.PRIMARY_SUSPECTED,
+                    group=group,
+                    target=primary,
+                    term=self._machine.state.groups[group].term,
+                    reason=suspicion.value,
+                )
+
+    def cancel(self) -> None:
+        """Give up all calls."""
+        for task in self._tasks:
+            task.cancel()
+
+    async def _propose(self, command: record_pb2.Command) -> None:
+        try:
+            await self._log.propose(command)
+        except NotLeaderError:
+            return
+        self._log_command(command)
+
+    def _log_command(self, command: record_pb2.Command) -> None:
+        kind = command.WhichOneof("body")
+        body = getattr(command, kind)
+        if kind == "open_term":
+            log_event(logger, catalogue.TERM_OPENED, group=body.group, term=body.term)
+        elif kind == "choose_primary":
+            log_event(
+                logger,
+                catalogue.PRIMARY_CHOSEN,
+                group=body.group,
+                target=body.primary,
+                term=body.term,
+            )
+        elif kind == "start_term":
+            primary = self._machine.state.groups[body.group].primary or ""
+            log_event(
+                logger, catalogue.TERM_STARTED, group=body.group, target=primary, term=body.term
+            )
+        elif kind == "remove_target":
+            log_event(logger, catalogue.TARGET_REMOVED, group=body.group, target=body.target)
+
+    async def _pause(self, group: GroupId, target: str, term: Term) -> None:
+        status = await self._poller.pause(target, term)
+        if status is None:
+            return
+        log_event(
+            logger,
+            catalogue.MEMBER_SEALED,
+            group=group,
+            target=target,
+            term=term,
+            position=f"{status.received.term}:{status.received.index}",
+        )
+        self._tell(group, lambda controller, now: controller.paused(target, status, term, now))
+
+    async def _step_down(self, group: GroupId, target: str, term: Term) -> None:
+        status = await self._poller.step_down(target, term)
+        if status is not None:
+            self._tell(
+                group, lambda controller, now: controller.stepped_down(target, status, term, now)
+            )
+
+    async def _promote(self, group: GroupId, target: str, token: int) -> None:
+        if not self._log.is_leader:
+            return
+        outcome = await self._authority.promote(group, target, token, PROMOTION_SECONDS)
+        log_event(
+            logger,
+            catalogue.PROMOTION_REQUESTED,
+            group=group,
+            target=target,
+            fence=token,
+            outcome=outcome.value,
+        )
+        if outcome is PromotionOutcome.REFUSED:
+            self._tell(group, lambda controller, now: controller.promotion_refused(target, now))
+
+    def _tell(self, group: GroupId, act: Callable[[GroupFailover, float], None]) -> None:
+        now = self._clock.monotonic()
+        self._decide(lambda leader: leader.decide(group, lambda c: act(c, now), now))
+
+    def _start(self, work: Coroutine, name: str) -> None:
+        task = spawn(work, name)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- a/hibiscuspoint/components/http.py
+++ b/hibiscuspoint/components/http.py
@@ -5,7 +5,8 @@
 from typing import TYPE_CHECKING
 
 from aiohttp import web
-from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+from hibiscuspoint.components.metrics_server import metrics_response
 
 if TYPE_CHECKING:
     from hibiscuspoint.components.entry import Entry
@@ -46,8 +47,7 @@
             await self._runner.cleanup()
 
     async def _serve_metrics(self, request: web.Request) -> web.Response:
-        body = generate_latest(self._metrics.registry)
-        return web.Response(body=body, headers={"Content-Type": CONTENT_TYPE_LATEST})
+        return metrics_response(self._metrics)
 
     async def _serve_health(self, request: web.Request) -> web.Response:
         return web.Response(text="ok\n")
--- a/hibiscuspoint/components/leader_client.py
+++ b/hibiscuspoint/components/leader_client.py
@@ -11,6 +11,8 @@
 from hibiscuspoint.wire import peer_pb2, peer_pb2_grpc
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from google.protobuf.message import Message
 
     from hibiscuspoint.components.consensus import ReplicatedLog
@@ -41,6 +43,23 @@
         self._log = log
         self._members = list(members)
         self._channels = channels
+        self._attached_to = ""
+
+    @property
+    def known_leader(self) -> str:
+        """Return the address of the leader that this instance knows; empty without one."""
+        if self._log is not None and self._log.leader_address:
+            return self._log.leader_address
+        return self._attached_to
+
+    def attached(self, leader: str, members: Iterable[str]) -> None:
+        """Take the addresses of the leader and of the control group from an update."""
+        self._attached_to = leader
+        self._members = list(members) or self._members
+
+    def detached(self) -> None:
+        """Forget the leader, as its updates ended."""
+        self._attached_to = ""
 
     async def announce(self, request: peer_pb2.Announcement) -> peer_pb2.AnnounceReply:
         """Forward an announcement; a refused one is repeated by the target."""
@@ -86,8 +105,9 @@
 
     def _candidates(self) -> list[str]:
         if self._log is not None:
-            return [self._log.leader_address] if self._log.leader_address else []
-        return list(self._members)
+            return [self.known_leader] if self.known_leader else []
+        known = [self._attached_to] if self._attached_to else []
+        return known + [member for member in self._members if member not in known]
 
     def _failed(self, address: str) -> None:
         """Ask the other control instances first next time."""
--- /dev/null
+++ b/hibiscuspoint/components/leading.py
@@ -0,0 +1,265 @@
+"""The part that components which lead groups have in common, whatever decides about the groups."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import logging
+from typing import TYPE_CHECKING, Generic, Protocol, TypeVar
+
+from circuits import Component, handler
+
+from hibiscuspoint.core.control import PublishHolders, PublishRoutes
+from hibiscuspoint.errors import NotLeaderError
+from hibiscuspoint.telemetry import catalogue, log_event
+from hibiscuspoint.util.tasks import spawn
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from hibiscuspoint.components.consensus import ReplicatedLog
+    from hibiscuspoint.components.control_state import ControlStateMachine
+    from hibiscuspoint.core.control import ControlState, Effect
+    from hibiscuspoint.core.control.entries import EntryDirectory
+    from hibiscuspoint.core.ports import Clock
+    from hibiscuspoint.ids import GroupId, InstanceId
+    from hibiscuspoint.telemetry.metrics import Metrics
+    from hibiscuspoint.wire import peer_pb2, record_pb2
+
+__all__ = ["Effects", "GroupLeader", "Leading"]
+
+logger = logging.getLogger(__name__)
+
+#: Seconds between two ticks of the groups that change their primary.
+TICK_SECONDS = 0.02
+
+#: Ticks after which all groups are looked at.
+FULL_TICK_INTERVAL = 5
+
+
+class GroupLeader(Protocol):
+    """Decisions of one leadership."""
+
+    @property
+    def entries(self) -> EntryDirectory:
+        """Return the entries that report."""
+
+    def registration(self, message: peer_pb2.Announcement) -> record_pb2.Command | None:
+        """Return the command that must be committed before an announcement is accepted."""
+
+    def announced(self, message: peer_pb2.Announcement, now: float) -> list[Effect]:
+        """Take an announcement of a target."""
+
+    def reported(self, message: peer_pb2.EntryReport, now: float) -> list[Effect]:
+        """Take a report of an entry."""
+
+    def concerned(self, group: GroupId) -> list[InstanceId] | None:
+        """Return the entries that need the routes of a group; ``None`` for all."""
+
+    def tick(self, now: float) -> list[Effect]:
+        """Advance all groups."""
+
+    def tick_active(self, now: float) -> list[Effect]:
+        """Advance the groups that change their primary."""
+
+    def tick_group(self, group: GroupId, now: float) -> list[Effect]:
+        """Advance one group."""
+
+    def update_for(self, instance: InstanceId, now: float) -> peer_pb2.ControlUpdate:
+        """Return the update for an entry."""
+
+
+class Effects(Protocol):
+    """Carries out the effects of the decisions."""
+
+    def run(self, effect: Effect) -> None:
+        """Start to carry out an effect."""
+
+    def cancel(self) -> None:
+        """Give up all calls."""
+
+
+LeaderT = TypeVar("LeaderT", bound=GroupLeader)
+
+
+class Leading(Component, Generic[LeaderT]):
+    """Runs the decisions of the control leader; does nothing on other instances."""
+
+    channel = "control"
+
+    def __init__(
+        self,
+        instance: InstanceId,
+        log: ReplicatedLog,
+        machine: ControlStateMachine,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        super().__init__()
+        self._instance = instance
+        self._log = log
+        self._machine = machine
+        self._clock = clock
+        self._metrics = metrics
+        self._leader: LeaderT | None = None
+        self._runner = self._make_runner()
+        self._streams: dict[InstanceId, Callable[[], None]] = {}
+        self._draining: set[InstanceId] = set()
+        self._task: asyncio.Task | None = None
+
+    @property
+    def leader(self) -> LeaderT | None:
+        """Return the decisions while this instance leads under a valid leadership lease."""
+        return self._leader if self._log.is_leader else None
+
+    @property
+    def log(self) -> ReplicatedLog:
+        """Return the replicated log."""
+        return self._log
+
+    @property
+    def state(self) -> ControlState:
+        """Return the replicated state."""
+        return self._machine.state
+
+    @property
+    def clock(self) -> Clock:
+        """Return the clock."""
+        return self._clock
+
+    def start(self) -> None:
+        """Start the timer."""
+        self._task = spawn(self._tick_forever(), "control leader timer")
+
+    async def stop(self) -> None:
+        """Stop the timer and the calls in progress."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        self._runner.cancel()
+
+    def attach(self, instance: InstanceId, wake: Callable[[], None]) -> None:
+        """Register the stream of an entry; ``wake`` makes it send an update."""
+        self._streams[instance] = wake
+
+    def detach(self, instance: InstanceId, wake: Callable[[], None]) -> None:
+        """Forget the stream of an entry unless a newer one took its place."""
+        if self._streams.get(instance) is wake:
+            del self._streams[instance]
+
+    def request_drain(self, instance: InstanceId) -> None:
+        """Ask an entry to drain with its next update."""
+        self._draining.add(instance)
+        self._wake([instance])
+
+    def update_for(self, instance: InstanceId) -> peer_pb2.ControlUpdate | None:
+        """Return the update for an entry; ``None`` when this instance does not lead."""
+        leader = self.leader
+        if leader is None or leader.entries.get(instance) is None:
+            return None
+        update = leader.update_for(instance, self._clock.monotonic())
+        update.drain = instance in self._draining
+        return update
+
+    def reported(self, report: peer_pb2.EntryReport) -> bool:
+        """Take a report of an entry; returns false when this instance does not lead."""
+        leader = self.leader
+        if leader is None:
+            return False
+        self._run(leader.reported(report, self._clock.monotonic()))
+        return True
+
+    async def announced(self, announcement: peer_pb2.Announcement) -> bool:
+        """Take an announcement of a target; returns false when this instance does not lead.
+
+        What must outlast this leader is committed before the announcement is accepted.
+        """
+        leader = self.leader
+        if leader is None:
+            return False
+        command = leader.registration(announcement)
+        if command is not None:
+            try:
+                await self._log.propose(command)
+            except NotLeaderError:
+                return False
+        if self.leader is not leader:
+            return False
+        self._run(leader.announced(announcement, self._clock.monotonic()))
+        return True
+
+    def take_effects(self, decide: Callable[[LeaderT], list[Effect]]) -> None:
+        """Run a decision if this instance still leads, for answers that arrive later."""
+        leader = self.leader
+        if leader is not None:
+            self._run(decide(leader))
+
+    def _make_runner(self) -> Effects:
+        """Return what carries out the effects."""
+        raise NotImplementedError
+
+    def _make_leader(self, term: int, now: float) -> LeaderT:
+        """Return the decisions of a new leadership."""
+        raise NotImplementedError
+
+    def _take_document(self) -> None:
+        """Hand the document in force to the decisions."""
+
+    def _holders_published(self) -> None:
+        """Take notice of changed holder lists."""
+
+    @handler("leadership_gained", channel="*")
+    def _on_leadership_gained(self, term: int) -> None:
+        self._leader = self._make_leader(term, self._clock.monotonic())
+        self._metrics.leader.set(1)
+        log_event(logger, catalogue.LEADERSHIP_GAINED, term=term)
+        self._take_document()
+
+    @handler("leadership_lost", channel="*")
+    def _on_leadership_lost(self) -> None:
+        if self._leader is None:
+            return
+        self._leader = None
+        self._draining.clear()
+        self._runner.cancel()
+        self._metrics.leader.set(0)
+        term = self._log.control_term
+        log_event(logger, catalogue.LEADERSHIP_LOST, term=term, reason="lease ended")
+        self._wake(list(self._streams))
+
+    @handler("command_applied", channel="*")
+    def _on_command_applied(self, name: str, group: GroupId | None) -> None:
+        leader = self._leader
+        if leader is None:
+            return
+        if name == "accept_document":
+            self._take_document()
+            self._wake(list(self._streams))
+        if group is not None and self._log.is_leader:
+            self._run(leader.tick_group(group, self._clock.monotonic()))
+
+    async def _tick_forever(self) -> None:
+        for count in itertools.count():
+            leader = self.leader
+            if leader is not None:
+                is_full = count % FULL_TICK_INTERVAL == 0
+                tick = leader.tick if is_full else leader.tick_active
+                self._run(tick(self._clock.monotonic()))
+            await asyncio.sleep(TICK_SECONDS)
+
+    def _run(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, PublishRoutes):
+                concerned = self._leader.concerned(effect.group) if self._leader else None
+                self._wake(list(self._streams) if concerned is None else concerned)
+            elif isinstance(effect, PublishHolders):
+                self._holders_published()
+                self._wake(list(self._streams))
+            else:
+                self._runner.run(effect)
+
+    def _wake(self, instances: list[InstanceId]) -> None:
+        for instance in instances:
+            wake = self._streams.get(instance)
+            if wake is not None:
+                wake()
--- a/hibiscuspoint/components/reporting.py
+++ b/hibiscuspoint/components/reporting.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import logging
-from typing import TYPE_CHECKING
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
 
 from circuits import Component, handler
 
@@ -16,19 +17,40 @@
 
 if TYPE_CHECKING:
     from hibiscuspoint.components.entry_state import EntryState
-    from hibiscuspoint.components.holders import Holders
     from hibiscuspoint.components.runtime import Runtime
     from hibiscuspoint.core.entry.drain import DrainState
     from hibiscuspoint.core.ports import Clock
-    from hibiscuspoint.ids import Incarnation
-    from hibiscuspoint.settings import NodeSettings
+    from hibiscuspoint.ids import AvailabilityZone, Incarnation, InstanceId
     from hibiscuspoint.telemetry.metrics import Metrics
 
-__all__ = ["Reporting"]
+__all__ = ["EntryIdentity", "LeaseUser", "Reporting"]
 
 logger = logging.getLogger(__name__)
 
 
+@dataclass(frozen=True)
+class EntryIdentity:
+    """Who reports.
+
+    :param address: address of the services for other instances, "ip:port".
+    """
+
+    instance: InstanceId
+    incarnation: Incarnation
+    availability_zone: AvailabilityZone
+    address: str
+
+
+class LeaseUser(Protocol):
+    """What uses primaries under leases and tells control about them."""
+
+    def fill_report(self, report: peer_pb2.EntryReport, now: float) -> None:
+        """Add leases, shares and observations to a report."""
+
+    def close_shares(self) -> None:
+        """Hand back everything, as the instance stops."""
+
+
 class Reporting(Component):
     """Reports to control and follows its request to drain."""
 
@@ -36,17 +58,15 @@
 
     def __init__(
         self,
-        settings: NodeSettings,
-        incarnation: Incarnation,
+        identity: EntryIdentity,
         state: EntryState,
-        holders: Holders,
+        holders: LeaseUser,
         drain: DrainState,
         clock: Clock,
         metrics: Metrics,
     ) -> None:
         super().__init__()
-        self._settings = settings
-        self._incarnation = incarnation
+        self._identity = identity
         self._state = state
         self._holders = holders
         self._drain = drain
@@ -62,10 +82,10 @@
         document = self._state.document
         self._log_drained()
         report = peer_pb2.EntryReport(
-            instance=self._settings.node.instance,
-            incarnation=self._incarnation,
-            availability_zone=self._settings.node.availability_zone,
-            address=self._settings.listen.advertised,
+            instance=self._identity.instance,
+            incarnation=self._identity.incarnation,
+            availability_zone=self._identity.availability_zone,
+            address=self._identity.address,
             sent_at_ns=now_ns,
             document_number=self._state.document_number,
             document_digest=document.digest if document is not None else "",
@@ -83,7 +103,7 @@
             log_event(
                 logger,
                 catalogue.DRAIN_FINISHED,
-                subject=self._settings.node.instance,
+                subject=self._identity.instance,
                 interrupted=self._drain.in_progress,
             )
 
@@ -105,7 +125,7 @@
             log_event(
                 logger,
                 catalogue.DRAIN_STARTED,
-                subject=self._settings.node.instance,
+                subject=self._identity.instance,
                 open_requests=self._drain.in_progress,
             )
         number = self._state.document_number
--- /dev/null
+++ b/hibiscuspoint/components/sessions/__init__.py
@@ -0,0 +1,9 @@
+"""Components that serve sessions which are connections."""
+
+from __future__ import annotations
+
+from hibiscuspoint.components.sessions.groups import GroupAccess
+from hibiscuspoint.components.sessions.service import SessionService
+from hibiscuspoint.components.sessions.session import Session
+
+__all__ = ["GroupAccess", "Session", "SessionService"]
--- /dev/null
+++ b/hibiscuspoint/components/sessions/groups.py
@@ -0,0 +1,218 @@
+"""What one instance knows about the targets of the groups, and its use of the primaries."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from hibiscuspoint.components.sessions.pool import TargetPool
+from hibiscuspoint.core.position import ZERO, LogPosition
+from hibiscuspoint.core.sessions import TargetLoad, TipLog
+from hibiscuspoint.ids import GroupId, TargetId, Term
+from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND, NANOSECONDS_PER_SECOND
+from hibiscuspoint.wire import common_pb2, peer_pb2
+
+if TYPE_CHECKING:
+    from hibiscuspoint.components.entry_state import EntryState
+    from hibiscuspoint.core.entry.routes import Route, RouteMember
+    from hibiscuspoint.core.ports import Clock, SessionDriver
+
+__all__ = ["GroupAccess", "TargetCounts"]
+
+#: Connections of a target that are left to control and to handshakes in progress.
+RESERVED_CONNECTIONS = 2
+
+
+@dataclass
+class TargetCounts:
+    """What was seen at a target since the last report."""
+
+    successes: int = 0
+    refusals: int = 0
+    timeouts: int = 0
+    commits: int = 0
+    commit_timeouts: int = 0
+
+
+class GroupAccess:
+    """Connections, loads, tips and the use of primaries under leases, for all groups.
+
+    :param state: routes and configuration in force.
+    """
+
+    def __init__(self, state: EntryState, driver: SessionDriver, clock: Clock) -> None:
+        self._state = state
+        self._driver = driver
+        self._clock = clock
+        self._pools: dict[TargetId, TargetPool] = {}
+        self._counts: dict[TargetId, TargetCounts] = {}
+        self._uses: Counter[GroupId] = Counter()
+        self._released: dict[GroupId, Term] = {}
+        self._acknowledged: dict[GroupId, LogPosition] = {}
+        self._changed = asyncio.Event()
+        self.loads: dict[TargetId, TargetLoad] = {}
+        self.tips: dict[GroupId, TipLog] = {}
+        self.entries = 1
+
+    @property
+    def pools(self) -> dict[TargetId, TargetPool]:
+        """Return the connections by target."""
+        return self._pools
+
+    def route(self, group: GroupId) -> Route | None:
+        """Return the known route of a group without regard to its lease."""
+        return self._state.routes.route(group)
+
+    def primary(self, group: GroupId) -> Route | None:
+        """Return the route of a group if new work may start at its primary now."""
+        route = self._state.routes.primary(group, self._clock.monotonic())
+        return route if route is not None and not route.paused else None
+
+    async def wait_for_primary(self, group: GroupId, deadline: float) -> Route | None:
+        """Return the route once new work may start at the primary; ``None`` at the deadline.
+
+        :param deadline: monotonic time in seconds.
+        """
+        while True:
+            route = self.primary(group)
+            remaining = deadline - self._clock.monotonic()
+            if route is not None or remaining <= 0:
+                return route
+            try:
+                async with asyncio.timeout(remaining):
+                    await self._changed.wait()
+            except TimeoutError:
+                return self.primary(group)
+
+    def is_current(self, group: GroupId, term: Term) -> bool:
+        """Tell whether the primary of a term may still be used."""
+        return self._state.routes.is_current(group, term, self._clock.monotonic())
+
+    def begin_use(self, group: GroupId) -> None:
+        """Count work that starts at the primary."""
+        self._uses[group] += 1
+
+    def end_use(self, group: GroupId) -> None:
+        """Count the end of work at the primary; the last one hands back a paused route."""
+        self._uses[group] -= 1
+        self._release_paused(group)
+
+    def pool(self, group: GroupId, member: RouteMember) -> TargetPool:
+        """Return the connections to a target."""
+        pool = self._pools.get(member.target)
+        if pool is not None and pool.address != member.address:
+            pool.close()
+            pool = None
+        if pool is None:
+            pool = TargetPool(group, member.target, member.address, self._driver, self._clock)
+            self._pools[member.target] = pool
+        limits = self._state.document.groups.get(group) if self._state.document else None
+        if limits is not None:
+            usable = max(1, limits.max_connections - RESERVED_CONNECTIONS)
+            pool.limit = usable
+            pool.share = usable // max(1, self.entries)
+        return pool
+
+    def load(self, target: TargetId) -> TargetLoad:
+        """Return what this instance has seen of a target."""
+        return self.loads.setdefault(target, TargetLoad())
+
+    def counts(self, target: TargetId) -> TargetCounts:
+        """Return what was seen at a target since the last report."""
+        return self._counts.setdefault(target, TargetCounts())
+
+    def tip(self, group: GroupId) -> TipLog:
+        """Return the positions read at the primary of a group."""
+        return self.tips.setdefault(group, TipLog())
+
+    def acknowledged(self, group: GroupId, position: LogPosition) -> None:
+        """Record the position of a commit that is acknowledged to a caller."""
+        self._acknowledged[group] = max(self._acknowledged.get(group, ZERO), position)
+
+    def update(self, update: peer_pb2.ControlUpdate) -> bool:
+        """Take the routes of an update over; returns whether it made a lease be handed back.
+
+        The update was already accepted by the fences.
+        """
+        before = dict(self._released)
+        self._state.apply_routes(update)
+        for group in self._state.revoke_routes(update):
+            self._note_release(group)
+        asked_at = update.echo_sent_at_ns / NANOSECONDS_PER_SECOND
+        for route in update.routes:
+            group = GroupId(route.group)
+            if self._released.get(group, Term(0)) < route.term:
+                self._released.pop(group, None)
+            if route.HasField("tip"):
+                position = LogPosition(Term(route.tip.term), route.tip.index)
+                age = route.tip_age_ms / MILLISECONDS_PER_SECOND
+                self.tip(group).add(asked_at - age, position)
+            self._release_paused(group)
+        self._drop_pools()
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return any(before.get(group) != term for group, term in self._released.items())
+
+    def fill_report(self, report: peer_pb2.EntryReport, now: float) -> None:
+        """Add what control needs to know about leases and primaries."""
+        for group, term in self._released.items():
+            report.released.append(peer_pb2.RouteRelease(group=group, term=term))
+        for group, position in self._acknowledged.items():
+            item = report.acknowledged.add(group=group)
+            item.position.CopyFrom(common_pb2.Position(term=position.term, index=position.index))
+        for target, pool in self._pools.items():
+            if pool.refusals:
+                self.counts(target).refusals += pool.refusals
+                pool.refusals = 0
+        for target, counts in self._counts.items():
+            report.observations.append(
+                peer_pb2.TargetObservation(
+                    target=target,
+                    successes=counts.successes,
+                    refusals=counts.refusals,
+                    timeouts=counts.timeouts,
+                    commits=counts.commits,
+                    commit_timeouts=counts.commit_timeouts,
+                )
+            )
+        self._counts.clear()
+
+    def close_shares(self) -> None:
+        """Hand back all leases, as the instance stops."""
+        for group in self._state.routes.groups:
+            self._state.routes.release(group)
+            self._note_release(group)
+
+    def tick(self, now: float) -> None:
+        """Close idle connections."""
+        for pool in self._pools.values():
+            pool.tick(now)
+
+    def close(self) -> None:
+        """Close all connections."""
+        for pool in self._pools.values():
+            pool.close()
+
+    def _release_paused(self, group: GroupId) -> None:
+        route = self._state.routes.route(group)
+        now = self._clock.monotonic()
+        if route is None or not route.paused or self._uses[group] > 0:
+            return
+        if self._state.routes.primary(group, now) is not None:
+            self._state.routes.release(group, now)
+            self._note_release(group)
+
+    def _note_release(self, group: GroupId) -> None:
+        self._released[group] = self._state.routes.term(group)
+
+    def _drop_pools(self) -> None:
+        """Close the connections to targets that no route lists any more."""
+        listed = set()
+        for group in self._state.routes.groups:
+            route = self._state.routes.route(group)
+            listed.update(member.target for member in route.members)
+        for target in set(self._pools) - listed:
+            self._pools.pop(target).close()
+            self.loads.pop(target, None)
--- /dev/null
+++ b/hibiscuspoint/components/target_poller.py
@@ -0,0 +1,187 @@
+"""The control leader's own connections to the targets."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING, TypeVar
+
+from hibiscuspoint.drivers.errors import ConnectError, ConnectFailure, ConnectionLost
+from hibiscuspoint.telemetry import catalogue, log_event
+from hibiscuspoint.util.tasks import spawn
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from hibiscuspoint.core.control import Effect
+    from hibiscuspoint.core.control.state import TargetRecord
+    from hibiscuspoint.core.failover import FailoverLeader, TargetStatus
+    from hibiscuspoint.core.ports import Clock, SessionConnection, SessionDriver
+    from hibiscuspoint.ids import TargetId, Term
+
+    Decide = Callable[[Callable[[FailoverLeader], list[Effect]]], None]
+
+__all__ = ["TargetPoller"]
+
+logger = logging.getLogger(__name__)
+
+T = TypeVar("T")
+
+#: Seconds between two polls of a target.
+POLL_SECONDS = 0.25
+
+#: Seconds between two polls of the targets of a group that changes its primary.
+ACTIVE_POLL_SECONDS = 0.05
+
+#: Longest time in seconds to wait for an answer. Four of these fit into the silence after which a
+#: primary is taken for lost.
+ANSWER_SECONDS = 0.4
+
+
+class TargetPoller:
+    """Asks every registered target for its state while this instance leads."""
+
+    def __init__(self, driver: SessionDriver, clock: Clock) -> None:
+        self._driver = driver
+        self._clock = clock
+        self._decide: Decide | None = None
+        self._links: dict[TargetId, _Link] = {}
+
+    def set_decide(self, decide: Decide) -> None:
+        """Set what runs decisions with the leader."""
+        self._decide = decide
+
+    def follow(self, targets: list[TargetRecord], active_groups: set[str]) -> None:
+        """Poll these targets and no others.
+
+        :param active_groups: groups that change their primary.
+        """
+        wanted = {target.target: target for target in targets}
+        for target in set(self._links) - set(wanted):
+            self._links.pop(target).stop()
+        for target, record in wanted.items():
+            link = self._links.get(target)
+            if link is not None and link.is_outdated(record):
+                link.stop()
+                link = None
+            if link is None:
+                link = _Link(record, self._driver, self._clock, self._decide)
+                self._links[target] = link
+            link.set_active(record.group in active_groups)
+
+    def stop(self) -> None:
+        """Close all connections."""
+        self.follow([], set())
+
+    async def pause(self, target: TargetId, term: Term) -> TargetStatus | None:
+        """Pause a replica and return its state; ``None`` without an answer."""
+        return await self._order(target, lambda c: c.pause(term, ANSWER_SECONDS))
+
+    async def step_down(self, target: TargetId, term: Term) -> TargetStatus | None:
+        """Make a primary step down and return its state; ``None`` without an answer."""
+        return await self._order(target, lambda c: c.step_down(term, ANSWER_SECONDS))
+
+    async def resume(self, target: TargetId) -> None:
+        """Let a paused replica receive again."""
+        await self._order(target, lambda c: c.resume(ANSWER_SECONDS))
+
+    async def _order(
+        self, target: TargetId, call: Callable[[SessionConnection], Awaitable[T]]
+    ) -> T | None:
+        link = self._links.get(target)
+        return await link.call(call) if link is not None else None
+
+
+class _Link:
+    """Polls one target over one connection."""
+
+    def __init__(
+        self, record: TargetRecord, driver: SessionDriver, clock: Clock, decide: Decide
+    ) -> None:
+        self._record = record
+        self._driver = driver
+        self._clock = clock
+        self._decide = decide
+        self._connection: SessionConnection | None = None
+        self._lock = asyncio.Lock()
+        self._interval = POLL_SECONDS
+        self._wake = asyncio.Event()
+        self._is_reachable = True
+        self._task = spawn(self._poll_forever(), f"polls of {record.target}")
+
+    def is_outdated(self, record: TargetRecord) -> bool:
+        """Tell whether the target was restarted or moved."""
+        known = self._record
+        return (known.address, known.incarnation) != (record.address, record.incarnation)
+
+    def set_active(self, is_active: bool) -> None:
+        """Poll more often while the group changes its primary."""
+        interval = ACTIVE_POLL_SECONDS if is_active else POLL_SECONDS
+        if interval < self._interval:
+            self._wake.set()
+        self._interval = interval
+
+    def stop(self) -> None:
+        """End the polls and close the connection."""
+        self._task.cancel()
+        if self._connection is not None:
+            self._connection.close()
+
+    async def call(self, call: Callable[[SessionConnection], Awaitable[T]]) -> T | None:
+        """Make a call over the connection; ``None`` when there was no answer."""
+        target = self._record.target
+        async with self._lock:
+            try:
+                connection = await self._connected()
+                return await call(connection)
+            except ConnectError as error:
+                self._note_loss(str(error))
+                if error.failure is ConnectFailure.REFUSED:
+                    now = self._clock.monotonic()
+                    self._tell(lambda c: c.refused(target, now), now)
+                elif error.failure is ConnectFailure.LIMITED:
+                    now = self._clock.monotonic()
+                    self._tell(lambda c: c.answered(target, now), now)
+            except ConnectionLost as error:
+                self._note_loss(str(error))
+        return None
+
+    async def _connected(self) -> SessionConnection:
+        if self._connection is None or not self._connection.is_open:
+            record = self._record
+            self._connection = await self._driver.connect(
+                record.group, record.target, record.address, ANSWER_SECONDS
+            )
+        return self._connection
+
+    async def _poll_forever(self) -> None:
+        while True:
+            self._wake.clear()
+            asked_at = self._clock.monotonic()
+            answer = await self.call(lambda c: c.status(ANSWER_SECONDS))
+            if answer is not None:
+                self._take(answer[0], asked_at)
+            try:
+                async with asyncio.timeout(self._interval):
+                    await self._wake.wait()
+            except TimeoutError:
+                continue
+
+    def _take(self, status: TargetStatus | None, asked_at: float) -> None:
+        target, now = self._record.target, self._clock.monotonic()
+        if not self._is_reachable:
+            self._is_reachable = True
+            log_event(logger, catalogue.TARGET_REGAINED, target=target)
+        if status is None:
+            self._tell(lambda c: c.answered(target, now), now)
+        else:
+            self._decide(lambda leader: leader.polled(target, status, asked_at, now))
+
+    def _tell(self, act: Callable, now: float) -> None:
+        self._decide(lambda leader: leader.decide(self._record.group, act, now))
+
+    def _note_loss(self, reason: str) -> None:
+        if self._is_reachable:
+            self._is_reachable = False
+            target = self._record.target
+            log_event(logger, catalogue.TARGET_LOST, target=target, reason=reason)
--- a/hibiscuspoint/core/consensus/formation.py
+++ b/hibiscuspoint/core/consensus/formation.py
@@ -65,7 +65,7 @@
 
     def _form_if_possible(self) -> None:
         state = self._state
-        if state.hard.group or state.me.instance != min(state.peers):
+        if state.hard.group or state.me.instance != min(state.peers, default=None):
             return
         voters = {state.me} | {
             member
--- a/hibiscuspoint/core/consensus/membership.py
+++ b/hibiscuspoint/core/consensus/membership.py
@@ -10,7 +10,7 @@
 
     from hibiscuspoint.ids import InstanceId
 
-__all__ = ["Configuration", "DiskId", "Member"]
+__all__ = ["Configuration", "DiskId", "Member", "VoterContact"]
 
 DiskId = NewType("DiskId", str)
 
@@ -26,6 +26,18 @@
     disk: DiskId
 
 
+@dataclass(frozen=True, slots=True)
+class VoterContact:
+    """A voter as the leader sees it.
+
+    :param answered_at: seconds of the leader's clock at which the last answered request was sent.
+    """
+
+    instance: InstanceId
+    disk: str
+    answered_at: float
+
+
 def _majority_value(voters: frozenset[Member], value: Callable[[Member], float]) -> float:
     ranked = sorted((value(voter) for voter in voters), reverse=True)
     return ranked[len(ranked) // 2]
@@ -86,9 +98,13 @@
         others = {other for other in self.learners if other.instance != learner.instance}
         return replace(self, learners=frozenset(others | {learner}))
 
-    def joint_with(self, incoming: Member) -> Configuration:
-        """Return the joint configuration in which a learner replaces the voter of its instance."""
-        kept = {voter for voter in self.voters if voter.instance != incoming.instance}
+    def joint_with(self, incoming: Member, replaced: InstanceId | None = None) -> Configuration:
+        """Return the joint configuration in which a learner becomes a voter.
+
+        :param replaced: instance whose voter it replaces besides that of its own instance.
+        """
+        leaving = {incoming.instance, replaced}
+        kept = {voter for voter in self.voters if voter.instance not in leaving}
         return Configuration(
             voters=frozenset(kept | {incoming}),
             outgoing=self.voters,
--- a/hibiscuspoint/core/consensus/node.py
+++ b/hibiscuspoint/core/consensus/node.py
@@ -25,7 +25,7 @@
 from hibiscuspoint.core.consensus.repair import Repair
 from hibiscuspoint.core.consensus.replication import Replication
 from hibiscuspoint.core.consensus.state import NodeState, Role
-from hibiscuspoint.errors import NotLeaderError
+from hibiscuspoint.errors import NotLeaderError, RequestError
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -61,6 +61,8 @@
     :param recovered: content of the disk.
     :param draw: returns a random number in [0, 1).
     :param now: seconds of a monotonic clock.
+    :param open_membership: instances that are not peers may become voters, and ``peers`` are only
+        those that form the group.
     """
 
     def __init__(
@@ -70,7 +72,10 @@
         recovered: Recovered,
         draw: Callable[[], float],
         now: float,
+        *,
+        open_membership: bool = False,
     ) -> None:
+        self._open_membership = open_membership
         self._state = NodeState(me, peers, recovered, now)
         self._election = Election(self._state, draw, self._lead)
         self._follower = Follower(self._state)
@@ -178,9 +183,26 @@
         :raises RequestError: the instance cannot be repaired by this member.
         """
         self._require_leadership(now)
+        if instance not in self._state.peers and not self._open_membership:
+            known = ", ".join(sorted(self._state.peers))
+            raise RequestError(f"{instance!r} is no control instance; known ones: {known}")
         progress = self._repair.advance(instance, since)
         return progress, self._state.take_effects()
 
+    def admit(
+        self, instance: InstanceId, replaced: InstanceId | None, since: float, now: float
+    ) -> tuple[RepairProgress, list[Effect]]:
+        """Perform the next step of making the disk of an instance a voter.
+
+        :param replaced: instance whose voter it replaces; ``None`` adds a voter.
+        :param since: when the change was decided.
+        :raises NotLeaderError: this member holds no leadership lease.
+        :raises RequestError: the instance is this one.
+        """
+        self._require_leadership(now)
+        progress = self._repair.advance(instance, since, replaced)
+        return progress, self._state.take_effects()
+
     def compact(self, index: int, data: bytes) -> list[Effect]:
         """Replace the entries up to an applied index by a snapshot of the state machine."""
         state = self._state
@@ -210,7 +232,8 @@
     def _accepts(self, message: Message) -> bool:
         """Tell whether a message is meant for this disk and its group."""
         state = self._state
-        if message.source.instance not in state.peers or message.target != state.me.instance:
+        is_known = self._open_membership or message.source.instance in state.peers
+        if not is_known or message.target != state.me.instance:
             return False
         if message.target_disk not in ("", state.me.disk):
             if isinstance(message.body, REQUESTS):
--- a/hibiscuspoint/core/consensus/repair.py
+++ b/hibiscuspoint/core/consensus/repair.py
@@ -54,25 +54,27 @@
         self._state = state
         self._replication = replication
 
-    def advance(self, instance: InstanceId, since: float) -> RepairProgress:
+    def advance(
+        self, instance: InstanceId, since: float, replaced: InstanceId | None = None
+    ) -> RepairProgress:
         """Perform the next step that is possible.
 
         :param since: when the repair was requested. The disk must answer a later request before
             the repair is done, because an answer of a disk that was lost meanwhile proves nothing.
-        :raises RequestError: the instance is no control instance, or is the leader itself.
+        :param replaced: instance whose voter is replaced besides that of the instance itself.
+        :raises RequestError: the instance is the leader itself.
         """
         state = self._state
-        if instance not in state.peers:
-            known = ", ".join(sorted(state.peers))
-            raise RequestError(f"{instance!r} is no control instance; known ones: {known}")
         if instance == state.me.instance:
             raise RequestError(f"{instance!r} leads the control group, so its disk is not lost")
         disk = state.disks.get(instance)
         if disk is None:
             return self._report(RepairPhase.WAITING, None)
-        return self._advance_to(Member(instance, disk), since)
+        return self._advance_to(Member(instance, disk), since, replaced)
 
-    def _advance_to(self, member: Member, since: float) -> RepairProgress:
+    def _advance_to(
+        self, member: Member, since: float, replaced: InstanceId | None
+    ) -> RepairProgress:
         state = self._state
         if state.configuration.is_joint or state.log.configuration_index > state.commit_index:
             return self._report(RepairPhase.REPLACING, member)
@@ -84,7 +86,7 @@
         recent = self._state.now - LEASE_DURATION
         if not self._has_caught_up(member, CATCH_UP_ENTRIES, recent):
             return self._report(RepairPhase.CATCHING_UP, member)
-        self._replication.propose([state.configuration.joint_with(member)])
+        self._replication.propose([state.configuration.joint_with(member, replaced)])
         return self._report(RepairPhase.REPLACING, member)
 
     def _finish(self, member: Member, since: float) -> RepairProgress:
--- a/hibiscuspoint/core/control/leader.py
+++ b/hibiscuspoint/core/control/leader.py
@@ -81,6 +81,16 @@
             if group in self._holdings:
                 self._holdings[group].set_rules(rules)
 
+    def registration(self, message: peer_pb2.Announcement) -> record_pb2.Command | None:
+        """Return ``None``: the members of these groups are fixed, so nothing is recorded."""
+        return None
+
+    def concerned(self, group: GroupId) -> list[InstanceId]:
+        """Return the present and earlier holders of a group, which need its routes at once."""
+        record = self._state.groups.get(group)
+        recorded = set(record.holders) if record is not None else set()
+        return sorted(recorded | set(self.holders(group)))
+
     def announced(self, message: peer_pb2.Announcement, now: float) -> list[Effect]:
         """Take an announcement of a target."""
         info = TargetInfo.from_message(message, now)
--- a/hibiscuspoint/core/control/leases.py
+++ b/hibiscuspoint/core/control/leases.py
@@ -72,6 +72,19 @@
         grants = self._grants.get(group, {})
         return {instance for instance, grant in grants.items() if grant.until >= now}
 
+    def unreturned(self, group: GroupId, term: Term, since: float) -> set[InstanceId]:
+        """Return the entries that never handed back a lease of a term before ``term``.
+
+        :param since: leases that ended before this time are left out. What an entry did under a
+            later one is not known, although the lease has ended.
+        """
+        grants = self._grants.get(group, {})
+        return {
+            instance
+            for instance, grant in grants.items()
+            if grant.term < term and grant.until >= since
+        }
+
     def may_be_held_by(self, group: GroupId, now: float) -> set[InstanceId]:
         """Return the entries that may hold a lease of this or the previous leader."""
         held = self.held_by(group, now)
--- a/hibiscuspoint/core/control/state.py
+++ b/hibiscuspoint/core/control/state.py
@@ -6,10 +6,17 @@
 from enum import Enum
 
 from hibiscuspoint.core.position import TermHistory
-from hibiscuspoint.ids import GroupId, Incarnation, InstanceId, TargetId, Term
+from hibiscuspoint.ids import (
+    AvailabilityZone,
+    GroupId,
+    Incarnation,
+    InstanceId,
+    TargetId,
+    Term,
+)
 from hibiscuspoint.wire import record_pb2
 
-__all__ = ["AcceptedDocument", "ControlState", "GroupPhase", "GroupRecord"]
+__all__ = ["AcceptedDocument", "ControlState", "GroupPhase", "GroupRecord", "TargetRecord"]
 
 #: Terms kept for each group; positions of older terms are not clamped.
 TERM_HISTORY_LIMIT = 64
@@ -17,6 +24,10 @@
 #: Accepted documents kept with their text.
 DOCUMENT_HISTORY_LIMIT = 64
 
+#: Documents kept where the highest number wins: earlier ones are never compared with a submission,
+#: and each can be as large as a request.
+HIGHEST_HISTORY_LIMIT = 1
+
 #: Drains of targets that are kept. There are 590 targets at full size, each with one drain at most;
 #: older ones belong to targets that never came back.
 DRAIN_LIMIT = 1024
@@ -35,9 +46,51 @@
     STARTED = "started"
 
 
+@dataclass(frozen=True)
+class TargetRecord:
+    """A target of a group whose members come and go, as it announced itself last."""
+
+    target: TargetId
+    group: GroupId
+    address: str
+    availability_zone: AvailabilityZone
+    slots: int
+    incarnation: Incarnation
+    leaving: bool = False
+
+    @classmethod
+    def from_message(cls, message: record_pb2.RegisterTarget) -> TargetRecord:
+        """Return the content of a command."""
+        return cls(
+            target=TargetId(message.target),
+            group=GroupId(message.group),
+            address=message.address,
+            availability_zone=AvailabilityZone(message.availability_zone),
+            slots=message.slots,
+            incarnation=Incarnation(message.incarnation),
+            leaving=message.leaving,
+        )
+
+    def to_message(self) -> record_pb2.RegisterTarget:
+        """Return the command that records this state."""
+        return record_pb2.RegisterTarget(
+            group=self.group,
+            target=self.target,
+            address=self.address,
+            availability_zone=self.availability_zone,
+            slots=self.slots,
+            incarnation=self.incarnation,
+            leaving=self.leaving,
+        )
+
+
 @dataclass
 class GroupRecord:
-    """Durable state of one database group."""
+    """Durable state of one database group.
+
+    :param former: primary of the term before the one that is open.
+    :param targets: targets that registered themselves; only in groups without a fixed member list.
+    """
 
     group: GroupId
     members: tuple[TargetId, ...]
@@ -47,6 +100,8 @@
     phase: GroupPhase = GroupPhase.FORMED
     starts: list[tuple[Term, int]] = field(default_factory=list)
     holders: tuple[InstanceId, ...] = ()
+    former: TargetId | None = None
+    targets: dict[TargetId, TargetRecord] = field(default_factory=dict)
 
     @property
     def history(self) -> TermHistory:
@@ -62,6 +117,7 @@
     digest: str
     text: str
     accepted_at_ms: int
+    highest_wins: bool = False
 
 
 class ControlState:
@@ -82,6 +138,8 @@
             "accept_document": self._accept_document,
             "set_holders": self._set_holders,
             "drain_target": self._drain_target,
+            "register_target": self._register_target,
+            "remove_target": self._remove_target,
         }
 
     @property
@@ -120,6 +178,8 @@
             snapshot.groups.append(_group_to_message(record))
         for document in self._documents:
             snapshot.documents.append(_document_to_message(document))
+        for record in self._groups.values():
+            snapshot.targets.extend(target.to_message() for target in record.targets.values())
         snapshot.drains.extend(self._drains.values())
         return snapshot.SerializeToString()
 
@@ -130,6 +190,9 @@
         self._groups = {record.group: record for record in groups}
         self._documents = [_document_from_message(message) for message in snapshot.documents]
         self._drains = {TargetId(message.target): message for message in snapshot.drains}
+        for message in snapshot.targets:
+            target = TargetRecord.from_message(message)
+            self._groups[target.group].targets[target.target] = target
 
     def _form_group(self, body: record_pb2.FormGroup) -> None:
         group = GroupId(body.group)
@@ -142,6 +205,7 @@
         if record is None or body.term <= record.term:
             return
         record.term = Term(body.term)
+        record.former = record.primary or record.former
         record.primary = None
         record.phase = GroupPhase.SEALING
 
@@ -165,6 +229,29 @@
         if record is not None:
             record.holders = tuple(InstanceId(instance) for instance in body.instances)
 
+    def _register_target(self, body: record_pb2.RegisterTarget) -> None:
+        registered = TargetRecord.from_message(body)
+        for record in self._groups.values():
+            for other in list(record.targets.values()):
+                if other.address != registered.address or other.target == registered.target:
+                    continue
+                if other.incarnation >= registered.incarnation:
+                    return
+                # An address is used by one target at a time; the earlier one has ended.
+                del record.targets[other.target]
+        record = self._groups.setdefault(
+            registered.group, GroupRecord(registered.group, members=(), ack_quorum=0)
+        )
+        known = record.targets.get(registered.target)
+        if known is None or known.incarnation <= registered.incarnation:
+            record.targets[registered.target] = registered
+
+    def _remove_target(self, body: record_pb2.RemoveTarget) -> None:
+        record = self._groups.get(GroupId(body.group))
+        known = record.targets.get(TargetId(body.target)) if record is not None else None
+        if known is not None and known.incarnation <= body.incarnation:
+            del record.targets[known.target]
+
     def _drain_target(self, body: record_pb2.DrainTarget) -> None:
         target = TargetId(body.target)
         self._drains.pop(target, None)
@@ -174,10 +261,12 @@
 
     def _accept_document(self, body: record_pb2.AcceptDocument) -> None:
         current = self.document.number if self.document else 0
-        if body.number != current + 1:
+        is_next = body.number > current if body.highest_wins else body.number == current + 1
+        if not is_next:
             return
         self._documents.append(_document_from_message(body))
-        del self._documents[:-DOCUMENT_HISTORY_LIMIT]
+        limit = HIGHEST_HISTORY_LIMIT if body.highest_wins else DOCUMENT_HISTORY_LIMIT
+        del self._documents[:-limit]
 
 
 def _group_to_message(record: GroupRecord) -> record_pb2.GroupState:
@@ -191,6 +280,7 @@
         history_terms=[term for term, _ in record.starts],
         history_starts=[start for _, start in record.starts],
         holders=record.holders,
+        former=record.former or "",
     )
 
 
@@ -205,6 +295,7 @@
         phase=GroupPhase(message.phase),
         starts=[(Term(term), start) for term, start in starts],
         holders=tuple(InstanceId(instance) for instance in message.holders),
+        former=TargetId(message.former) if message.former else None,
     )
 
 
@@ -214,10 +305,15 @@
         digest=document.digest,
         document=document.text,
         accepted_at_ms=document.accepted_at_ms,
+        highest_wins=document.highest_wins,
     )
 
 
 def _document_from_message(message: record_pb2.AcceptDocument) -> AcceptedDocument:
     return AcceptedDocument(
-        message.number, message.digest, message.document, message.accepted_at_ms
+        message.number,
+        message.digest,
+        message.document,
+        message.accepted_at_ms,
+        message.highest_wins,
     )
--- /dev/null
+++ b/hibiscuspoint/core/failover/__init__.py
@@ -0,0 +1,26 @@
+"""Failover of groups whose targets acknowledge commits by themselves."""
+
+from __future__ import annotations
+
+from hibiscuspoint.core.failover.effects import (
+    PauseReplica,
+    RequestPromotion,
+    ResumeReplica,
+    StepDown,
+)
+from hibiscuspoint.core.failover.group import GroupFailover
+from hibiscuspoint.core.failover.leader import FailoverLeader
+from hibiscuspoint.core.failover.status import TargetStatus
+from hibiscuspoint.core.failover.voters import VoterChange, choose_voter_change
+
+__all__ = [
+    "FailoverLeader",
+    "GroupFailover",
+    "PauseReplica",
+    "RequestPromotion",
+    "ResumeReplica",
+    "StepDown",
+    "TargetStatus",
+    "VoterChange",
+    "choose_voter_change",
+]
--- /dev/null
+++ b/hibiscuspoint/core/failover/group.py
@@ -0,0 +1,440 @@
+"""The control leader's view of one group whose targets acknowledge commits by themselves."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from hibiscuspoint.core.control.effects import PrimarySuspected, Propose, PublishRoutes
+from hibiscuspoint.core.control.group import RouteState
+from hibiscuspoint.core.control.state import GroupPhase
+from hibiscuspoint.core.control.switchover import Switchover, SwitchoverState
+from hibiscuspoint.core.failover.promotion import PromotionRound
+from hibiscuspoint.core.failover.watch import Loss, PrimaryWatch
+from hibiscuspoint.core.position import ZERO
+from hibiscuspoint.wire import record_pb2
+
+if TYPE_CHECKING:
+    from hibiscuspoint.core.control.effects import Effect
+    from hibiscuspoint.core.control.leases import LeaseLedger
+    from hibiscuspoint.core.control.state import GroupRecord
+    from hibiscuspoint.core.failover.status import TargetStatus
+    from hibiscuspoint.core.position import LogPosition
+    from hibiscuspoint.ids import InstanceId, TargetId
+    from hibiscuspoint.wire import peer_pb2
+
+__all__ = ["GroupFailover"]
+
+#: Seconds after which a proposal that did not take effect is made again.
+PROPOSAL_RETRY_SECONDS = 1.0
+
+#: Seconds after a promotion in which only a primary that refuses connections or stepped down is
+#: replaced, so that a group does not change its primary back and forth.
+COOLDOWN_SECONDS = 4.0
+
+#: Age in seconds up to which the answer to a poll counts as the present state. Polls are 0.25 s
+#: apart and may take as long again.
+STATUS_SECONDS = 0.8
+
+#: Seconds without a heartbeat or an answer after which a replica is removed, once another one has
+#: the whole log. Databases that restart are back within this time.
+REMOVE_SECONDS = 12.0
+
+#: Seconds without a heartbeat or an answer after which entries are not told of a target.
+LISTED_SECONDS = 4.0
+
+
+@dataclass
+class _Contact:
+    """What is known about one target; times in monotonic seconds."""
+
+    heard_at: float
+    status: TargetStatus | None = None
+    asked_at: float = -math.inf
+    answered_at: float = -math.inf
+    is_gone: bool = False
+
+
+class GroupFailover:
+    """Watches the primary of a group and leads promotions and switchovers.
+
+    :param record: durable record of the group; changes as commands are applied.
+    :param token: fencing token of this leadership.
+    :param now: monotonic time in seconds.
+    """
+
+    def __init__(self, record: GroupRecord, ledger: LeaseLedger, token: int, now: float) -> None:
+        self._record = record
+        self._ledger = ledger
+        self._token = token
+        self._since = now
+        self._contacts: dict[TargetId, _Contact] = {}
+        self._watch: PrimaryWatch | None = None
+        self._round: PromotionRound | None = None
+        self._switchover: Switchover | None = None
+        self._idle_since: float | None = None
+        self._suspected_term = 0
+        self._keeps_former = True
+        self._started_at = -math.inf
+        self._floor = ZERO
+        self._floor_covers = -math.inf
+        self._proposed: dict[str, float] = {}
+        self._published: tuple[int, RouteState, int] | None = None
+
+    @property
+    def record(self) -> GroupRecord:
+        """Return the durable record."""
+        return self._record
+
+    @property
+    def is_active(self) -> bool:
+        """Tell whether a promotion or a switchover is in progress."""
+        return self.route_state is not RouteState.GRANTED
+
+    @property
+    def route_state(self) -> RouteState:
+        """Return what entries may do with the primary."""
+        record = self._record
+        if record.phase is not GroupPhase.STARTED or self._suspected_term == record.term:
+            return RouteState.REVOKED
+        switchover = self._switchover
+        if switchover is not None and switchover.state is not SwitchoverState.RESUMED:
+            return RouteState.PAUSED
+        return RouteState.GRANTED
+
+    @property
+    def tip(self) -> tuple[LogPosition, float] | None:
+        """Return the last position read at the primary and when it was asked for."""
+        contact = self._contacts.get(self._record.primary) if self._record.primary else None
+        if contact is None or contact.status is None or not contact.status.is_primary:
+            return None
+        return contact.status.received, contact.asked_at
+
+    def heard(self, target: TargetId, now: float) -> None:
+        """Take a heartbeat of a target."""
+        contact = self._contacts.setdefault(target, _Contact(now))
+        contact.heard_at = now
+        contact.is_gone = False
+
+    def gone(self, target: TargetId) -> None:
+        """Record that a target said that it ends."""
+        contact = self._contacts.get(target)
+        if contact is not None:
+            contact.is_gone = True
+
+    def polled(self, target: TargetId, status: TargetStatus, asked_at: float, now: float) -> None:
+        """Take the answer of a target to a poll that was sent at ``asked_at``."""
+        contact = self._contacts.setdefault(target, _Contact(now))
+        contact.status, contact.asked_at, contact.answered_at = status, asked_at, now
+        contact.heard_at = now
+        if target != self._record.primary or self._record.phase is not GroupPhase.STARTED:
+            return
+        if self._watch is not None:
+            self._watch.answered(status.is_primary, now)
+        if status.is_primary:
+            self._raise_floor(status.received)
+            if self._ledger.is_known(asked_at):
+                self._floor_covers = asked_at
+
+    def answered(self, target: TargetId, now: float) -> None:
+        """Record that a target is there although it could not tell its state."""
+        contact = self._contacts.setdefault(target, _Contact(now))
+        contact.heard_at = now
+        if self._watch is not None and self._watch.primary == target:
+            self._watch.answered(is_primary=True, now=now)
+
+    def refused(self, target: TargetId, now: float) -> None:
+        """Record that the address of a target refused a connection."""
+        if self._watch is not None and self._watch.primary == target:
+            self._watch.refused(now)
+
+    def paused(self, target: TargetId, status: TargetStatus, term: int, now: float) -> None:
+        """Take the answer of a replica that was paused at a term."""
+        contact = self._contacts.setdefault(target, _Contact(now))
+        contact.heard_at = contact.answered_at = now
+        current = self._round
+        if current is not None and current.term == term and not status.is_primary:
+            current.paused[target] = status.received
+
+    def stepped_down(self, target: TargetId, status: TargetStatus, term: int, now: float) -> None:
+        """Take the answer of a primary that was told to step down."""
+        contact = self._contacts.setdefault(target, _Contact(now))
+        contact.status, contact.asked_at, contact.answered_at = status, now, now
+        current = self._round
+        is_former = current is not None and target == self._record.former
+        if is_former and current.term == term and not status.is_primary:
+            current.former_position = status.received
+
+    def promotion_refused(self, target: TargetId, now: float) -> None:
+        """Record that the platform does not promote the chosen target."""
+        if self._round is not None and self._record.primary == target:
+            self._round.refused(now)
+
+    def observed(
+        self, entry: InstanceId, observation: peer_pb2.TargetObservation, now: float
+    ) -> None:
+        """Take what an entry saw at the primary."""
+        if self._watch is None or self._watch.primary != observation.target:
+            return
+        failures = observation.refusals + observation.timeouts
+        self._watch.observed(entry, observation.successes, failures, now)
+        self._watch.committed(observation.commits, observation.commit_timeouts, now)
+
+    def acknowledged(self, position: LogPosition) -> None:
+        """Take the highest position that an entry has acknowledged."""
+        self._raise_floor(position)
+
+    def listed(self, now: float) -> list[TargetId]:
+        """Return the targets that entries are told of."""
+        return [
+            target
+            for target in self._record.targets
+            if target == self._record.primary or now - self._heard_at(target) < LISTED_SECONDS
+        ]
+
+    def tick(self, now: float) -> list[Effect]:
+        """Advance and return the effects."""
+        return self._advance(now) + self._publish()
+
+    def _advance(self, now: float) -> list[Effect]:
+        phase = self._record.phase
+        if phase is GroupPhase.STARTED:
+            return self._watch_primary(now)
+        self._watch = None
+        self._switchover = None
+        if phase is GroupPhase.FORMED:
+            return self._adopt(now)
+        current = self._current_round(now)
+        if phase is GroupPhase.SEALING:
+            return self._choose(current, now)
+        return self._promote(current, now)
+
+    def _adopt(self, now: float) -> list[Effect]:
+        """Open the first term of a group that already has a primary."""
+        if self._present_primary(now) is None:
+            return []
+        return self._open_term(now)
+
+    def _choose(self, current: PromotionRound, now: float) -> list[Effect]:
+        record = self._record
+        if not record.starts:
+            chosen = self._present_primary(now)
+            return self._choose_primary(chosen, now) if chosen is not None else []
+        status_of = self._statuses(current.since, now)
+        chosen = current.choice(status_of, self._known_floor(), now)
+        if chosen is not None:
+            return self._choose_primary(chosen, now)
+        return current.collect(status_of, now)
+
+    def _promote(self, current: PromotionRound, now: float) -> list[Effect]:
+        record = self._record
+        contact = self._contacts.get(record.primary)
+        answered_at = contact.answered_at if contact is not None else -math.inf
+        if record.primary not in record.targets or current.is_chosen_lost(answered_at, now):
+            self._keeps_former = True
+            return self._open_term(now)
+        status_of = self._statuses(current.since, now)
+        effects = current.promote(status_of, self._token, now)
+        status = status_of.get(record.primary)
+        is_leading = status is not None and status.is_primary
+        if is_leading and (
+            not record.starts or self._ledger.is_clear(record.group, record.term, now)
+        ):
+            body = record_pb2.StartTerm(group=record.group, term=record.term, start=0)
+            effects += self._propose("start_term", record_pb2.Command(start_term=body), now)
+        return effects
+
+    def _watch_primary(self, now: float) -> list[Effect]:
+        record = self._record
+        if self._watch is None or self._watch.primary != record.primary:
+            self._watch = PrimaryWatch(record.primary, now)
+            self._started_at = now
+            self._switchover = None
+            self._idle_since = None
+            self._resume_replicas(now)
+        if self._suspected_term == record.term:
+            return self._open_term(now)
+        loss = self._watch.loss(now)
+        if loss is not None and self._may_replace(loss, now):
+            self._suspected_term = record.term
+            self._keeps_former = loss.is_reversible
+            suspected = PrimarySuspected(record.group, record.primary, loss)
+            return [suspected, *self._open_term(now)]
+        effects = self._round.settle(self._statuses(now - STATUS_SECONDS, now), now)
+        return effects + self._hand_over(now) + self._remove_lost(now)
+
+    def _resume_replicas(self, now: float) -> None:
+        """Have all replicas resumed, as an earlier control leader may have paused some."""
+        record = self._record
+        replicas = record.targets.keys() - {record.primary}
+        if self._round is None:
+            self._round = PromotionRound(record, record.term, now, keeps_former=True)
+        self._round.paused.update({target: ZERO for target in replicas})
+
+    def _may_replace(self, loss: Loss, now: float) -> bool:
+        if loss in (Loss.REFUSED, Loss.STEPPED_DOWN):
+            return True
+        return now - self._started_at >= COOLDOWN_SECONDS
+
+    def _hand_over(self, now: float) -> list[Effect]:
+        """Move the primary away from a target that leaves, without interrupting a transaction."""
+        record = self._record
+        primary = record.targets.get(record.primary)
+        successors = self._successors(now)
+        if primary is None or not primary.leaving or not successors:
+            self._switchover = None
+            return []
+        if self._switchover is None:
+            if not self._ledger.is_known(now):
+                return []
+            self._switchover = Switchover(record.primary, None, now)
+        held = self._ledger.held_by(record.group, now)
+        self._idle_since = None if held else (self._idle_since or now)
+        caught_up = self._idle_since is not None and self._has_caught_up(successors)
+        state = self._switchover.tick(self._idle_since is not None, caught_up, now)
+        if state is SwitchoverState.READY:
+            self._keeps_former = False
+            return self._open_term(now)
+        return []
+
+    def _has_caught_up(self, successors: list[TargetId]) -> bool:
+        primary = self._fresh_position(self._record.primary)
+        if primary is None:
+            return False
+        positions = (self._fresh_position(target) for target in successors)
+        return any(position is not None and position >= primary for position in positions)
+
+    def _fresh_position(self, target: TargetId) -> LogPosition | None:
+        contact = self._contacts.get(target)
+        if contact is None or contact.status is None or contact.asked_at <= self._idle_since:
+            return None
+        return contact.status.received
+
+    def _successors(self, now: float) -> list[TargetId]:
+        return [
+            target.target
+            for target in self._record.targets.values()
+            if target.target != self._record.primary
+            and not target.leaving
+            and now - self._answered_at(target.target) < STATUS_SECONDS
+        ]
+
+    def _remove_lost(self, now: float) -> list[Effect]:
+        """Remove a replica that has ended, once another one holds what it may have acknowledged."""
+        for target in self._record.targets.values():
+            if target.target == self._record.primary or not self._is_lost(target.target, now):
+                continue
+            if not self._is_covered(target.target):
+                continue
+            body = record_pb2.RemoveTarget(
+                group=self._record.group, target=target.target, incarnation=target.incarnation
+            )
+            name = f"remove_target {target.target}"
+            return self._propose(name, record_pb2.Command(remove_target=body), now)
+        return []
+
+    def _is_lost(self, target: TargetId, now: float) -> bool:
+        contact = self._contacts.get(target)
+        if contact is None:
+            return now - self._since >= REMOVE_SECONDS
+        silence = now - contact.heard_at
+        return silence >= REMOVE_SECONDS or (contact.is_gone and silence >= STATUS_SECONDS)
+
+    def _is_covered(self, lost: TargetId) -> bool:
+        """Tell whether a replica that is there holds all that the primary held after a loss."""
+        primary = self._contacts.get(self._record.primary)
+        if primary is None or primary.status is None or primary.asked_at <= self._heard_at(lost):
+            return False
+        return any(
+            contact.status is not None
+            and target in self._record.targets
+            and target not in (lost, self._record.primary)
+            and contact.asked_at >= primary.asked_at - STATUS_SECONDS
+            and contact.asked_at > self._heard_at(lost)
+            and contact.status.received >= primary.status.received
+            for target, contact in self._contacts.items()
+        )
+
+    def _present_primary(self, now: float) -> TargetId | None:
+        """Return the target that answers as primary in the newest term."""
+        statuses = self._statuses(now - STATUS_SECONDS, now)
+        primaries = [target for target, status in statuses.items() if status.is_primary]
+        if not primaries:
+            return None
+        best = max(primaries, key=lambda target: statuses[target].term)
+        newest = max(status.term for status in statuses.values())
+        return best if statuses[best].term >= newest else None
+
+    def _statuses(self, since: float, now: float) -> dict[TargetId, TargetStatus]:
+        """Return the present states of targets that were asked after ``since``."""
+        return {
+            target: contact.status
+            for target, contact in self._contacts.items()
+            if contact.status is not None
+            and target in self._record.targets
+            and contact.asked_at > since
+            and now - contact.answered_at < STATUS_SECONDS
+        }
+
+    def _known_floor(self) -> LogPosition | None:
+        """Return a position at or above every acknowledged commit, or ``None``.
+
+        Every commit is acknowledged by an entry. What entries acknowledged before the last poll of
+        the primary is in its answer; what they did later is in the report with which they handed
+        their leases back.
+        """
+        record = self._record
+        if self._floor_covers == -math.inf:
+            return None
+        if self._ledger.unreturned(record.group, record.term, self._floor_covers):
+            return None
+        return self._floor
+
+    def _open_term(self, now: float) -> list[Effect]:
+        record = self._record
+        newest = max(
+            (c.status.term for c in self._contacts.values() if c.status is not None), default=0
+        )
+        floor = 0 if not record.starts else 1
+        term = max(record.term + 1, newest + floor)
+        body = record_pb2.OpenTerm(group=record.group, term=term)
+        return self._propose("open_term", record_pb2.Command(open_term=body), now)
+
+    def _choose_primary(self, chosen: TargetId, now: float) -> list[Effect]:
+        record = self._record
+        body = record_pb2.ChoosePrimary(group=record.group, term=record.term, primary=chosen)
+        return self._propose("choose_primary", record_pb2.Command(choose_primary=body), now)
+
+    def _propose(self, name: str, command: record_pb2.Command, now: float) -> list[Effect]:
+        key = f"{name} {self._record.term}"
+        if now - self._proposed.get(key, -math.inf) < PROPOSAL_RETRY_SECONDS:
+            return []
+        self._proposed = {k: at for k, at in self._proposed.items() if now - at < 10.0}
+        self._proposed[key] = now
+        return [Propose(command)]
+
+    def _current_round(self, now: float) -> PromotionRound:
+        record = self._record
+        if self._round is None or self._round.term != record.term:
+            self._round = PromotionRound(record, record.term, now, self._keeps_former)
+        return self._round
+
+    def _publish(self) -> list[Effect]:
+        leaving = sum(target.leaving for target in self._record.targets.values())
+        current = (self._record.term, self.route_state, leaving)
+        if current == self._published:
+            return []
+        self._published = current
+        return [PublishRoutes(self._record.group)]
+
+    def _raise_floor(self, position: LogPosition) -> None:
+        self._floor = max(self._floor, position)
+
+    def _heard_at(self, target: TargetId) -> float:
+        contact = self._contacts.get(target)
+        return contact.heard_at if contact is not None else self._since
+
+    def _answered_at(self, target: TargetId) -> float:
+        contact = self._contacts.get(target)
+        return contact.answered_at if contact is not None else -math.inf
--- /dev/null
+++ b/hibiscuspoint/core/failover/promotion.py
@@ -0,0 +1,175 @@
+"""The choice of a new primary among targets that acknowledge commits by themselves."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from hibiscuspoint.core.control.effects import MemberAddress
+from hibiscuspoint.core.failover.effects import (
+    PauseReplica,
+    RequestPromotion,
+    ResumeReplica,
+    StepDown,
+)
+
+if TYPE_CHECKING:
+    from hibiscuspoint.core.control.effects import Effect
+    from hibiscuspoint.core.control.state import GroupRecord, TargetRecord
+    from hibiscuspoint.core.failover.status import TargetStatus
+    from hibiscuspoint.core.position import LogPosition
+    from hibiscuspoint.ids import TargetId, Term
+
+__all__ = ["PromotionRound"]
+
+#: Seconds between two orders to the same target.
+ORDER_RETRY_SECONDS = 0.2
+
+#: Seconds between two requests to the platform to promote the chosen target.
+PROMOTION_RETRY_SECONDS = 1.0
+
+#: Seconds without an answer of the chosen target after which another one is chosen.
+CHOSEN_SILENCE_SECONDS = 2.0
+
+#: Seconds to wait for further targets once the known ones suffice, so that the preferred one has a
+#: chance to answer.
+GRACE_SECONDS = 0.1
+
+
+@dataclass
+class PromotionRound:
+    """Soft state of one opened term; a new control leader starts it again.
+
+    :param record: durable record of the group; changes as commands are applied.
+    :param since: when this instance began to lead the term, monotonic seconds.
+    :param keeps_former: whether the former primary is kept if it answers as one.
+    """
+
+    record: GroupRecord
+    term: Term
+    since: float
+    keeps_former: bool
+    paused: dict[TargetId, LogPosition] = field(default_factory=dict)
+    former_position: LogPosition | None = None
+    refused_at: float = -math.inf
+    _ordered_at: dict[tuple[type, TargetId], float] = field(default_factory=dict)
+    _sufficient_since: float = math.inf
+
+    def collect(self, status_of: dict[TargetId, TargetStatus], now: float) -> list[Effect]:
+        """Pause the replicas and, unless it is kept, make the former primary step down.
+
+        :param status_of: answers to polls that were sent in this round.
+        """
+        record = self.record
+        effects: list[Effect] = []
+        for target in record.targets.values():
+            member = _address(target)
+            if target.target == record.former:
+                is_primary = target.target in status_of and status_of[target.target].is_primary
+                is_needed = is_primary and not self.keeps_former and self.former_position is None
+                if is_needed and self._is_due(StepDown, target.target, now):
+                    effects.append(StepDown(record.group, member, self.term))
+            elif target.target not in self.paused and self._is_due(
+                PauseReplica, target.target, now
+            ):
+                effects.append(PauseReplica(record.group, member, self.term))
+        return effects
+
+    def choice(
+        self, status_of: dict[TargetId, TargetStatus], floor: LogPosition | None, now: float
+    ) -> TargetId | None:
+        """Return the target to promote once it is certain that it holds all acknowledged commits.
+
+        A commit is acknowledged when the primary and one replica hold it. So the replica with the
+        longest log is safe when every replica is paused and answered, or when it holds at least
+        ``floor``.
+
+        :param floor: position at or above every acknowledged commit; ``None`` when unknown.
+        """
+        record = self.record
+        former = status_of.get(record.former) if record.former else None
+        if former is not None and former.is_primary and self._may_keep_former():
+            return record.former
+        candidates = {t: position for t, position in self.paused.items() if t in record.targets}
+        replicas = record.targets.keys() - {record.former}
+        has_all = replicas <= self.paused.keys()
+        # What only the former primary holds was never acknowledged, so it is left out when every
+        # replica answered: it may be the one that cannot reach them.
+        is_former_needed = not (has_all and candidates)
+        if is_former_needed and self.former_position and record.former in record.targets:
+            candidates[record.former] = self.former_position
+        if not candidates:
+            return None
+        best = max(candidates, key=lambda target: (candidates[target], self._preference(target)))
+        is_above = floor is not None and candidates[best] >= floor
+        if not has_all and not is_above and self.former_position is None:
+            self._sufficient_since = math.inf
+            return None
+        self._sufficient_since = min(self._sufficient_since, now)
+        if not has_all and now - self._sufficient_since < GRACE_SECONDS:
+            return None
+        return best
+
+    def promote(
+        self, status_of: dict[TargetId, TargetStatus], token: int, now: float
+    ) -> list[Effect]:
+        """Ask for the promotion of the chosen target, and settle the others once it leads."""
+        record = self.record
+        chosen = record.primary
+        status = status_of.get(chosen) if chosen else None
+        if status is None or not status.is_primary:
+            if self._is_due(RequestPromotion, chosen, now, PROMOTION_RETRY_SECONDS):
+                return [RequestPromotion(record.group, chosen, token)]
+            return []
+        return self.settle(status_of, now)
+
+    def settle(self, status_of: dict[TargetId, TargetStatus], now: float) -> list[Effect]:
+        """Make the former primary a replica and let the paused replicas receive again."""
+        record = self.record
+        effects: list[Effect] = []
+        for target in record.targets.values():
+            if target.target == record.primary:
+                continue
+            status = status_of.get(target.target)
+            if status is not None and status.is_primary:
+                if self._is_due(StepDown, target.target, now):
+                    effects.append(StepDown(record.group, _address(target), self.term))
+            elif target.target in self.paused:
+                del self.paused[target.target]
+                effects.append(ResumeReplica(record.group, _address(target)))
+        return effects
+
+    def refused(self, now: float) -> None:
+        """Record that the platform refused the promotion; the chosen target is not running."""
+        self.refused_at = now
+
+    def is_chosen_lost(self, answered_at: float, now: float) -> bool:
+        """Tell whether the chosen target is gone.
+
+        :param answered_at: time of its last answer to control.
+        """
+        if self.refused_at > answered_at:
+            return True
+        return now - max(answered_at, self.since) >= CHOSEN_SILENCE_SECONDS
+
+    def _may_keep_former(self) -> bool:
+        former = self.record.targets.get(self.record.former)
+        return self.keeps_former and former is not None and not former.leaving
+
+    def _preference(self, target: TargetId) -> tuple[bool, bool]:
+        record = self.record.targets[target]
+        return not record.leaving, target != self.record.former
+
+    def _is_due(
+        self, kind: type, target: TargetId, now: float, interval: float = ORDER_RETRY_SECONDS
+    ) -> bool:
+        key = (kind, target)
+        if now - self._ordered_at.get(key, -math.inf) < interval:
+            return False
+        self._ordered_at[key] = now
+        return True
+
+
+def _address(target: TargetRecord) -> MemberAddress:
+    return MemberAddress(target.target, target.address)
--- a/hibiscuspoint/core/ports.py
+++ b/hibiscuspoint/core/ports.py
@@ -2,16 +2,30 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from hibiscuspoint.core.failover.status import TargetStatus
+    from hibiscuspoint.core.position import LogPosition
+    from hibiscuspoint.core.sessions import Reply, Shape, Statement
     from hibiscuspoint.drivers.answer import RunResult
-    from hibiscuspoint.ids import Incarnation, InstanceId, TargetId
+    from hibiscuspoint.ids import GroupId, Incarnation, InstanceId, TargetId
     from hibiscuspoint.wire import target_pb2
 
-__all__ = ["Clock", "Connection", "TargetAdmin", "TargetDriver", "TargetWatch"]
+__all__ = [
+    "Clock",
+    "Connection",
+    "PromotionAuthority",
+    "PromotionOutcome",
+    "SessionConnection",
+    "SessionDriver",
+    "TargetAdmin",
+    "TargetDriver",
+    "TargetWatch",
+]
 
 
 class Clock(Protocol):
@@ -50,6 +64,95 @@
         """Close the connection; the target rolls back an open transaction."""
 
 
+class SessionConnection(Protocol):
+    """A connection to a target that serves the sessions of callers in turn.
+
+    Times are in seconds. Every call may raise ``ConnectionLost`` or, when the answer did not arrive
+    in time, ``AnswerTimeoutError``; the connection is closed then.
+    """
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether the connection is open and owes no answer."""
+
+    async def run(
+        self,
+        statement: Statement,
+        *,
+        timeout: float,
+        name: str | None = None,
+        after: LogPosition | None = None,
+    ) -> Reply:
+        """Run a statement of a caller.
+
+        :param name: name of the executed prepared statement at this connection.
+        :param after: position that the target must have applied.
+        """
+
+    async def reset(self, timeout: float) -> Reply:
+        """Clear session values and prepared statements."""
+
+    async def set_value(self, name: str, value: str, timeout: float) -> Reply:
+        """Set a session value."""
+
+    async def prepare(self, name: str, shape: Shape, timeout: float) -> Reply:
+        """Create a prepared statement."""
+
+    async def rollback(self, timeout: float) -> Reply:
+        """Roll back the open transaction."""
+
+    async def status(self, timeout: float) -> tuple[TargetStatus | None, LogPosition | None]:
+        """Return the state of the target, if it had a slot to tell it, and its log position."""
+
+    async def pause(self, term: int, timeout: float) -> TargetStatus | None:
+        """Stop a replica from receiving; ``None`` when the target refuses."""
+
+    async def step_down(self, term: int, timeout: float) -> TargetStatus | None:
+        """Make a primary of a lower term a replica; ``None`` when the target refuses."""
+
+    async def resume(self, timeout: float) -> None:
+        """Let a paused replica receive again."""
+
+    def close(self) -> None:
+        """Close the connection; the target rolls back an open transaction."""
+
+
+class SessionDriver(Protocol):
+    """Opens connections to targets that serve sessions."""
+
+    async def connect(
+        self, group: GroupId, target: TargetId, address: str, timeout: float
+    ) -> SessionConnection:
+        """Open a connection.
+
+        :param timeout: seconds.
+        :raises ConnectError: no connection could be opened.
+        """
+
+
+class PromotionOutcome(Enum):
+    """Answer of the platform to a request for a promotion."""
+
+    ACCEPTED = "accepted"
+    #: The target is not running.
+    REFUSED = "refused"
+    #: There was no clear answer; the promotion may take effect.
+    UNKNOWN = "unknown"
+
+
+class PromotionAuthority(Protocol):
+    """The only one that can make a target primary."""
+
+    async def promote(
+        self, group: GroupId, target: TargetId, token: int, timeout: float
+    ) -> PromotionOutcome:
+        """Ask that a target becomes the primary of its group.
+
+        :param token: fencing token of the control leader.
+        :param timeout: seconds.
+        """
+
+
 class TargetWatch(Protocol):
     """Progress of one target."""
 
--- /dev/null
+++ b/hibiscuspoint/core/sessions/__init__.py
@@ -0,0 +1,46 @@
+"""Sessions that are connections: statements, context, freshness and the choice of targets."""
+
+from __future__ import annotations
+
+from hibiscuspoint.core.sessions.choice import TargetLoad, rank_targets
+from hibiscuspoint.core.sessions.context import (
+    ConnectionContext,
+    Preparation,
+    SessionContext,
+    Shape,
+)
+from hibiscuspoint.core.sessions.freshness import TipLog
+from hibiscuspoint.core.sessions.routing import (
+    DatabaseRoute,
+    GroupLimits,
+    ReadMode,
+    RoutingTable,
+)
+from hibiscuspoint.core.sessions.statements import (
+    Failure,
+    Reply,
+    SessionState,
+    Statement,
+    StatementError,
+    StatementKind,
+)
+
+__all__ = [
+    "ConnectionContext",
+    "DatabaseRoute",
+    "Failure",
+    "GroupLimits",
+    "Preparation",
+    "ReadMode",
+    "Reply",
+    "RoutingTable",
+    "SessionContext",
+    "SessionState",
+    "Shape",
+    "Statement",
+    "StatementError",
+    "StatementKind",
+    "TargetLoad",
+    "TipLog",
+    "rank_targets",
+]
--- a/hibiscuspoint/daemon/node.py
+++ b/hibiscuspoint/daemon/node.py
@@ -27,7 +27,7 @@
 from hibiscuspoint.components.operator_service import OperatorService
 from hibiscuspoint.components.peers import PEER_SERVER_OPTIONS, PeerChannels
 from hibiscuspoint.components.readiness import ReadinessLog
-from hibiscuspoint.components.reporting import Reporting
+from hibiscuspoint.components.reporting import EntryIdentity, Reporting
 from hibiscuspoint.components.router import Router
 from hibiscuspoint.components.runtime import Runtime, SystemClock
 from hibiscuspoint.components.transactions import TransactionStreams
@@ -35,7 +35,7 @@
 from hibiscuspoint.core.entry.session import TokenCodec
 from hibiscuspoint.daemon.failures import FailureWatch
 from hibiscuspoint.drivers import target_drivers
-from hibiscuspoint.ids import Incarnation, InstanceId
+from hibiscuspoint.ids import AvailabilityZone, Incarnation, InstanceId
 from hibiscuspoint.security import Transport
 from hibiscuspoint.settings import TlsMode
 from hibiscuspoint.telemetry import Metrics, catalogue, log_event
@@ -151,9 +151,14 @@
 
     def _build_reporting(self) -> None:
         settings = self._settings
-        self._reporting = Reporting(
-            settings,
+        identity = EntryIdentity(
+            self._instance,
             self._incarnation,
+            AvailabilityZone(settings.node.availability_zone),
+            settings.listen.advertised,
+        )
+        self._reporting = Reporting(
+            identity,
             self._state,
             self._holders,
             self._drain,
--- /dev/null
+++ b/hibiscuspoint/daemon/session_node.py
@@ -0,0 +1,355 @@
+"""One instance whose callers have connections as sessions: its components and life cycle."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
+
+import grpc
+
+from hibiscuspoint import __version__
+from hibiscuspoint.components.attachment import Attachment
+from hibiscuspoint.components.configuration import ConfigurationService
+from hibiscuspoint.components.consensus import ReplicatedLog
+from hibiscuspoint.components.control_service import ControlService
+from hibiscuspoint.components.control_state import ControlStateMachine
+from hibiscuspoint.components.entry_state import EntryState
+from hibiscuspoint.components.failover_control import FailoverControl
+from hibiscuspoint.components.leader_client import LeaderClient
+from hibiscuspoint.components.metrics_server import MetricsServer
+from hibiscuspoint.components.peers import PEER_SERVER_OPTIONS, PeerChannels
+from hibiscuspoint.components.readiness import ReadinessLog
+from hibiscuspoint.components.reporting import EntryIdentity, Reporting
+from hibiscuspoint.components.runtime import Runtime, SystemClock
+from hibiscuspoint.components.sessions import GroupAccess, SessionService
+from hibiscuspoint.components.target_poller import TargetPoller
+from hibiscuspoint.core.entry.drain import DrainState
+from hibiscuspoint.daemon.failures import FailureWatch
+from hibiscuspoint.ids import Incarnation
+from hibiscuspoint.security import Transport
+from hibiscuspoint.settings import TlsMode
+from hibiscuspoint.telemetry import Metrics, catalogue, log_event
+from hibiscuspoint.util.tasks import spawn
+from hibiscuspoint.wire import consensus_pb2_grpc, peer_pb2, peer_pb2_grpc
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+    from pathlib import Path
+
+    from hibiscuspoint.core.ports import PromotionAuthority, SessionDriver
+    from hibiscuspoint.core.sessions import RoutingTable
+    from hibiscuspoint.ids import AvailabilityZone, InstanceId
+    from hibiscuspoint.telemetry.bounded import BoundedHandler
+
+__all__ = ["CallerPort", "Ports", "SessionNode", "SessionNodeSettings"]
+
+logger = logging.getLogger(__name__)
+
+#: Seconds between two ticks of connections and readiness.
+TICK_SECONDS = 0.05
+
+#: Seconds after a stop was asked for in which new callers are still served: the load balancer asks
+#: once per second and takes an instance out after two refusals.
+NOTICE_SECONDS = 2.2
+
+#: Share of the grace time after which open transactions are rolled back.
+TRANSACTION_SHARE = 0.5
+
+#: Seconds before the end of the grace time at which the process ends in any case.
+EXIT_MARGIN_SECONDS = 0.7
+
+#: Largest message between instances in bytes: a configuration of some thousand routes.
+MESSAGE_BYTES = 16_777_216
+
+#: Applied entries after which a snapshot replaces them. A configuration of 500 routes is 100 kB, so
+#: that the log stays below 10 MB of a 64 MB disk.
+COMPACTION_ENTRIES = 64
+
+#: Seconds that the gRPC server waits for calls when the process stops.
+STOP_GRACE_SECONDS = 0.2
+
+
+@dataclass(frozen=True)
+class SessionNodeSettings:
+    """What an instance needs to know.
+
+    :param instance: address for other instances, "ip:port", and id of the instance.
+    :param founders: instances that form the control group at the first start.
+    :param seeds: addresses of instances through which the others are found.
+    :param data_directory: directory of the control log; ``None`` on an instance without a disk.
+    :param tolerated_losses: disks that may be lost at the same time.
+    :param grace_seconds: time from the request to stop until the process is killed.
+    """
+
+    instance: InstanceId
+    availability_zone: AvailabilityZone
+    founders: tuple[InstanceId, ...]
+    seeds: tuple[str, ...]
+    metrics_address: str
+    data_directory: Path | None
+    tolerated_losses: int
+    grace_seconds: float
+
+    @property
+    def wanted_voters(self) -> int:
+        """Return how many voters keep a majority when the tolerated number of disks is lost."""
+        return 2 * self.tolerated_losses + 1
+
+
+class CallerPort(Protocol):
+    """The port on which callers open sessions."""
+
+    @property
+    def open_sessions(self) -> int:
+        """Return the number of open sessions."""
+
+    async def start(self) -> None:
+        """Listen."""
+
+    def leave(self) -> None:
+        """Close every session as soon as it is idle outside a transaction."""
+
+    async def abort_transactions(self) -> None:
+        """Roll back the open transactions and close their sessions."""
+
+    async def stop(self) -> None:
+        """Close the port and all sessions."""
+
+
+class OuterPort(Protocol):
+    """Any other port."""
+
+    async def start(self) -> None:
+        """Listen."""
+
+    async def stop(self) -> None:
+        """Stop listening."""
+
+
+@dataclass(frozen=True)
+class Ports:
+    """What speaks to the outside of the system.
+
+    :param make_callers: makes the port of the callers.
+    :param make_others: makes the ports of targets, operators and the load balancer.
+    :param parse: reads a configuration.
+    """
+
+    driver: SessionDriver
+    authority: PromotionAuthority
+    parse: Callable[[str], RoutingTable]
+    make_callers: Callable[[SessionService], CallerPort]
+    make_others: Callable[
+        [
+            Callable[[peer_pb2.Announcement], Awaitable[bool]],
+            ConfigurationService,
+            Callable[[], bool],
+        ],
+        list[OuterPort],
+    ]
+
+
+class SessionNode:
+    """All components of one process, on one asyncio loop.
+
+    :param log_handler: handler of the log, whose dropped lines are counted.
+    """
+
+    def __init__(
+        self, settings: SessionNodeSettings, ports: Ports, log_handler: BoundedHandler
+    ) -> None:
+        self._settings = settings
+        self._ports = ports
+        self._log_handler = log_handler
+        self._clock = SystemClock()
+        self._metrics = Metrics()
+        self._transport = Transport(TlsMode.PLAIN_TEXT, None, MESSAGE_BYTES)
+        self._incarnation = Incarnation(time.time_ns())
+        self._drain = DrainState()
+        self._stopping: asyncio.Event | None = None
+
+    async def run(self) -> int:
+        """Serve until SIGTERM, SIGINT or a failure that needs a restart; return the exit status."""
+        self._stopping = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stopping.set)
+        self._build()
+        await self._start()
+        ticker = spawn(self._tick_forever(), "timer")
+        await self._stopping.wait()
+        await self._drain_work()
+        ticker.cancel()
+        await self._stop()
+        status = int(self._failures.status)
+        log_event(logger, catalogue.DAEMON_STOPPED, status=status)
+        self._log_handler.flush()
+        return status
+
+    def _build(self) -> None:
+        settings = self._settings
+        self._runtime = Runtime()
+        self._failures = FailureWatch(self._stopping.set).register(self._runtime)
+        self._channels = PeerChannels(self._transport)
+        self._state = EntryState("", self._ports.parse)
+        self._access = GroupAccess(self._state, self._ports.driver, self._clock)
+        self._service = SessionService(
+            self._state,
+            self._access,
+            settings.availability_zone,
+            self._drain,
+            self._clock,
+            self._metrics,
+        ).register(self._runtime)
+        self._readiness = ReadinessLog(self._state, self._drain)
+        self._build_control()
+        self._build_reporting()
+        self._callers = self._ports.make_callers(self._service)
+        configuration = ConfigurationService(self._control, self._leader_client)
+        self._others = self._ports.make_others(
+            self._announce, configuration, lambda: self._service.is_ready
+        )
+        self._others.append(MetricsServer(settings.metrics_address, self._metrics))
+
+    def _build_control(self) -> None:
+        settings = self._settings
+        self._log: ReplicatedLog | None = None
+        self._control: FailoverControl | None = None
+        if settings.data_directory is not None:
+            machine = ControlStateMachine(self._runtime)
+            self._log = ReplicatedLog(
+                settings.instance,
+                {founder: founder for founder in settings.founders},
+                settings.data_directory,
+                machine,
+                channel_factory=self._open_control_channel,
+                compaction_entries=COMPACTION_ENTRIES,
+                open_membership=True,
+            ).register(self._runtime)
+            self._control = FailoverControl(
+                settings.instance,
+                self._log,
+                machine,
+                TargetPoller(self._ports.driver, self._clock),
+                self._ports.authority,
+                self._clock,
+                self._metrics,
+                settings.wanted_voters,
+            ).register(self._runtime)
+        self._leader_client = LeaderClient(self._log, list(settings.seeds), self._channels)
+
+    def _build_reporting(self) -> None:
+        settings = self._settings
+        identity = EntryIdentity(
+            settings.instance, self._incarnation, settings.availability_zone, settings.instance
+        )
+        self._reporting = Reporting(
+            identity, self._state, self._access, self._drain, self._clock, self._metrics
+        ).register(self._runtime)
+        self._attachment = Attachment(
+            self._runtime,
+            self._channels,
+            list(settings.seeds),
+            self._make_report,
+            on_update=self._on_attached,
+            on_detached=self._leader_client.detached,
+        ).register(self._runtime)
+
+    def _make_report(self) -> peer_pb2.EntryReport:
+        report = self._reporting.make_report()
+        if self._log is not None:
+            report.disk = self._log.disk
+        return report
+
+    def _on_attached(self, update: peer_pb2.ControlUpdate) -> None:
+        """Remember where control is, for the next attachment and for calls of others."""
+        self._leader_client.attached(update.leader, update.control_members)
+        members = list(update.control_members)
+        self._attachment.set_members(
+            members + [seed for seed in self._settings.seeds if seed not in members]
+        )
+
+    async def _announce(self, announcement: peer_pb2.Announcement) -> bool:
+        if self._control is not None and await self._control.announced(announcement):
+            return True
+        reply = await self._leader_client.announce(announcement)
+        return reply.accepted
+
+    def _open_control_channel(self, address: str, options: object = ()) -> grpc.aio.Channel:
+        return self._transport.channel(address, list(options or ()))
+
+    async def _start(self) -> None:
+        options = [*self._transport.server_options, *PEER_SERVER_OPTIONS]
+        self._server = grpc.aio.server(options=options)
+        peer_pb2_grpc.add_ControlServicer_to_server(
+            ControlService(self._control, self._leader_client), self._server
+        )
+        if self._log is not None:
+            consensus_pb2_grpc.add_ConsensusServicer_to_server(self._log.servicer, self._server)
+        self._server.add_insecure_port(self._settings.instance)
+        await self._server.start()
+        if self._log is not None:
+            await self._log.start()
+            self._control.start()
+        self._attachment.start()
+        await self._callers.start()
+        for port in self._others:
+            await port.start()
+        log_event(
+            logger,
+            catalogue.DAEMON_STARTED,
+            version=__version__,
+            address=self._settings.instance,
+            roles=["entry", "control"] if self._log is not None else ["entry"],
+        )
+
+    async def _tick_forever(self) -> None:
+        while True:
+            due = self._clock.monotonic() + TICK_SECONDS
+            await asyncio.sleep(TICK_SECONDS)
+            now = self._clock.monotonic()
+            self._metrics.loop_lag.observe(max(0.0, now - due))
+            self._access.tick(now)
+            self._readiness.tick(now)
+            self._log_handler.flush()
+            dropped = self._log_handler.take_dropped()
+            if dropped:
+                self._metrics.log_lines_dropped.inc(dropped)
+
+    async def _drain_work(self) -> None:
+        """Leave the load balancer, let work end, and roll back what does not end in time."""
+        started = self._clock.monotonic()
+        self._drain.start(started)
+        log_event(
+            logger,
+            catalogue.DRAIN_STARTED,
+            subject=self._settings.instance,
+            open_requests=self._drain.in_progress,
+        )
+        grace = self._settings.grace_seconds
+        await asyncio.sleep(NOTICE_SECONDS)
+        self._callers.leave()
+        await self._wait_until_empty(started + grace * TRANSACTION_SHARE)
+        await self._callers.abort_transactions()
+        await self._wait_until_empty(started + grace - EXIT_MARGIN_SECONDS)
+        self._access.close_shares()
+
+    async def _wait_until_empty(self, deadline: float) -> None:
+        while self._callers.open_sessions and self._clock.monotonic() < deadline:
+            await asyncio.sleep(TICK_SECONDS)
+
+    async def _stop(self) -> None:
+        await self._callers.stop()
+        for port in self._others:
+            await port.stop()
+        await self._attachment.stop()
+        if self._log is not None:
+            await self._control.stop()
+            await self._log.stop()
+        self._access.close()
+        await self._server.stop(STOP_GRACE_SECONDS)
+        await self._channels.close()
--- a/hibiscuspoint/drivers/errors.py
+++ b/hibiscuspoint/drivers/errors.py
@@ -8,7 +8,14 @@
 if TYPE_CHECKING:
     from hibiscuspoint.wire import target_pb2
 
-__all__ = ["AdminError", "ConnectError", "ConnectFailure", "ConnectionLost", "TargetFailure"]
+__all__ = [
+    "AdminError",
+    "AnswerTimeoutError",
+    "ConnectError",
+    "ConnectFailure",
+    "ConnectionLost",
+    "TargetFailure",
+]
 
 
 class ConnectFailure(Enum):
@@ -22,6 +29,10 @@
     LEAVING = "leaving"
     #: There was no answer in time.
     TIMED_OUT = "timed_out"
+    #: Another target answers at the address.
+    WRONG_TARGET = "wrong_target"
+    #: The connection failed in another way.
+    BROKEN = "broken"
 
 
 class ConnectError(Exception):
@@ -70,3 +81,10 @@
     def __init__(self, message: str, *, is_refused: bool) -> None:
         super().__init__(message)
         self.is_refused = is_refused
+
+
+class AnswerTimeoutError(ConnectionLost):
+    """The answer did not arrive in time; the connection cannot be used any more."""
+
+    def __init__(self) -> None:
+        super().__init__("no answer in time", sent=True)
--- /dev/null
+++ b/hibiscuspoint/platform/configuration.py
@@ -0,0 +1,93 @@
+"""The configuration that operators of the platform send."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from typing import Any
+
+from hibiscuspoint.core.sessions import DatabaseRoute, GroupLimits, ReadMode, RoutingTable
+from hibiscuspoint.errors import ConfigurationError
+from hibiscuspoint.ids import GroupId
+from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
+
+__all__ = ["parse_routing_table"]
+
+_READ_MODES = {
+    "primary": ReadMode.PRIMARY,
+    "bounded_staleness": ReadMode.BOUNDED_STALENESS,
+    "read_your_writes": ReadMode.READ_YOUR_WRITES,
+}
+
+#: Attempts of a read where a route states none.
+DEFAULT_ATTEMPTS = 1
+
+
+def parse_routing_table(text: str) -> RoutingTable:
+    """Return the routing table of a configuration.
+
+    :raises ConfigurationError: the text cannot be read in full or contradicts itself.
+    """
+    try:
+        fields = json.loads(text)
+        return _routing_table(fields, hashlib.sha256(text.encode()).hexdigest())
+    except ConfigurationError:
+        raise
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise ConfigurationError(f"the configuration cannot be read: {error!r}") from error
+
+
+def _routing_table(fields: dict[str, Any], digest: str) -> RoutingTable:
+    groups = {}
+    for service in fields["services"]:
+        group = GroupId(_text(service["name"]))
+        groups[group] = GroupLimits(group, _whole(service["max_conns"]))
+    places: set[tuple[str, str]] = set()
+    routes: dict[str, DatabaseRoute] = {}
+    for item in fields["routes"]:
+        place = (_text(item["host"]), _text(item.get("path_prefix", "/")))
+        if place in places:
+            raise ConfigurationError(f"two routes share the database {place[0]!r}")
+        places.add(place)
+        route = _route(item)
+        if route.group not in groups:
+            raise ConfigurationError(f"route {route.name!r} names an unknown service")
+        routes.setdefault(route.database, route)
+    idle_ms = fields["limits"].get("txn_idle_ms", 3000)
+    return RoutingTable(
+        number=_whole(fields["version"]),
+        digest=digest,
+        routes=routes,
+        groups=groups,
+        transaction_idle=_whole(idle_ms) / MILLISECONDS_PER_SECOND,
+    )
+
+
+def _route(item: dict[str, Any]) -> DatabaseRoute:
+    name = _text(item["name"])
+    timeout_ms = _whole(item["timeout_ms"])
+    if timeout_ms <= 0:
+        raise ConfigurationError(f"route {name!r} has no timeout")
+    return DatabaseRoute(
+        name=name,
+        database=_text(item["host"]),
+        group=GroupId(_text(item["service"])),
+        mode=_READ_MODES[item["kind"]],
+        timeout=timeout_ms / MILLISECONDS_PER_SECOND,
+        objective=_whole(item["slo_ms"]) / MILLISECONDS_PER_SECOND,
+        priority=_whole(item["priority"]),
+        max_attempts=_whole(item.get("max_attempts", DEFAULT_ATTEMPTS)),
+        max_age=_whole(item.get("max_staleness_ms", 0)) / MILLISECONDS_PER_SECOND,
+    )
+
+
+def _text(value: object) -> str:
+    if not isinstance(value, str) or not value:
+        raise TypeError(f"{value!r} is not a name")
+    return value
+
+
+def _whole(value: object) -> int:
+    if not isinstance(value, int) or isinstance(value, bool):
+        raise TypeError(f"{value!r} is not a whole number")
+    return value
--- /dev/null
+++ b/hibiscuspoint/platform/control_api.py
@@ -0,0 +1,154 @@
+"""HTTP calls of databases, operators and the load balancer."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from hibiscuspoint.errors import ConfigurationError, NotLeaderError
+from hibiscuspoint.platform.configuration import parse_routing_table
+from hibiscuspoint.platform.heartbeats import HeartbeatError, departure, parse_heartbeat
+from hibiscuspoint.util.address import parse_address
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from hibiscuspoint.components.configuration import ConfigurationService
+    from hibiscuspoint.wire import peer_pb2
+
+__all__ = ["ControlApi", "ReadinessApi"]
+
+logger = logging.getLogger(__name__)
+
+#: Greatest size of a request body in bytes; a configuration of some thousand routes.
+BODY_BYTES = 4_194_304
+
+#: Longest time in seconds to commit a configuration. Callers go on to another node after a second.
+SUBMIT_SECONDS = 0.9
+
+
+class ControlApi:
+    """Serves heartbeats and the operator's calls.
+
+    :param address: "ip:port".
+    :param announce: takes an announcement and tells whether it is durable.
+    :param configuration: accepts and returns configurations.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        announce: Callable[[peer_pb2.Announcement], Awaitable[bool]],
+        configuration: ConfigurationService,
+    ) -> None:
+        self._host, self._port = parse_address(address)
+        self._announce = announce
+        self._configuration = configuration
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Listen.
+
+        :raises OSError: the address is in use.
+        """
+        app = web.Application(client_max_size=BODY_BYTES)
+        app.router.add_post("/-/Instances.Heartbeat/{target}", self._heartbeat)
+        app.router.add_post("/-/Instances.Deregister/{target}", self._deregister)
+        app.router.add_post("/-/Config.Put", self._put)
+        app.router.add_get("/-/Config.Get", self._get)
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, self._host, self._port).start()
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _heartbeat(self, request: web.Request) -> web.Response:
+        try:
+            announcement = parse_heartbeat(request.match_info["target"], await request.read())
+        except HeartbeatError as error:
+            logger.warning("%s", error)
+            return web.json_response({}, status=400)
+        return await self._announced(announcement)
+
+    async def _deregister(self, request: web.Request) -> web.Response:
+        return await self._announced(departure(request.match_info["target"], await request.read()))
+
+    async def _announced(self, announcement: peer_pb2.Announcement) -> web.Response:
+        accepted = await self._announce(announcement)
+        return web.json_response({}, status=200 if accepted else 503)
+
+    async def _put(self, request: web.Request) -> web.Response:
+        try:
+            text = (await request.read()).decode()
+            table = parse_routing_table(text)
+        except (ConfigurationError, UnicodeDecodeError) as error:
+            self._configuration.refused(str(error))
+            return web.json_response({"error": str(error)}, status=400)
+        redirect = self._redirect(request)
+        if redirect is not None:
+            return redirect
+        try:
+            async with asyncio.timeout(SUBMIT_SECONDS):
+                await self._configuration.submit(table.number, table.digest, text)
+        except (NotLeaderError, TimeoutError) as error:
+            logger.warning("configuration %d was not committed: %r", table.number, error)
+            return web.json_response({}, status=503)
+        return web.json_response({})
+
+    async def _get(self, request: web.Request) -> web.Response:
+        redirect = self._redirect(request)
+        if redirect is not None:
+            return redirect
+        text = self._configuration.newest()
+        if text is None:
+            return web.json_response({}, status=503)
+        return web.Response(text=text, content_type="application/json")
+
+    def _redirect(self, request: web.Request) -> web.Response | None:
+        """Return the answer that sends the caller to the leader; ``None`` at the leader."""
+        if self._configuration.is_leader:
+            return None
+        leader = self._configuration.known_leader
+        if not leader:
+            return web.json_response({}, status=503)
+        host, _ = parse_address(leader)
+        location = f"http://{host}:{self._port}{request.path_qs}"
+        return web.json_response({}, status=307, headers={"Location": location})
+
+
+class ReadinessApi:
+    """Answers the load balancer.
+
+    :param address: "ip:port".
+    :param is_ready: tells whether new callers are served.
+    """
+
+    def __init__(self, address: str, is_ready: Callable[[], bool]) -> None:
+        self._host, self._port = parse_address(address)
+        self._is_ready = is_ready
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Listen.
+
+        :raises OSError: the address is in use.
+        """
+        app = web.Application()
+        app.router.add_get("/-/readyz", self._serve)
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, self._host, self._port).start()
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _serve(self, request: web.Request) -> web.Response:
+        return web.Response(status=200 if self._is_ready() else 503)
--- /dev/null
+++ b/hibiscuspoint/platform/database.py
@@ -0,0 +1,209 @@
+"""Connections to the databases of the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import TYPE_CHECKING
+
+from hibiscuspoint.core.failover import TargetStatus
+from hibiscuspoint.core.sessions import Failure
+from hibiscuspoint.drivers.errors import (
+    AnswerTimeoutError,
+    ConnectError,
+    ConnectFailure,
+    ConnectionLost,
+)
+from hibiscuspoint.ids import Term
+from hibiscuspoint.platform import wire
+from hibiscuspoint.util.address import parse_address
+from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
+
+if TYPE_CHECKING:
+    from hibiscuspoint.core.position import LogPosition
+    from hibiscuspoint.core.sessions import Reply, Shape, Statement
+    from hibiscuspoint.ids import GroupId, TargetId
+
+__all__ = ["DatabaseConnection", "DatabaseDriver"]
+
+#: Seconds without an acknowledgement of sent bytes after which the kernel ends a connection. A
+#: database drops a connection to an unreachable peer after 3 s.
+UNACKNOWLEDGED_SECONDS = 3.0
+
+#: Word by which the proxy names itself to a database.
+CALLER_NAME = "hibiscuspoint"
+
+_CONNECT_FAILURES = {
+    Failure.TOO_MANY_CONNECTIONS: ConnectFailure.LIMITED,
+    Failure.OVERLOADED: ConnectFailure.LIMITED,
+    Failure.WRONG_TARGET: ConnectFailure.WRONG_TARGET,
+}
+
+
+class DatabaseConnection:
+    """One connection; one statement at a time."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._is_open = True
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether the connection is open and owes no answer."""
+        return self._is_open and not self._reader.at_eof() and not self._writer.is_closing()
+
+    async def run(
+        self,
+        statement: Statement,
+        *,
+        timeout: float,
+        name: str | None = None,
+        after: LogPosition | None = None,
+    ) -> Reply:
+        """Run a statement of a caller and wait for the whole answer.
+
+        :param timeout: seconds.
+        :param name: name of the executed prepared statement at this connection.
+        :param after: position that the database must have applied.
+        :raises ConnectionLost: the connection ended before.
+        :raises AnswerTimeoutError: the answer did not arrive in time; the connection is closed.
+        """
+        return await self._exchange(wire.format_query(statement, name, after), timeout)
+
+    async def reset(self, timeout: float) -> Reply:
+        """Clear session values and prepared statements."""
+        return await self._exchange(wire.format_own("RESET"), timeout)
+
+    async def set_value(self, name: str, value: str, timeout: float) -> Reply:
+        """Set a session value."""
+        return await self._exchange(wire.format_set(name, value), timeout)
+
+    async def prepare(self, name: str, shape: Shape, timeout: float) -> Reply:
+        """Create a prepared statement."""
+        return await self._exchange(wire.format_prepare(name, shape), timeout)
+
+    async def rollback(self, timeout: float) -> Reply:
+        """Roll back the open transaction."""
+        return await self._exchange(wire.format_own("ROLLBACK"), timeout)
+
+    async def status(self, timeout: float) -> tuple[TargetStatus | None, LogPosition | None]:
+        """Return the state of the database, if it had a slot to tell it, and its log position."""
+        return await self._command("STATUS", timeout)
+
+    async def pause(self, term: int, timeout: float) -> TargetStatus | None:
+        """Stop a replica from receiving; ``None`` when the database refuses."""
+        return (await self._command(f"PAUSE {term}", timeout))[0]
+
+    async def step_down(self, term: int, timeout: float) -> TargetStatus | None:
+        """Make a primary of a lower term a replica; ``None`` when the database refuses."""
+        return (await self._command(f"STEPDOWN {term}", timeout))[0]
+
+    async def resume(self, timeout: float) -> None:
+        """Let a paused replica receive again."""
+        await self._command("RESUME", timeout)
+
+    def close(self) -> None:
+        """Close the connection; the database rolls back an open transaction."""
+        self._is_open = False
+        self._writer.close()
+
+    async def _command(
+        self, text: str, timeout: float
+    ) -> tuple[TargetStatus | None, LogPosition | None]:
+        reply = await self._exchange(wire.format_own(text), timeout)
+        if reply.error is not None or not reply.rows:
+            return None, reply.position
+        return _parse_status(reply.rows[0]), reply.position
+
+    async def _exchange(self, message: bytes, timeout: float) -> Reply:
+        builder = wire.ReplyBuilder()
+        try:
+            async with asyncio.timeout(timeout):
+                self._writer.write(message)
+                while True:
+                    line = await self._reader.readline()
+                    if not line:
+                        raise ConnectionLost("the connection ended", sent=True)
+                    reply = builder.add(line)
+                    if reply is not None:
+                        return reply
+        except TimeoutError:
+            self.close()
+            raise AnswerTimeoutError from None
+        except (OSError, ValueError, wire.ProtocolError) as error:
+            self.close()
+            raise ConnectionLost(str(error), sent=True) from error
+        except (ConnectionLost, asyncio.CancelledError):
+            self.close()
+            raise
+
+
+class DatabaseDriver:
+    """Opens connections to databases."""
+
+    async def connect(
+        self, group: GroupId, target: TargetId, address: str, timeout: float
+    ) -> DatabaseConnection:
+        """Open a connection.
+
+        :param timeout: seconds.
+        :raises ConnectError: no connection, or the database is full or another one.
+        """
+        host, port = parse_address(address)
+        try:
+            async with asyncio.timeout(timeout):
+                reader, writer = await asyncio.open_connection(host, port, limit=wire.LINE_BYTES)
+                _tune(writer)
+                return await _start_up(reader, writer, group, target)
+        except TimeoutError:
+            raise ConnectError(ConnectFailure.TIMED_OUT, "no answer in time") from None
+        except ConnectionRefusedError as error:
+            raise ConnectError(ConnectFailure.REFUSED, str(error)) from error
+        except OSError as error:
+            raise ConnectError(ConnectFailure.BROKEN, str(error)) from error
+
+
+async def _start_up(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    group: GroupId,
+    target: TargetId,
+) -> DatabaseConnection:
+    try:
+        writer.write(f"STARTUP {group} {CALLER_NAME} {target}\r\n".encode())
+        builder = wire.ReplyBuilder()
+        while True:
+            line = await reader.readline()
+            if not line:
+                raise ConnectError(ConnectFailure.REFUSED, "the connection ended")
+            word, _, rest = line.decode(errors="replace").strip().partition(" ")
+            if word == "ERROR":
+                failure = wire.failure_of(rest.partition(" ")[0])
+                raise ConnectError(_CONNECT_FAILURES.get(failure, ConnectFailure.BROKEN), rest)
+            if builder.add(line) is not None:
+                return DatabaseConnection(reader, writer)
+    except (ValueError, wire.ProtocolError) as error:
+        writer.close()
+        raise ConnectError(ConnectFailure.BROKEN, str(error)) from error
+    except BaseException:
+        writer.close()
+        raise
+
+
+def _tune(writer: asyncio.StreamWriter) -> None:
+    connection = writer.get_extra_info("socket")
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    milliseconds = int(UNACKNOWLEDGED_SECONDS * MILLISECONDS_PER_SECOND)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
+
+
+def _parse_status(row: str) -> TargetStatus:
+    """Return the state from a row: role, term, received position, and figures not used here."""
+    fields = row.split()
+    if len(fields) < 3:
+        raise wire.ProtocolError("the state of a database is not complete")
+    position = wire.parse_position(fields[2])
+    if position is None:
+        position = wire.parse_position("0.0")
+    return TargetStatus(fields[0] == "primary", Term(int(fields[1])), position)
--- /dev/null
+++ b/hibiscuspoint/platform/heartbeats.py
@@ -0,0 +1,60 @@
+"""Heartbeats of databases."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from hibiscuspoint.wire import peer_pb2
+
+__all__ = ["HeartbeatError", "departure", "parse_heartbeat"]
+
+_STATES = {"ready": False, "draining": True}
+
+
+class HeartbeatError(Exception):
+    """A heartbeat that names no database to use."""
+
+
+def parse_heartbeat(target: str, body: bytes) -> peer_pb2.Announcement:
+    """Return the announcement of a heartbeat.
+
+    :param target: id of the database.
+    :raises HeartbeatError: a field is missing or has another type.
+    """
+    try:
+        fields = json.loads(body)
+        return _announcement(target, fields)
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise HeartbeatError(f"heartbeat of {target[:64]!r}: {error!r}") from error
+
+
+def departure(target: str, body: bytes) -> peer_pb2.Announcement:
+    """Return the announcement of a database that ends; its incarnation is 0 when it is unknown."""
+    try:
+        incarnation = _whole(json.loads(body).get("born", 0))
+    except (ValueError, TypeError, AttributeError):
+        # The call needs no body; its path names the database.
+        incarnation = 0
+    return peer_pb2.Announcement(target=target, incarnation=incarnation, gone=True)
+
+
+def _announcement(target: str, fields: dict[str, Any]) -> peer_pb2.Announcement:
+    return peer_pb2.Announcement(
+        target=target,
+        group=fields["service"],
+        availability_zone=fields["zone"],
+        address=fields["addr"],
+        slots=_whole(fields["slots"]),
+        leaving=_STATES[fields["state"]],
+        primary=fields.get("db_role") == "primary",
+        # The time of the start tells incarnations under the same id apart.
+        incarnation=_whole(fields.get("born", 0)),
+        sequence=_whole(fields["seq_no"]),
+    )
+
+
+def _whole(value: object) -> int:
+    if not isinstance(value, int) or isinstance(value, bool):
+        raise TypeError(f"{value!r} is not a whole number")
+    return value
--- /dev/null
+++ b/hibiscuspoint/platform/settings.py
@@ -0,0 +1,90 @@
+"""The settings file that the platform writes for each process."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from hibiscuspoint.errors import ConfigurationError
+from hibiscuspoint.ids import AvailabilityZone, InstanceId
+from hibiscuspoint.util.address import parse_address
+
+__all__ = ["PATH_VARIABLE", "ProcessSettings"]
+
+#: Environment variable with the path of the file.
+PATH_VARIABLE = "HIBISCUSPOINT_BOOT"
+
+
+@dataclass(frozen=True)
+class ProcessSettings:
+    """Settings of one process, in the terms of the product.
+
+    :param name: name of the machine; names the holder of a singleton duty.
+    :param instance: address for other instances, "ip:port", which is also the instance id.
+    :param founders: instances that form the control group at the first start; empty later.
+    :param seeds: instances through which the others are found.
+    :param callers_address: where callers connect.
+    :param readiness_address: where the load balancer asks for readiness.
+    :param control_address: where databases and operators call.
+    :param metrics_address: where the metrics are served.
+    :param data_directory: directory on a disk; ``None`` on a machine without one.
+    :param tolerated_losses: machines with a disk that may be lost at the same time.
+    :param grace_seconds: time from SIGTERM to SIGKILL.
+    :param authority_address: address of the platform's calls for singleton duties.
+    """
+
+    name: str
+    instance: InstanceId
+    availability_zone: AvailabilityZone
+    founders: tuple[InstanceId, ...]
+    seeds: tuple[str, ...]
+    callers_address: str
+    readiness_address: str
+    control_address: str
+    metrics_address: str
+    data_directory: Path | None
+    tolerated_losses: int
+    grace_seconds: float
+    authority_address: str
+
+    @classmethod
+    def from_file(cls, path: Path) -> ProcessSettings:
+        """Read the file.
+
+        :raises ConfigurationError: the file cannot be read or lacks a field.
+        """
+        try:
+            return cls._from_fields(json.loads(path.read_text()))
+        except (OSError, ValueError, KeyError, TypeError, IndexError) as error:
+            raise ConfigurationError(f"settings file {path}: {error!r}") from error
+
+    @classmethod
+    def _from_fields(cls, fields: dict[str, Any]) -> ProcessSettings:
+        listen = fields["listen"]
+        ip = fields["ip"]
+        port = fields["internal_ports"][0]
+        seeds = tuple(_internal_address(seed, port) for seed in fields["seeds"])
+        data_directory = fields.get("data_dir")
+        return cls(
+            name=fields["node_name"],
+            instance=InstanceId(f"{ip}:{port}"),
+            availability_zone=AvailabilityZone(fields["zone"]),
+            founders=tuple(map(InstanceId, seeds)) if fields.get("bootstrap") else (),
+            seeds=seeds,
+            callers_address=listen["frontend"],
+            readiness_address=listen["ready"],
+            control_address=listen["control_addr"],
+            metrics_address=f"{ip}:{port + 1}",
+            data_directory=Path(data_directory) if data_directory else None,
+            tolerated_losses=fields["fault_budget"]["machines"],
+            grace_seconds=float(fields["bounds"]["grace_s"]),
+            authority_address=fields["cloud_api"]["addr"],
+        )
+
+
+def _internal_address(control_address: str, port: int) -> str:
+    """Return the address for other instances on the machine that serves a control address."""
+    host, _ = parse_address(control_address)
+    return f"{host}:{port}"
--- /dev/null
+++ b/hibiscuspoint/platform/wire.py
@@ -0,0 +1,263 @@
+"""The line protocol that callers and databases of the platform speak."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING
+
+from hibiscuspoint.core.position import LogPosition
+from hibiscuspoint.core.sessions import (
+    Failure,
+    Reply,
+    SessionState,
+    Statement,
+    StatementError,
+    StatementKind,
+)
+from hibiscuspoint.ids import Term
+
+if TYPE_CHECKING:
+    from hibiscuspoint.core.sessions import Shape
+
+__all__ = [
+    "LINE_BYTES",
+    "OWN_REQUEST_ID",
+    "ProtocolError",
+    "ReplyBuilder",
+    "Startup",
+    "failure_of",
+    "format_error",
+    "format_own",
+    "format_prepare",
+    "format_query",
+    "format_ready",
+    "format_reply",
+    "format_set",
+    "parse_position",
+    "parse_startup",
+    "parse_statement",
+]
+
+#: Greatest length of a message in bytes, as the protocol states it.
+LINE_BYTES = 1_048_576
+
+#: Id of the statements that the proxy sends on its own behalf.
+OWN_REQUEST_ID = "-"
+
+_NO_POSITION = "-"
+
+_FAILURES = {
+    "BUSY": Failure.OVERLOADED,
+    "ABORTED": Failure.ABORTED,
+    "LAGGING": Failure.LAGGING,
+    "READONLY": Failure.READ_ONLY,
+    "WRONGNODE": Failure.WRONG_TARGET,
+    "TOOMANY": Failure.TOO_MANY_CONNECTIONS,
+    "NOSTMT": Failure.UNKNOWN_STATEMENT,
+    "NODB": Failure.UNKNOWN_DATABASE,
+    "MALFORMED": Failure.MALFORMED,
+    "FAILED": Failure.FAILED,
+    "TIMEOUT": Failure.TIMEOUT,
+    "INDOUBT": Failure.IN_DOUBT,
+}
+_CODES = {failure: code for code, failure in _FAILURES.items()}
+
+_STATES = {
+    "I": SessionState.IDLE,
+    "T": SessionState.IN_TRANSACTION,
+    "E": SessionState.FAILED,
+}
+_LETTERS = {state: letter for letter, state in _STATES.items()}
+
+_SIMPLE_KINDS = {
+    "COMMIT": StatementKind.COMMIT,
+    "ROLLBACK": StatementKind.ROLLBACK,
+    "READ": StatementKind.READ,
+    "WRITE": StatementKind.WRITE,
+}
+
+
+class ProtocolError(Exception):
+    """A message that does not follow the protocol."""
+
+
+@dataclass(frozen=True)
+class Startup:
+    """First message of a caller.
+
+    :param caller: who connects, in the caller's own words.
+    """
+
+    database: str
+    caller: str
+
+
+def parse_startup(line: bytes) -> Startup:
+    """Return the content of a startup message.
+
+    :raises ProtocolError: it is another message or cannot be read.
+    """
+    word, _, rest = _text(line).partition(" ")
+    database, _, caller = rest.partition(" ")
+    if word != "STARTUP" or not database:
+        raise ProtocolError("expected STARTUP with a database")
+    return Startup(database, caller)
+
+
+def parse_statement(line: bytes) -> Statement | None:
+    """Return the statement of a query; ``None`` for the message that ends the session.
+
+    :raises ProtocolError: it is another message or cannot be read.
+    """
+    word, _, rest = _text(line).partition(" ")
+    if word == "TERMINATE":
+        return None
+    request_id, _, text = rest.partition(" ")
+    if word != "QUERY" or not request_id or not text:
+        raise ProtocolError("expected QUERY with an id and a text")
+    return _parse_text(request_id, text)
+
+
+def _parse_text(request_id: str, text: str) -> Statement:
+    verb, _, operand = text.partition(" ")
+    if verb == "BEGIN":
+        kind = StatementKind.BEGIN_READ_ONLY if operand == "READ" else StatementKind.BEGIN
+        if operand in ("", "READ"):
+            return Statement(request_id, kind, text)
+    elif verb in _SIMPLE_KINDS:
+        writes = verb == "WRITE"
+        return Statement(request_id, _SIMPLE_KINDS[verb], text, operand=operand, writes=writes)
+    else:
+        name, _, value = operand.partition(" ")
+        if verb == "SET" and name:
+            return Statement(request_id, StatementKind.SET, text, name, value)
+        if verb == "EXECUTE" and name:
+            return Statement(request_id, StatementKind.EXECUTE, text, name, value)
+        if verb == "DEALLOC" and name:
+            return Statement(request_id, StatementKind.DEALLOCATE, text, name)
+        mode, _, shape = value.partition(" ")
+        if verb == "PREPARE" and mode in ("READ", "WRITE") and shape:
+            writes = mode == "WRITE"
+            return Statement(request_id, StatementKind.PREPARE, text, name, shape, writes)
+    raise ProtocolError("unknown statement")
+
+
+def format_query(
+    statement: Statement, name: str | None = None, after: LogPosition | None = None
+) -> bytes:
+    """Return the message that forwards a statement to a database.
+
+    :param name: name under which the database knows the executed prepared statement.
+    :param after: position that the database must have applied.
+    """
+    text = statement.text
+    if name is not None:
+        text = f"EXECUTE {name} {statement.operand}" if statement.operand else f"EXECUTE {name}"
+    if after is not None:
+        text = f"AFTERLSN {after.term}.{after.index} {text}"
+    return f"QUERY {statement.request_id} {text}\r\n".encode()
+
+
+def format_own(text: str) -> bytes:
+    """Return the message of a statement that the proxy sends on its own behalf."""
+    return f"QUERY {OWN_REQUEST_ID} {text}\r\n".encode()
+
+
+def format_set(name: str, value: str) -> bytes:
+    """Return the message that sets a session value."""
+    return format_own(f"SET {name} {value}")
+
+
+def format_prepare(name: str, shape: Shape) -> bytes:
+    """Return the message that creates a prepared statement."""
+    return format_own(f"PREPARE {name} {'WRITE' if shape.writes else 'READ'} {shape.text}")
+
+
+def format_ready(state: SessionState, position: LogPosition | None) -> bytes:
+    """Return the message that ends an answer."""
+    text = _NO_POSITION if position is None else f"{position.term}.{position.index}"
+    return f"READY {_LETTERS[state]} {text}\r\n".encode()
+
+
+def format_error(failure: Failure, text: str) -> bytes:
+    """Return the message of an error."""
+    return f"ERROR {_CODES[failure]} {text or '-'}\r\n".encode()
+
+
+def format_reply(reply: Reply) -> bytes:
+    """Return the messages of a whole answer."""
+    parts = [f"ROW {row}\r\n".encode() for row in reply.rows]
+    if reply.error is not None:
+        parts = [format_error(reply.error.failure, reply.error.text)]
+    else:
+        parts.append(f"COMPLETE {reply.signature or '-'}\r\n".encode())
+    parts.append(format_ready(reply.state, reply.position))
+    return b"".join(parts)
+
+
+def failure_of(code: str) -> Failure:
+    """Return the failure that a code names; a code that is not known counts as a failed run."""
+    return _FAILURES.get(code, Failure.FAILED)
+
+
+def parse_position(text: str) -> LogPosition | None:
+    """Return a log position; ``None`` for none.
+
+    :raises ProtocolError: it cannot be read.
+    """
+    if text in ("", _NO_POSITION):
+        return None
+    term, _, index = text.partition(".")
+    try:
+        return LogPosition(Term(int(term)), int(index))
+    except ValueError:
+        raise ProtocolError(f"{text!r} is no log position") from None
+
+
+class ReplyBuilder:
+    """Collects the messages of one answer of a database."""
+
+    def __init__(self) -> None:
+        self._rows: list[str] = []
+        self._signature: str | None = None
+        self._error: StatementError | None = None
+
+    def add(self, line: bytes) -> Reply | None:
+        """Take a message and return the reply when it is the last one.
+
+        :raises ProtocolError: the message does not follow the protocol.
+        """
+        word, _, rest = _text(line).partition(" ")
+        if word == "ROW":
+            self._rows.append(rest)
+        elif word == "COMPLETE":
+            self._signature = "" if rest == "-" else rest
+        elif word == "ERROR":
+            code, _, text = rest.partition(" ")
+            self._error = StatementError(failure_of(code), text)
+        elif word == "READY":
+            return self._finish(rest)
+        else:
+            raise ProtocolError(f"unexpected message {word[:16]!r}")
+        return None
+
+    def _finish(self, rest: str) -> Reply:
+        letter, _, position = rest.partition(" ")
+        if letter not in _STATES:
+            raise ProtocolError("unknown session state")
+        reply = Reply(
+            rows=tuple(self._rows),
+            signature=self._signature,
+            state=_STATES[letter],
+            position=parse_position(position),
+        )
+        return replace(reply, signature=None, error=self._error) if self._error else reply
+
+
+def _text(line: bytes) -> str:
+    if not line.endswith(b"\n"):
+        raise ProtocolError("the message has no end")
+    try:
+        return line.rstrip(b"\r\n").decode()
+    except UnicodeDecodeError:
+        raise ProtocolError("the message is not UTF-8") from None
--- a/hibiscuspoint/telemetry/catalogue.py
+++ b/hibiscuspoint/telemetry/catalogue.py
@@ -122,6 +122,25 @@
     234, "repair-finished", INFO, "Repair of {subject} finished.", "subject"
 )
 
+VOTER_CHANGE_STARTED = define_event(
+    240,
+    "voter-change-started",
+    INFO,
+    "{subject} becomes a voter of the control group.",
+    "subject",
+    "replaced",
+)
+VOTER_CHANGE_FINISHED = define_event(
+    241, "voter-change-finished", INFO, "{subject} is a voter of the control group.", "subject"
+)
+CONFIGURATION_REFUSED = define_event(
+    242,
+    "configuration-refused",
+    WARNING,
+    "A submitted configuration was refused: {reason}",
+    "reason",
+)
+
 # 300: groups and promotion
 GROUP_FORMED = define_event(301, "group-formed", INFO, "Group {group} formed.", "group", "members")
 PRIMARY_SUSPECTED = define_event(
@@ -185,6 +204,46 @@
     "term",
 )
 
+TERM_STARTED = define_event(
+    317,
+    "term-started",
+    INFO,
+    "{target} serves group {group} in term {term}.",
+    "group",
+    "target",
+    "term",
+)
+PROMOTION_REQUESTED = define_event(
+    318,
+    "promotion-requested",
+    INFO,
+    "The platform answered the promotion of {target} of group {group}: {outcome}.",
+    "group",
+    "target",
+    "fence",
+    "outcome",
+)
+TARGET_REGISTERED = define_event(
+    319,
+    "target-registered",
+    INFO,
+    "{target} of group {group} announced itself.",
+    "group",
+    "target",
+    "address",
+    "incarnation",
+    "leaving",
+)
+TARGET_REMOVED = define_event(
+    320, "target-removed", INFO, "{target} of group {group} was removed.", "group", "target"
+)
+TARGET_LOST = define_event(
+    321, "target-lost", WARNING, "{target} does not answer control: {reason}", "target", "reason"
+)
+TARGET_REGAINED = define_event(
+    322, "target-regained", INFO, "{target} answers control again.", "target"
+)
+
 # 400: leases, holders, shares, connections
 LEASE_EXPIRED = define_event(
     401, "lease-expired", WARNING, "The route lease of group {group} ended.", "group", "term"
@@ -250,6 +309,43 @@
 TOKEN_REFUSED = define_event(
     502, "token-refused", WARNING, "A session token was refused: {reason}", "reason"
 )
+STATEMENT_ANSWERED = define_event(
+    510,
+    "statement-answered",
+    INFO,
+    "Statement {request} of {database}: {outcome}.",
+    "request",
+    "database",
+    "kind",
+    "group",
+    "target",
+    "term",
+    "required",
+    "position",
+    "configuration",
+    "attempts",
+    "elapsed_ms",
+    "outcome",
+    "reason",
+)
+SESSION_REFUSED = define_event(
+    511,
+    "session-refused",
+    INFO,
+    "A session of {database} was refused: {reason}",
+    "database",
+    "reason",
+    "configuration",
+)
+TRANSACTION_ENDED = define_event(
+    512,
+    "transaction-ended",
+    INFO,
+    "A transaction of {database} was rolled back: {reason}",
+    "database",
+    "target",
+    "reason",
+)
 LIMIT_REACHED = define_event(
     503, "limit-reached", WARNING, "A caller reached the limit {limit}.", "caller", "limit"
 )
--- a/hibiscuspoint/telemetry/events.py
+++ b/hibiscuspoint/telemetry/events.py
@@ -71,15 +71,19 @@
     logger.log(event.level, event.message.format(**fields), extra=extra, stacklevel=2)
 
 
-def setup_logging(level: str, file: Path | None, instance: str) -> None:
+def setup_logging(
+    level: str, file: Path | None, instance: str, *, handler: logging.Handler | None = None
+) -> None:
     """Write the root logger's records as JSON lines.
 
     :param level: lowest level: ``debug``, ``info``, ``warning`` or ``error``.
     :param file: file to append to; standard error when ``None``.
     :param instance: value of the ``instance`` field of every line.
+    :param handler: takes the lines instead of a file.
     :raises OSError: the file cannot be opened.
     """
-    handler = logging.StreamHandler(sys.stderr) if file is None else logging.FileHandler(file)
+    if handler is None:
+        handler = logging.StreamHandler(sys.stderr) if file is None else logging.FileHandler(file)
     handler.setFormatter(
         JsonFormatter(
             ["levelname", "name", "message"],
--- a/hibiscuspoint/telemetry/metrics.py
+++ b/hibiscuspoint/telemetry/metrics.py
@@ -68,6 +68,25 @@
             "queue_length", "Requests that wait at this holder.", "group"
         )
 
+        self.statements = self._counter(
+            "statements",
+            "Statements of sessions that are connections, by kind and failure; failure is empty "
+            "without one.",
+            "group",
+            "kind",
+            "failure",
+        )
+        self.statement_latency = self._histogram(
+            "statement_seconds",
+            "Time from the arrival of a statement to its answer, without failure.",
+            LATENCY_BUCKETS,
+            "group",
+            "kind",
+        )
+        self.log_lines_dropped = self._counter(
+            "log_lines_dropped", "Log lines that were not written, as their reader was too slow."
+        )
+
     def _define_reads(self) -> None:
         self.reads = self._counter(
             "reads",
