Reload settings on SIGHUP and write the control log in a thread of its own

A slow disk stopped the whole loop, as the log was synced on it.

Change: SIGHUP and a changed settings file are read while the process runs. Saves of the control log run in a writer thread, in order; what depends on them is sent and applied after them.

--- a/hibiscuspoint/components/consensus.py
+++ b/hibiscuspoint/components/consensus.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import random
+from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING
 
 import grpc
@@ -19,6 +20,7 @@
 from hibiscuspoint.components.consensus_transport import Transport
 from hibiscuspoint.components.effect_runner import EffectRunner
 from hibiscuspoint.components.proposals import Proposals
+from hibiscuspoint.core.consensus.effects import SAVES
 from hibiscuspoint.core.consensus.membership import Member, VoterContact
 from hibiscuspoint.core.consensus.node import Node
 from hibiscuspoint.core.consensus.repair import RepairPhase
@@ -107,6 +109,10 @@
         self._runner: EffectRunner | None = None
         self._ticker: asyncio.Task[None] | None = None
         self._pump_handle: asyncio.Handle | None = None
+        self._unsaved: list[Effect] = []
+        self._saving: asyncio.Task[None] | None = None
+        # Only the writer thread touches the disk, so that a slow disk does not stop the loop.
+        self._writer = ThreadPoolExecutor(1, "control log")
         self._was_leader = False
         super().__init__()
 
@@ -118,7 +124,11 @@
     @property
     def is_leader(self) -> bool:
         """Tell whether the leadership lease is valid now and all earlier commits are applied."""
-        return self._node is not None and self._node.is_leader(self._clock())
+        node = self._node
+        if node is None or not node.is_leader(self._clock()):
+            return False
+        # Entries of earlier terms may be committed and wait for the disk before they are applied.
+        return self._runner.applied_index >= node.term_start
 
     @property
     def control_term(self) -> int:
@@ -192,7 +202,10 @@
             self._ticker.cancel()
             await asyncio.gather(self._ticker, return_exceptions=True)
             self._ticker = None
+        if self._saving is not None:
+            await asyncio.gather(self._saving, return_exceptions=True)
         self._close()
+        self._writer.shutdown(wait=True)
         await self._transport.stop()
 
     async def propose(self, command: record_pb2.Command) -> int:
@@ -323,21 +336,55 @@
         An error leaves the state unknown, so it stops the log for good.
         """
         try:
-            self._runner.run(step(self._clock()))
-            self._compact()
+            self._run(step(self._clock()))
         except Exception as error:
-            logger.critical("control log stopped after an error", exc_info=error)
-            self._close()
-            self._publish(control_log_failed(error))
+            self._fail(error)
+            return
+        self._stepped()
+
+    def _run(self, effects: list[Effect]) -> None:
+        """Perform effects now, or after the disk when something must be durable first."""
+        if self._saving is None and not any(isinstance(effect, SAVES) for effect in effects):
+            self._runner.perform(effects)
             return
-        if self._node.role is not Role.LEADER:
+        self._unsaved += effects
+        if self._saving is None:
+            self._saving = asyncio.create_task(self._save_unsaved())
+
+    async def _save_unsaved(self) -> None:
+        """Save and perform the waiting effects in order, as many as there are at a time."""
+        loop = asyncio.get_running_loop()
+        try:
+            while self._unsaved and self._node is not None:
+                effects, self._unsaved = self._unsaved, []
+                await loop.run_in_executor(self._writer, self._runner.save, effects)
+                if self._node is None:
+                    return
+                self._runner.perform(effects)
+                self._unsaved += self._compaction()
+        except Exception as error:
+            self._saving = None
+            self._fail(error)
+            return
+        finally:
+            self._saving = None
+        self._stepped()
+
+    def _stepped(self) -> None:
+        if self._node is not None and self._node.role is not Role.LEADER:
             self._proposals.reject_appended()
         self._publish_leadership()
 
-    def _compact(self) -> None:
+    def _fail(self, error: Exception) -> None:
+        logger.critical("control log stopped after an error", exc_info=error)
+        self._close()
+        self._publish(control_log_failed(error))
+
+    def _compaction(self) -> list[Effect]:
         applied = self._runner.applied_index
-        if applied - self._node.log.snapshot.index >= self._compaction_entries:
-            self._runner.run(self._node.compact(applied, self._state_machine.snapshot()))
+        if applied - self._node.log.snapshot.index < self._compaction_entries:
+            return []
+        return self._node.compact(applied, self._state_machine.snapshot())
 
     def _publish_leadership(self) -> None:
         is_leader = self.is_leader
@@ -354,9 +401,11 @@
         """Stop acting as a member; the disk is closed and callers are told."""
         self._node = None
         self._inbox.clear()
+        self._unsaved.clear()
         self._proposals.reject_queued(self._not_leader())
         self._proposals.reject_appended()
         if self._disk is not None:
-            self._disk.close()
+            # After the save in progress, if there is one.
+            self._writer.submit(self._disk.close)
             self._disk = None
         self._publish_leadership()
--- a/hibiscuspoint/components/effect_runner.py
+++ b/hibiscuspoint/components/effect_runner.py
@@ -42,7 +42,10 @@
 
 
 class EffectRunner:
-    """Makes saves durable first and then sends messages and applies entries.
+    """Makes saves durable, and then sends messages and applies entries.
+
+    :meth:`save` comes before :meth:`perform` for the same effects, and the effects of several
+    steps keep their order.
 
     :param disk: storage of this member.
     :param send: sends a message without waiting.
@@ -69,13 +72,26 @@
         return self._applied_index
 
     def run(self, effects: Sequence[Effect]) -> None:
-        """Perform effects in order, saves first.
+        """Perform effects in order, saves first, and wait for the disk.
 
         :raises OSError: the disk failed; no message was sent.
         """
+        self.save(effects)
+        self.perform(effects)
+
+    def save(self, effects: Sequence[Effect]) -> None:
+        """Make the saves among some effects durable; may be called from another thread.
+
+        :raises OSError: the disk failed.
+        """
         saves = [effect for effect in effects if isinstance(effect, SAVES)]
+        for save in saves:
+            self._disk.save(save)
         if saves:
-            self._save(saves)
+            self._disk.sync()
+
+    def perform(self, effects: Sequence[Effect]) -> None:
+        """Send and apply, in order, what depends on saves that are durable now."""
         for effect in effects:
             match effect:
                 case Send(message):
@@ -90,11 +106,6 @@
         self._state_machine.restore(snapshot.data)
         self._applied_index = snapshot.index
 
-    def _save(self, saves: list[Save]) -> None:
-        for save in saves:
-            self._disk.save(save)
-        self._disk.sync()
-
     def _apply(self, entries: tuple[Entry, ...]) -> None:
         for entry in entries:
             if isinstance(entry.payload, Command):
--- a/hibiscuspoint/components/failover_control.py
+++ b/hibiscuspoint/components/failover_control.py
@@ -95,7 +95,8 @@
                 self._log.retain_peers(())
             else:
                 active = {group for group, c in leader.groups.items() if c.is_active}
-                self._poller.follow(leader.targets(), active)
+                primaries = {c.record.primary for c in leader.groups.values()}
+                self._poller.follow(leader.targets(), primaries, active)
                 leader.control_members = [voter.instance for voter in self._log.voters]
                 self._keep_voters(leader)
             await asyncio.sleep(UPKEEP_SECONDS)
--- a/hibiscuspoint/components/failover_effects.py
+++ b/hibiscuspoint/components/failover_effects.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 from typing import TYPE_CHECKING
 
@@ -10,11 +9,11 @@
 from hibiscuspoint.core.failover import PauseReplica, RequestPromotion, ResumeReplica, StepDown
 from hibiscuspoint.core.ports import PromotionOutcome
 from hibiscuspoint.errors import NotLeaderError
-from hibiscuspoint.ids import Term
 from hibiscuspoint.telemetry import catalogue, log_event
 from hibiscuspoint.util.tasks import spawn
 
 if TYPE_CHECKING:
+    import asyncio
     from collections.abc import Callable, Coroutine
 
     from hibiscuspoint.components.consensus import ReplicatedLog
@@ -23,7 +22,7 @@
     from hibiscuspoint.core.control import Effect
     from hibiscuspoint.core.failover import FailoverLeader, GroupFailover
     from hibiscuspoint.core.ports import Clock, PromotionAuthority
-    from hibiscuspoint.ids import GroupId
+    from hibiscuspoint.ids import GroupId, Term
     from hibiscuspoint.wire import record_pb2
 
     #: Runs a decision with the leader if this instance still leads.
--- a/hibiscuspoint/components/leader_client.py
+++ b/hibiscuspoint/components/leader_client.py
@@ -57,6 +57,15 @@
         self._attached_to = leader
         self._members = list(members) or self._members
 
+    @property
+    def members(self) -> list[str]:
+        """Return the addresses of the control instances, as far as they are known."""
+        return list(self._members)
+
+    def set_seeds(self, seeds: Iterable[str]) -> None:
+        """Add addresses through which control may be found."""
+        self._members += [seed for seed in seeds if seed not in self._members]
+
     def detached(self) -> None:
         """Forget the leader, as its updates ended."""
         self._attached_to = ""
--- a/hibiscuspoint/components/sessions/session.py
+++ b/hibiscuspoint/components/sessions/session.py
@@ -50,7 +50,7 @@
 ATTEMPT_LIMIT = 6
 
 
-class _Refused(Exception):
+class _RefusedError(Exception):
     """A statement cannot be served; it has not run."""
 
     def __init__(self, failure: Failure, text: str) -> None:
@@ -264,7 +264,7 @@
             if writes:
                 return await self._write(route, statement, shape)
             return await self._read(route, statement, shape)
-        except _Refused as refusal:
+        except _RefusedError as refusal:
             self.trace.reason = refusal.text
             return Reply.failed(refusal.failure, refusal.text, SessionState.IDLE)
 
@@ -310,7 +310,7 @@
                 await self._bind_reader(transaction)
             else:
                 await self._bind_writer(transaction)
-        except _Refused as refusal:
+        except _RefusedError as refusal:
             self.trace.reason = refusal.text
             transaction.is_lost = True
             return Reply.failed(refusal.failure, refusal.text, SessionState.FAILED)
@@ -337,7 +337,7 @@
                 transaction.is_at_primary = True
                 self._release(transaction, is_clean=False)
             await self._pause(deadline)
-        raise _Refused(Failure.OVERLOADED, self.trace.reason or "no room at the primary")
+        raise _RefusedError(Failure.OVERLOADED, self.trace.reason or "no room at the primary")
 
     async def _bind_reader(self, transaction: _Transaction) -> None:
         route = transaction.route
@@ -359,7 +359,7 @@
                 if is_bound:
                     self._release(transaction, is_clean=False)
             await self._pause(deadline)
-        raise _Refused(Failure.OVERLOADED, self.trace.reason or "no room at any target")
+        raise _RefusedError(Failure.OVERLOADED, self.trace.reason or "no room at any target")
 
     async def _try_begin(
         self,
@@ -417,7 +417,7 @@
             if reply is not None:
                 return reply
             await self._pause(deadline)
-        raise _Refused(Failure.OVERLOADED, self.trace.reason or "no room at the primary")
+        raise _RefusedError(Failure.OVERLOADED, self.trace.reason or "no room at the primary")
 
     async def _write_once(
         self,
@@ -487,7 +487,7 @@
             ):
                 return last
             await self._pause(deadline)
-        raise _Refused(Failure.OVERLOADED, self.trace.reason or "no room at any target")
+        raise _RefusedError(Failure.OVERLOADED, self.trace.reason or "no room at any target")
 
     async def _read_once(
         self,
@@ -573,14 +573,14 @@
         limit = min(deadline, self._clock.monotonic() + wait)
         primary = await self._access.wait_for_primary(route.group, limit)
         if primary is None:
-            raise _Refused(Failure.OVERLOADED, "the group has no primary at present")
+            raise _RefusedError(Failure.OVERLOADED, "the group has no primary at present")
         return primary
 
     def _primary_member(self, primary: Route) -> RouteMember:
         for member in primary.members:
             if member.target == primary.primary:
                 return member
-        raise _Refused(Failure.OVERLOADED, "the address of the primary is not known")
+        raise _RefusedError(Failure.OVERLOADED, "the address of the primary is not known")
 
     async def _acquire(
         self, route: DatabaseRoute, member: RouteMember, deadline: float
@@ -667,10 +667,10 @@
     async def _pause(self, deadline: float) -> None:
         """Wait a moment before the next attempt.
 
-        :raises _Refused: there is no time for one.
+        :raises _RefusedError: there is no time for one.
         """
         if self._clock.monotonic() + BUSY_RETRY_SECONDS >= deadline:
-            raise _Refused(Failure.OVERLOADED, self.trace.reason or "no room in time")
+            raise _RefusedError(Failure.OVERLOADED, self.trace.reason or "no room in time")
         await asyncio.sleep(BUSY_RETRY_SECONDS)
 
     def _give_back(self, group: GroupId, member: RouteMember, pooled: PooledConnection) -> None:
--- a/hibiscuspoint/components/target_poller.py
+++ b/hibiscuspoint/components/target_poller.py
@@ -27,14 +27,17 @@
 
 T = TypeVar("T")
 
-#: Seconds between two polls of a target.
-POLL_SECONDS = 0.25
+#: Seconds between two polls of a primary. Two of these and an answer fit into the silence after
+#: which it is taken for lost, and positions read so often serve reads with an age of 1.5 s.
+PRIMARY_POLL_SECONDS = 0.5
+
+#: Seconds between two polls of a replica; its heartbeats tell whether it is there.
+REPLICA_POLL_SECONDS = 2.5
 
 #: Seconds between two polls of the targets of a group that changes its primary.
 ACTIVE_POLL_SECONDS = 0.05
 
-#: Longest time in seconds to wait for an answer. Four of these fit into the silence after which a
-#: primary is taken for lost.
+#: Longest time in seconds to wait for an answer.
 ANSWER_SECONDS = 0.4
 
 
@@ -51,9 +54,12 @@
         """Set what runs decisions with the leader."""
         self._decide = decide
 
-    def follow(self, targets: list[TargetRecord], active_groups: set[str]) -> None:
+    def follow(
+        self, targets: list[TargetRecord], primaries: set[TargetId], active_groups: set[str]
+    ) -> None:
         """Poll these targets and no others.
 
+        :param primaries: targets whose failure must be noticed soon.
         :param active_groups: groups that change their primary.
         """
         wanted = {target.target: target for target in targets}
@@ -67,11 +73,15 @@
             if link is None:
                 link = _Link(record, self._driver, self._clock, self._decide)
                 self._links[target] = link
-            link.set_active(record.group in active_groups)
+            if record.group in active_groups:
+                link.set_interval(ACTIVE_POLL_SECONDS)
+            else:
+                is_primary = target in primaries
+                link.set_interval(PRIMARY_POLL_SECONDS if is_primary else REPLICA_POLL_SECONDS)
 
     def stop(self) -> None:
         """Close all connections."""
-        self.follow([], set())
+        self.follow([], set(), set())
 
     async def pause(self, target: TargetId, term: Term) -> TargetStatus | None:
         """Pause a replica and return its state; ``None`` without an answer."""
@@ -104,7 +114,7 @@
         self._decide = decide
         self._connection: SessionConnection | None = None
         self._lock = asyncio.Lock()
-        self._interval = POLL_SECONDS
+        self._interval = ACTIVE_POLL_SECONDS
         self._wake = asyncio.Event()
         self._is_reachable = True
         self._task = spawn(self._poll_forever(), f"polls of {record.target}")
@@ -114,9 +124,8 @@
         known = self._record
         return (known.address, known.incarnation) != (record.address, record.incarnation)
 
-    def set_active(self, is_active: bool) -> None:
-        """Poll more often while the group changes its primary."""
-        interval = ACTIVE_POLL_SECONDS if is_active else POLL_SECONDS
+    def set_interval(self, interval: float) -> None:
+        """Set the seconds between two polls."""
         if interval < self._interval:
             self._wake.set()
         self._interval = interval
--- a/hibiscuspoint/core/consensus/node.py
+++ b/hibiscuspoint/core/consensus/node.py
@@ -118,6 +118,11 @@
         """Return the log, for reading."""
         return self._state.log
 
+    @property
+    def term_start(self) -> int:
+        """Return the index of the first entry of the term that this member leads or led last."""
+        return self._replication.term_start
+
     def is_leader(self, now: float) -> bool:
         """Tell whether this member leads under a valid lease and knows all earlier commits."""
         if self._state.role is not Role.LEADER:
--- a/hibiscuspoint/core/consensus/replication.py
+++ b/hibiscuspoint/core/consensus/replication.py
@@ -46,6 +46,11 @@
         """Return the time of the next heartbeat."""
         return self._next_heartbeat
 
+    @property
+    def term_start(self) -> int:
+        """Return the index of the first entry of the term; 0 before this member led one."""
+        return self._term_start
+
     @property
     def has_committed_in_term(self) -> bool:
         """Tell whether everything committed in earlier terms is known to be committed."""
--- a/hibiscuspoint/core/failover/group.py
+++ b/hibiscuspoint/core/failover/group.py
@@ -33,10 +33,14 @@
 #: replaced, so that a group does not change its primary back and forth.
 COOLDOWN_SECONDS = 4.0
 
-#: Age in seconds up to which the answer to a poll counts as the present state. Polls are 0.25 s
-#: apart and may take as long again.
+#: Age in seconds up to which the answer to a poll counts as the present state. Polls of a primary
+#: are 0.5 s apart.
 STATUS_SECONDS = 0.8
 
+#: Seconds after a heartbeat or an answer in which a replica can take over. Polls of replicas are
+#: 2.5 s apart, heartbeats 1.2 s.
+PRESENT_SECONDS = 2.0
+
 #: Seconds without a heartbeat or an answer after which a replica is removed, once another one has
 #: the whole log. Databases that restart are back within this time.
 REMOVE_SECONDS = 12.0
@@ -317,7 +321,7 @@
             for target in self._record.targets.values()
             if target.target != self._record.primary
             and not target.leaving
-            and now - self._answered_at(target.target) < STATUS_SECONDS
+            and now - self._heard_at(target.target) < PRESENT_SECONDS
         ]
 
     def _remove_lost(self, now: float) -> list[Effect]:
--- a/hibiscuspoint/core/failover/watch.py
+++ b/hibiscuspoint/core/failover/watch.py
@@ -14,8 +14,8 @@
 
 __all__ = ["Loss", "PrimaryWatch"]
 
-#: Seconds without any answer after which a primary is taken for lost. Polls are 0.25 s apart, so
-#: that four of them are unanswered.
+#: Seconds without any answer after which a primary is taken for lost. Polls are 0.5 s apart, so
+#: that two of them are unanswered.
 SILENCE_SECONDS = 1.2
 
 #: Seconds of refused connections, without an answer to any entry, that prove a stopped process.
--- a/hibiscuspoint/daemon/session_node.py
+++ b/hibiscuspoint/daemon/session_node.py
@@ -6,7 +6,7 @@
 import logging
 import signal
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, fields, replace
 from typing import TYPE_CHECKING, Protocol
 
 import grpc
@@ -29,6 +29,7 @@
 from hibiscuspoint.components.target_poller import TargetPoller
 from hibiscuspoint.core.entry.drain import DrainState
 from hibiscuspoint.daemon.failures import FailureWatch
+from hibiscuspoint.errors import ConfigurationError
 from hibiscuspoint.ids import Incarnation
 from hibiscuspoint.security import Transport
 from hibiscuspoint.settings import TlsMode
@@ -56,6 +57,9 @@
 #: once per second and takes an instance out after two refusals.
 NOTICE_SECONDS = 2.2
 
+#: Seconds between two looks at the settings file.
+RELOAD_SECONDS = 1.0
+
 #: Share of the grace time after which open transactions are rolled back.
 TRANSACTION_SHARE = 0.5
 
@@ -157,12 +161,18 @@
     """All components of one process, on one asyncio loop.
 
     :param log_handler: handler of the log, whose dropped lines are counted.
+    :param read_settings: reads the settings again; raises ``ConfigurationError``.
     """
 
     def __init__(
-        self, settings: SessionNodeSettings, ports: Ports, log_handler: BoundedHandler
+        self,
+        settings: SessionNodeSettings,
+        ports: Ports,
+        log_handler: BoundedHandler,
+        read_settings: Callable[[], SessionNodeSettings],
     ) -> None:
         self._settings = settings
+        self._read_settings = read_settings
         self._ports = ports
         self._log_handler = log_handler
         self._clock = SystemClock()
@@ -178,12 +188,15 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._build()
         await self._start()
         ticker = spawn(self._tick_forever(), "timer")
+        reloader = spawn(self._reload_forever(), "settings")
         await self._stopping.wait()
         await self._drain_work()
         ticker.cancel()
+        reloader.cancel()
         await self._stop()
         status = int(self._failures.status)
         log_event(logger, catalogue.DAEMON_STOPPED, status=status)
@@ -268,10 +281,7 @@
     def _on_attached(self, update: peer_pb2.ControlUpdate) -> None:
         """Remember where control is, for the next attachment and for calls of others."""
         self._leader_client.attached(update.leader, update.control_members)
-        members = list(update.control_members)
-        self._attachment.set_members(
-            members + [seed for seed in self._settings.seeds if seed not in members]
-        )
+        self._attachment.set_members(self._candidates())
 
     async def _announce(self, announcement: peer_pb2.Announcement) -> bool:
         if self._control is not None and await self._control.announced(announcement):
@@ -320,6 +330,42 @@
             if dropped:
                 self._metrics.log_lines_dropped.inc(dropped)
 
+    async def _reload_forever(self) -> None:
+        """Look for changed settings, as the file may change without a signal."""
+        while True:
+            await asyncio.sleep(RELOAD_SECONDS)
+            self._reload()
+
+    def _reload(self) -> None:
+        """Read the settings again and take over what may change while the process runs."""
+        try:
+            settings = self._read_settings()
+        except ConfigurationError as error:
+            log_event(logger, catalogue.SETTINGS_REFUSED, reason=error.message)
+            return
+        if settings == self._settings:
+            return
+        changed = [
+            field.name
+            for field in fields(settings)
+            if getattr(settings, field.name) != getattr(self._settings, field.name)
+        ]
+        log_event(logger, catalogue.SETTINGS_RELOADED, changed=changed, seeds=settings.seeds)
+        # Addresses, the disk and the founders stay those of the start of the process.
+        self._settings = replace(
+            self._settings,
+            seeds=settings.seeds,
+            tolerated_losses=settings.tolerated_losses,
+            grace_seconds=settings.grace_seconds,
+        )
+        self._leader_client.set_seeds(settings.seeds)
+        self._attachment.set_members(self._candidates())
+
+    def _candidates(self) -> list[str]:
+        """Return the addresses where control may be found, best first."""
+        members = self._leader_client.members
+        return members + [seed for seed in self._settings.seeds if seed not in members]
+
     async def _drain_work(self) -> None:
         """Leave the load balancer, let work end, and roll back what does not end in time."""
         started = self._clock.monotonic()
@@ -339,7 +385,8 @@
         self._access.close_shares()
 
     async def _wait_until_empty(self, deadline: float) -> None:
-        while self._callers.open_sessions and self._clock.monotonic() < deadline:
+        # The port of the callers has no event for its last session.
+        while self._callers.open_sessions and self._clock.monotonic() < deadline:  # noqa: ASYNC110
             await asyncio.sleep(TICK_SECONDS)
 
     async def _stop(self) -> None:
--- a/hibiscuspoint/platform/__main__.py
+++ b/hibiscuspoint/platform/__main__.py
@@ -41,16 +41,25 @@
     faulthandler.enable()
     handler = BoundedHandler(sys.stdout.fileno(), suspend_aware)
     try:
-        settings = ProcessSettings.from_file(Path(os.environ.get(PATH_VARIABLE, "")))
+        settings = _read_settings()
     except ConfigurationError as error:
         setup_logging("error", None, "unknown", handler=handler)
         log_event(logger, catalogue.SETTINGS_REFUSED, reason=error.message)
         return DaemonStatus.SETTINGS_REFUSED
     setup_logging("info", None, settings.name, handler=handler)
-    node = SessionNode(_node_settings(settings), _ports(settings), handler)
+    node = SessionNode(
+        _node_settings(settings),
+        _ports(settings),
+        handler,
+        lambda: _node_settings(_read_settings()),
+    )
     return asyncio.run(node.run())
 
 
+def _read_settings() -> ProcessSettings:
+    return ProcessSettings.from_file(Path(os.environ.get(PATH_VARIABLE, "")))
+
+
 def _node_settings(settings: ProcessSettings) -> SessionNodeSettings:
     return SessionNodeSettings(
         instance=settings.instance,
--- a/hibiscuspoint/telemetry/catalogue.py
+++ b/hibiscuspoint/telemetry/catalogue.py
@@ -62,6 +62,10 @@
     112, "targets-in-plain-text", WARNING, "Connections to targets are not encrypted."
 )
 
+SETTINGS_RELOADED = define_event(
+    113, "settings-reloaded", INFO, "Changed settings were read: {changed}", "changed", "seeds"
+)
+
 COMPONENT_FAILED = define_event(
     120, "component-failed", ERROR, "A handler of an event failed: {reason}", "reason"
 )
