Hold statements through a promotion and leave the load balancer when cut off

Ruled out: the way to the new control leader (attached within 1 s where a path existed).

Change: waits are bounded by what can still come, an instance without contact for 2.5 s is not ready and closes its idle sessions once, new sessions wait for the first configuration, connections per instance follow the number of serving entries, reads try the next target.

--- a/hibiscuspoint/components/attachment.py
+++ b/hibiscuspoint/components/attachment.py
@@ -11,6 +11,7 @@
 from circuits import Component, handler
 
 from hibiscuspoint.components.events import update_received
+from hibiscuspoint.telemetry import catalogue, log_event
 from hibiscuspoint.util.tasks import run_until_first, spawn
 from hibiscuspoint.wire import peer_pb2, peer_pb2_grpc
 
@@ -67,6 +68,7 @@
         self._candidates = cycle(members)
         self._make_report = make_report
         self._redirect = ""
+        self._leader = ""
         self._news = asyncio.Event()
         self._heard_at = 0.0
         self._task: asyncio.Task | None = None
@@ -99,11 +101,14 @@
             channel = self._channels.open(address)
             try:
                 await self._attach(channel, address)
+                reason = f"redirected to {self._redirect}" if self._redirect else "not the leader"
             except (grpc.aio.AioRpcError, asyncio.InvalidStateError, TimeoutError) as error:
-                logger.debug("attachment to %s ended: %s", address, error)
+                reason = _reason(error)
             finally:
                 self._on_detached()
                 await channel.close()
+            log_event(logger, catalogue.CONTROL_DETACHED, address=address, reason=reason)
+            self._leader = ""
             if not self._redirect:
                 await asyncio.sleep(RETRY_SECONDS)
 
@@ -124,6 +129,14 @@
             if not update.control_term:
                 return
             self._heard_at = loop.time()
+            if update.leader != self._leader:
+                self._leader = update.leader
+                log_event(
+                    logger,
+                    catalogue.CONTROL_ATTACHED,
+                    leader=update.leader,
+                    term=update.control_term,
+                )
             self._on_update(update)
             self._runtime.dispatch(update_received(update))
 
@@ -146,3 +159,10 @@
                     await self._news.wait()
             except TimeoutError:
                 continue
+
+
+def _reason(error: Exception) -> str:
+    """Return why a stream ended, in one line."""
+    if isinstance(error, grpc.aio.AioRpcError):
+        return f"{error.code().name}: {error.details()}"
+    return str(error) or type(error).__name__
--- a/hibiscuspoint/components/entry_state.py
+++ b/hibiscuspoint/components/entry_state.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.core.entry.routes import (
+    CONTACT_SECONDS,
     ContactMonitor,
     DocumentFence,
     RouteGrant,
@@ -36,16 +37,20 @@
     """Document, holders and routes in force at an entry.
 
     :param environment: environment of this instance; documents of another one are refused.
+    :param contact_seconds: time without contact with control after which the entry stops serving.
     :param parse: reads the text of a document; raises ``ConfigurationError``.
     """
 
     def __init__(
-        self, environment: str, parse: Callable[[str], AnyDocument] = _parse_document
+        self,
+        environment: str,
+        parse: Callable[[str], AnyDocument] = _parse_document,
+        contact_seconds: float = CONTACT_SECONDS,
     ) -> None:
         self._environment = environment
         self._parse = parse
         self._fence = DocumentFence()
-        self._contact = ContactMonitor()
+        self._contact = ContactMonitor(contact_seconds)
         self._holders: dict[GroupId, list[tuple[InstanceId, str]]] = {}
         self.routes = RouteTable()
         self.document: AnyDocument | None = None
@@ -73,6 +78,10 @@
         """Tell whether the entry may serve: it has a document and recent contact with control."""
         return self.document is not None and self._contact.is_ready(now)
 
+    def has_contact(self, now: float) -> bool:
+        """Tell whether control was heard recently."""
+        return self._contact.is_ready(now)
+
     def accept(self, update: peer_pb2.ControlUpdate) -> bool:
         """Check an update against earlier ones and take document and holders over.
 
--- a/hibiscuspoint/components/sessions/groups.py
+++ b/hibiscuspoint/components/sessions/groups.py
@@ -25,6 +25,14 @@
 RESERVED_CONNECTIONS = 2
 
 
+#: Connections that one instance may open to a target in any case.
+MINIMUM_LIMIT = 4
+
+#: Multiple of its share of the connections that one instance may open; the load of the instances
+#: differs, and not all have their peak at the same time.
+BURST_FACTOR = 3
+
+
 @dataclass
 class TargetCounts:
     """What was seen at a target since the last report."""
@@ -86,6 +94,14 @@
             except TimeoutError:
                 return self.primary(group)
 
+    def may_have_primary(self, group: GroupId) -> bool:
+        """Tell whether the group may get a usable primary soon.
+
+        Without contact with control no lease will come, so that waiting would be in vain.
+        """
+        has_contact = self._state.has_contact(self._clock.monotonic())
+        return self.primary(group) is not None or has_contact
+
     def is_current(self, group: GroupId, term: Term) -> bool:
         """Tell whether the primary of a term may still be used."""
         return self._state.routes.is_current(group, term, self._clock.monotonic())
@@ -111,8 +127,8 @@
         limits = self._state.document.groups.get(group) if self._state.document else None
         if limits is not None:
             usable = max(1, limits.max_connections - RESERVED_CONNECTIONS)
-            pool.limit = usable
             pool.share = usable // max(1, self.entries)
+            pool.limit = min(usable, max(MINIMUM_LIMIT, BURST_FACTOR * pool.share))
         return pool
 
     def load(self, target: TargetId) -> TargetLoad:
@@ -138,6 +154,7 @@
         """
         before = dict(self._released)
         self._state.apply_routes(update)
+        self.entries = max(1, update.serving_entries)
         for group in self._state.revoke_routes(update):
             self._note_release(group)
         asked_at = update.echo_sent_at_ns / NANOSECONDS_PER_SECOND
--- a/hibiscuspoint/components/sessions/pool.py
+++ b/hibiscuspoint/components/sessions/pool.py
@@ -27,8 +27,10 @@
 #: opening packet that was lost is sent again after a second.
 CONNECT_SECONDS = 1.2
 
-#: Seconds before a target that had no connection left is asked again.
-FULL_RETRY_SECONDS = 0.03
+#: Bounds of the seconds before a target that had no connection left is asked again; the wait
+#: doubles with each answer that it has none, as each question takes time of the target.
+FULL_RETRY_MIN_SECONDS = 0.02
+FULL_RETRY_MAX_SECONDS = 0.32
 
 #: Connections that one instance opens to one target at the same time; each takes a slot of the
 #: target for its handshake.
@@ -79,6 +81,7 @@
         self._in_use: set[PooledConnection] = set()
         self._opening = 0
         self._full_until = 0.0
+        self._full_wait = FULL_RETRY_MIN_SECONDS
         self._is_closed = False
         self._timer: asyncio.TimerHandle | None = None
         self.share = 1
@@ -203,13 +206,15 @@
         if self._is_closed:
             connection.close()
             return
+        self._full_wait = FULL_RETRY_MIN_SECONDS
         self._idle.append(PooledConnection(connection, idle_since=self._clock.monotonic()))
         self._serve_waiters()
 
     def _open_failed(self, error: ConnectError) -> None:
         if error.failure is ConnectFailure.LIMITED:
-            self._full_until = self._clock.monotonic() + FULL_RETRY_SECONDS
-            self._retry_later(FULL_RETRY_SECONDS)
+            self._full_until = self._clock.monotonic() + self._full_wait
+            self._retry_later(self._full_wait)
+            self._full_wait = min(2 * self._full_wait, FULL_RETRY_MAX_SECONDS)
             return
         if error.failure is ConnectFailure.REFUSED:
             self.refusals += 1
--- a/hibiscuspoint/components/sessions/service.py
+++ b/hibiscuspoint/components/sessions/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from typing import TYPE_CHECKING
 
@@ -38,6 +39,11 @@
     }
 )
 
+#: Longest time in seconds that a new session waits for the first configuration; callers give up
+#: after 2 s.
+CONFIGURATION_WAIT_SECONDS = 1.8
+CONFIGURATION_POLL_SECONDS = 0.02
+
 #: Seconds of a transaction without a statement where no configuration states a limit.
 DEFAULT_TRANSACTION_IDLE_SECONDS = 3.0
 
@@ -78,19 +84,33 @@
         table = self._state.document
         return table.transaction_idle if table else DEFAULT_TRANSACTION_IDLE_SECONDS
 
-    def open(self, database: str) -> Session | None:
-        """Return a new session; ``None`` when no route has the name of the database."""
+    async def open(self, database: str) -> Session | Failure:
+        """Return a new session, or why there is none.
+
+        An instance that was just started does not know which databases exist, so it waits for its
+        first configuration.
+        """
+        deadline = self._clock.monotonic() + CONFIGURATION_WAIT_SECONDS
+        # The state has no event for its first document.
+        while self._state.document is None and self._clock.monotonic() < deadline:  # noqa: ASYNC110
+            await asyncio.sleep(CONFIGURATION_POLL_SECONDS)
+        if self._state.document is None:
+            self._log_refusal(database, "this instance has no configuration")
+            return Failure.OVERLOADED
         if self._find_route(database) is None:
-            log_event(
-                logger,
-                catalogue.SESSION_REFUSED,
-                database=database,
-                reason="no route has this name",
-                configuration=self._state.document_number,
-            )
-            return None
+            self._log_refusal(database, "no route has this name")
+            return Failure.UNKNOWN_DATABASE
         return Session(database, self._find_route, self._access, self._zone, self._clock)
 
+    def _log_refusal(self, database: str, reason: str) -> None:
+        log_event(
+            logger,
+            catalogue.SESSION_REFUSED,
+            database=database,
+            reason=reason,
+            configuration=self._state.document_number,
+        )
+
     async def execute(self, session: Session, statement: Statement) -> Reply:
         """Answer a statement and log what decided about it."""
         if statement.kind in _LOCAL_KINDS:
--- a/hibiscuspoint/components/sessions/session.py
+++ b/hibiscuspoint/components/sessions/session.py
@@ -33,9 +33,14 @@
 
 __all__ = ["Session", "Trace"]
 
-#: Share of the latency objective that a statement waits for a primary that is being replaced. A
-#: promotion takes longer than that, so that a caller that is told at once can use its retries.
-PRIMARY_WAIT_SHARE = 1.0
+#: Bounds of an attempt to read where another target could be asked: the shortest time in seconds,
+#: above the longest usual statement, and the multiple of the target's average time.
+READ_ATTEMPT_SECONDS = 0.25
+READ_ATTEMPT_FACTOR = 6.0
+
+#: Longest time in seconds that a read waits for a connection where another target could be asked;
+#: a handshake takes some ten milliseconds.
+READ_CONNECT_SECONDS = 0.1
 
 #: Seconds between two attempts at a target that had no room for a statement.
 BUSY_RETRY_SECONDS = 0.01
@@ -74,6 +79,14 @@
     reason: str = ""
 
 
+@dataclass(frozen=True)
+class _AttemptLimits:
+    """Monotonic times until which one attempt waits for a connection and for the answer."""
+
+    connect: float
+    answer: float
+
+
 @dataclass
 class _Transaction:
     """An open transaction; without a connection until its first statement is sent."""
@@ -326,7 +339,8 @@
             self._access.begin_use(route.group)
             is_bound = False
             try:
-                is_bound = await self._try_begin(transaction, member, primary.term, None, deadline)
+                limits = _AttemptLimits(deadline, deadline)
+                is_bound = await self._try_begin(transaction, member, primary.term, None, limits)
             finally:
                 if not is_bound:
                     self._access.end_use(route.group)
@@ -343,13 +357,15 @@
         route = transaction.route
         deadline = self._clock.monotonic() + route.timeout
         for _ in range(ATTEMPT_LIMIT):
-            for member, after, term in await self._read_candidates(route, deadline):
+            candidates = await self._read_candidates(route, deadline)
+            for number, (member, after, term) in enumerate(candidates, 1):
                 is_primary = term is not None
+                limits = self._attempt_limit(member, deadline, is_last=number == len(candidates))
                 if is_primary:
                     self._access.begin_use(route.group)
                 is_bound = False
                 try:
-                    is_bound = await self._try_begin(transaction, member, term, after, deadline)
+                    is_bound = await self._try_begin(transaction, member, term, after, limits)
                 finally:
                     if is_primary and not is_bound:
                         self._access.end_use(route.group)
@@ -367,19 +383,19 @@
         member: RouteMember,
         term: Term | None,
         after: LogPosition | None,
-        deadline: float,
+        limits: _AttemptLimits,
     ) -> bool:
         route = transaction.route
         self._note_attempt(member, term, after)
         load = self._access.load(member.target)
         try:
-            pooled = await self._acquire(route, member, deadline)
+            pooled = await self._acquire(route, member, limits.connect)
         except ConnectError as error:
             self._note_loss(member.target, error, is_commit=False)
             return False
         load.in_progress += 1
         try:
-            reply = await self._send(pooled, transaction.begin, None, after, deadline)
+            reply = await self._send(pooled, transaction.begin, None, after, limits.answer)
         except ConnectionLost as error:
             self._note_loss(member.target, error, is_commit=False)
             self._give_back(route.group, member, pooled)
@@ -470,11 +486,11 @@
         runs = 0
         last: Reply | None = None
         for _ in range(ATTEMPT_LIMIT):
-            for member, after, term in await self._read_candidates(route, deadline):
+            candidates = await self._read_candidates(route, deadline)
+            for number, (member, after, term) in enumerate(candidates, 1):
                 self._note_attempt(member, term, after)
-                reply = await self._read_once(
-                    route, member, term, after, statement, shape, deadline
-                )
+                limit = self._attempt_limit(member, deadline, is_last=number == len(candidates))
+                reply = await self._read_once(route, member, term, after, statement, shape, limit)
                 if reply is not None and reply.error is None:
                     return reply
                 if reply is not None:
@@ -497,7 +513,7 @@
         after: LogPosition | None,
         statement: Statement,
         shape: Shape | None,
-        deadline: float,
+        limits: _AttemptLimits,
     ) -> Reply | None:
         """Return the answer of one target; ``None`` when it did not run the statement.
 
@@ -510,8 +526,8 @@
         load.in_progress += 1
         pooled: PooledConnection | None = None
         try:
-            pooled = await self._acquire(route, member, deadline)
-            reply = await self._send(pooled, statement, shape, after, deadline)
+            pooled = await self._acquire(route, member, limits.connect)
+            reply = await self._send(pooled, statement, shape, after, limits.answer)
         except AnswerTimeoutError as error:
             self._note_loss(member.target, error, is_commit=False)
             text = "no answer within the timeout of the route"
@@ -538,6 +554,17 @@
             return None
         return reply
 
+    def _attempt_limit(
+        self, member: RouteMember, deadline: float, *, is_last: bool
+    ) -> _AttemptLimits:
+        """Return how long to wait for one target; the last one gets all the time that is left."""
+        if is_last:
+            return _AttemptLimits(deadline, deadline)
+        now = self._clock.monotonic()
+        average = self._access.load(member.target).average
+        answer = now + max(READ_ATTEMPT_SECONDS, READ_ATTEMPT_FACTOR * average)
+        return _AttemptLimits(min(deadline, now + READ_CONNECT_SECONDS), min(deadline, answer))
+
     async def _read_candidates(
         self, route: DatabaseRoute, deadline: float
     ) -> list[tuple[RouteMember, LogPosition | None, Term | None]]:
@@ -569,9 +596,16 @@
         ]
 
     async def _wait_for_primary(self, route: DatabaseRoute, deadline: float) -> Route:
-        wait = route.objective * PRIMARY_WAIT_SHARE
-        limit = min(deadline, self._clock.monotonic() + wait)
-        primary = await self._access.wait_for_primary(route.group, limit)
+        """Return the route of a usable primary.
+
+        A statement waits while a promotion may end within its time. Repeating it would cost the
+        caller one of few retries each time.
+
+        :raises _RefusedError: there is none in time, or none will come.
+        """
+        if not self._access.may_have_primary(route.group):
+            raise _RefusedError(Failure.OVERLOADED, "this instance is cut off from control")
+        primary = await self._access.wait_for_primary(route.group, deadline)
         if primary is None:
             raise _RefusedError(Failure.OVERLOADED, "the group has no primary at present")
         return primary
--- a/hibiscuspoint/core/entry/routes.py
+++ b/hibiscuspoint/core/entry/routes.py
@@ -13,10 +13,18 @@
 if TYPE_CHECKING:
     from hibiscuspoint.ids import AvailabilityZone
 
-__all__ = ["ContactMonitor", "DocumentFence", "Route", "RouteGrant", "RouteMember", "RouteTable"]
+__all__ = [
+    "CONTACT_SECONDS",
+    "ContactMonitor",
+    "DocumentFence",
+    "Route",
+    "RouteGrant",
+    "RouteMember",
+    "RouteTable",
+]
 
 #: Seconds without contact with the leader after which an entry stops serving (design D13).
-_CONTACT_SECONDS = 5.0
+CONTACT_SECONDS = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -210,9 +218,13 @@
 
 
 class ContactMonitor:
-    """Tells whether the entry had contact with the control leader recently (design D13)."""
+    """Tells whether the entry had contact with the control leader recently (design D13).
 
-    def __init__(self) -> None:
+    :param seconds: time without contact after which the entry stops serving.
+    """
+
+    def __init__(self, seconds: float = CONTACT_SECONDS) -> None:
+        self._seconds = seconds
         self._last_contact = -math.inf
 
     def contact(self, asked_at: float) -> None:
@@ -223,6 +235,10 @@
         """
         self._last_contact = max(self._last_contact, asked_at)
 
+    def age(self, now: float) -> float:
+        """Return the seconds since the last contact; infinite without one."""
+        return now - self._last_contact
+
     def is_ready(self, now: float) -> bool:
-        """Tell whether the last contact is less than 5 s ago."""
-        return now - self._last_contact < _CONTACT_SECONDS
+        """Tell whether the last contact is recent enough."""
+        return self.age(now) < self._seconds
--- a/hibiscuspoint/core/failover/group.py
+++ b/hibiscuspoint/core/failover/group.py
@@ -252,8 +252,9 @@
     def _watch_primary(self, now: float) -> list[Effect]:
         record = self._record
         if self._watch is None or self._watch.primary != record.primary:
+            if self._round is not None:
+                self._started_at = now
             self._watch = PrimaryWatch(record.primary, now)
-            self._started_at = now
             self._switchover = None
             self._idle_since = None
             self._resume_replicas(now)
--- a/hibiscuspoint/core/failover/leader.py
+++ b/hibiscuspoint/core/failover/leader.py
@@ -197,6 +197,7 @@
             control_term=self._control_term,
             leader=self._instance,
             control_members=self.control_members,
+            serving_entries=len(self._entries.serving(now)),
         )
         entry = self._entries.get(instance)
         document = self._state.document
--- a/hibiscuspoint/daemon/session_node.py
+++ b/hibiscuspoint/daemon/session_node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import signal
 import time
 from dataclasses import dataclass, fields, replace
@@ -57,6 +58,10 @@
 #: once per second and takes an instance out after two refusals.
 NOTICE_SECONDS = 2.2
 
+#: Seconds without contact with control after which an instance sends its callers elsewhere. Its
+#: leases have ended by then; the loss of a control leader is usually over before.
+CONTACT_SECONDS = 2.5
+
 #: Seconds between two looks at the settings file.
 RELOAD_SECONDS = 1.0
 
@@ -117,6 +122,9 @@
     def leave(self) -> None:
         """Close every session as soon as it is idle outside a transaction."""
 
+    def close_idle(self) -> None:
+        """Close the sessions that are idle outside a transaction, so that they go elsewhere."""
+
     async def abort_transactions(self) -> None:
         """Roll back the open transactions and close their sessions."""
 
@@ -181,6 +189,7 @@
         self._incarnation = Incarnation(time.time_ns())
         self._drain = DrainState()
         self._stopping: asyncio.Event | None = None
+        self._cut_off_since: float | None = None
 
     async def run(self) -> int:
         """Serve until SIGTERM, SIGINT or a failure that needs a restart; return the exit status."""
@@ -208,7 +217,7 @@
         self._runtime = Runtime()
         self._failures = FailureWatch(self._stopping.set).register(self._runtime)
         self._channels = PeerChannels(self._transport)
-        self._state = EntryState("", self._ports.parse)
+        self._state = EntryState("", self._ports.parse, CONTACT_SECONDS)
         self._access = GroupAccess(self._state, self._ports.driver, self._clock)
         self._service = SessionService(
             self._state,
@@ -325,11 +334,22 @@
             self._metrics.loop_lag.observe(max(0.0, now - due))
             self._access.tick(now)
             self._readiness.tick(now)
+            self._watch_contact(now)
             self._log_handler.flush()
             dropped = self._log_handler.take_dropped()
             if dropped:
                 self._metrics.log_lines_dropped.inc(dropped)
 
+    def _watch_contact(self, now: float) -> None:
+        """Send callers elsewhere once the load balancer has had time to take this instance out."""
+        if self._state.has_contact(now):
+            self._cut_off_since = None
+        elif self._cut_off_since is None:
+            self._cut_off_since = now
+        elif now - self._cut_off_since >= NOTICE_SECONDS:
+            self._cut_off_since = math.inf
+            self._callers.close_idle()
+
     async def _reload_forever(self) -> None:
         """Look for changed settings, as the file may change without a signal."""
         while True:
--- a/hibiscuspoint/platform/frontend.py
+++ b/hibiscuspoint/platform/frontend.py
@@ -58,6 +58,11 @@
         for connection in list(self._connections):
             connection.leave()
 
+    def close_idle(self) -> None:
+        """Close the sessions that are idle outside a transaction, so that they go elsewhere."""
+        for connection in list(self._connections):
+            connection.close_if_idle()
+
     async def abort_transactions(self) -> None:
         """Roll back the open transactions and close their sessions."""
         await asyncio.gather(
@@ -106,11 +111,12 @@
         if not line:
             return
         startup = wire.parse_startup(line)
-        self._session = self._service.open(startup.database)
-        if self._session is None:
-            self._writer.write(wire.format_error(Failure.UNKNOWN_DATABASE, startup.database))
+        session = await self._service.open(startup.database)
+        if isinstance(session, Failure):
+            self._writer.write(wire.format_error(session, startup.database))
             await self._writer.drain()
             return
+        self._session = session
         self._writer.write(wire.format_ready(SessionState.IDLE, None))
         try:
             await self._serve_statements()
@@ -121,6 +127,10 @@
     def leave(self) -> None:
         """Close the connection now if it is idle, else after the present work."""
         self._is_leaving = True
+        self.close_if_idle()
+
+    def close_if_idle(self) -> None:
+        """Close the connection if no statement and no transaction is in progress."""
         if self._may_leave():
             self.close()
 
--- a/hibiscuspoint/telemetry/catalogue.py
+++ b/hibiscuspoint/telemetry/catalogue.py
@@ -145,6 +145,23 @@
     "reason",
 )
 
+CONTROL_ATTACHED = define_event(
+    250,
+    "control-attached",
+    INFO,
+    "This instance is attached to the control leader {leader}.",
+    "leader",
+    "term",
+)
+CONTROL_DETACHED = define_event(
+    251,
+    "control-detached",
+    WARNING,
+    "The stream to control at {address} ended: {reason}",
+    "address",
+    "reason",
+)
+
 # 300: groups and promotion
 GROUP_FORMED = define_event(301, "group-formed", INFO, "Group {group} formed.", "group", "members")
 PRIMARY_SUSPECTED = define_event(
