Test failover, sessions, pools and the platform's formats; refuse heartbeats without a service

Cause: a heartbeat with a null service registered a target in a group without a name (found by the new test of heartbeats). Attempts to attach were logged every 0.1 s while control was lost.

Change: names in heartbeats and configurations are checked by one function; only the loss of an attachment is logged.

--- a/hibiscuspoint/components/attachment.py
+++ b/hibiscuspoint/components/attachment.py
@@ -107,8 +107,10 @@
             finally:
                 self._on_detached()
                 await channel.close()
-            log_event(logger, catalogue.CONTROL_DETACHED, address=address, reason=reason)
-            self._leader = ""
+            if self._leader:
+                # Attempts that follow a loss are not logged: they come every 0.1 s.
+                log_event(logger, catalogue.CONTROL_DETACHED, address=address, reason=reason)
+                self._leader = ""
             if not self._redirect:
                 await asyncio.sleep(RETRY_SECONDS)
 
--- a/hibiscuspoint/platform/configuration.py
+++ b/hibiscuspoint/platform/configuration.py
@@ -9,6 +9,7 @@
 from hibiscuspoint.core.sessions import DatabaseRoute, GroupLimits, ReadMode, RoutingTable
 from hibiscuspoint.errors import ConfigurationError
 from hibiscuspoint.ids import GroupId
+from hibiscuspoint.platform.fields import read_text, read_whole
 from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
 
 __all__ = ["parse_routing_table"]
@@ -40,12 +41,12 @@
 def _routing_table(fields: dict[str, Any], digest: str) -> RoutingTable:
     groups = {}
     for service in fields["services"]:
-        group = GroupId(_text(service["name"]))
-        groups[group] = GroupLimits(group, _whole(service["max_conns"]))
+        group = GroupId(read_text(service["name"]))
+        groups[group] = GroupLimits(group, read_whole(service["max_conns"]))
     places: set[tuple[str, str]] = set()
     routes: dict[str, DatabaseRoute] = {}
     for item in fields["routes"]:
-        place = (_text(item["host"]), _text(item.get("path_prefix", "/")))
+        place = (read_text(item["host"]), read_text(item.get("path_prefix", "/")))
         if place in places:
             raise ConfigurationError(f"two routes share the database {place[0]!r}")
         places.add(place)
@@ -55,39 +56,27 @@
         routes.setdefault(route.database, route)
     idle_ms = fields["limits"].get("txn_idle_ms", 3000)
     return RoutingTable(
-        number=_whole(fields["version"]),
+        number=read_whole(fields["version"]),
         digest=digest,
         routes=routes,
         groups=groups,
-        transaction_idle=_whole(idle_ms) / MILLISECONDS_PER_SECOND,
+        transaction_idle=read_whole(idle_ms) / MILLISECONDS_PER_SECOND,
     )
 
 
 def _route(item: dict[str, Any]) -> DatabaseRoute:
-    name = _text(item["name"])
-    timeout_ms = _whole(item["timeout_ms"])
+    name = read_text(item["name"])
+    timeout_ms = read_whole(item["timeout_ms"])
     if timeout_ms <= 0:
         raise ConfigurationError(f"route {name!r} has no timeout")
     return DatabaseRoute(
         name=name,
-        database=_text(item["host"]),
-        group=GroupId(_text(item["service"])),
+        database=read_text(item["host"]),
+        group=GroupId(read_text(item["service"])),
         mode=_READ_MODES[item["kind"]],
         timeout=timeout_ms / MILLISECONDS_PER_SECOND,
-        objective=_whole(item["slo_ms"]) / MILLISECONDS_PER_SECOND,
-        priority=_whole(item["priority"]),
-        max_attempts=_whole(item.get("max_attempts", DEFAULT_ATTEMPTS)),
-        max_age=_whole(item.get("max_staleness_ms", 0)) / MILLISECONDS_PER_SECOND,
+        objective=read_whole(item["slo_ms"]) / MILLISECONDS_PER_SECOND,
+        priority=read_whole(item["priority"]),
+        max_attempts=read_whole(item.get("max_attempts", DEFAULT_ATTEMPTS)),
+        max_age=read_whole(item.get("max_staleness_ms", 0)) / MILLISECONDS_PER_SECOND,
     )
-
-
-def _text(value: object) -> str:
-    if not isinstance(value, str) or not value:
-        raise TypeError(f"{value!r} is not a name")
-    return value
-
-
-def _whole(value: object) -> int:
-    if not isinstance(value, int) or isinstance(value, bool):
-        raise TypeError(f"{value!r} is not a whole number")
-    return value
--- a/hibiscuspoint/platform/heartbeats.py
+++ b/hibiscuspoint/platform/heartbeats.py
@@ -5,6 +5,8 @@
 import json
 from typing import Any
 
+from hibiscuspoint.platform.fields import read_text, read_whole
+from hibiscuspoint.util.address import parse_address
 from hibiscuspoint.wire import peer_pb2
 
 __all__ = ["HeartbeatError", "departure", "parse_heartbeat"]
@@ -32,7 +34,7 @@
 def departure(target: str, body: bytes) -> peer_pb2.Announcement:
     """Return the announcement of a database that ends; its incarnation is 0 when it is unknown."""
     try:
-        incarnation = _whole(json.loads(body).get("born", 0))
+        incarnation = read_whole(json.loads(body).get("born", 0))
     except (ValueError, TypeError, AttributeError):
         # The call needs no body; its path names the database.
         incarnation = 0
@@ -42,19 +44,19 @@
 def _announcement(target: str, fields: dict[str, Any]) -> peer_pb2.Announcement:
     return peer_pb2.Announcement(
         target=target,
-        group=fields["service"],
-        availability_zone=fields["zone"],
-        address=fields["addr"],
-        slots=_whole(fields["slots"]),
+        group=read_text(fields["service"]),
+        availability_zone=read_text(fields["zone"]),
+        address=_address(fields["addr"]),
+        slots=read_whole(fields["slots"]),
         leaving=_STATES[fields["state"]],
         primary=fields.get("db_role") == "primary",
         # The time of the start tells incarnations under the same id apart.
-        incarnation=_whole(fields.get("born", 0)),
-        sequence=_whole(fields["seq_no"]),
+        incarnation=read_whole(fields.get("born", 0)),
+        sequence=read_whole(fields["seq_no"]),
     )
 
 
-def _whole(value: object) -> int:
-    if not isinstance(value, int) or isinstance(value, bool):
-        raise TypeError(f"{value!r} is not a whole number")
-    return value
+def _address(value: object) -> str:
+    address = read_text(value)
+    parse_address(address)
+    return address
--- /dev/null
+++ b/tests/components/sessions/fakes.py
@@ -0,0 +1,135 @@
+"""A target driver that answers from a script, and a clock that the tests set."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from hibiscuspoint.core.sessions import (
+    Failure,
+    Reply,
+    SessionState,
+    Statement,
+    StatementError,
+    StatementKind,
+)
+from hibiscuspoint.drivers.errors import ConnectError, ConnectFailure
+from tests.builders_failover import position
+
+if TYPE_CHECKING:
+    from hibiscuspoint.core.position import LogPosition
+
+__all__ = ["FakeConnection", "FakeDriver", "LoopClock", "ScriptedTarget"]
+
+
+class LoopClock:
+    """Time of the running asyncio loop."""
+
+    def monotonic(self) -> float:
+        """Return seconds."""
+        return asyncio.get_running_loop().time()
+
+    def unix(self) -> float:
+        """Return seconds."""
+        return self.monotonic()
+
+
+@dataclass
+class ScriptedTarget:
+    """What a target does; answers in ``script`` come before the usual ones.
+
+    :param script: replies, or errors to raise, for the next statements of callers.
+    :param log: texts of the statements that ran, with the position that they required.
+    """
+
+    index: int = 10
+    limit: int = 16
+    is_refusing: bool = False
+    script: deque[Reply | Exception] = field(default_factory=deque)
+    log: list[tuple[str, LogPosition | None]] = field(default_factory=list)
+    connections: list[FakeConnection] = field(default_factory=list)
+
+
+class FakeDriver:
+    """Connects to scripted targets."""
+
+    def __init__(self) -> None:
+        self.targets: dict[str, ScriptedTarget] = {}
+
+    async def connect(self, group, target, address, timeout) -> FakeConnection:
+        """Open a connection."""
+        await asyncio.sleep(0)
+        scripted = self.targets.setdefault(target, ScriptedTarget())
+        if scripted.is_refusing:
+            raise ConnectError(ConnectFailure.REFUSED, "refused")
+        if sum(connection.is_open for connection in scripted.connections) >= scripted.limit:
+            raise ConnectError(ConnectFailure.LIMITED, "full")
+        connection = FakeConnection(scripted)
+        scripted.connections.append(connection)
+        return connection
+
+
+class FakeConnection:
+    """A connection to a scripted target."""
+
+    def __init__(self, target: ScriptedTarget) -> None:
+        self._target = target
+        self.is_open = True
+        self.state = SessionState.IDLE
+        self.values: dict[str, str] = {}
+        self.prepared: dict[str, str] = {}
+
+    async def run(self, statement: Statement, *, timeout, name=None, after=None) -> Reply:
+        """Run a statement of a caller."""
+        await asyncio.sleep(0)
+        if self._target.script:
+            answer = self._target.script.popleft()
+            if isinstance(answer, Exception):
+                self.is_open = False
+                raise answer
+            if answer.error is not None and answer.error.failure.has_not_run:
+                return answer
+            self.state = answer.state
+            return answer
+        self._target.log.append((name or statement.text, after))
+        if statement.kind in (StatementKind.BEGIN, StatementKind.BEGIN_READ_ONLY):
+            self.state = SessionState.IN_TRANSACTION
+            return Reply(state=self.state, position=position(self._target.index))
+        if statement.kind in (StatementKind.COMMIT, StatementKind.ROLLBACK):
+            self.state = SessionState.IDLE
+        if statement.writes or statement.kind is StatementKind.COMMIT:
+            self._target.index += 1
+        return Reply(("row",), "signature", None, self.state, position(self._target.index))
+
+    async def reset(self, timeout) -> Reply:
+        """Clear the context."""
+        self.values.clear()
+        self.prepared.clear()
+        return Reply()
+
+    async def set_value(self, name, value, timeout) -> Reply:
+        """Set a value."""
+        self.values[name] = value
+        return Reply()
+
+    async def prepare(self, name, shape, timeout) -> Reply:
+        """Create a prepared statement."""
+        self.prepared[name] = shape.text
+        return Reply()
+
+    async def rollback(self, timeout) -> Reply:
+        """Roll back."""
+        self._target.log.append(("ROLLBACK", None))
+        self.state = SessionState.IDLE
+        return Reply()
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.is_open = False
+
+
+def refusal(failure: Failure, state: SessionState = SessionState.IDLE) -> Reply:
+    """Return an error of a target."""
+    return Reply((), None, StatementError(failure, "t"), state, position(10))
--- /dev/null
+++ b/tests/components/sessions/test_pool.py
@@ -0,0 +1,122 @@
+"""Tests of connections that sessions share."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from hibiscuspoint.components.sessions.pool import TargetPool
+from hibiscuspoint.core.sessions import SessionContext
+from hibiscuspoint.drivers.errors import ConnectError, ConnectFailure
+from tests.builders_failover import GROUP, PRIMARY
+from tests.components.sessions.fakes import FakeDriver, LoopClock, ScriptedTarget
+
+
+def _pool(driver: FakeDriver, limit: int = 4) -> TargetPool:
+    pool = TargetPool(GROUP, PRIMARY, "10.0.0.1:9000", driver, LoopClock())
+    pool.limit = limit
+    return pool
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def test_waiting_statements_are_served_by_priority():
+    """Load pattern: more statements than connections; the urgent ones go first."""
+
+    async def scenario():
+        pool = _pool(FakeDriver(), limit=1)
+        context, order = SessionContext(), []
+        held = await pool.acquire(context, 0, _now() + 1)
+
+        async def use(priority: int) -> None:
+            pooled = await pool.acquire(context, priority, _now() + 1)
+            order.append(priority)
+            pool.release(pooled)
+
+        tasks = [asyncio.create_task(use(priority)) for priority in (2, 1, 0)]
+        await asyncio.sleep(0.01)
+        pool.release(held)
+        await asyncio.gather(*tasks)
+        assert order == [0, 1, 2]
+
+    asyncio.run(scenario())
+
+
+def test_full_target_is_asked_ever_less_often():
+    """Load pattern: all instances want connections of a full target.
+
+    Found on trouble-1 of kovacik-zaloha: 7,100 connections were refused in a day.
+    """
+
+    async def scenario():
+        driver = FakeDriver()
+        target = driver.targets[PRIMARY] = ScriptedTarget(limit=0)
+        attempts = 0
+        connect = driver.connect
+
+        async def count(*arguments):
+            nonlocal attempts
+            attempts += 1
+            return await connect(*arguments)
+
+        driver.connect = count
+        pool = _pool(driver)
+        with pytest.raises(ConnectError) as error:
+            await pool.acquire(SessionContext(), 0, _now() + 1.0)
+        assert error.value.failure is ConnectFailure.LIMITED
+        assert attempts <= 8
+        target.limit = 1
+        assert await pool.acquire(SessionContext(), 0, _now() + 1.0)
+
+    asyncio.run(scenario())
+
+
+def test_refused_connection_fails_all_waiting_statements_at_once():
+    """Load pattern: a target stops; its statements go elsewhere without a wait."""
+
+    async def scenario():
+        driver = FakeDriver()
+        driver.targets[PRIMARY] = ScriptedTarget(is_refusing=True)
+        pool = _pool(driver)
+        waits = [pool.acquire(SessionContext(), 0, _now() + 5) for _ in range(5)]
+        results = await asyncio.gather(*waits, return_exceptions=True)
+        assert all(error.failure is ConnectFailure.REFUSED for error in results)
+        assert pool.refusals
+
+    asyncio.run(scenario())
+
+
+def test_given_up_wait_leaks_no_connection():
+    """Guards against connections that nobody uses and that count against the limit."""
+
+    async def scenario():
+        pool = _pool(FakeDriver(), limit=1)
+        held = await pool.acquire(SessionContext(), 0, _now() + 1)
+        with pytest.raises(ConnectError):
+            await pool.acquire(SessionContext(), 0, _now() + 0.02)
+        task = asyncio.create_task(pool.acquire(SessionContext(), 0, _now() + 5))
+        await asyncio.sleep(0)
+        pool.release(held)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        assert await pool.acquire(SessionContext(), 0, _now() + 1)
+
+    asyncio.run(scenario())
+
+
+def test_connections_beyond_the_share_are_closed_when_idle():
+    """Load pattern: bursts at one instance must not keep connections from the others."""
+
+    async def scenario():
+        pool = _pool(FakeDriver())
+        pool.share = 1
+        used = [await pool.acquire(SessionContext(), 0, _now() + 1) for _ in range(3)]
+        for pooled in used:
+            pool.release(pooled)
+        pool.tick(_now() + 2.0)
+        assert pool.size == 1
+
+    asyncio.run(scenario())
--- /dev/null
+++ b/tests/components/sessions/test_session.py
@@ -0,0 +1,281 @@
+"""Tests of the way of statements through a session."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from hibiscuspoint.core.sessions import Failure, ReadMode, SessionState
+from hibiscuspoint.drivers.errors import AnswerTimeoutError, ConnectionLost
+from tests.builders_failover import GROUP, PRIMARY, REPLICA_A, REPLICA_B, position
+from tests.components.sessions.fakes import refusal
+from tests.components.sessions.harness import SessionHarness
+
+
+def _texts(harness: SessionHarness, name: str) -> list[str]:
+    return [text for text, _ in harness.targets[name].log]
+
+
+def _lost() -> ConnectionLost:
+    return ConnectionLost("reset", sent=True)
+
+
+def _run(scenario) -> None:
+    asyncio.run(scenario())
+
+
+def test_read_after_write_requires_the_position_of_the_write():
+    """Guards against a session that does not see its own write at a replica."""
+
+    async def scenario():
+        harness = SessionHarness()
+        session = harness.session()
+        await harness.run(session, "WRITE a x", "READ a")
+        replica = harness.targets[REPLICA_A].log or harness.targets[REPLICA_B].log
+        assert replica == [("READ a", position(11))]
+
+    _run(scenario)
+
+
+def test_reads_of_mode_primary_go_to_the_primary():
+    """Guards against stale reads where a route allows none."""
+
+    async def scenario():
+        harness = SessionHarness(ReadMode.PRIMARY)
+        await harness.run(harness.session(), "READ a", "READ b")
+        assert _texts(harness, PRIMARY) == ["READ a", "READ b"]
+
+    _run(scenario)
+
+
+def test_transaction_stays_on_one_connection():
+    """Guards against statements of different transactions on one connection."""
+
+    async def scenario():
+        harness = SessionHarness()
+        first, second = harness.session(), harness.session()
+        await harness.run(first, "BEGIN", "WRITE a x")
+        await harness.run(second, "BEGIN", "WRITE b y")
+        assert len(harness.targets[PRIMARY].connections) == 2
+        replies = await harness.run(first, "READ a", "COMMIT")
+        assert replies[-1].state is SessionState.IDLE
+        await harness.run(second, "ROLLBACK")
+        assert _texts(harness, PRIMARY).count("BEGIN") == 2
+
+    _run(scenario)
+
+
+def test_lost_answer_to_a_write_is_in_doubt_and_not_repeated():
+    """Guards against a write that takes effect twice."""
+
+    async def scenario():
+        harness = SessionHarness()
+        harness.targets[PRIMARY].script.append(_lost())
+        (reply,) = await harness.run(harness.session(), "WRITE a x")
+        assert reply.error.failure is Failure.IN_DOUBT
+        assert _texts(harness, PRIMARY) == []
+
+    _run(scenario)
+
+
+def test_write_without_room_is_tried_again():
+    """Load pattern: short bursts at the slots of a primary must not reach callers as errors."""
+
+    async def scenario():
+        harness = SessionHarness()
+        harness.targets[PRIMARY].script.append(refusal(Failure.OVERLOADED))
+        (reply,) = await harness.run(harness.session(), "WRITE a x")
+        assert reply.error is None
+
+    _run(scenario)
+
+
+def test_lost_transaction_before_its_commit_is_aborted():
+    """Guards against an untrue promise, and against a success without the target."""
+
+    async def scenario():
+        harness = SessionHarness()
+        session = harness.session()
+        await harness.run(session, "BEGIN", "WRITE a x")
+        harness.targets[PRIMARY].script.append(_lost())
+        read, other, commit = await harness.run(session, "READ a", "READ b", "COMMIT")
+        assert read.error.failure is Failure.ABORTED
+        assert read.state is SessionState.FAILED
+        assert other.error.failure is Failure.MALFORMED
+        assert commit.error.failure is Failure.ABORTED
+        assert commit.state is SessionState.IDLE
+
+    _run(scenario)
+
+
+def test_lost_answer_to_a_commit_is_in_doubt():
+    """Guards against a promise that nothing is kept while the commit may have run."""
+
+    async def scenario():
+        harness = SessionHarness()
+        session = harness.session()
+        await harness.run(session, "BEGIN", "WRITE a x")
+        harness.targets[PRIMARY].script.append(_lost())
+        (reply,) = await harness.run(session, "COMMIT")
+        assert reply.error.failure is Failure.IN_DOUBT
+
+    _run(scenario)
+
+
+def test_answer_of_a_replaced_primary_is_not_acknowledged():
+    """Guards against a write that a promotion removes and that its caller was told of."""
+
+    async def scenario():
+        harness = SessionHarness()
+        session = harness.session()
+        await harness.run(session, "BEGIN", "WRITE a x")
+        harness.revoke()
+        (reply,) = await harness.run(session, "COMMIT")
+        assert reply.error.failure is Failure.IN_DOUBT
+
+    _run(scenario)
+
+
+def test_read_of_a_replaced_primary_is_made_again_elsewhere():
+    """Guards against a stale read under a lease that ended during the read."""
+
+    async def scenario():
+        harness = SessionHarness(ReadMode.PRIMARY)
+        session = harness.session()
+        task = asyncio.create_task(harness.run(session, "READ a"))
+        await asyncio.sleep(0)
+        harness.revoke()
+        harness.term, harness.primary = 2, REPLICA_A
+        await asyncio.sleep(0.05)
+        harness.route(lease_ms=2500)
+        (reply,) = await task
+        assert reply.error is None
+        assert _texts(harness, REPLICA_A) == ["READ a"]
+
+    _run(scenario)
+
+
+def test_silent_replica_costs_a_read_only_part_of_its_time():
+    """Load pattern: one of two replicas does not answer while reads go on."""
+
+    async def scenario():
+        harness = SessionHarness()
+        for name in (REPLICA_A, REPLICA_B):
+            harness.targets[name].script.append(AnswerTimeoutError())
+        (reply,) = await harness.run(harness.session(), "READ a")
+        assert reply.error is not None
+        assert reply.error.failure is Failure.TIMEOUT
+
+    _run(scenario)
+
+
+def test_lagging_replica_is_left_for_another_target():
+    """Load pattern: replicas fall behind; reads go where the data is."""
+
+    async def scenario():
+        harness = SessionHarness()
+        for name in (REPLICA_A, REPLICA_B):
+            harness.targets[name].script.append(refusal(Failure.LAGGING))
+        (reply,) = await harness.run(harness.session(), "READ a")
+        assert reply.error is None
+        assert _texts(harness, PRIMARY) == ["READ a"]
+
+    _run(scenario)
+
+
+@pytest.mark.parametrize("is_attached", [True, False])
+def test_statement_waits_only_for_a_primary_that_may_come(is_attached):
+    """Load pattern: a failover under load. Found on trouble-1 of kovacik-zaloha.
+
+    Entries that control had lost kept statements until their timeout.
+    """
+
+    async def scenario():
+        harness = SessionHarness()
+        harness.revoke()
+        if not is_attached:
+            harness.state.has_contact = lambda now: False
+        started = harness.clock.monotonic()
+        (reply,) = await harness.run(harness.session(), "WRITE a x")
+        elapsed = harness.clock.monotonic() - started
+        assert reply.error.failure is Failure.OVERLOADED
+        assert (elapsed > 0.3) is is_attached
+
+    _run(scenario)
+
+
+def test_paused_route_is_handed_back_after_the_last_transaction():
+    """Guards against a switchover that waits for its limit, or interrupts a transaction."""
+
+    async def scenario():
+        harness = SessionHarness()
+        session = harness.session()
+        await harness.run(session, "BEGIN", "WRITE a x")
+        harness.route(lease_ms=2500, paused=True)
+        assert not harness.report().released
+        (reply,) = await harness.run(session, "COMMIT")
+        assert reply.error is None
+        assert [released.group for released in harness.report().released] == [GROUP]
+
+    _run(scenario)
+
+
+def test_values_of_other_sessions_are_cleared():
+    """Guards against a statement that runs with the values of another caller."""
+
+    async def scenario():
+        harness = SessionHarness(ReadMode.PRIMARY)
+        first, second = harness.session(), harness.session()
+        await harness.run(first, "SET a 1", "READ x")
+        connection = harness.targets[PRIMARY].connections[0]
+        assert connection.values == {"a": "1"}
+        await harness.run(second, "SET b 2", "READ x")
+        assert connection.values == {"b": "2"}
+        assert len(harness.targets[PRIMARY].connections) == 1
+
+    _run(scenario)
+
+
+def test_prepared_statement_follows_the_session():
+    """Guards against an unknown statement although its preparation was acknowledged."""
+
+    async def scenario():
+        harness = SessionHarness(ReadMode.PRIMARY)
+        first, second = harness.session(), harness.session()
+        await harness.run(first, "PREPARE s READ q1")
+        await harness.run(second, "PREPARE s READ q2")
+        await harness.run(first, "EXECUTE s x")
+        await harness.run(second, "EXECUTE s x")
+        connection = harness.targets[PRIMARY].connections[0]
+        assert sorted(connection.prepared.values()) == ["q1", "q2"]
+
+    _run(scenario)
+
+
+def test_caller_that_leaves_rolls_back_and_frees_the_connection():
+    """Guards against locks and connections that a lost caller keeps."""
+
+    async def scenario():
+        harness = SessionHarness()
+        session = harness.session()
+        await harness.run(session, "BEGIN", "WRITE a x")
+        await session.close()
+        assert _texts(harness, PRIMARY)[-1] == "ROLLBACK"
+        pool = harness.access.pools[PRIMARY]
+        assert pool.size == 1
+        assert await pool.acquire(session._context, 1, harness.clock.monotonic() + 0.1)
+
+    _run(scenario)
+
+
+def test_acknowledged_positions_are_reported():
+    """Guards against a promotion that does not know what callers were told."""
+
+    async def scenario():
+        harness = SessionHarness()
+        await harness.run(harness.session(), "WRITE a x")
+        (item,) = harness.report().acknowledged
+        assert (item.group, item.position.index) == (GROUP, 11)
+
+    _run(scenario)
--- /dev/null
+++ b/tests/core/failover/test_leader.py
@@ -0,0 +1,85 @@
+"""Tests of what a control leader takes from heartbeats."""
+
+from __future__ import annotations
+
+from hibiscuspoint.core.control.state import ControlState
+from hibiscuspoint.core.failover import FailoverLeader
+from hibiscuspoint.ids import InstanceId
+from hibiscuspoint.wire import peer_pb2
+from tests.builders_failover import GROUP, PRIMARY, REPLICA_A, announcement
+
+NOW = 50.0
+
+
+def _leader(state: ControlState) -> FailoverLeader:
+    leader = FailoverLeader(InstanceId("10.0.0.1:7440"), 2, state, NOW)
+    leader.tick(NOW)
+    return leader
+
+
+def _announce(leader: FailoverLeader, state: ControlState, message) -> bool:
+    """Hand a heartbeat over as the component does; tell whether a record was committed."""
+    command = leader.registration(message)
+    if command is not None:
+        state.apply(1, command)
+    leader.tick(NOW)
+    leader.announced(message, NOW)
+    return command is not None
+
+
+def test_first_heartbeat_registers_a_target_and_later_ones_change_nothing():
+    """Guards against a commit for each heartbeat."""
+    state = ControlState()
+    leader = _leader(state)
+    assert _announce(leader, state, announcement(PRIMARY))
+    assert not _announce(leader, state, announcement(PRIMARY, sequence=2))
+    assert state.groups[GROUP].targets[PRIMARY].address == "10.1.0.1:9000"
+
+
+def test_leaving_target_does_not_return_with_a_late_heartbeat():
+    """Guards against work for a target whose heartbeats arrive out of order."""
+    state = ControlState()
+    leader = _leader(state)
+    _announce(leader, state, announcement(PRIMARY, sequence=1))
+    _announce(leader, state, announcement(PRIMARY, sequence=3, leaving=True))
+    _announce(leader, state, announcement(PRIMARY, sequence=2))
+    _announce(leader, state, announcement(PRIMARY, sequence=4))
+    assert state.groups[GROUP].targets[PRIMARY].leaving
+
+
+def test_restarted_target_is_used_again():
+    """Guards against a target that stays out of service after a restart under its id."""
+    state = ControlState()
+    leader = _leader(state)
+    _announce(leader, state, announcement(PRIMARY, sequence=9, leaving=True))
+    _announce(leader, state, announcement(PRIMARY, sequence=1, incarnation=2))
+    assert not state.groups[GROUP].targets[PRIMARY].leaving
+
+
+def test_late_heartbeat_of_the_former_user_of_an_address_is_ignored():
+    """Guards against statements for a target that has ended and whose address another one has."""
+    state = ControlState()
+    leader = _leader(state)
+    _announce(leader, state, announcement(PRIMARY, incarnation=5))
+    _announce(leader, state, announcement(REPLICA_A, incarnation=6))
+    _announce(leader, state, announcement(PRIMARY, incarnation=5, sequence=2))
+    assert set(state.groups[GROUP].targets) == {REPLICA_A}
+
+
+def test_departure_marks_the_target_as_leaving():
+    """Guards against new work for a target that ended without a notice before."""
+    state = ControlState()
+    leader = _leader(state)
+    _announce(leader, state, announcement(PRIMARY))
+    assert _announce(leader, state, peer_pb2.Announcement(target=PRIMARY, gone=True))
+    assert state.groups[GROUP].targets[PRIMARY].leaving
+
+
+def test_state_survives_a_snapshot():
+    """Guards against a new leader that forgets targets after a compaction."""
+    state = ControlState()
+    leader = _leader(state)
+    _announce(leader, state, announcement(PRIMARY, leaving=True))
+    restored = ControlState()
+    restored.restore(state.snapshot())
+    assert restored.groups[GROUP].targets == state.groups[GROUP].targets
--- /dev/null
+++ b/tests/platform/test_heartbeats.py
@@ -0,0 +1,58 @@
+"""Tests of heartbeats of databases."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from hibiscuspoint.platform.heartbeats import HeartbeatError, departure, parse_heartbeat
+from tests.platform.builders import heartbeat_fields
+
+
+def _parse(**changes: object):
+    return parse_heartbeat("i-1", json.dumps(heartbeat_fields(**changes)).encode())
+
+
+def test_start_time_and_sequence_order_heartbeats():
+    """Guards against a late heartbeat that is taken for a new one."""
+    message = _parse()
+    assert (message.incarnation, message.sequence) == (1780000000000, 4)
+    assert not message.leaving
+
+
+def test_draining_database_is_leaving():
+    """Guards against new work for a database before its shutdown."""
+    assert _parse(state="draining").leaving
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"state": "resting"},
+        {"slots": "2"},
+        {"seq_no": None},
+        {"addr": 5},
+        {"born": 1.5},
+        {"service": None},
+    ],
+)
+def test_heartbeat_of_another_writer_is_refused(changes):
+    """Guards against a target that cannot be used, and against an error of the whole call."""
+    with pytest.raises(HeartbeatError):
+        _parse(**changes)
+
+
+@pytest.mark.parametrize("body", [b"", b"\xff\xfe", b"[]", b"{", b"null"])
+def test_bytes_that_cannot_be_read_are_refused(body):
+    """Guards against an error of the whole call."""
+    with pytest.raises(HeartbeatError):
+        parse_heartbeat("i-1", body)
+
+
+@pytest.mark.parametrize(("body", "incarnation"), [(b'{"born": 17}', 17), (b"", 0), (b"[]", 0)])
+def test_departure_needs_no_body(body, incarnation):
+    """Guards against a departure that is lost because its body is empty."""
+    message = departure("i-1", body)
+    assert message.gone
+    assert message.incarnation == incarnation
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,47 @@
+"""Tests of the settings file of the platform."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+import pytest
+
+from hibiscuspoint.errors import ConfigurationError
+from hibiscuspoint.platform.settings import ProcessSettings
+from tests.platform.builders import settings_fields
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+
+def _read(path: Path, **changes: object) -> ProcessSettings:
+    file = path / "settings.json"
+    file.write_text(json.dumps(settings_fields(**changes)))
+    return ProcessSettings.from_file(file)
+
+
+def test_instances_are_named_by_their_internal_address(tmp_path):
+    """Guards against members of the control group that cannot be reached."""
+    settings = _read(tmp_path)
+    assert settings.instance == "10.1.0.8:7440"
+    assert settings.founders == ("10.1.0.8:7440", "10.2.0.6:7440", "10.3.0.7:7440")
+
+
+def test_later_start_forms_no_group(tmp_path):
+    """Guards against a second control group after a disk was lost."""
+    settings = _read(tmp_path, bootstrap=False)
+    assert settings.founders == ()
+    assert len(settings.seeds) == 3
+
+
+def test_machine_without_a_disk_has_no_control_log(tmp_path):
+    """Guards against a voter whose votes do not last."""
+    assert _read(tmp_path, data_dir=None).data_directory is None
+
+
+@pytest.mark.parametrize("changes", [{"listen": {}}, {"seeds": ["host:1"]}, {"internal_ports": []}])
+def test_incomplete_settings_are_refused(tmp_path, changes):
+    """Guards against a process that starts with half of its settings."""
+    with pytest.raises(ConfigurationError):
+        _read(tmp_path, **changes)
