Find control through seeds without a disk, and attach to the next leader sooner

Ruled out: a lost control log (the leader was elected 2.8 s after the power loss).

Change: control instances introduce themselves to the seeds, and look into their own log for voters; an attachment waits 0.4 s for its first update and tries the address that failed last; the election timer counts from the start of the process, and the HTTP library is imported after the start of the control log.

--- a/hibiscuspoint/components/attachment.py
+++ b/hibiscuspoint/components/attachment.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-from itertools import cycle
 from typing import TYPE_CHECKING
 
 import grpc
@@ -34,6 +33,10 @@
 #: Seconds without an update after which another control instance is tried.
 SILENCE_SECONDS = 1.0
 
+#: Seconds to wait for the first update of an instance. The leader answers each report at once, so
+#: that a lost machine delays the way to the next leader only so much.
+FIRST_UPDATE_SECONDS = 0.4
+
 #: Seconds before the next control instance is tried.
 RETRY_SECONDS = 0.1
 
@@ -65,7 +68,6 @@
         self._runtime = runtime
         self._channels = channels
         self._members = list(members)
-        self._candidates = cycle(members)
         self._make_report = make_report
         self._redirect = ""
         self._leader = ""
@@ -79,10 +81,9 @@
         self._news.set()
 
     def set_members(self, members: list[str]) -> None:
-        """Replace the control instances that are tried; the same list changes nothing."""
-        if members != self._members:
-            self._members = list(members)
-            self._candidates = cycle(members)
+        """Replace the control instances that are tried; known ones keep their order."""
+        known = [member for member in self._members if member in members]
+        self._members = known + [member for member in members if member not in known]
 
     def start(self) -> None:
         """Start to attach."""
@@ -96,7 +97,7 @@
 
     async def _run(self) -> None:
         while True:
-            address = self._redirect or next(self._candidates)
+            address = self._redirect or self._next_member()
             self._redirect = ""
             channel = self._channels.open(address)
             try:
@@ -114,6 +115,12 @@
             if not self._redirect:
                 await asyncio.sleep(RETRY_SECONDS)
 
+    def _next_member(self) -> str:
+        """Return the instance to try; it comes last from now on, until it turns out to lead."""
+        address = self._members.pop(0)
+        self._members.append(address)
+        return address
+
     async def _attach(self, channel: grpc.aio.Channel, address: str) -> None:
         call = peer_pb2_grpc.ControlStub(channel).Attach()
         self._heard_at = asyncio.get_running_loop().time()
@@ -146,14 +153,15 @@
         loop = asyncio.get_running_loop()
         generation = self._channels.generation
         while True:
-            if loop.time() - self._heard_at > SILENCE_SECONDS:
+            limit = SILENCE_SECONDS if self._leader else FIRST_UPDATE_SECONDS
+            if loop.time() - self._heard_at > limit:
                 raise TimeoutError("the control leader is silent")
             if self._channels.generation != generation:
                 # Attaches again at once, with the changed certificate.
                 self._redirect = address
                 return
             self._news.clear()
-            async with asyncio.timeout(SILENCE_SECONDS):
+            async with asyncio.timeout(limit):
                 await call.write(self._make_report())
             await asyncio.sleep(REPORT_SPACING_SECONDS)
             try:
--- a/hibiscuspoint/components/consensus.py
+++ b/hibiscuspoint/components/consensus.py
@@ -68,6 +68,8 @@
     :param channel_generation: returns a number whose change asks for new channels.
     :param clock: returns seconds of a clock that never steps.
     :param compaction_entries: applied entries after which a snapshot replaces them.
+    :param started_at: when the process started, on ``clock``: its predecessor heard from no leader
+        after that. The time of :meth:`start` by default.
     :param open_membership: the id of an instance is its address, voters are added and replaced by
         :meth:`admit`, and ``peers`` are only the instances that form the group.
     """
@@ -86,7 +88,9 @@
         clock: Callable[[], float] = suspend_aware,
         compaction_entries: int = DEFAULT_COMPACTION_ENTRIES,
         open_membership: bool = False,
+        started_at: float | None = None,
     ) -> None:
+        self._started_at = started_at
         self._instance = instance
         self._open_membership = open_membership
         self._peers = dict(peers)
@@ -148,6 +152,13 @@
             return ""
         return leader if self._open_membership else self._peers.get(leader, "")
 
+    @property
+    def members_addresses(self) -> list[str]:
+        """Return the addresses of the voters; only with ``open_membership``."""
+        if self._node is None or not self._open_membership:
+            return []
+        return sorted(voter.instance for voter in self._node.configuration.all_voters)
+
     @property
     def disk(self) -> str:
         """Return the identity of the disk; empty before :meth:`start` and after an error."""
@@ -190,7 +201,7 @@
             peers=frozenset(self._peers),
             recovered=log.recovered,
             draw=random.random,
-            now=self._clock(),
+            now=self._clock() if self._started_at is None else self._started_at,
             open_membership=self._open_membership,
         )
         self._transport.start()
--- a/hibiscuspoint/components/control_service.py
+++ b/hibiscuspoint/components/control_service.py
@@ -39,6 +39,13 @@
             return peer_pb2.AnnounceReply(accepted=False)
         return await self._leader.announce(request)
 
+    async def Introduce(
+        self, request: peer_pb2.Introduction, context: grpc.aio.ServicerContext
+    ) -> peer_pb2.Introduction:
+        """Take and return what is known about control."""
+        self._leader.introduced(request)
+        return self._leader.introduction()
+
     async def Attach(
         self,
         request_iterator: AsyncIterator[peer_pb2.EntryReport],
--- /dev/null
+++ b/hibiscuspoint/components/introductions.py
@@ -0,0 +1,82 @@
+"""The exchange of knowledge about control between instances that only know seeds."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import grpc
+
+from hibiscuspoint.util.tasks import spawn
+from hibiscuspoint.wire import peer_pb2_grpc
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from hibiscuspoint.components.leader_client import LeaderClient
+    from hibiscuspoint.components.peers import PeerChannels
+    from hibiscuspoint.ids import InstanceId
+
+__all__ = ["Introductions"]
+
+#: Seconds between two introductions to the seeds.
+INTERVAL_SECONDS = 0.2
+
+#: Longest time in seconds to wait for the answer of a seed.
+ANSWER_SECONDS = 0.4
+
+
+class Introductions:
+    """Introduces the control instances to the seeds, and this instance to control.
+
+    Seeds may be instances without a disk. After a restart of all instances they know nothing, so
+    that the control instances must tell them where control is.
+
+    :param seeds: returns the present seeds.
+    :param is_needed: tells whether this instance serves control or looks for it.
+    :param on_learned: called when something was learned.
+    """
+
+    def __init__(
+        self,
+        instance: InstanceId,
+        leader: LeaderClient,
+        channels: PeerChannels,
+        seeds: Callable[[], tuple[str, ...]],
+        is_needed: Callable[[], bool],
+        on_learned: Callable[[], None],
+    ) -> None:
+        self._instance = instance
+        self._leader = leader
+        self._channels = channels
+        self._seeds = seeds
+        self._is_needed = is_needed
+        self._on_learned = on_learned
+        self._task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Start to introduce."""
+        self._task = spawn(self._run(), "introductions")
+
+    async def stop(self) -> None:
+        """Stop introducing."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self) -> None:
+        while True:
+            if self._is_needed():
+                seeds = [seed for seed in self._seeds() if seed != self._instance]
+                await asyncio.gather(*map(self._introduce, seeds))
+            await asyncio.sleep(INTERVAL_SECONDS)
+
+    async def _introduce(self, seed: str) -> None:
+        stub = peer_pb2_grpc.ControlStub(self._channels.get(seed))
+        try:
+            answer = await stub.Introduce(self._leader.introduction(), timeout=ANSWER_SECONDS)
+        except grpc.aio.AioRpcError:
+            # The seed is down or cut off; it is asked again.
+            return
+        self._leader.introduced(answer)
+        self._on_learned()
--- a/hibiscuspoint/components/leader_client.py
+++ b/hibiscuspoint/components/leader_client.py
@@ -20,6 +20,9 @@
 
 __all__ = ["LeaderClient"]
 
+#: Control instances that are remembered from introductions; at most 7 serve control.
+MEMBERS_LIMIT = 16
+
 #: Longest time in seconds to connect to a control instance.
 CONNECT_SECONDS = 0.5
 
@@ -44,6 +47,7 @@
         self._members = list(members)
         self._channels = channels
         self._attached_to = ""
+        self._known_members: list[str] = []
 
     @property
     def known_leader(self) -> str:
@@ -52,10 +56,26 @@
             return self._log.leader_address
         return self._attached_to
 
+    def introduction(self) -> peer_pb2.Introduction:
+        """Return where control is, as far as this instance knows."""
+        own = self._log.members_addresses if self._log is not None else []
+        members = own + [member for member in self._known_members if member not in own]
+        return peer_pb2.Introduction(leader=self.known_leader, control_members=members)
+
+    def introduced(self, introduction: peer_pb2.Introduction) -> None:
+        """Take what another instance knows about control."""
+        for address in introduction.control_members:
+            if address not in self._known_members:
+                self._known_members.append(address)
+        # Instances that were replaced long ago are forgotten first.
+        del self._known_members[:-MEMBERS_LIMIT]
+        self.set_seeds(introduction.control_members)
+
     def attached(self, leader: str, members: Iterable[str]) -> None:
         """Take the addresses of the leader and of the control group from an update."""
         self._attached_to = leader
         self._members = list(members) or self._members
+        self._known_members = list(members)
 
     @property
     def members(self) -> list[str]:
--- a/hibiscuspoint/daemon/session_node.py
+++ b/hibiscuspoint/daemon/session_node.py
@@ -20,8 +20,8 @@
 from hibiscuspoint.components.control_state import ControlStateMachine
 from hibiscuspoint.components.entry_state import EntryState
 from hibiscuspoint.components.failover_control import FailoverControl
+from hibiscuspoint.components.introductions import Introductions
 from hibiscuspoint.components.leader_client import LeaderClient
-from hibiscuspoint.components.metrics_server import MetricsServer
 from hibiscuspoint.components.peers import PEER_SERVER_OPTIONS, PeerChannels
 from hibiscuspoint.components.readiness import ReadinessLog
 from hibiscuspoint.components.reporting import EntryIdentity, Reporting
@@ -169,6 +169,7 @@
     """All components of one process, on one asyncio loop.
 
     :param log_handler: handler of the log, whose dropped lines are counted.
+    :param started_at: when the process started, on the clock of the control log.
     :param read_settings: reads the settings again; raises ``ConfigurationError``.
     """
 
@@ -178,8 +179,11 @@
         ports: Ports,
         log_handler: BoundedHandler,
         read_settings: Callable[[], SessionNodeSettings],
+        started_at: float,
     ) -> None:
+        self._started_at = started_at
         self._settings = settings
+        self._latest = settings
         self._read_settings = read_settings
         self._ports = ports
         self._log_handler = log_handler
@@ -231,11 +235,18 @@
         self._build_control()
         self._build_reporting()
         self._callers = self._ports.make_callers(self._service)
+        self._others: list[OuterPort] = []
+
+    def _build_others(self) -> None:
+        # The import of the HTTP library takes as long as the rest of the start, and an election
+        # can go on meanwhile.
+        from hibiscuspoint.components.metrics_server import MetricsServer
+
         configuration = ConfigurationService(self._control, self._leader_client)
         self._others = self._ports.make_others(
             self._announce, configuration, lambda: self._service.is_ready
         )
-        self._others.append(MetricsServer(settings.metrics_address, self._metrics))
+        self._others.append(MetricsServer(self._settings.metrics_address, self._metrics))
 
     def _build_control(self) -> None:
         settings = self._settings
@@ -251,6 +262,7 @@
                 channel_factory=self._open_control_channel,
                 compaction_entries=COMPACTION_ENTRIES,
                 open_membership=True,
+                started_at=self._started_at,
             ).register(self._runtime)
             self._control = FailoverControl(
                 settings.instance,
@@ -280,6 +292,14 @@
             on_update=self._on_attached,
             on_detached=self._leader_client.detached,
         ).register(self._runtime)
+        self._introductions = Introductions(
+            settings.instance,
+            self._leader_client,
+            self._channels,
+            lambda: self._settings.seeds,
+            lambda: self._log is not None or not self._leader_client.known_leader,
+            lambda: self._attachment.set_members(self._candidates()),
+        )
 
     def _make_report(self) -> peer_pb2.EntryReport:
         report = self._reporting.make_report()
@@ -315,7 +335,9 @@
             await self._log.start()
             self._control.start()
         self._attachment.start()
+        self._introductions.start()
         await self._callers.start()
+        self._build_others()
         for port in self._others:
             await port.start()
         log_event(
@@ -363,13 +385,14 @@
         except ConfigurationError as error:
             log_event(logger, catalogue.SETTINGS_REFUSED, reason=error.message)
             return
-        if settings == self._settings:
-            return
+        known, self._latest = self._latest, settings
         changed = [
             field.name
             for field in fields(settings)
-            if getattr(settings, field.name) != getattr(self._settings, field.name)
+            if getattr(settings, field.name) != getattr(known, field.name)
         ]
+        if not changed:
+            return
         log_event(logger, catalogue.SETTINGS_RELOADED, changed=changed, seeds=settings.seeds)
         # Addresses, the disk and the founders stay those of the start of the process.
         self._settings = replace(
@@ -384,6 +407,9 @@
     def _candidates(self) -> list[str]:
         """Return the addresses where control may be found, best first."""
         members = self._leader_client.members
+        if self._log is not None:
+            own = [self._settings.instance, *self._log.members_addresses]
+            members = list(dict.fromkeys([*members, *own]))
         return members + [seed for seed in self._settings.seeds if seed not in members]
 
     async def _drain_work(self) -> None:
@@ -413,6 +439,7 @@
         await self._callers.stop()
         for port in self._others:
             await port.stop()
+        await self._introductions.stop()
         await self._attachment.stop()
         if self._log is not None:
             await self._control.stop()
