--- /dev/null
+++ b/tests/platform/standin.py
@@ -0,0 +1,294 @@
+"""A stand-in of the platform: databases that announce themselves, and the promotion call."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from dataclasses import dataclass, field
+
+import aiohttp
+from aiohttp import web
+
+__all__ = ["StandinDatabase", "StandinPlatform"]
+
+#: Seconds between two heartbeats of a database.
+HEARTBEAT_SECONDS = 0.3
+
+#: Seconds that a promotion takes.
+PROMOTION_SECONDS = 0.2
+
+
+@dataclass(eq=False)
+class StandinDatabase:
+    """One database; commits reach the replicas that run and are not paused at once.
+
+    :param writes: identity and text of each write that took effect.
+    """
+
+    platform: StandinPlatform
+    name: str
+    address: str
+    is_primary: bool = False
+    is_running: bool = True
+    is_paused: bool = False
+    state: str = "ready"
+    term: int = 1
+    index: int = 0
+    items: dict[str, str] = field(default_factory=dict)
+    writes: list[str] = field(default_factory=list)
+    statements: list[str] = field(default_factory=list)
+    server: asyncio.Server | None = None
+    connections: set[asyncio.StreamWriter] = field(default_factory=set)
+
+    @property
+    def replicas(self) -> list[StandinDatabase]:
+        """Return the other databases that receive commits."""
+        return [
+            other
+            for other in self.platform.databases
+            if other is not self and other.is_running and not other.is_paused
+        ]
+
+    async def start(self) -> None:
+        """Listen."""
+        host, _, port = self.address.rpartition(":")
+        self.server = await asyncio.start_server(self._serve, host, int(port))
+        self.is_running = True
+
+    async def crash(self) -> None:
+        """Stop at once."""
+        self.is_running = False
+        self.server.close()
+        for writer in list(self.connections):
+            writer.transport.abort()
+
+    def commit(self, items: dict[str, str], ids: list[str]) -> bool:
+        """Apply writes here and at the replicas; false when no replica receives them."""
+        if not self.replicas:
+            return False
+        for database in [self, *self.replicas]:
+            database.index = self.index + 1 if database is self else self.index
+            database.items.update(items)
+            database.writes.extend(ids)
+        return True
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections.add(writer)
+        connection = _Connection(self)
+        try:
+            while line := await reader.readline():
+                answer = connection.answer(line.decode().rstrip("\r\n"))
+                if answer is not None:
+                    writer.write(answer.encode())
+                    await writer.drain()
+        except OSError:
+            pass
+        finally:
+            self.connections.discard(writer)
+            writer.close()
+
+
+class _Connection:
+    """One connection of the proxy."""
+
+    def __init__(self, database: StandinDatabase) -> None:
+        self._database = database
+        self._values: dict[str, str] = {}
+        self._prepared: dict[str, tuple[str, str]] = {}
+        self._writes: dict[str, str] | None = None
+        self._ids: list[str] = []
+        self._state = "I"
+
+    def answer(self, line: str) -> str | None:
+        """Return the messages that answer one message; ``None`` for no answer."""
+        word, _, rest = line.partition(" ")
+        if word == "STARTUP":
+            name = rest.split(" ")[-1]
+            if name != self._database.name:
+                return "ERROR WRONGNODE -\r\n"
+            return self._ready()
+        request, _, text = rest.partition(" ")
+        self._database.statements.append(text)
+        rows = self._run(request, text)
+        return None if rows is None else rows + self._ready()
+
+    def _ready(self) -> str:
+        return f"READY {self._state} {self._database.term}.{self._database.index}\r\n"
+
+    def _run(self, request: str, text: str) -> str | None:
+        verb, _, rest = text.partition(" ")
+        if verb == "AFTERLSN":
+            required, _, text = rest.partition(" ")
+            term, _, index = required.partition(".")
+            if (self._database.term, self._database.index) < (int(term), int(index)):
+                return "ERROR LAGGING -\r\n"
+            verb, _, rest = text.partition(" ")
+        if verb == "EXECUTE":
+            name, _, rest = rest.partition(" ")
+            if name not in self._prepared:
+                return "ERROR NOSTMT -\r\n"
+            verb = self._prepared[name][0]
+        return getattr(self, f"_{verb.lower()}")(request, rest)
+
+    def _read(self, request: str, rest: str) -> str:
+        value = (self._writes or {}).get(rest, self._database.items.get(rest, "none"))
+        return f"ROW {value}\r\nCOMPLETE {self._database.name}.{request}\r\n"
+
+    def _write(self, request: str, rest: str) -> str | None:
+        if not self._database.is_primary:
+            return "ERROR READONLY -\r\n"
+        item, _, data = rest.partition(" ")
+        if self._writes is not None:
+            self._writes[item] = data
+            self._ids.append(request)
+        elif not self._database.commit({item: data}, [request]):
+            return None
+        return f"COMPLETE {self._database.name}.{request}\r\n"
+
+    def _begin(self, request: str, rest: str) -> str:
+        if rest != "READ" and not self._database.is_primary:
+            return "ERROR READONLY -\r\n"
+        self._writes, self._ids, self._state = {}, [], "T"
+        return "COMPLETE -\r\n"
+
+    def _commit(self, request: str, rest: str) -> str | None:
+        writes, ids = self._end()
+        if writes and not self._database.commit(writes, ids):
+            return None
+        return f"COMPLETE {self._database.name}.{request}\r\n"
+
+    def _rollback(self, request: str, rest: str) -> str:
+        self._end()
+        return "COMPLETE -\r\n"
+
+    def _end(self) -> tuple[dict[str, str], list[str]]:
+        writes, ids = self._writes or {}, self._ids
+        self._writes, self._ids, self._state = None, [], "I"
+        return writes, ids
+
+    def _set(self, request: str, rest: str) -> str:
+        name, _, self._values[name] = rest.partition(" ")
+        return "COMPLETE -\r\n"
+
+    def _prepare(self, request: str, rest: str) -> str:
+        name, mode, shape = rest.split(" ", 2)
+        self._prepared[name] = (mode, shape)
+        return "COMPLETE -\r\n"
+
+    def _reset(self, request: str, rest: str) -> str:
+        self._values.clear()
+        self._prepared.clear()
+        return "COMPLETE -\r\n"
+
+    def _status(self, request: str, rest: str) -> str:
+        database = self._database
+        role = "primary" if database.is_primary else "replica"
+        position = f"{database.term}.{database.index}"
+        return f"ROW {role} {database.term} {position} 0 0 0 1\r\nCOMPLETE -\r\n"
+
+    def _pause(self, request: str, rest: str) -> str:
+        self._database.is_paused = True
+        return self._status(request, rest)
+
+    def _resume(self, request: str, rest: str) -> str:
+        self._database.is_paused = False
+        return self._status(request, rest)
+
+    def _stepdown(self, request: str, rest: str) -> str:
+        self._database.is_primary = False
+        return self._status(request, rest)
+
+
+class StandinPlatform:
+    """Databases of one service, their heartbeats, and the promotion call.
+
+    :param address: "ip:port" of the promotion call.
+    :param service: name of the service.
+    :param controls: addresses that take heartbeats.
+    """
+
+    def __init__(self, address: str, service: str, controls: list[str]) -> None:
+        self._address = address
+        self._service = service
+        self._controls = controls
+        self._runner: web.AppRunner | None = None
+        self._task: asyncio.Task | None = None
+        self._sequence = itertools.count(1)
+        self.databases: list[StandinDatabase] = []
+        self.promotions: list[tuple[str, int]] = []
+
+    @property
+    def primary(self) -> StandinDatabase:
+        """Return the running primary of the highest term."""
+        primaries = [d for d in self.databases if d.is_primary and d.is_running]
+        return max(primaries, key=lambda database: database.term)
+
+    async def start(self, addresses: list[str]) -> None:
+        """Start one database for each address; the first one is the primary."""
+        for number, address in enumerate(addresses):
+            database = StandinDatabase(self, f"i-{number}", address, is_primary=number == 0)
+            self.databases.append(database)
+            await database.start()
+        app = web.Application()
+        app.router.add_post("/promote", self._promote)
+        self._runner = web.AppRunner(app)
+        await self._runner.setup()
+        host, _, port = self._address.rpartition(":")
+        await web.TCPSite(self._runner, host, int(port)).start()
+        self._task = asyncio.create_task(self._beat_forever())
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+        for database in self.databases:
+            if database.is_running:
+                await database.crash()
+        await self._runner.cleanup()
+
+    async def _promote(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        token = int(request.headers["X-Hibiscuspoint-Fencing-Token"])
+        self.promotions.append((body["id"], token))
+        database = next(d for d in self.databases if d.name == body["id"])
+        if not database.is_running:
+            return web.Response(status=409)
+        if not database.is_primary:
+            asyncio.get_running_loop().call_later(PROMOTION_SECONDS, self._lead, database)
+        return web.Response()
+
+    def _lead(self, database: StandinDatabase) -> None:
+        term = max(other.term for other in self.databases) + 1
+        database.is_primary, database.is_paused, database.term = True, False, term
+        for other in database.replicas:
+            other.term, other.index = term, database.index
+            other.items, other.writes = dict(database.items), list(database.writes)
+
+    async def _beat_forever(self) -> None:
+        limit = aiohttp.ClientTimeout(total=1.0)
+        async with aiohttp.ClientSession(timeout=limit) as session:
+            while True:
+                for database in self.databases:
+                    if database.is_running:
+                        await self._beat(session, database)
+                await asyncio.sleep(HEARTBEAT_SECONDS)
+
+    async def _beat(self, session: aiohttp.ClientSession, database: StandinDatabase) -> None:
+        body = {
+            "service": self._service,
+            "addr": database.address,
+            "zone": "zone-a",
+            "slots": 2,
+            "state": database.state,
+            "db_role": "primary" if database.is_primary else "replica",
+            "seq_no": next(self._sequence),
+            "born": 1,
+        }
+        for control in self._controls:
+            url = f"http://{control}/-/Instances.Heartbeat/{database.name}"
+            try:
+                async with session.post(url, json=body) as response:
+                    if response.ok:
+                        return
+            except (aiohttp.ClientError, TimeoutError, OSError):
+                continue
