--- a/hibiscuspoint/components/consensus.py
+++ b/hibiscuspoint/components/consensus.py
@@ -25,8 +25,8 @@
 from hibiscuspoint.core.consensus.node import Node
 from hibiscuspoint.core.consensus.repair import RepairPhase
 from hibiscuspoint.core.consensus.state import Role
+from hibiscuspoint.core.consensus.timing import DEFAULT_COMPACTION_ENTRIES
 from hibiscuspoint.errors import NotLeaderError
-from hibiscuspoint.settings import DEFAULT_COMPACTION_ENTRIES
 from hibiscuspoint.storage.control_disk import ControlDisk
 from hibiscuspoint.util.clock import suspend_aware
 from hibiscuspoint.verdict import Verdict
--- a/hibiscuspoint/components/entry_state.py
+++ b/hibiscuspoint/components/entry_state.py
@@ -13,7 +13,6 @@
     RouteTable,
 )
 from hibiscuspoint.core.position import TermHistory
-from hibiscuspoint.document import Document
 from hibiscuspoint.errors import ConfigurationError
 from hibiscuspoint.ids import AvailabilityZone, GroupId, InstanceId, TargetId, Term
 from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND, NANOSECONDS_PER_SECOND
@@ -22,6 +21,7 @@
     from collections.abc import Callable
 
     from hibiscuspoint.core.sessions import RoutingTable
+    from hibiscuspoint.document import Document
     from hibiscuspoint.wire import peer_pb2
 
     AnyDocument = Document | RoutingTable
@@ -30,6 +30,9 @@
 
 
 def _parse_document(text: str) -> Document:
+    # Instances with a routing table need no documents, whose import is a quarter of their start.
+    from hibiscuspoint.document import Document
+
     return Document.from_text(text, source="document in force")
 
 
--- a/hibiscuspoint/core/consensus/timing.py
+++ b/hibiscuspoint/core/consensus/timing.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "CATCH_UP_ENTRIES",
+    "DEFAULT_COMPACTION_ENTRIES",
     "ELECTION_TIMEOUT_MAX",
     "ELECTION_TIMEOUT_MIN",
     "HEARTBEAT_INTERVAL",
@@ -42,5 +43,8 @@
 #: does not need the snapshot.
 RETAINED_ENTRIES = 256
 
+#: Applied entries after which a snapshot replaces them, unless the settings state another number.
+DEFAULT_COMPACTION_ENTRIES = 1000
+
 #: A learner this close to the commit index may become a voter.
 CATCH_UP_ENTRIES = 64
--- a/hibiscuspoint/daemon/session_node.py
+++ b/hibiscuspoint/daemon/session_node.py
@@ -32,8 +32,7 @@
 from hibiscuspoint.daemon.failures import FailureWatch
 from hibiscuspoint.errors import ConfigurationError
 from hibiscuspoint.ids import Incarnation
-from hibiscuspoint.security import Transport
-from hibiscuspoint.settings import TlsMode
+from hibiscuspoint.security import TlsMode, Transport
 from hibiscuspoint.telemetry import Metrics, catalogue, log_event
 from hibiscuspoint.util.tasks import spawn
 from hibiscuspoint.wire import consensus_pb2_grpc, peer_pb2, peer_pb2_grpc
--- a/hibiscuspoint/security/tls.py
+++ b/hibiscuspoint/security/tls.py
@@ -12,7 +12,7 @@
 import grpc
 
 from hibiscuspoint.errors import ConfigurationError
-from hibiscuspoint.settings import TlsMode
+from hibiscuspoint.security.mode import TlsMode
 from hibiscuspoint.telemetry import catalogue, log_event
 
 if TYPE_CHECKING:
--- a/hibiscuspoint/settings/model.py
+++ b/hibiscuspoint/settings/model.py
@@ -8,10 +8,12 @@
 
 from pydantic import Field, StringConstraints, field_validator, model_validator
 
+from hibiscuspoint.core.consensus.timing import DEFAULT_COMPACTION_ENTRIES
+
 # pydantic evaluates the annotations at run time, so these imports are needed then.
 from hibiscuspoint.settings.paths import SettingsPath
 from hibiscuspoint.settings.security import SessionSettings, TlsMode, TlsSettings, check_files
-from hibiscuspoint.util.address import Address, PeerAddress
+from hibiscuspoint.util.address_fields import Address, PeerAddress
 from hibiscuspoint.util.schema import (
     Problem,
     StrictModel,
@@ -36,7 +38,6 @@
 ]
 
 CONTROL_SIZES = (1, 3, 5)
-DEFAULT_COMPACTION_ENTRIES = 1000
 _NAME_RULE = "1 to 64 of a-z, 0-9, '.', '_' and '-', starting with a letter or digit"
 Name = Annotated[str, StringConstraints(pattern=r"^[a-z0-9][a-z0-9._-]{0,63}$")]
 
--- a/hibiscuspoint/settings/security.py
+++ b/hibiscuspoint/settings/security.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from enum import Enum
 from typing import TYPE_CHECKING, Annotated
 
 from pydantic import PrivateAttr, SecretStr, StringConstraints, model_validator
 
 # pydantic evaluates the annotations at run time, so this import is needed then.
+from hibiscuspoint.security.mode import TlsMode
 from hibiscuspoint.settings.paths import SettingsPath
 from hibiscuspoint.util.schema import StrictModel, option
 
@@ -80,14 +80,6 @@
         return self
 
 
-class TlsMode(Enum):
-    """How connections are protected."""
-
-    MUTUAL = "mutual"
-    SERVER = "server"
-    PLAIN_TEXT = "plain-text"
-
-
 def _is_file(path: Path) -> bool:
     try:
         return path.is_file()
