Split the session into attempts, candidates, single statements and transactions

Cause: one module of 770 lines held the choice of targets, attempts, transactions and the session. No change of behaviour; reads, writes and transactions now share the loop over candidates.

--- /dev/null
+++ b/hibiscuspoint/components/sessions/attempts.py
@@ -0,0 +1,229 @@
+"""One attempt to run a statement at one target, and what is learned from it."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import contextmanager
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from hibiscuspoint.core.sessions import Failure, SessionState
+from hibiscuspoint.drivers.errors import AnswerTimeoutError, ConnectionLost
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from hibiscuspoint.components.sessions.groups import GroupAccess
+    from hibiscuspoint.components.sessions.pool import PooledConnection
+    from hibiscuspoint.core.entry.routes import RouteMember
+    from hibiscuspoint.core.ports import Clock, SessionConnection
+    from hibiscuspoint.core.position import LogPosition
+    from hibiscuspoint.core.sessions import (
+        DatabaseRoute,
+        Reply,
+        SessionContext,
+        Shape,
+        Statement,
+    )
+    from hibiscuspoint.ids import GroupId, TargetId, Term
+
+__all__ = ["Attempts", "Candidate", "RefusedError", "Trace"]
+
+#: Seconds between two attempts at targets that had no room for a statement.
+BUSY_RETRY_SECONDS = 0.01
+
+#: Longest time in seconds of a step that only sets the context of a connection.
+CONTEXT_SECONDS = 1.0
+
+#: Seconds without an answer after which a commit or a single write is reported to control. It waits
+#: for the receipt at a replica only, which takes some milliseconds.
+STALL_SECONDS = 0.6
+
+
+class RefusedError(Exception):
+    """A statement cannot be served; it has not run."""
+
+    def __init__(self, failure: Failure, text: str) -> None:
+        super().__init__(text)
+        self.failure = failure
+        self.text = text
+
+
+@dataclass
+class Trace:
+    """What decided about one statement, for the log.
+
+    :param required: position that the target had to have applied.
+    """
+
+    group: str = ""
+    target: str = ""
+    term: int = 0
+    required: LogPosition | None = None
+    attempts: int = 0
+    reason: str = ""
+
+
+@dataclass(frozen=True)
+class Candidate:
+    """A target that may run a statement.
+
+    :param after: position that it must have applied.
+    :param term: term of the primary; ``None`` at a replica.
+    :param connect_until: monotonic time until which a connection is waited for.
+    :param answer_until: monotonic time until which the answer is waited for.
+    """
+
+    member: RouteMember
+    after: LogPosition | None
+    term: Term | None
+    connect_until: float
+    answer_until: float
+
+    @property
+    def target(self) -> TargetId:
+        """Return the id of the target."""
+        return self.member.target
+
+
+class Attempts:
+    """Brings connections to the context of one session and runs its statements there.
+
+    :param context: context of the session.
+    """
+
+    def __init__(self, access: GroupAccess, context: SessionContext, clock: Clock) -> None:
+        self._access = access
+        self._context = context
+        self._clock = clock
+        self._last_started = float("-inf")
+        self._last_elapsed = 0.0
+        self.trace = Trace()
+
+    @contextmanager
+    def use(self, group: GroupId, candidate: Candidate) -> Iterator[None]:
+        """Count an attempt as work at the primary, if it is one, and as load of the target."""
+        self.trace.attempts += 1
+        self.trace.target = candidate.target
+        self.trace.term = candidate.term or 0
+        self.trace.required = candidate.after
+        load = self._access.load(candidate.target)
+        load.in_progress += 1
+        if candidate.term is not None:
+            self._access.begin_use(group)
+        try:
+            yield
+        finally:
+            load.in_progress -= 1
+            if candidate.term is not None:
+                self._access.end_use(group)
+
+    async def acquire(self, route: DatabaseRoute, candidate: Candidate) -> PooledConnection:
+        """Return a connection to a target.
+
+        :raises ConnectError: there is none in time.
+        """
+        pool = self._access.pool(route.group, candidate.member)
+        return await pool.acquire(self._context, route.priority, candidate.connect_until)
+
+    def give_back(self, group: GroupId, member: RouteMember, pooled: PooledConnection) -> None:
+        """Return a connection."""
+        self._access.pool(group, member).release(pooled)
+
+    async def prepare(self, pooled: PooledConnection, shape: Shape | None, deadline: float) -> None:
+        """Bring a connection to the context of the session.
+
+        :raises ConnectionLost: the connection is closed, as its context is not known.
+        """
+        context, connection = pooled.context, pooled.connection
+        plan = context.preparation(self._context, shape)
+        if plan.is_empty:
+            return
+        timeout = max(0.0, min(CONTEXT_SECONDS, deadline - self._clock.monotonic()))
+        if plan.needs_reset:
+            _require(connection, await connection.reset(timeout))
+            context.was_reset()
+        for name, value in plan.values:
+            _require(connection, await connection.set_value(name, value, timeout))
+            context.value_set(name, value)
+        if plan.shape is not None:
+            _require(connection, await connection.prepare(plan.name, plan.shape, timeout))
+            context.was_prepared(plan.shape, plan.name)
+
+    async def send(
+        self,
+        pooled: PooledConnection,
+        statement: Statement,
+        deadline: float,
+        *,
+        shape: Shape | None = None,
+        after: LogPosition | None = None,
+    ) -> Reply:
+        """Run a statement of the caller at a connection.
+
+        :raises ConnectionLost: there is no whole answer; the connection is closed.
+        """
+        await self.prepare(pooled, shape, deadline)
+        name = pooled.context.name_of(shape) if shape is not None else None
+        started = self._clock.monotonic()
+        timeout = max(0.0, deadline - started)
+        reply = await pooled.connection.run(statement, timeout=timeout, name=name, after=after)
+        self._last_started = started
+        self._last_elapsed = self._clock.monotonic() - started
+        if reply.error is not None and reply.error.failure is Failure.UNKNOWN_STATEMENT:
+            pooled.context.forget_prepared()
+        return reply
+
+    @contextmanager
+    def watch_commit(self, target: TargetId, is_commit: bool = True) -> Iterator[None]:
+        """Report a commit that has no answer for long, before its timeout."""
+
+        def report() -> None:
+            self._access.counts(target).commit_timeouts += 1
+
+        timer = asyncio.get_running_loop().call_later(STALL_SECONDS, report) if is_commit else None
+        try:
+            yield
+        finally:
+            if timer is not None:
+                timer.cancel()
+
+    def answered(self, target: TargetId, reply: Reply) -> None:
+        """Take an answer into account for loads, tips and the report to control."""
+        self._access.counts(target).successes += 1
+        if reply.error is None:
+            self._access.load(target).succeeded(self._last_elapsed)
+        # Inside a transaction the position may be that of its snapshot.
+        is_idle = reply.state is SessionState.IDLE
+        if self.trace.term and is_idle and reply.position is not None:
+            group = self.trace.group
+            if self._access.is_current(group, self.trace.term):
+                self._access.tip(group).add(self._last_started, reply.position)
+
+    def refused(self, target: TargetId, reply: Reply) -> None:
+        """Take an error of a target into account; it comes last for a moment."""
+        self.trace.reason = f"{reply.error.failure.value} at {target}" if reply.error else ""
+        self._access.load(target).failed(self._clock.monotonic())
+
+    def lost(self, target: TargetId, error: Exception) -> None:
+        """Take a missing answer into account; the target comes last for a moment."""
+        self.trace.reason = str(error)
+        if isinstance(error, AnswerTimeoutError):
+            self._access.counts(target).timeouts += 1
+        self._access.load(target).failed(self._clock.monotonic())
+
+    async def pause(self, deadline: float) -> None:
+        """Wait a moment before the next attempt.
+
+        :raises RefusedError: there is no time for one.
+        """
+        if self._clock.monotonic() + BUSY_RETRY_SECONDS >= deadline:
+            raise RefusedError(Failure.OVERLOADED, self.trace.reason or "no room in time")
+        await asyncio.sleep(BUSY_RETRY_SECONDS)
+
+
+def _require(connection: SessionConnection, reply: Reply) -> None:
+    """Close a connection whose context could not be set."""
+    if reply.error is not None:
+        connection.close()
+        raise ConnectionLost(f"context not set: {reply.error.failure.value}", sent=False)
--- /dev/null
+++ b/hibiscuspoint/components/sessions/transactions.py
@@ -0,0 +1,250 @@
+"""Transactions of sessions; each has one connection from its first statement to its end."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING
+
+from hibiscuspoint.components.sessions.attempts import BUSY_RETRY_SECONDS, RefusedError
+from hibiscuspoint.components.sessions.single import ATTEMPT_ROUNDS
+from hibiscuspoint.core.sessions import Failure, Reply, SessionState, StatementKind
+from hibiscuspoint.drivers.errors import AnswerTimeoutError, ConnectError, ConnectionLost
+
+if TYPE_CHECKING:
+    from hibiscuspoint.components.sessions.attempts import Attempts, Candidate
+    from hibiscuspoint.components.sessions.candidates import Candidates
+    from hibiscuspoint.components.sessions.groups import GroupAccess
+    from hibiscuspoint.components.sessions.pool import PooledConnection
+    from hibiscuspoint.components.sessions.single import Committed
+    from hibiscuspoint.core.entry.routes import RouteMember
+    from hibiscuspoint.core.ports import Clock
+    from hibiscuspoint.core.sessions import DatabaseRoute, Shape, Statement
+    from hibiscuspoint.ids import Term
+
+__all__ = ["Transaction", "Transactions", "aborted"]
+
+#: Longest time in seconds to wait for the answer to a rollback before the connection is closed.
+ROLLBACK_SECONDS = 0.5
+
+
+@dataclass
+class Transaction:
+    """An open transaction; without a connection until its first statement is sent.
+
+    :param is_at_primary: whether it counts as work at the primary.
+    :param is_lost: whether the target has rolled it back, or will.
+    """
+
+    begin: Statement
+    route: DatabaseRoute
+    pooled: PooledConnection | None = None
+    member: RouteMember | None = None
+    term: Term | None = None
+    is_at_primary: bool = False
+    wrote: bool = False
+    is_lost: bool = False
+
+    @property
+    def is_read_only(self) -> bool:
+        """Tell whether the transaction may run at a replica."""
+        return self.begin.kind is StatementKind.BEGIN_READ_ONLY
+
+
+def aborted(state: SessionState) -> Reply:
+    """Return the promise that nothing of a transaction is kept."""
+    return Reply.failed(Failure.ABORTED, "the transaction was rolled back", state)
+
+
+class Transactions:
+    """Opens, runs and ends the transactions of one session.
+
+    :param committed: judges the answer to a commit that wrote.
+    """
+
+    def __init__(
+        self,
+        attempts: Attempts,
+        candidates: Candidates,
+        access: GroupAccess,
+        clock: Clock,
+        committed: Committed,
+    ) -> None:
+        self._attempts = attempts
+        self._candidates = candidates
+        self._access = access
+        self._clock = clock
+        self._committed = committed
+
+    async def run(
+        self, transaction: Transaction, statement: Statement, shape: Shape | None, *, writes: bool
+    ) -> Reply:
+        """Run a statement; the first one opens the transaction at a target."""
+        if transaction.pooled is None:
+            refusal = await self._bind(transaction)
+            if refusal is not None:
+                return refusal
+        self._describe(transaction)
+        transaction.wrote = transaction.wrote or writes
+        try:
+            return await self._run_bound(transaction, statement, shape)
+        except ConnectionLost as error:
+            self._attempts.lost(transaction.member.target, error)
+            transaction.is_lost = True
+            self.release(transaction)
+            if isinstance(error, AnswerTimeoutError):
+                text = "no answer within the timeout of the route"
+                return Reply.failed(Failure.TIMEOUT, text, SessionState.FAILED)
+            return aborted(SessionState.FAILED)
+
+    async def end(self, transaction: Transaction, statement: Statement) -> Reply:
+        """Commit or roll back."""
+        is_commit = statement.kind is StatementKind.COMMIT
+        self._describe(transaction)
+        if transaction.is_lost:
+            return aborted(SessionState.IDLE) if is_commit else Reply()
+        if transaction.pooled is None:
+            if not is_commit:
+                return Reply()
+            refusal = await self._bind(transaction)
+            if refusal is not None:
+                return replace(refusal, state=SessionState.IDLE)
+        target = transaction.member.target
+        is_write = is_commit and transaction.wrote
+        deadline = self._clock.monotonic() + transaction.route.timeout
+        try:
+            with self._attempts.watch_commit(target, is_write):
+                reply = await self._attempts.send(transaction.pooled, statement, deadline)
+        except ConnectionLost as error:
+            return self._end_lost(transaction, error, is_commit=is_commit)
+        self._attempts.answered(target, reply)
+        if not is_write or reply.error is not None:
+            return reply
+        self._access.counts(target).commits += 1
+        return self._committed(transaction.route.group, transaction.term, reply)
+
+    async def roll_back(self, transaction: Transaction) -> None:
+        """Roll back without the caller; the connection is closed when that fails."""
+        transaction.is_lost = True
+        pooled = transaction.pooled
+        if pooled is None:
+            return
+        try:
+            reply = await pooled.connection.rollback(ROLLBACK_SECONDS)
+            if reply.error is not None or reply.state is not SessionState.IDLE:
+                pooled.connection.close()
+        except ConnectionLost as error:
+            self._attempts.lost(transaction.member.target, error)
+        self.release(transaction)
+
+    def release(self, transaction: Transaction, *, is_clean: bool = True) -> None:
+        """Give the connection of a transaction back.
+
+        :param is_clean: whether the connection is outside a transaction, or closed.
+        """
+        pooled, transaction.pooled = transaction.pooled, None
+        if pooled is None:
+            return
+        if not is_clean:
+            pooled.connection.close()
+        group = transaction.route.group
+        self._attempts.give_back(group, transaction.member, pooled)
+        if transaction.is_at_primary:
+            transaction.is_at_primary = False
+            self._access.end_use(group)
+
+    async def _run_bound(
+        self, transaction: Transaction, statement: Statement, shape: Shape | None
+    ) -> Reply:
+        """Run a statement at the connection, again while the target has no room for it."""
+        deadline = self._clock.monotonic() + transaction.route.timeout
+        while True:
+            reply = await self._attempts.send(transaction.pooled, statement, deadline, shape=shape)
+            self._attempts.answered(transaction.member.target, reply)
+            is_busy = reply.error is not None and reply.error.failure is Failure.OVERLOADED
+            may_repeat = is_busy and reply.state is SessionState.IN_TRANSACTION
+            if not may_repeat or deadline - self._clock.monotonic() <= BUSY_RETRY_SECONDS:
+                return reply
+            await asyncio.sleep(BUSY_RETRY_SECONDS)
+
+    def _end_lost(
+        self, transaction: Transaction, error: ConnectionLost, *, is_commit: bool
+    ) -> Reply:
+        self._attempts.lost(transaction.member.target, error)
+        if not is_commit:
+            return Reply()
+        if not transaction.wrote:
+            return aborted(SessionState.IDLE)
+        text = "the answer to the commit was lost"
+        return Reply.failed(Failure.IN_DOUBT, text, SessionState.IDLE)
+
+    async def _bind(self, transaction: Transaction) -> Reply | None:
+        """Open the transaction at a target; returns the refusal when that is not possible."""
+        route = transaction.route
+        self._attempts.trace.group = route.group
+        deadline = self._clock.monotonic() + route.timeout
+        choose = (
+            self._candidates.for_read if transaction.is_read_only else self._candidates.for_write
+        )
+        try:
+            for _ in range(ATTEMPT_ROUNDS):
+                for candidate in await choose(route, deadline):
+                    if await self._begin(transaction, candidate):
+                        return None
+                await self._attempts.pause(deadline)
+            raise RefusedError(Failure.OVERLOADED, self._attempts.trace.reason)
+        except RefusedError as refusal:
+            self._attempts.trace.reason = refusal.text
+            transaction.is_lost = True
+            return Reply.failed(refusal.failure, refusal.text, SessionState.FAILED)
+
+    async def _begin(self, transaction: Transaction, candidate: Candidate) -> bool:
+        """Open the transaction at one target; returns whether it is open."""
+        group = transaction.route.group
+        with self._attempts.use(group, candidate):
+            if not await self._begin_once(transaction, candidate):
+                return False
+            if candidate.term is None:
+                return True
+            # The transaction goes on as work at the primary after this attempt.
+            self._access.begin_use(group)
+            transaction.is_at_primary = True
+        if self._access.is_current(group, candidate.term):
+            return True
+        self._attempts.trace.reason = "the primary was replaced before its answer arrived"
+        self.release(transaction, is_clean=False)
+        return False
+
+    async def _begin_once(self, transaction: Transaction, candidate: Candidate) -> bool:
+        attempts, route, target = self._attempts, transaction.route, candidate.target
+        try:
+            pooled = await attempts.acquire(route, candidate)
+        except ConnectError as error:
+            attempts.lost(target, error)
+            return False
+        is_open = False
+        try:
+            reply = await attempts.send(
+                pooled, transaction.begin, candidate.answer_until, after=candidate.after
+            )
+            is_open = reply.error is None and reply.state is SessionState.IN_TRANSACTION
+        except ConnectionLost as error:
+            attempts.lost(target, error)
+            return False
+        finally:
+            if not is_open:
+                attempts.give_back(route.group, candidate.member, pooled)
+        attempts.answered(target, reply)
+        if not is_open:
+            attempts.refused(target, reply)
+            return False
+        transaction.pooled, transaction.member = pooled, candidate.member
+        transaction.term = candidate.term
+        return True
+
+    def _describe(self, transaction: Transaction) -> None:
+        trace = self._attempts.trace
+        trace.group = transaction.route.group
+        if transaction.member is not None:
+            trace.target = transaction.member.target
+            trace.term = transaction.term or 0
--- a/hibiscuspoint/core/failover/watch.py
+++ b/hibiscuspoint/core/failover/watch.py
@@ -24,8 +24,8 @@
 #: Seconds of refused connections, without an answer to any entry, that prove a stopped process.
 REFUSED_SECONDS = 0.3
 
-#: Seconds from the first report of a commit without an answer, while none has one, after which the
-#: primary is taken for cut off from its replicas. Entries report a commit after 0.6 s; a commit waits
+#: Seconds from the first report of a commit without an answer, while none has one, until the
+#: primary is taken for cut off from its replicas. Entries report a commit after 0.6 s; it waits
 #: for the receipt at a replica only, which takes some milliseconds.
 STALLED_SECONDS = 0.6
 
--- a/tests/components/sessions/test_session.py
+++ b/tests/components/sessions/test_session.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from hibiscuspoint.components.sessions.session import STALL_SECONDS
+from hibiscuspoint.components.sessions.attempts import STALL_SECONDS
 from hibiscuspoint.core.sessions import Failure, ReadMode, SessionState
 from hibiscuspoint.drivers.errors import AnswerTimeoutError, ConnectionLost
 from tests.builders_failover import GROUP, PRIMARY, REPLICA_A, REPLICA_B, position
