Load native libraries before gRPC starts; poll idle primaries at their usual pace

Change: all libraries are imported before the process starts a thread, as before; a primary is taken for lost after 1.0 s, with polls 0.5 s apart.

--- a/hibiscuspoint/components/failover_control.py
+++ b/hibiscuspoint/components/failover_control.py
@@ -94,8 +94,7 @@
                 self._change = None
                 self._log.retain_peers(())
             else:
-                now = self._clock.monotonic()
-                active = {group for group, c in leader.groups.items() if c.needs_polls(now)}
+                active = {group for group, c in leader.groups.items() if c.is_active}
                 primaries = {c.record.primary for c in leader.groups.values()}
                 self._poller.follow(leader.targets(), primaries, active)
                 leader.control_members = [voter.instance for voter in self._log.voters]
--- a/hibiscuspoint/core/failover/group.py
+++ b/hibiscuspoint/core/failover/group.py
@@ -115,10 +115,6 @@
             return None
         return contact.status.received, contact.asked_at
 
-    def needs_polls(self, now: float) -> bool:
-        """Tell whether the targets must be asked as often as possible."""
-        return self.is_active or (self._watch is not None and self._watch.is_quiet(now))
-
     def heard(self, target: TargetId, now: float) -> None:
         """Take a heartbeat of a target."""
         contact = self._contacts.setdefault(target, _Contact(now))
--- a/hibiscuspoint/core/failover/watch.py
+++ b/hibiscuspoint/core/failover/watch.py
@@ -14,12 +14,9 @@
 
 __all__ = ["Loss", "PrimaryWatch"]
 
-#: Seconds without any answer after which a primary is taken for lost. Polls come every 0.05 s from
-#: ``QUIET_SECONDS`` on and wait 0.4 s for their answer.
-SILENCE_SECONDS = 0.8
-
-#: Seconds without any answer after which a primary is asked more often.
-QUIET_SECONDS = 0.3
+#: Seconds without any answer after which a primary is taken for lost. Polls are 0.5 s apart and
+#: wait 0.4 s for their answer, so that one of them is unanswered.
+SILENCE_SECONDS = 1.0
 
 #: Seconds of refused connections, without an answer to any entry, that prove a stopped process.
 REFUSED_SECONDS = 0.3
@@ -114,10 +111,6 @@
             self._stalled_since = min(self._stalled_since, now)
             self._stalled_at = now
 
-    def is_quiet(self, now: float) -> bool:
-        """Tell whether neither control nor an entry had an answer for a moment."""
-        return now - max(self._answered_at, self._served_at) >= QUIET_SECONDS
-
     def loss(self, now: float) -> Loss | None:
         """Return why the primary must be replaced, or ``None``."""
         self._forgive_stall(now)
--- a/hibiscuspoint/daemon/session_node.py
+++ b/hibiscuspoint/daemon/session_node.py
@@ -22,6 +22,7 @@
 from hibiscuspoint.components.failover_control import FailoverControl
 from hibiscuspoint.components.introductions import Introductions
 from hibiscuspoint.components.leader_client import LeaderClient
+from hibiscuspoint.components.metrics_server import MetricsServer
 from hibiscuspoint.components.peers import PEER_SERVER_OPTIONS, PeerChannels
 from hibiscuspoint.components.readiness import ReadinessLog
 from hibiscuspoint.components.reporting import EntryIdentity, Reporting
@@ -234,18 +235,11 @@
         self._build_control()
         self._build_reporting()
         self._callers = self._ports.make_callers(self._service)
-        self._others: list[OuterPort] = []
-
-    def _build_others(self) -> None:
-        # The import of the HTTP library takes as long as the rest of the start, and an election
-        # can go on meanwhile.
-        from hibiscuspoint.components.metrics_server import MetricsServer
-
         configuration = ConfigurationService(self._control, self._leader_client)
         self._others = self._ports.make_others(
             self._announce, configuration, lambda: self._service.is_ready
         )
-        self._others.append(MetricsServer(self._settings.metrics_address, self._metrics))
+        self._others.append(MetricsServer(settings.metrics_address, self._metrics))
 
     def _build_control(self) -> None:
         settings = self._settings
@@ -336,7 +330,6 @@
         self._attachment.start()
         self._introductions.start()
         await self._callers.start()
-        self._build_others()
         for port in self._others:
             await port.start()
         log_event(
--- a/hibiscuspoint/platform/__main__.py
+++ b/hibiscuspoint/platform/__main__.py
@@ -16,6 +16,7 @@
 from hibiscuspoint.platform import STARTED_AT
 from hibiscuspoint.platform.authority import PlatformAuthority
 from hibiscuspoint.platform.configuration import parse_routing_table
+from hibiscuspoint.platform.control_api import ControlApi, ReadinessApi
 from hibiscuspoint.platform.database import DatabaseDriver
 from hibiscuspoint.platform.frontend import Frontend
 from hibiscuspoint.platform.settings import PATH_VARIABLE, ProcessSettings
@@ -83,10 +84,6 @@
         configuration: ConfigurationService,
         is_ready: Callable[[], bool],
     ) -> list[OuterPort]:
-        # The import of the HTTP library takes as long as the rest of the start, and an election
-        # can go on meanwhile.
-        from hibiscuspoint.platform.control_api import ControlApi, ReadinessApi
-
         return [
             ControlApi(settings.control_address, announce, configuration),
             ReadinessApi(settings.readiness_address, is_ready),
--- a/hibiscuspoint/platform/authority.py
+++ b/hibiscuspoint/platform/authority.py
@@ -5,6 +5,8 @@
 import logging
 from typing import TYPE_CHECKING
 
+import aiohttp
+
 from hibiscuspoint.core.ports import PromotionOutcome
 
 if TYPE_CHECKING:
@@ -34,8 +36,6 @@
         :param token: fencing token; never lower than an earlier one.
         :param timeout: seconds.
         """
-        import aiohttp  # Only a control leader needs it, and its import takes long.
-
         headers = {
             "X-Hibiscuspoint-Lease-Holder": self._holder,
             "X-Hibiscuspoint-Fencing-Token": str(token),
--- /dev/null
+++ b/tests/platform/test_imports.py
@@ -0,0 +1,37 @@
+"""Tests of what a process has imported when it starts."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+
+import pytest
+
+_LIST_EXTENSIONS = """
+import sys
+import hibiscuspoint.platform.__main__
+print(*sorted(sys.modules))
+"""
+
+
+@pytest.fixture(scope="module")
+def modules() -> set[str]:
+    """Return the modules that the daemon imports before it runs."""
+    command = [sys.executable, "-c", _LIST_EXTENSIONS]
+    return set(subprocess.run(command, capture_output=True, text=True, check=True).stdout.split())
+
+
+@pytest.mark.parametrize("name", ["aiohttp", "aiohttp.web", "yarl", "frozenlist"])
+def test_native_libraries_are_loaded_before_any_thread_starts(modules, name):
+    """Guards against native code that is loaded while threads of gRPC run.
+
+    Found on fresh-3fcf of kovacik-zaloha and scale-2 of pluma-viva: processes that imported the HTTP
+    library after the start of gRPC ended with a segmentation fault in the midst of that import.
+    """
+    assert name in modules
+
+
+@pytest.mark.parametrize("name", ["pydantic", "hibiscuspoint.settings", "hibiscuspoint.document"])
+def test_documents_and_their_settings_are_not_loaded(modules, name):
+    """Guards against a slow start, which lengthens each outage after a loss of power."""
+    assert name not in modules
