--- a/hibiscuspoint/core/failover/group.py
+++ b/hibiscuspoint/core/failover/group.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.core.control.effects import PrimarySuspected, Propose, PublishRoutes
 from hibiscuspoint.core.control.group import RouteState
 from hibiscuspoint.core.control.state import GroupPhase
 from hibiscuspoint.core.control.switchover import Switchover, SwitchoverState
+from hibiscuspoint.core.failover.contacts import STATUS_SECONDS, TargetContacts
 from hibiscuspoint.core.failover.promotion import PromotionRound
 from hibiscuspoint.core.failover.watch import Loss, PrimaryWatch
 from hibiscuspoint.core.position import ZERO
@@ -33,33 +33,14 @@
 #: replaced, so that a group does not change its primary back and forth.
 COOLDOWN_SECONDS = 4.0
 
-#: Age in seconds up to which the answer to a poll counts as the present state. Polls of a primary
-#: are 0.5 s apart.
-STATUS_SECONDS = 0.8
-
 #: Seconds after a heartbeat or an answer in which a replica can take over. Polls of replicas are
 #: 2.5 s apart, heartbeats 1.2 s.
 PRESENT_SECONDS = 2.0
 
-#: Seconds without a heartbeat or an answer after which a replica is removed, once another one has
-#: the whole log. Databases that restart are back within this time.
-REMOVE_SECONDS = 12.0
-
 #: Seconds without a heartbeat or an answer after which entries are not told of a target.
 LISTED_SECONDS = 4.0
 
 
-@dataclass
-class _Contact:
-    """What is known about one target; times in monotonic seconds."""
-
-    heard_at: float
-    status: TargetStatus | None = None
-    asked_at: float = -math.inf
-    answered_at: float = -math.inf
-    is_gone: bool = False
-
-
 class GroupFailover:
     """Watches the primary of a group and leads promotions and switchovers.
 
@@ -73,7 +54,7 @@
         self._ledger = ledger
         self._token = token
         self._since = now
-        self._contacts: dict[TargetId, _Contact] = {}
+        self._contacts = TargetContacts(record, now)
         self._watch: PrimaryWatch | None = None
         self._round: PromotionRound | None = None
         self._switchover: Switchover | None = None
@@ -110,28 +91,19 @@
     @property
     def tip(self) -> tuple[LogPosition, float] | None:
         """Return the last position read at the primary and when it was asked for."""
-        contact = self._contacts.get(self._record.primary) if self._record.primary else None
-        if contact is None or contact.status is None or not contact.status.is_primary:
-            return None
-        return contact.status.received, contact.asked_at
+        return self._contacts.tip()
 
     def heard(self, target: TargetId, now: float) -> None:
         """Take a heartbeat of a target."""
-        contact = self._contacts.setdefault(target, _Contact(now))
-        contact.heard_at = now
-        contact.is_gone = False
+        self._contacts.heard(target, now)
 
     def gone(self, target: TargetId) -> None:
         """Record that a target said that it ends."""
-        contact = self._contacts.get(target)
-        if contact is not None:
-            contact.is_gone = True
+        self._contacts.gone(target)
 
     def polled(self, target: TargetId, status: TargetStatus, asked_at: float, now: float) -> None:
         """Take the answer of a target to a poll that was sent at ``asked_at``."""
-        contact = self._contacts.setdefault(target, _Contact(now))
-        contact.status, contact.asked_at, contact.answered_at = status, asked_at, now
-        contact.heard_at = now
+        self._contacts.answered(target, status, asked_at, now)
         if target != self._record.primary or self._record.phase is not GroupPhase.STARTED:
             return
         if self._watch is not None:
@@ -143,8 +115,7 @@
 
     def answered(self, target: TargetId, now: float) -> None:
         """Record that a target is there although it could not tell its state."""
-        contact = self._contacts.setdefault(target, _Contact(now))
-        contact.heard_at = now
+        self._contacts.heard(target, now)
         if self._watch is not None and self._watch.primary == target:
             self._watch.answered(is_primary=True, now=now)
 
@@ -155,16 +126,14 @@
 
     def paused(self, target: TargetId, status: TargetStatus, term: int, now: float) -> None:
         """Take the answer of a replica that was paused at a term."""
-        contact = self._contacts.setdefault(target, _Contact(now))
-        contact.heard_at = contact.answered_at = now
+        self._contacts.obeyed(target, now)
         current = self._round
         if current is not None and current.term == term and not status.is_primary:
             current.paused[target] = status.received
 
     def stepped_down(self, target: TargetId, status: TargetStatus, term: int, now: float) -> None:
         """Take the answer of a primary that was told to step down."""
-        contact = self._contacts.setdefault(target, _Contact(now))
-        contact.status, contact.asked_at, contact.answered_at = status, now, now
+        self._contacts.answered(target, status, now, now)
         current = self._round
         is_former = current is not None and target == self._record.former
         if is_former and current.term == term and not status.is_primary:
@@ -194,7 +163,8 @@
         return [
             target
             for target in self._record.targets
-            if target == self._record.primary or now - self._heard_at(target) < LISTED_SECONDS
+            if target == self._record.primary
+            or now - self._contacts.heard_at(target) < LISTED_SECONDS
         ]
 
     def tick(self, now: float) -> list[Effect]:
@@ -216,16 +186,16 @@
 
     def _adopt(self, now: float) -> list[Effect]:
         """Open the first term of a group that already has a primary."""
-        if self._present_primary(now) is None:
+        if self._contacts.present_primary(now) is None:
             return []
         return self._open_term(now)
 
     def _choose(self, current: PromotionRound, now: float) -> list[Effect]:
         record = self._record
         if not record.starts:
-            chosen = self._present_primary(now)
+            chosen = self._contacts.present_primary(now)
             return self._choose_primary(chosen, now) if chosen is not None else []
-        status_of = self._statuses(current.since, now)
+        status_of = self._contacts.statuses(current.since, now)
         chosen = current.choice(status_of, self._known_floor(), now)
         if chosen is not None:
             return self._choose_primary(chosen, now)
@@ -233,12 +203,11 @@
 
     def _promote(self, current: PromotionRound, now: float) -> list[Effect]:
         record = self._record
-        contact = self._contacts.get(record.primary)
-        answered_at = contact.answered_at if contact is not None else -math.inf
+        answered_at = self._contacts.answered_at(record.primary)
         if record.primary not in record.targets or current.is_chosen_lost(answered_at, now):
             self._keeps_former = True
             return self._open_term(now)
-        status_of = self._statuses(current.since, now)
+        status_of = self._contacts.statuses(current.since, now)
         effects = current.promote(status_of, self._token, now)
         status = status_of.get(record.primary)
         is_leading = status is not None and status.is_primary
@@ -266,7 +235,7 @@
             self._keeps_former = loss.is_reversible
             suspected = PrimarySuspected(record.group, record.primary, loss)
             return [suspected, *self._open_term(now)]
-        effects = self._round.settle(self._statuses(now - STATUS_SECONDS, now), now)
+        effects = self._round.settle(self._contacts.statuses(now - STATUS_SECONDS, now), now)
         return effects + self._hand_over(now) + self._remove_lost(now)
 
     def _resume_replicas(self, now: float) -> None:
@@ -311,10 +280,7 @@
         return any(position is not None and position >= primary for position in positions)
 
     def _fresh_position(self, target: TargetId) -> LogPosition | None:
-        contact = self._contacts.get(target)
-        if contact is None or contact.status is None or contact.asked_at <= self._idle_since:
-            return None
-        return contact.status.received
+        return self._contacts.position_since(target, self._idle_since)
 
     def _successors(self, now: float) -> list[TargetId]:
         return [
@@ -322,15 +288,17 @@
             for target in self._record.targets.values()
             if target.target != self._record.primary
             and not target.leaving
-            and now - self._heard_at(target.target) < PRESENT_SECONDS
+            and now - self._contacts.heard_at(target.target) < PRESENT_SECONDS
         ]
 
     def _remove_lost(self, now: float) -> list[Effect]:
         """Remove a replica that has ended, once another one holds what it may have acknowledged."""
         for target in self._record.targets.values():
-            if target.target == self._record.primary or not self._is_lost(target.target, now):
+            if target.target == self._record.primary or not self._contacts.is_lost(
+                target.target, now
+            ):
                 continue
-            if not self._is_covered(target.target):
+            if not self._contacts.is_covered(target.target):
                 continue
             body = record_pb2.RemoveTarget(
                 group=self._record.group, target=target.target, incarnation=target.incarnation
@@ -339,49 +307,6 @@
             return self._propose(name, record_pb2.Command(remove_target=body), now)
         return []
 
-    def _is_lost(self, target: TargetId, now: float) -> bool:
-        contact = self._contacts.get(target)
-        if contact is None:
-            return now - self._since >= REMOVE_SECONDS
-        silence = now - contact.heard_at
-        return silence >= REMOVE_SECONDS or (contact.is_gone and silence >= STATUS_SECONDS)
-
-    def _is_covered(self, lost: TargetId) -> bool:
-        """Tell whether a replica that is there holds all that the primary held after a loss."""
-        primary = self._contacts.get(self._record.primary)
-        if primary is None or primary.status is None or primary.asked_at <= self._heard_at(lost):
-            return False
-        return any(
-            contact.status is not None
-            and target in self._record.targets
-            and target not in (lost, self._record.primary)
-            and contact.asked_at >= primary.asked_at - STATUS_SECONDS
-            and contact.asked_at > self._heard_at(lost)
-            and contact.status.received >= primary.status.received
-            for target, contact in self._contacts.items()
-        )
-
-    def _present_primary(self, now: float) -> TargetId | None:
-        """Return the target that answers as primary in the newest term."""
-        statuses = self._statuses(now - STATUS_SECONDS, now)
-        primaries = [target for target, status in statuses.items() if status.is_primary]
-        if not primaries:
-            return None
-        best = max(primaries, key=lambda target: statuses[target].term)
-        newest = max(status.term for status in statuses.values())
-        return best if statuses[best].term >= newest else None
-
-    def _statuses(self, since: float, now: float) -> dict[TargetId, TargetStatus]:
-        """Return the present states of targets that were asked after ``since``."""
-        return {
-            target: contact.status
-            for target, contact in self._contacts.items()
-            if contact.status is not None
-            and target in self._record.targets
-            and contact.asked_at > since
-            and now - contact.answered_at < STATUS_SECONDS
-        }
-
     def _known_floor(self) -> LogPosition | None:
         """Return a position at or above every acknowledged commit, or ``None``.
 
@@ -398,9 +323,7 @@
 
     def _open_term(self, now: float) -> list[Effect]:
         record = self._record
-        newest = max(
-            (c.status.term for c in self._contacts.values() if c.status is not None), default=0
-        )
+        newest = self._contacts.newest_term()
         floor = 0 if not record.starts else 1
         term = max(record.term + 1, newest + floor)
         body = record_pb2.OpenTerm(group=record.group, term=term)
@@ -435,11 +358,3 @@
 
     def _raise_floor(self, position: LogPosition) -> None:
         self._floor = max(self._floor, position)
-
-    def _heard_at(self, target: TargetId) -> float:
-        contact = self._contacts.get(target)
-        return contact.heard_at if contact is not None else self._since
-
-    def _answered_at(self, target: TargetId) -> float:
-        contact = self._contacts.get(target)
-        return contact.answered_at if contact is not None else -math.inf
--- a/hibiscuspoint/daemon/session_node.py
+++ b/hibiscuspoint/daemon/session_node.py
@@ -7,8 +7,8 @@
 import math
 import signal
 import time
-from dataclasses import dataclass, fields, replace
-from typing import TYPE_CHECKING, Protocol
+from dataclasses import fields, replace
+from typing import TYPE_CHECKING
 
 import grpc
 
@@ -40,15 +40,12 @@
 from hibiscuspoint.wire import consensus_pb2_grpc, peer_pb2, peer_pb2_grpc
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
-    from pathlib import Path
+    from collections.abc import Callable
 
-    from hibiscuspoint.core.ports import PromotionAuthority, SessionDriver
-    from hibiscuspoint.core.sessions import RoutingTable
-    from hibiscuspoint.ids import AvailabilityZone, InstanceId
+    from hibiscuspoint.daemon.session_ports import Ports, SessionNodeSettings
     from hibiscuspoint.telemetry.bounded import BoundedHandler
 
-__all__ = ["CallerPort", "Ports", "SessionNode", "SessionNodeSettings"]
+__all__ = ["SessionNode"]
 
 logger = logging.getLogger(__name__)
 
@@ -91,89 +88,6 @@
 STOP_GRACE_SECONDS = 0.2
 
 
-@dataclass(frozen=True)
-class SessionNodeSettings:
-    """What an instance needs to know.
-
-    :param instance: address for other instances, "ip:port", and id of the instance.
-    :param founders: instances that form the control group at the first start.
-    :param seeds: addresses of instances through which the others are found.
-    :param data_directory: directory of the control log; ``None`` on an instance without a disk.
-    :param tolerated_losses: disks that may be lost at the same time.
-    :param grace_seconds: time from the request to stop until the process is killed.
-    """
-
-    instance: InstanceId
-    availability_zone: AvailabilityZone
-    founders: tuple[InstanceId, ...]
-    seeds: tuple[str, ...]
-    metrics_address: str
-    data_directory: Path | None
-    tolerated_losses: int
-    grace_seconds: float
-
-    @property
-    def wanted_voters(self) -> int:
-        """Return how many voters keep a majority when the tolerated number of disks is lost."""
-        return 2 * self.tolerated_losses + 1
-
-
-class CallerPort(Protocol):
-    """The port on which callers open sessions."""
-
-    @property
-    def open_sessions(self) -> int:
-        """Return the number of open sessions."""
-
-    async def start(self) -> None:
-        """Listen."""
-
-    def leave(self) -> None:
-        """Close every session as soon as it is idle outside a transaction."""
-
-    def close_idle(self) -> None:
-        """Close the sessions that are idle outside a transaction, so that they go elsewhere."""
-
-    async def abort_transactions(self) -> None:
-        """Roll back the open transactions and close their sessions."""
-
-    async def stop(self) -> None:
-        """Close the port and all sessions."""
-
-
-class OuterPort(Protocol):
-    """Any other port."""
-
-    async def start(self) -> None:
-        """Listen."""
-
-    async def stop(self) -> None:
-        """Stop listening."""
-
-
-@dataclass(frozen=True)
-class Ports:
-    """What speaks to the outside of the system.
-
-    :param make_callers: makes the port of the callers.
-    :param make_others: makes the ports of targets, operators and the load balancer.
-    :param parse: reads a configuration.
-    """
-
-    driver: SessionDriver
-    authority: PromotionAuthority
-    parse: Callable[[str], RoutingTable]
-    make_callers: Callable[[SessionService], CallerPort]
-    make_others: Callable[
-        [
-            Callable[[peer_pb2.Announcement], Awaitable[bool]],
-            ConfigurationService,
-            Callable[[], bool],
-        ],
-        list[OuterPort],
-    ]
-
-
 class SessionNode:
     """All components of one process, on one asyncio loop.
 
--- a/hibiscuspoint/platform/__main__.py
+++ b/hibiscuspoint/platform/__main__.py
@@ -10,7 +10,8 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from hibiscuspoint.daemon.session_node import Ports, SessionNode, SessionNodeSettings
+from hibiscuspoint.daemon.session_node import SessionNode
+from hibiscuspoint.daemon.session_ports import Ports, SessionNodeSettings
 from hibiscuspoint.daemon.status import DaemonStatus
 from hibiscuspoint.errors import ConfigurationError
 from hibiscuspoint.platform import STARTED_AT
@@ -29,7 +30,7 @@
 
     from hibiscuspoint.components.configuration import ConfigurationService
     from hibiscuspoint.components.sessions import SessionService
-    from hibiscuspoint.daemon.session_node import OuterPort
+    from hibiscuspoint.daemon.session_ports import OuterPort
     from hibiscuspoint.wire import peer_pb2
 
 __all__ = ["main"]
