--- a/tests/platform/test_imports.py
+++ b/tests/platform/test_imports.py
@@ -9,7 +9,7 @@
 
 _LIST_EXTENSIONS = """
 import sys
-import hibiscuspoint.platform.__main__
+import hibiscuspoint.platform.main
 print(*sorted(sys.modules))
 """
 
