Give up a stream to control that neither ends nor can be cancelled

Ruled out: the control group (the instance itself led it later) and the other instances (attached).

Change: an attachment is watched from outside; a stream that does not end within 1 s after the leader fell silent is left behind, and the end of a channel is not waited for.

--- a/hibiscuspoint/components/attachment.py
+++ b/hibiscuspoint/components/attachment.py
@@ -37,6 +37,12 @@
 #: that a lost machine delays the way to the next leader only so much.
 FIRST_UPDATE_SECONDS = 0.4
 
+#: Seconds that a stream may take to end once the leader is silent; usually it ends at once.
+GIVE_UP_SECONDS = 1.0
+
+#: Seconds between two looks at a stream.
+WATCH_SECONDS = 0.25
+
 #: Seconds before the next control instance is tried.
 RETRY_SECONDS = 0.1
 
@@ -104,13 +110,11 @@
             self._redirect = ""
             channel = self._channels.open(address)
             try:
-                await self._attach(channel, address)
-                reason = f"redirected to {self._redirect}" if self._redirect else "not the leader"
-            except (grpc.aio.AioRpcError, asyncio.InvalidStateError, TimeoutError) as error:
-                reason = _reason(error)
+                reason = await self._watch(asyncio.ensure_future(self._attach(channel, address)))
             finally:
                 self._on_detached()
-                await channel.close()
+                # Not awaited: it waits for the call, which may never end.
+                spawn(channel.close(), f"end of the channel to {address}")
             if self._leader:
                 # Attempts that follow a loss are not logged: they come every 0.1 s.
                 log_event(logger, catalogue.CONTROL_DETACHED, address=address, reason=reason)
@@ -118,6 +122,29 @@
             if not self._redirect:
                 await asyncio.sleep(RETRY_SECONDS)
 
+    async def _watch(self, attached: asyncio.Task[None]) -> str:
+        """Wait until a stream ends and return why.
+
+        After the process was suspended, a stream of gRPC may neither end nor be cancelled. It is
+        given up then, without waiting for it.
+        """
+        loop = asyncio.get_running_loop()
+        attached.add_done_callback(_retrieve)
+        self._heard_at = loop.time()
+        try:
+            while not attached.done():
+                await asyncio.wait({attached}, timeout=WATCH_SECONDS)
+                if loop.time() - self._heard_at > self._silence_seconds + GIVE_UP_SECONDS:
+                    return "the stream to the silent leader does not end"
+        finally:
+            attached.cancel()
+        error = attached.exception()
+        if error is None:
+            return f"redirected to {self._redirect}" if self._redirect else "not the leader"
+        if isinstance(error, (grpc.aio.AioRpcError, asyncio.InvalidStateError, TimeoutError)):
+            return _reason(error)
+        raise error
+
     def _next_member(self) -> str:
         """Return the instance to try; it comes last from now on, until it turns out to lead."""
         address = self._members.pop(0)
@@ -174,6 +201,12 @@
                 continue
 
 
+def _retrieve(task: asyncio.Task[None]) -> None:
+    """Take the error of a stream that was given up, so that asyncio does not report it."""
+    if not task.cancelled():
+        task.exception()
+
+
 def _reason(error: Exception) -> str:
     """Return why a stream ended, in one line."""
     if isinstance(error, grpc.aio.AioRpcError):
--- /dev/null
+++ b/tests/components/test_attachment.py
@@ -0,0 +1,102 @@
+"""Tests of the attachment of an entry to the control leader."""
+
+from __future__ import annotations
+
+import asyncio
+
+from circuits import Component
+
+from hibiscuspoint.components import attachment
+from hibiscuspoint.components.attachment import Attachment
+from hibiscuspoint.wire import peer_pb2
+
+#: Seconds within which the next instance must be tried.
+PATIENCE_SECONDS = 10.0
+
+
+class _Runtime(Component):
+    """Takes updates."""
+
+    def dispatch(self, event: object) -> None:
+        """Drop an event."""
+
+
+class _Channel:
+    def __init__(self, address: str) -> None:
+        self.address = address
+
+    async def close(self) -> None:
+        """Never end, as a channel whose call cannot be cancelled."""
+        await asyncio.Event().wait()
+
+
+class _Channels:
+    generation = 0
+
+    def __init__(self) -> None:
+        self.has_opened_second = asyncio.Event()
+
+    def open(self, address: str) -> _Channel:
+        """Open a channel."""
+        if address == "127.0.0.1:2":
+            self.has_opened_second.set()
+        return _Channel(address)
+
+
+class _StuckCall:
+    """A call that gives one update, and then neither ends nor can be cancelled."""
+
+    def __init__(self) -> None:
+        self._has_answered = False
+
+    async def read(self) -> peer_pb2.ControlUpdate:
+        """Return an update, once."""
+        if not self._has_answered:
+            self._has_answered = True
+            return peer_pb2.ControlUpdate(control_term=1, leader="127.0.0.1:1")
+        while True:
+            try:
+                await asyncio.sleep(3600)
+            except asyncio.CancelledError:
+                if _StuckCall.may_end:
+                    raise
+
+    async def write(self, report: peer_pb2.EntryReport) -> None:
+        """Take a report."""
+
+    def cancel(self) -> None:
+        """Do nothing."""
+
+    may_end = False
+
+
+class _Stub:
+    def __init__(self, channel: _Channel) -> None:
+        self._channel = channel
+
+    def Attach(self) -> _StuckCall:
+        """Open a stream."""
+        return _StuckCall()
+
+
+def test_stream_that_cannot_be_cancelled_is_given_up(monkeypatch):
+    """Guards against an instance that is detached for good after it was suspended.
+
+    Found by seed 20 of the soak: a paused instance woke up with a broken connection, and its
+    stream to the control leader never ended.
+    """
+
+    async def scenario():
+        monkeypatch.setattr(attachment.peer_pb2_grpc, "ControlStub", _Stub)
+        channels = _Channels()
+        entry = Attachment(
+            _Runtime(), channels, ["127.0.0.1:1", "127.0.0.1:2"], peer_pb2.EntryReport
+        )
+        entry.start()
+        async with asyncio.timeout(PATIENCE_SECONDS):
+            while "127.0.0.1:2" not in channels.opened:
+                await asyncio.sleep(0.05)
+        _StuckCall.may_end = True
+        await entry.stop()
+
+    asyncio.run(scenario())
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -14,6 +14,7 @@
 #: Seeds that failed once, with a line on the cause.
 REGRESSIONS: dict[int, str] = {
     11: "the stand-in committed a transaction at a database that had lost the lead",
+    20: "a stream to control neither ended nor could be cancelled after a pause",
     35: "SIGHUP ended an instance that was still starting",
 }
 
