--- a/tests/components/test_attachment.py
+++ b/tests/components/test_attachment.py
@@ -94,8 +94,7 @@
         )
         entry.start()
         async with asyncio.timeout(PATIENCE_SECONDS):
-            while "127.0.0.1:2" not in channels.opened:
-                await asyncio.sleep(0.05)
+            await channels.has_opened_second.wait()
         _StuckCall.may_end = True
         await entry.stop()
 
