--- a/tests/core/failover/test_group.py
+++ b/tests/core/failover/test_group.py
@@ -11,6 +11,7 @@
 from hibiscuspoint.core.failover.group import COOLDOWN_SECONDS
 from hibiscuspoint.core.failover.watch import SILENCE_SECONDS, STALLED_SECONDS
 from hibiscuspoint.ids import Term
+from hibiscuspoint.wire import peer_pb2
 from tests.builders_failover import (
     ENTRY,
     GROUP,
@@ -228,7 +229,5 @@
     assert "PauseReplica" not in world.kinds()
 
 
-def _observation(**fields: int):
-    from hibiscuspoint.wire import peer_pb2
-
+def _observation(**fields: int) -> peer_pb2.TargetObservation:
     return peer_pb2.TargetObservation(target=PRIMARY, **fields)
