--- a/hibiscuspoint/components/sessions/pool.py
+++ b/hibiscuspoint/components/sessions/pool.py
@@ -101,11 +101,6 @@
         """Return the number of open connections."""
         return len(self._idle) + len(self._in_use)
 
-    @property
-    def waiting(self) -> int:
-        """Return the number of statements that wait for a connection."""
-        return len(self._waiters)
-
     async def acquire(
         self, context: SessionContext, priority: int, deadline: float
     ) -> PooledConnection:
