Pause a restarted replica again before its position counts

Cause: a promotion kept the position with which a replica had answered the pause, also after the replica was restarted. A restarted replica receives again, so the former primary could go on acknowledging commits with it, and one that returns under its id may have lost its log. Ruled out: waiting for the registration of the new incarnation alone, as its first heartbeat can come after the choice.

The pause now counts while the incarnation is the same and polls show the same paused term and no lower position. A departure whose start time exceeds 64 bits, or whose id is not valid text, ended with status 500; it is refused or counted without a start time.

Before: 5 new tests fail. After: they pass; tests/core, tests/components, tests/platform pass.

--- a/hibiscuspoint/core/failover/group.py
+++ b/hibiscuspoint/core/failover/group.py
@@ -104,6 +104,8 @@
     def polled(self, target: TargetId, status: TargetStatus, asked_at: float, now: float) -> None:
         """Take the answer of a target to a poll that was sent at ``asked_at``."""
         self._contacts.answered(target, status, asked_at, now)
+        if self._round is not None and self._record.phase is GroupPhase.SEALING:
+            self._round.polled(target, status, asked_at)
         if target != self._record.primary or self._record.phase is not GroupPhase.STARTED:
             return
         if self._watch is not None:
@@ -129,7 +131,7 @@
         self._contacts.obeyed(target, now)
         current = self._round
         if current is not None and current.term == term and not status.is_primary:
-            current.paused[target] = status.received
+            current.pause_answered(target, status, now)
 
     def stepped_down(self, target: TargetId, status: TargetStatus, term: int, now: float) -> None:
         """Take the answer of a primary that was told to step down."""
--- a/hibiscuspoint/core/failover/promotion.py
+++ b/hibiscuspoint/core/failover/promotion.py
@@ -19,7 +19,7 @@
     from hibiscuspoint.core.control.state import GroupRecord, TargetRecord
     from hibiscuspoint.core.failover.status import TargetStatus
     from hibiscuspoint.core.position import LogPosition
-    from hibiscuspoint.ids import TargetId, Term
+    from hibiscuspoint.ids import Incarnation, TargetId, Term
 
 __all__ = ["PromotionRound"]
 
@@ -37,6 +37,15 @@
 GRACE_SECONDS = 0.1
 
 
+@dataclass(frozen=True)
+class _Pause:
+    """The answer of a replica that was paused, with what shows later that it was restarted."""
+
+    incarnation: Incarnation
+    paused_term: Term
+    answered_at: float
+
+
 @dataclass
 class PromotionRound:
     """Soft state of one opened term; a new control leader starts it again.
@@ -53,14 +62,36 @@
     paused: dict[TargetId, LogPosition] = field(default_factory=dict)
     former_position: LogPosition | None = None
     refused_at: float = -math.inf
+    _pauses: dict[TargetId, _Pause] = field(default_factory=dict)
     _ordered_at: dict[tuple[type, TargetId], float] = field(default_factory=dict)
     _sufficient_since: float = math.inf
 
+    def pause_answered(self, target: TargetId, status: TargetStatus, now: float) -> None:
+        """Take the answer of a replica that was paused at the term of this round."""
+        known = self.record.targets.get(target)
+        if known is None:
+            return
+        self.paused[target] = status.received
+        self._pauses[target] = _Pause(known.incarnation, status.paused_term, now)
+
+    def polled(self, target: TargetId, status: TargetStatus, asked_at: float) -> None:
+        """Take the answer to a poll; a replica that receives again must be paused anew.
+
+        A replica that was restarted is not paused any more, so that it may have confirmed commits
+        that another one lacks, and it may have lost its log.
+        """
+        pause = self._pauses.get(target)
+        if pause is None or asked_at <= pause.answered_at:
+            return
+        if status.paused_term != pause.paused_term or status.received < self.paused[target]:
+            self._forget_pause(target)
+
     def collect(self, status_of: dict[TargetId, TargetStatus], now: float) -> list[Effect]:
         """Pause the replicas and, unless it is kept, make the former primary step down.
 
         :param status_of: answers to polls that were sent in this round.
         """
+        self._forget_restarted()
         record = self.record
         effects: list[Effect] = []
         for target in record.targets.values():
@@ -87,6 +118,7 @@
 
         :param floor: position at or above every acknowledged commit; ``None`` when unknown.
         """
+        self._forget_restarted()
         record = self.record
         former = status_of.get(record.former) if record.former else None
         if former is not None and former.is_primary and self._may_keep_former():
@@ -136,7 +168,7 @@
                 if self._is_due(StepDown, target.target, now):
                     effects.append(StepDown(record.group, _address(target), self.term))
             elif target.target in self.paused:
-                del self.paused[target.target]
+                self._forget_pause(target.target)
                 effects.append(ResumeReplica(record.group, _address(target)))
         return effects
 
@@ -153,6 +185,16 @@
             return True
         return now - max(answered_at, self.since) >= CHOSEN_SILENCE_SECONDS
 
+    def _forget_restarted(self) -> None:
+        for target, pause in list(self._pauses.items()):
+            known = self.record.targets.get(target)
+            if known is None or known.incarnation != pause.incarnation:
+                self._forget_pause(target)
+
+    def _forget_pause(self, target: TargetId) -> None:
+        del self.paused[target]
+        self._pauses.pop(target, None)
+
     def _may_keep_former(self) -> bool:
         former = self.record.targets.get(self.record.former)
         return self.keeps_former and former is not None and not former.leaving
--- a/hibiscuspoint/core/failover/status.py
+++ b/hibiscuspoint/core/failover/status.py
@@ -5,9 +5,10 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from hibiscuspoint.ids import Term
+
 if TYPE_CHECKING:
     from hibiscuspoint.core.position import LogPosition
-    from hibiscuspoint.ids import Term
 
 __all__ = ["TargetStatus"]
 
@@ -18,8 +19,10 @@
 
     :param term: newest term that the target knows.
     :param received: last record that it holds durably; for a primary the last one it wrote.
+    :param paused_term: term at which a replica was told to stop receiving; 0 while it receives.
     """
 
     is_primary: bool
     term: Term
     received: LogPosition
+    paused_term: Term = Term(0)
--- a/hibiscuspoint/platform/control_api.py
+++ b/hibiscuspoint/platform/control_api.py
@@ -64,7 +64,12 @@
         return await self._announced(announcement)
 
     async def _deregister(self, request: web.Request) -> web.Response:
-        return await self._announced(departure(request.match_info["target"], await request.read()))
+        try:
+            announcement = departure(request.match_info["target"], await request.read())
+        except HeartbeatError as error:
+            logger.warning("%s", error)
+            return web.json_response({}, status=400)
+        return await self._announced(announcement)
 
     async def _announced(self, announcement: peer_pb2.Announcement) -> web.Response:
         accepted = await self._announce(announcement)
--- a/hibiscuspoint/platform/database.py
+++ b/hibiscuspoint/platform/database.py
@@ -199,11 +199,16 @@
 
 
 def _parse_status(row: str) -> TargetStatus:
-    """Return the state from a row: role, term, received position, and figures not used here."""
+    """Return the state from a row: role, term, received position, term of a pause, and figures."""
     fields = row.split()
-    if len(fields) < 3:
+    if len(fields) < 4:
         raise wire.ProtocolError("the state of a database is not complete")
     position = wire.parse_position(fields[2])
     if position is None:
         position = wire.parse_position("0.0")
-    return TargetStatus(fields[0] == "primary", Term(int(fields[1])), position)
+    return TargetStatus(
+        is_primary=fields[0] == "primary",
+        term=Term(int(fields[1])),
+        received=position,
+        paused_term=Term(int(fields[3])),
+    )
--- a/hibiscuspoint/platform/heartbeats.py
+++ b/hibiscuspoint/platform/heartbeats.py
@@ -32,13 +32,20 @@
 
 
 def departure(target: str, body: bytes) -> peer_pb2.Announcement:
-    """Return the announcement of a database that ends; its incarnation is 0 when it is unknown."""
+    """Return the announcement of a database that ends; its incarnation is 0 when it is unknown.
+
+    :raises HeartbeatError: the id cannot be read.
+    """
+    try:
+        message = peer_pb2.Announcement(target=target, gone=True)
+    except ValueError as error:
+        raise HeartbeatError(f"departure of {target[:64]!r}: {error!r}") from error
     try:
-        incarnation = read_whole(json.loads(body).get("born", 0))
+        message.incarnation = read_whole(json.loads(body).get("born", 0))
     except (ValueError, TypeError, AttributeError):
         # The call needs no body; its path names the database.
-        incarnation = 0
-    return peer_pb2.Announcement(target=target, incarnation=incarnation, gone=True)
+        message.incarnation = 0
+    return message
 
 
 def _announcement(target: str, fields: dict[str, Any]) -> peer_pb2.Announcement:
--- a/tests/builders_failover.py
+++ b/tests/builders_failover.py
@@ -45,9 +45,9 @@
     return TargetStatus(is_primary=True, term=Term(term), received=position(index, term))
 
 
-def replica_status(index: int, term: int = 1) -> TargetStatus:
+def replica_status(index: int, term: int = 1, paused_term: int = 0) -> TargetStatus:
     """Return the state of a replica."""
-    return TargetStatus(is_primary=False, term=Term(term), received=position(index, term))
+    return TargetStatus(False, Term(term), position(index, term), Term(paused_term))
 
 
 def target(
--- a/tests/core/failover/test_group.py
+++ b/tests/core/failover/test_group.py
@@ -58,6 +58,46 @@
     assert RequestPromotion(GROUP, REPLICA_B, TOKEN) in world.effects
 
 
+def _sealing_with_paused_replica() -> tuple[GroupWorld, float]:
+    """Return a group whose primary is lost and of which one replica is paused, and the time."""
+    world = GroupWorld()
+    world.ledger.grant(GROUP, ENTRY, Term(1), LATER)
+    now = _lose_primary(world, LATER)
+    status = replica_status(20, paused_term=world.record.term)
+    world.group.paused(REPLICA_A, status, world.record.term, now)
+    return world, now
+
+
+def test_replica_that_was_replaced_after_its_pause_does_not_count_as_paused():
+    """Guards against the promotion of a replica that was restarted without its log."""
+    world, now = _sealing_with_paused_replica()
+    world.record.targets[REPLICA_A] = target(REPLICA_A, incarnation=2)
+    world.group.paused(REPLICA_B, replica_status(19), world.record.term, now)
+    world.tick(now)
+    assert world.record.phase is GroupPhase.SEALING
+
+
+@pytest.mark.parametrize("restarted", [{"index": 21}, {"index": 5, "paused_term": 2}])
+def test_replica_that_receives_again_is_paused_anew(restarted):
+    """Guards against commits that a restarted replica confirms after the choice began."""
+    world, now = _sealing_with_paused_replica()
+    world.poll({REPLICA_A: replica_status(**restarted)}, now + 0.3)
+    world.group.paused(REPLICA_B, replica_status(19), world.record.term, now + 0.3)
+    world.effects.clear()
+    world.tick(now + 0.3)
+    assert world.record.phase is GroupPhase.SEALING
+    assert world.kinds().count("PauseReplica") == 1
+
+
+def test_poll_that_was_sent_before_the_pause_changes_nothing():
+    """Guards against a choice that is put off by answers that crossed the order."""
+    world, now = _sealing_with_paused_replica()
+    world.group.polled(REPLICA_A, replica_status(20), now - 0.1, now + 0.01)
+    world.group.paused(REPLICA_B, replica_status(19), world.record.term, now + 0.01)
+    world.tick(now + 0.01)
+    assert world.record.primary == REPLICA_A
+
+
 def test_one_replica_alone_is_not_promoted_while_the_floor_is_not_known():
     """Guards against the loss of commits that only the unreachable replica holds."""
     world = GroupWorld()
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -39,7 +39,7 @@
     address: str
     is_primary: bool = False
     is_running: bool = True
-    is_paused: bool = False
+    paused_term: int = 0
     is_deaf: bool = False
     announced: str = ""
     state: str = "ready"
@@ -59,7 +59,7 @@
             for other in self.platform.databases
             if other is not self
             and other.is_running
-            and not other.is_paused
+            and not other.paused_term
             and not other.is_deaf
             and other.term == self.term
         ]
@@ -75,7 +75,7 @@
         newest = max(self.platform.databases, key=lambda database: database.term)
         if newest.term > self.term:
             self.follow(newest)
-        self.is_paused = False
+        self.paused_term = 0
         await self.start()
 
     def follow(self, primary: StandinDatabase) -> None:
@@ -227,14 +227,15 @@
         database = self._database
         role = "primary" if database.is_primary else "replica"
         position = f"{database.term}.{database.index}"
-        return f"ROW {role} {database.term} {position} 0 0 0 1\r\nCOMPLETE -\r\n"
+        row = f"ROW {role} {database.term} {position} {database.paused_term} 0 0 1"
+        return f"{row}\r\nCOMPLETE -\r\n"
 
     def _pause(self, request: str, rest: str) -> str:
-        self._database.is_paused = True
+        self._database.paused_term = int(rest)
         return self._status(request, rest)
 
     def _resume(self, request: str, rest: str) -> str:
-        self._database.is_paused = False
+        self._database.paused_term = 0
         return self._status(request, rest)
 
     def _stepdown(self, request: str, rest: str) -> str:
@@ -310,7 +311,7 @@
 
     def _lead(self, database: StandinDatabase) -> None:
         term = max(other.term for other in self.databases) + 1
-        database.is_primary, database.is_paused, database.term = True, False, term
+        database.is_primary, database.paused_term, database.term = True, 0, term
         loop = asyncio.get_running_loop()
         for other in self.databases:
             if other is database or not other.is_running:
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -50,7 +50,16 @@
         parse_heartbeat("i-1", body)
 
 
-@pytest.mark.parametrize(("body", "incarnation"), [(b'{"born": 17}', 17), (b"", 0), (b"[]", 0)])
+def test_departure_of_an_id_that_cannot_be_read_is_refused():
+    """Guards against an error of the whole call."""
+    with pytest.raises(HeartbeatError):
+        departure("i-\udcff", b"")
+
+
+@pytest.mark.parametrize(
+    ("body", "incarnation"),
+    [(b'{"born": 17}', 17), (b'{"born": 9999999999999999999999}', 0), (b"", 0), (b"[]", 0)],
+)
 def test_departure_needs_no_body(body, incarnation):
     """Guards against a departure that is lost because its body is empty."""
     message = departure("i-1", body)
