Give idle connections up when holders are known, and refuse waits in vain

Ruled out: unreachable holders, all of the events were of one group with a saturated primary.

Shares change with the list of entries; a passed deadline says nothing about a holder; a pool refuses at once a statement that would wait beyond its deadline, by the average time of use; a control leader tells who serves 0.3 s after the last entry attached, at the latest after 1.5 s.

Before: the new tests fail.

--- a/hibiscuspoint/components/sessions/borrowing.py
+++ b/hibiscuspoint/components/sessions/borrowing.py
@@ -78,7 +78,12 @@
             try:
                 return await self._ask(holder, wanted, deadline)
             except (TimeoutError, grpc.aio.AioRpcError) as error:
-                self._contacts.failed(holder, self._clock.monotonic())
+                now = self._clock.monotonic()
+                if isinstance(error, TimeoutError) and now >= deadline:
+                    # This says nothing about the holder, which may have had no time to answer.
+                    message = f"no connection to {target} in time"
+                    raise ConnectError(ConnectFailure.LIMITED, message) from None
+                self._contacts.failed(holder, now)
                 reason = error.details() if isinstance(error, grpc.aio.AioRpcError) else "silent"
                 log_event(
                     logger, catalogue.HOLDER_UNREACHABLE, subject=holder, group=group, reason=reason
--- a/hibiscuspoint/components/sessions/connection.py
+++ b/hibiscuspoint/components/sessions/connection.py
@@ -68,6 +68,7 @@
     release: Callable[[PooledConnection], None]
     context: ConnectionContext = field(default_factory=ConnectionContext)
     idle_since: float = 0.0
+    taken_at: float = 0.0
     holder: str = ""
 
     @property
--- a/hibiscuspoint/components/sessions/groups.py
+++ b/hibiscuspoint/components/sessions/groups.py
@@ -211,15 +211,20 @@
         if pool is None:
             pool = TargetPool(group, member.target, member.address, self._driver, self._clock)
             self._pools[member.target] = pool
-        usable = self._usable_connections(group)
-        if usable:
-            if self.holders(group):
-                pool.share = 0
-            else:
-                pool.share = usable // (len(self._holders[group]) or self.entries)
-            pool.limit = min(usable, max(MINIMUM_LIMIT, BURST_FACTOR * pool.share))
+            self._set_share(pool)
         return pool
 
+    def _set_share(self, pool: TargetPool) -> None:
+        """Divide the connections of a target among the instances that hold some."""
+        usable = self._usable_connections(pool.group)
+        if not usable:
+            return
+        if self.holders(pool.group):
+            pool.share = 0
+        else:
+            pool.share = usable // (len(self._holders[pool.group]) or self.entries)
+        pool.limit = min(usable, max(MINIMUM_LIMIT, BURST_FACTOR * pool.share))
+
     def _usable_connections(self, group: GroupId) -> int:
         """Return the connections that instances may have to one target; 0 when it is not known."""
         limits = self._state.document.groups.get(group) if self._state.document else None
@@ -294,6 +299,8 @@
                 for entry in update.serving
             )
         self._holders.clear()
+        for pool in self._pools.values():
+            self._set_share(pool)
 
     def fill_report(self, report: peer_pb2.EntryReport, now: float) -> None:
         """Add what control needs to know about leases and primaries."""
--- a/hibiscuspoint/components/sessions/pool.py
+++ b/hibiscuspoint/components/sessions/pool.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.components.sessions.connection import PooledConnection
+from hibiscuspoint.core.sessions import UseTimes
 from hibiscuspoint.drivers.errors import ConnectError, ConnectFailure
 from hibiscuspoint.telemetry import catalogue, log_event
 from hibiscuspoint.util.tasks import spawn
@@ -72,6 +73,7 @@
         self._waiters: list[_Waiter] = []
         self._numbers = itertools.count()
         self._in_use: set[PooledConnection] = set()
+        self._use_times = UseTimes()
         self._opening = 0
         self._full_until = 0.0
         self._full_wait = FULL_RETRY_MIN_SECONDS
@@ -82,6 +84,11 @@
         #: Connections that the address refused since the last report.
         self.refusals = 0
 
+    @property
+    def group(self) -> GroupId:
+        """Return the group of the target."""
+        return self._group
+
     @property
     def address(self) -> str:
         """Return the address of the target."""
@@ -99,12 +106,14 @@
 
         :param priority: 0 is the highest.
         :param deadline: monotonic time in seconds.
-        :raises ConnectError: the target cannot be reached, or has no connection until then.
+        :raises ConnectError: the target cannot be reached, or has no connection until then; at once
+            if so many statements wait that this one would wait beyond the deadline.
         """
         if not self._waiters:
             pooled = self._take_idle(context)
             if pooled is not None:
                 return pooled
+        self._refuse_in_vain(priority, deadline)
         future: asyncio.Future[PooledConnection] = asyncio.get_running_loop().create_future()
         waiter = _Waiter(priority, next(self._numbers), future, context)
         heapq.heappush(self._waiters, waiter)
@@ -122,9 +131,12 @@
 
     def release(self, pooled: PooledConnection) -> None:
         """Take a connection back; one that is not usable is dropped."""
-        self._in_use.discard(pooled)
+        now = self._clock.monotonic()
+        if pooled in self._in_use:
+            self._in_use.discard(pooled)
+            self._use_times.ended(now - pooled.taken_at)
         if pooled.connection.is_open and not self._is_closed:
-            pooled.idle_since = self._clock.monotonic()
+            pooled.idle_since = now
             self._idle.append(pooled)
         else:
             pooled.connection.close()
@@ -149,6 +161,20 @@
         self._idle.clear()
         self._fail_waiters(ConnectError(ConnectFailure.LEAVING, f"{self._target} is gone"))
 
+    def _refuse_in_vain(self, priority: int, deadline: float) -> None:
+        """Refuse a statement that cannot get one of the connections in use before its deadline."""
+        now = self._clock.monotonic()
+        may_open = self.size + self._opening < self.limit and now >= self._full_until
+        if may_open or not self._in_use:
+            return
+        ahead = sum(waiter.priority <= priority for waiter in self._waiters)
+        wait = self._use_times.expected_wait(ahead, len(self._in_use))
+        if wait > deadline - now:
+            message = (
+                f"{ahead} statements wait for {len(self._in_use)} connections to {self._target}"
+            )
+            raise ConnectError(ConnectFailure.LIMITED, message)
+
     def _take_idle(self, context: SessionContext) -> PooledConnection | None:
         usable = [pooled for pooled in self._idle if pooled.connection.is_open]
         for pooled in self._idle:
@@ -161,6 +187,7 @@
         best = min(reversed(usable), key=lambda pooled: pooled.context.distance(context))
         usable.remove(best)
         self._in_use.add(best)
+        best.taken_at = self._clock.monotonic()
         return best
 
     def _serve_waiters(self) -> None:
--- a/hibiscuspoint/core/failover/leader.py
+++ b/hibiscuspoint/core/failover/leader.py
@@ -31,9 +31,11 @@
 #: loss of a control leader: an election (1.2 s) and the way to the next leader (0.5 s).
 LEASE_SECONDS = 2.0
 
-#: Seconds of a leadership after which entries are told which of them serve. All entries attach to a
-#: new leader within a second; a list that grows meanwhile would move connections back and forth.
+#: Seconds of a leadership after which entries are told which of them serve, or sooner when their
+#: number is the same for some reports, which are 0.25 s apart. All entries attach to a new leader
+#: within a second; a list that grows meanwhile would move connections back and forth.
 SETTLE_SECONDS = 1.5
+QUIET_SECONDS = 0.3
 
 
 class FailoverLeader:
@@ -61,6 +63,8 @@
         self._last_tick = now
         self._serving: list[peer_pb2.ServingEntry] = []
         self._serving_version = 0
+        self._serving_count = 0
+        self._counted_at = now
         self.control_members: list[str] = []
 
     @property
@@ -175,8 +179,7 @@
             self._entries.forgive_stall(now - self._last_tick, now)
         self._last_tick = now
         self._entries.forget_silent(now)
-        if now - self._since >= SETTLE_SECONDS:
-            self._list_serving(now)
+        self._list_serving(now)
         for group, record in self._state.groups.items():
             if group not in self._groups:
                 self._groups[group] = GroupFailover(record, self._ledger, self._control_term, now)
@@ -186,17 +189,22 @@
         return effects
 
     def _list_serving(self, now: float) -> None:
+        """List the serving entries; a new leader waits until all had time to attach."""
         places = [
             EntryPlace(entry.instance, entry.availability_zone)
             for entry in self._entries.serving(now)
         ]
+        if len(places) != self._serving_count:
+            self._serving_count, self._counted_at = len(places), now
+        is_settled = now - self._counted_at >= QUIET_SECONDS or now - self._since >= SETTLE_SECONDS
         version = serving_version(places)
-        if version != self._serving_version:
-            self._serving_version = version
-            self._serving = [
-                peer_pb2.ServingEntry(instance=place.instance, availability_zone=place.zone)
-                for place in places
-            ]
+        if not places or not is_settled or version == self._serving_version:
+            return
+        self._serving_version = version
+        self._serving = [
+            peer_pb2.ServingEntry(instance=place.instance, availability_zone=place.zone)
+            for place in places
+        ]
 
     def tick_active(self, now: float) -> list[Effect]:
         """Advance the groups with a promotion or a switchover in progress."""
--- a/hibiscuspoint/core/sessions/__init__.py
+++ b/hibiscuspoint/core/sessions/__init__.py
@@ -30,6 +30,7 @@
     StatementError,
     StatementKind,
 )
+from hibiscuspoint.core.sessions.waiting import UseTimes
 
 __all__ = [
     "ConnectionContext",
@@ -50,6 +51,7 @@
     "StatementKind",
     "TargetLoad",
     "TipLog",
+    "UseTimes",
     "choose_holders",
     "rank_targets",
     "serving_version",
--- a/tests/components/sessions/test_borrowing.py
+++ b/tests/components/sessions/test_borrowing.py
@@ -14,8 +14,8 @@
 from hibiscuspoint.components.peers import PeerChannels
 from hibiscuspoint.components.sessions import ConnectionBorrowing, ConnectionLending, GroupAccess
 from hibiscuspoint.components.sessions.borrow_messages import reply_from, reply_message
-from hibiscuspoint.core.sessions import EntryPlace, Failure, Reply, SessionState
-from hibiscuspoint.drivers.errors import AnswerTimeoutError, ConnectionLost
+from hibiscuspoint.core.sessions import EntryPlace, Failure, Reply, SessionContext, SessionState
+from hibiscuspoint.drivers.errors import AnswerTimeoutError, ConnectError, ConnectionLost
 from hibiscuspoint.ids import AvailabilityZone, InstanceId
 from hibiscuspoint.security import TlsMode, Transport
 from hibiscuspoint.wire import peer_pb2, peer_pb2_grpc
@@ -80,6 +80,16 @@
             await asyncio.sleep(0.005)
 
 
+def _serving_update(entries: int) -> peer_pb2.ControlUpdate:
+    """Return what a control leader tells about the serving entries."""
+    update = peer_pb2.ControlUpdate(
+        control_term=1, document_number=1, serving_entries=entries, serving_version=7
+    )
+    for number in range(entries):
+        update.serving.add(instance=f"10.0.{number}.1:7440", availability_zone="zone-a")
+    return update
+
+
 def _connections(harness: SessionHarness) -> int:
     return sum(len(target.connections) for target in harness.targets.values())
 
@@ -262,12 +272,7 @@
     async def scenario():
         harness = SessionHarness()
         assert harness.access.holders(GROUP) == []
-        update = peer_pb2.ControlUpdate(
-            control_term=1, document_number=1, serving_entries=OTHERS, serving_version=7
-        )
-        for number in range(OTHERS):
-            update.serving.add(instance=f"10.0.{number}.1:7440", availability_zone="zone-a")
-        harness.access.update(update)
+        harness.access.update(_serving_update(OTHERS))
         holders = harness.access.holders(GROUP)
         assert 0 < len(holders) < OTHERS
         assert harness.report().serving_version == 7
@@ -278,6 +283,39 @@
     asyncio.run(scenario())
 
 
+def test_connections_from_before_the_holders_were_known_are_given_up():
+    """Load pattern: all machines lose power; entries open connections before they know the others.
+
+    Found on trouble-1 of kovacik-zaloha-grown: they kept them idle, so that the holders got none
+    of the 34 connections to a primary until the end of the day.
+    """
+
+    async def scenario():
+        harness = SessionHarness()
+        (reply,) = await harness.run(harness.session(), "WRITE x 1")
+        assert reply.error is None
+        harness.access.update(_serving_update(OTHERS))
+        harness.access.tick(harness.clock.monotonic() + 1.0)
+        assert not any(c.is_open for c in harness.targets[PRIMARY].connections)
+
+    asyncio.run(scenario())
+
+
+def test_deadline_that_has_passed_says_nothing_about_the_holder():
+    """Guards against holders that all entries avoid because the target is slow."""
+
+    async def scenario():
+        async with _borrowers() as (entry, holder, _):
+            place = entry.access.holders(GROUP)
+            with pytest.raises(ConnectError):
+                await entry.access._borrowing.acquire(
+                    place, GROUP, PRIMARY, SessionContext(), 0, entry.clock.monotonic()
+                )
+            assert not entry.access._borrowing._contacts._failed_at
+
+    asyncio.run(scenario())
+
+
 def test_reply_keeps_every_part_on_its_way():
     """Guards against an answer that the holder changes."""
     for reply in (
--- a/tests/components/sessions/test_pool.py
+++ b/tests/components/sessions/test_pool.py
@@ -138,3 +138,37 @@
         assert pool.size == 0
 
     asyncio.run(scenario())
+
+
+def test_statement_that_would_wait_beyond_its_deadline_is_refused_at_once():
+    """Load pattern: a burst at a primary whose connections are all in use for long.
+
+    Found on trouble-1 of kovacik-zaloha-grown: requests were held until their client gave up.
+    """
+
+    async def scenario():
+        pool = _pool(FakeDriver(), limit=1)
+        for _ in range(60):
+            pooled = await pool.acquire(SessionContext(), 0, _now() + 1)
+            await asyncio.sleep(0.01)
+            pool.release(pooled)
+        held = await pool.acquire(SessionContext(), 0, _now() + 1)
+        waiting = [
+            asyncio.create_task(pool.acquire(SessionContext(), 1, _now() + 1)) for _ in range(10)
+        ]
+        await asyncio.sleep(0)
+        started = _now()
+        with pytest.raises(ConnectError) as error:
+            await pool.acquire(SessionContext(), 1, started + 0.05)
+        assert error.value.failure is ConnectFailure.LIMITED
+        assert _now() - started < 0.02
+        # One that has the time, or goes before the others, waits.
+        patient = asyncio.create_task(pool.acquire(SessionContext(), 1, _now() + 1))
+        urgent = asyncio.create_task(pool.acquire(SessionContext(), 0, _now() + 0.05))
+        await asyncio.sleep(0)
+        pool.release(held)
+        assert await urgent
+        for task in (*waiting, patient):
+            task.cancel()
+
+    asyncio.run(scenario())
