Share the running of effects and the route state between both control leaders

Cause: two effect runners proposed, logged and cancelled alike, and route_state stood in two group controllers. Now LeaderEffects carries out what does not depend on the kind of target, and RouteState.of decides. No change of behaviour.

--- a/hibiscuspoint/components/control.py
+++ b/hibiscuspoint/components/control.py
@@ -5,7 +5,7 @@
 import logging
 from typing import TYPE_CHECKING
 
-from hibiscuspoint.components.control_effects import EffectRunner
+from hibiscuspoint.components.control_effects import ControlEffects
 from hibiscuspoint.components.leading import Leading
 from hibiscuspoint.core.control import ControlLeader
 from hibiscuspoint.document import Document
@@ -40,8 +40,10 @@
         self._logged_holders: dict[GroupId, list[InstanceId]] = {}
         super().__init__(instance, log, machine, clock, metrics)
 
-    def _make_runner(self) -> EffectRunner:
-        return EffectRunner(self._log, self._machine, self._driver, self.take_effects, self._clock)
+    def _make_runner(self) -> ControlEffects:
+        return ControlEffects(
+            self._log, self._machine, self._driver, self.take_effects, self._clock
+        )
 
     def _make_leader(self, term: int, now: float) -> ControlLeader:
         return ControlLeader(self._instance, term, self._machine.state, now)
--- a/hibiscuspoint/components/control_effects.py
+++ b/hibiscuspoint/components/control_effects.py
@@ -2,23 +2,19 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
-from functools import partial
 from typing import TYPE_CHECKING
 
+from hibiscuspoint.components.leader_effects import LeaderEffects
 from hibiscuspoint.core.control import (
     Follow,
     MemberReport,
-    PrimarySuspected,
     Promote,
-    Propose,
     Seal,
     Terminate,
 )
 from hibiscuspoint.core.position import LogPosition
 from hibiscuspoint.drivers import AdminError
-from hibiscuspoint.errors import NotLeaderError
 from hibiscuspoint.ids import Term
 from hibiscuspoint.telemetry import catalogue, log_event
 from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
@@ -29,7 +25,7 @@
 
     from hibiscuspoint.components.consensus import ReplicatedLog
     from hibiscuspoint.components.control_state import ControlStateMachine
-    from hibiscuspoint.core.control import ControlLeader, Effect, GroupRecord, MemberAddress
+    from hibiscuspoint.core.control import ControlLeader, Effect, MemberAddress
     from hibiscuspoint.core.ports import Clock, TargetDriver
     from hibiscuspoint.ids import GroupId
     from hibiscuspoint.wire import record_pb2
@@ -37,7 +33,7 @@
     #: Runs a decision with the leader if this instance still leads.
     Decide = Callable[[Callable[[ControlLeader], list[Effect]]], None]
 
-__all__ = ["EffectRunner"]
+__all__ = ["ControlEffects"]
 
 logger = logging.getLogger(__name__)
 
@@ -45,8 +41,8 @@
 CALL_SECONDS = 0.5
 
 
-class EffectRunner:
-    """Starts one task for each effect and hands the answers back as decisions."""
+class ControlEffects(LeaderEffects["ControlLeader"]):
+    """Carries out the effects of one leadership."""
 
     def __init__(
         self,
@@ -56,48 +52,23 @@
         decide: Decide,
         clock: Clock,
     ) -> None:
-        self._log = log
-        self._machine = machine
+        super().__init__(log, machine, decide, clock)
         self._opened_at: dict[GroupId, float] = {}
         self._driver = driver
-        self._decide = decide
-        self._clock = clock
-        self._tasks: set[asyncio.Task] = set()
 
-    def run(self, effect: Effect) -> None:
-        """Start to carry out an effect."""
+    def _call_target(self, effect: Effect) -> None:
         match effect:
-            case Propose(command):
-                self._start(self._propose(command))
             case Seal(group, member, term):
-                self._start(self._seal(group, member, term))
+                work = self._seal(group, member, term)
             case Promote(group, member, term, members):
-                self._start(self._promote(group, member, term, members))
+                work = self._promote(group, member, term, members)
             case Follow(group, member, term, primary):
-                self._start(self._follow(group, member, term, primary))
+                work = self._follow(group, member, term, primary)
             case Terminate():
-                self._start(self._terminate(effect))
-            case PrimarySuspected(group, primary, suspicion):
-                log_event(
-                    logger,
-                    catalogue.PRIMARY_SUSPECTED,
-                    group=group,
-                    target=primary,
-                    term=self._record(group).term,
-                    reason=suspicion.value,
-                )
-
-    def cancel(self) -> None:
-        """Give up all calls."""
-        for task in self._tasks:
-            task.cancel()
-
-    async def _propose(self, command: record_pb2.Command) -> None:
-        try:
-            await self._log.propose(command)
-        except NotLeaderError:
-            return
-        self._log_command(command)
+                work = self._terminate(effect)
+            case _:
+                return
+        self._start(_without_answer(work), "call to a target")
 
     def _log_command(self, command: record_pb2.Command) -> None:
         match command.WhichOneof("body"):
@@ -108,16 +79,7 @@
             case "open_term":
                 body = command.open_term
                 self._opened_at[body.group] = self._clock.monotonic()
-                log_event(logger, catalogue.TERM_OPENED, group=body.group, term=body.term)
-            case "choose_primary":
-                body = command.choose_primary
-                log_event(
-                    logger,
-                    catalogue.PRIMARY_CHOSEN,
-                    group=body.group,
-                    target=body.primary,
-                    term=body.term,
-                )
+                super()._log_command(command)
             case "start_term":
                 body = command.start_term
                 log_event(
@@ -128,9 +90,8 @@
                     term=body.term,
                     elapsed_ms=self._elapsed_ms(body.group),
                 )
-
-    def _record(self, group: GroupId) -> GroupRecord:
-        return self._machine.state.groups[group]
+            case _:
+                super()._log_command(command)
 
     def _elapsed_ms(self, group: GroupId) -> int:
         """Return the time since the term was opened; 0 when an earlier leader opened it."""
@@ -216,11 +177,6 @@
 
         self._decide(confirm)
 
-    def _start(self, work: Coroutine) -> None:
-        task = asyncio.ensure_future(_without_answer(work))
-        self._tasks.add(task)
-        task.add_done_callback(partial(_forget, self._tasks))
-
 
 async def _without_answer(work: Coroutine) -> None:
     """Run a call whose failure needs no action, because the decision asks again."""
@@ -230,11 +186,5 @@
         logger.debug("call to a target failed: %s", error)
 
 
-def _forget(tasks: set[asyncio.Task], task: asyncio.Task) -> None:
-    tasks.discard(task)
-    if not task.cancelled() and task.exception() is not None:
-        logger.error("an effect failed", exc_info=task.exception())
-
-
 def _position(message: object) -> LogPosition:
     return LogPosition(Term(message.term), message.index)
--- a/hibiscuspoint/components/failover_effects.py
+++ b/hibiscuspoint/components/failover_effects.py
@@ -5,16 +5,13 @@
 import logging
 from typing import TYPE_CHECKING
 
-from hibiscuspoint.core.control import PrimarySuspected, Propose
+from hibiscuspoint.components.leader_effects import LeaderEffects
 from hibiscuspoint.core.failover import PauseReplica, RequestPromotion, ResumeReplica, StepDown
 from hibiscuspoint.core.ports import PromotionOutcome
-from hibiscuspoint.errors import NotLeaderError
 from hibiscuspoint.telemetry import catalogue, log_event
-from hibiscuspoint.util.tasks import spawn
 
 if TYPE_CHECKING:
-    import asyncio
-    from collections.abc import Callable, Coroutine
+    from collections.abc import Callable
 
     from hibiscuspoint.components.consensus import ReplicatedLog
     from hibiscuspoint.components.control_state import ControlStateMachine
@@ -37,8 +34,8 @@
 PROMOTION_SECONDS = 1.0
 
 
-class FailoverEffects:
-    """Starts one task for each effect and hands the answers back as decisions."""
+class FailoverEffects(LeaderEffects["FailoverLeader"]):
+    """Carries out the effects of one leadership."""
 
     def __init__(
         self,
@@ -49,19 +46,12 @@
         decide: Decide,
         clock: Clock,
     ) -> None:
-        self._log = log
-        self._machine = machine
+        super().__init__(log, machine, decide, clock)
         self._poller = poller
         self._authority = authority
-        self._decide = decide
-        self._clock = clock
-        self._tasks: set[asyncio.Task] = set()
 
-    def run(self, effect: Effect) -> None:
-        """Start to carry out an effect."""
+    def _call_target(self, effect: Effect) -> None:
         match effect:
-            case Propose(command):
-                self._start(self._propose(command), "proposal")
             case PauseReplica(group, member, term):
                 self._start(self._pause(group, member.target, term), "pause of a replica")
             case StepDown(group, member, term):
@@ -70,48 +60,20 @@
                 self._start(self._poller.resume(member.target), "resumption of a replica")
             case RequestPromotion(group, target, token):
                 self._start(self._promote(group, target, token), "promotion")
-            case PrimarySuspected(group, primary, suspicion):
-                log_event(
-                    logger,
-                    catalogue.PRIMARY_SUSPECTED,
-                    group=group,
-                    target=primary,
-                    term=self._machine.state.groups[group].term,
-                    reason=suspicion.value,
-                )
-
-    def cancel(self) -> None:
-        """Give up all calls."""
-        for task in self._tasks:
-            task.cancel()
-
-    async def _propose(self, command: record_pb2.Command) -> None:
-        try:
-            await self._log.propose(command)
-        except NotLeaderError:
-            return
-        self._log_command(command)
 
     def _log_command(self, command: record_pb2.Command) -> None:
-        kind = command.WhichOneof("body")
-        body = getattr(command, kind)
-        if kind == "open_term":
-            log_event(logger, catalogue.TERM_OPENED, group=body.group, term=body.term)
-        elif kind == "choose_primary":
-            log_event(
-                logger,
-                catalogue.PRIMARY_CHOSEN,
-                group=body.group,
-                target=body.primary,
-                term=body.term,
-            )
-        elif kind == "start_term":
-            primary = self._machine.state.groups[body.group].primary or ""
-            log_event(
-                logger, catalogue.TERM_STARTED, group=body.group, target=primary, term=body.term
-            )
-        elif kind == "remove_target":
-            log_event(logger, catalogue.TARGET_REMOVED, group=body.group, target=body.target)
+        match command.WhichOneof("body"):
+            case "start_term":
+                body = command.start_term
+                primary = self._record(body.group).primary or ""
+                log_event(
+                    logger, catalogue.TERM_STARTED, group=body.group, target=primary, term=body.term
+                )
+            case "remove_target":
+                body = command.remove_target
+                log_event(logger, catalogue.TARGET_REMOVED, group=body.group, target=body.target)
+            case _:
+                super()._log_command(command)
 
     async def _pause(self, group: GroupId, target: str, term: Term) -> None:
         status = await self._poller.pause(target, term)
@@ -152,8 +114,3 @@
     def _tell(self, group: GroupId, act: Callable[[GroupFailover, float], None]) -> None:
         now = self._clock.monotonic()
         self._decide(lambda leader: leader.decide(group, lambda c: act(c, now), now))
-
-    def _start(self, work: Coroutine, name: str) -> None:
-        task = spawn(work, name)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
--- a/hibiscuspoint/core/control/__init__.py
+++ b/hibiscuspoint/core/control/__init__.py
@@ -19,9 +19,9 @@
     Seal,
     Terminate,
 )
-from hibiscuspoint.core.control.group import RouteState
 from hibiscuspoint.core.control.leader import ControlLeader
 from hibiscuspoint.core.control.promotion import MemberReport
+from hibiscuspoint.core.control.route_state import RouteState
 from hibiscuspoint.core.control.state import ControlState, GroupPhase, GroupRecord
 
 __all__ = [
--- a/hibiscuspoint/core/control/group.py
+++ b/hibiscuspoint/core/control/group.py
@@ -4,7 +4,6 @@
 
 import math
 from dataclasses import dataclass
-from enum import Enum
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.core.control.detector import FailureDetector, Suspicion
@@ -15,6 +14,7 @@
     PublishRoutes,
 )
 from hibiscuspoint.core.control.promotion import PromotionSteps
+from hibiscuspoint.core.control.route_state import RouteState
 from hibiscuspoint.core.control.state import GroupPhase
 from hibiscuspoint.core.control.switchover import Switchover, SwitchoverState
 
@@ -27,7 +27,7 @@
     from hibiscuspoint.core.position import LogPosition
     from hibiscuspoint.ids import InstanceId, TargetId
 
-__all__ = ["GroupController", "RouteState"]
+__all__ = ["GroupController"]
 
 #: Seconds after a promotion in which only a refusing or demoted primary is replaced, so that a
 #: group does not change its primary back and forth.
@@ -46,17 +46,6 @@
 TELL_RETRY_SECONDS = 0.5
 
 
-class RouteState(Enum):
-    """What entries may do with the primary of a group."""
-
-    #: Use it under a lease.
-    GRANTED = "granted"
-    #: Start no new work at it and hand the lease back when the work in progress is done.
-    PAUSED = "paused"
-    #: Do not use it and hand the lease back at once.
-    REVOKED = "revoked"
-
-
 @dataclass(frozen=True)
 class _Surroundings:
     """What a group controller reads but does not own."""
@@ -115,13 +104,7 @@
     @property
     def route_state(self) -> RouteState:
         """Return what entries may do with the primary."""
-        record = self._record
-        if record.phase is not GroupPhase.STARTED or self._suspected_term == record.term:
-            return RouteState.REVOKED
-        switchover = self._switchover
-        if switchover is not None and switchover.state is not SwitchoverState.RESUMED:
-            return RouteState.PAUSED
-        return RouteState.GRANTED
+        return RouteState.of(self._record, self._suspected_term, self._switchover)
 
     def request_switchover(self, wanted: TargetId | None, now: float) -> bool:
         """Start a switchover.
--- a/hibiscuspoint/core/control/leader.py
+++ b/hibiscuspoint/core/control/leader.py
@@ -7,7 +7,8 @@
 from hibiscuspoint.core.control.detector import STALL_SECONDS
 from hibiscuspoint.core.control.effects import Propose, PublishHolders
 from hibiscuspoint.core.control.entries import EntryDirectory, EntryInfo
-from hibiscuspoint.core.control.group import GroupController, RouteState
+from hibiscuspoint.core.control.group import GroupController
+from hibiscuspoint.core.control.route_state import RouteState
 from hibiscuspoint.core.control.holdings import GroupHoldings
 from hibiscuspoint.core.control.leases import LeaseLedger
 from hibiscuspoint.core.control.targets import TargetDirectory, TargetInfo
--- a/hibiscuspoint/core/control/updates.py
+++ b/hibiscuspoint/core/control/updates.py
@@ -6,8 +6,8 @@
 
 import xxhash
 
-from hibiscuspoint.core.control.group import RouteState
 from hibiscuspoint.core.control.leases import LEASE_SECONDS
+from hibiscuspoint.core.control.route_state import RouteState
 from hibiscuspoint.core.control.state import GroupPhase
 from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
 from hibiscuspoint.wire import peer_pb2
--- a/hibiscuspoint/core/failover/group.py
+++ b/hibiscuspoint/core/failover/group.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.core.control.effects import PrimarySuspected, Propose, PublishRoutes
-from hibiscuspoint.core.control.group import RouteState
+from hibiscuspoint.core.control.route_state import RouteState
 from hibiscuspoint.core.control.state import GroupPhase
 from hibiscuspoint.core.control.switchover import Switchover, SwitchoverState
 from hibiscuspoint.core.failover.contacts import STATUS_SECONDS, TargetContacts
@@ -80,13 +80,7 @@
     @property
     def route_state(self) -> RouteState:
         """Return what entries may do with the primary."""
-        record = self._record
-        if record.phase is not GroupPhase.STARTED or self._suspected_term == record.term:
-            return RouteState.REVOKED
-        switchover = self._switchover
-        if switchover is not None and switchover.state is not SwitchoverState.RESUMED:
-            return RouteState.PAUSED
-        return RouteState.GRANTED
+        return RouteState.of(self._record, self._suspected_term, self._switchover)
 
     @property
     def tip(self) -> tuple[LogPosition, float] | None:
--- a/hibiscuspoint/core/failover/leader.py
+++ b/hibiscuspoint/core/failover/leader.py
@@ -7,8 +7,8 @@
 
 from hibiscuspoint.core.control.detector import STALL_SECONDS
 from hibiscuspoint.core.control.entries import EntryDirectory, EntryInfo
-from hibiscuspoint.core.control.group import RouteState
 from hibiscuspoint.core.control.leases import LeaseLedger
+from hibiscuspoint.core.control.route_state import RouteState
 from hibiscuspoint.core.control.state import GroupPhase, TargetRecord
 from hibiscuspoint.core.failover.group import GroupFailover
 from hibiscuspoint.core.position import LogPosition
--- a/tests/core/failover/test_group.py
+++ b/tests/core/failover/test_group.py
@@ -5,7 +5,7 @@
 import pytest
 
 from hibiscuspoint.core.control.effects import PrimarySuspected
-from hibiscuspoint.core.control.group import RouteState
+from hibiscuspoint.core.control.route_state import RouteState
 from hibiscuspoint.core.control.state import GroupPhase
 from hibiscuspoint.core.failover import RequestPromotion, StepDown
 from hibiscuspoint.core.failover.group import COOLDOWN_SECONDS
