--- a/hibiscuspoint/core/control/leader.py
+++ b/hibiscuspoint/core/control/leader.py
@@ -8,9 +8,9 @@
 from hibiscuspoint.core.control.effects import Propose, PublishHolders
 from hibiscuspoint.core.control.entries import EntryDirectory, EntryInfo
 from hibiscuspoint.core.control.group import GroupController
-from hibiscuspoint.core.control.route_state import RouteState
 from hibiscuspoint.core.control.holdings import GroupHoldings
 from hibiscuspoint.core.control.leases import LeaseLedger
+from hibiscuspoint.core.control.route_state import RouteState
 from hibiscuspoint.core.control.targets import TargetDirectory, TargetInfo
 from hibiscuspoint.core.control.updates import UpdateBuilder
 from hibiscuspoint.ids import GroupId, InstanceId, TargetId, Term
