Send a commit again while the target has no room for it

Statements inside a transaction were tried again, commits were not. Ruled out: the connections, 206 a target.

Before: the new test fails. After: it passes.

--- a/hibiscuspoint/components/sessions/transactions.py
+++ b/hibiscuspoint/components/sessions/transactions.py
@@ -87,7 +87,8 @@
         self._describe(transaction)
         transaction.wrote = transaction.wrote or writes
         try:
-            return await self._run_bound(transaction, statement, shape)
+            deadline = self._clock.monotonic() + transaction.route.timeout
+            return await self._send(transaction, statement, shape, deadline)
         except ConnectionLost as error:
             self._attempts.lost(transaction.member.target, error)
             transaction.is_lost = True
@@ -114,10 +115,9 @@
         deadline = self._clock.monotonic() + transaction.route.timeout
         try:
             with self._attempts.watch_commit(target, is_write):
-                reply = await self._attempts.send(transaction.connection, statement, deadline)
+                reply = await self._send(transaction, statement, None, deadline)
         except ConnectionLost as error:
             return self._end_lost(transaction, error, is_commit=is_commit)
-        self._attempts.answered(target, reply)
         if not is_write or reply.error is not None:
             return reply
         self._access.counts(target).commits += 1
@@ -152,11 +152,17 @@
             transaction.is_at_primary = False
             self._access.end_use(transaction.route.group)
 
-    async def _run_bound(
-        self, transaction: Transaction, statement: Statement, shape: Shape | None
+    async def _send(
+        self,
+        transaction: Transaction,
+        statement: Statement,
+        shape: Shape | None,
+        deadline: float,
     ) -> Reply:
-        """Run a statement at the connection, again while the target has no room for it."""
-        deadline = self._clock.monotonic() + transaction.route.timeout
+        """Run a statement at the connection, again while the target has no room for it.
+
+        What the transaction did so far would be lost with a refusal.
+        """
         while True:
             reply = await self._attempts.send(
                 transaction.connection, statement, deadline, shape=shape
--- a/tests/components/sessions/test_session.py
+++ b/tests/components/sessions/test_session.py
@@ -92,6 +92,25 @@
     _run(scenario)
 
 
+def test_commit_without_room_is_tried_again():
+    """Load pattern: one target serves a whole group; a refused commit wastes the transaction.
+
+    Found on trouble-1 of pluma-viva-grown: 193 commits in 12 s were refused by a full primary.
+    """
+
+    async def scenario():
+        harness = SessionHarness()
+        session = harness.session()
+        await harness.run(session, "BEGIN", "WRITE a x")
+        busy = refusal(Failure.OVERLOADED, SessionState.IN_TRANSACTION)
+        harness.targets[PRIMARY].script.extend([busy, busy])
+        (reply,) = await harness.run(session, "COMMIT")
+        assert reply.error is None
+        assert _texts(harness, PRIMARY) == ["BEGIN", "WRITE a x", "COMMIT"]
+
+    _run(scenario)
+
+
 def test_lost_transaction_before_its_commit_is_aborted():
     """Guards against an untrue promise, and against a success without the target."""
 
