Bound queues for connections by the objective of the route, log lost targets once

The expected wait was compared with the deadline only. A queue longer than the objective makes every answer late and serves nobody more, so a statement now joins it only if it will be served within its objective. Ruled out: too few connections; they are all in use.

Statements inside a transaction name the holder, which only the first one did.

--- a/hibiscuspoint/components/sessions/attempts.py
+++ b/hibiscuspoint/components/sessions/attempts.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from hibiscuspoint.core.sessions import Failure, SessionState
+from hibiscuspoint.core.sessions import ConnectionDemand, Failure, SessionState
 from hibiscuspoint.drivers.errors import AnswerTimeoutError, ConnectionLost
 
 if TYPE_CHECKING:
@@ -122,9 +122,10 @@
 
         :raises ConnectError: there is none in time.
         """
-        connection = await self._access.borrow(
-            route.group, candidate.member, self._context, route.priority, candidate.connect_until
+        demand = ConnectionDemand(
+            candidate.connect_until, route.priority, route.objective, self._context
         )
+        connection = await self._access.borrow(route.group, candidate.member, demand)
         self.trace.holder = connection.holder
         return connection
 
--- a/hibiscuspoint/components/sessions/borrowing.py
+++ b/hibiscuspoint/components/sessions/borrowing.py
@@ -26,7 +26,14 @@
     from hibiscuspoint.components.peers import PeerChannels
     from hibiscuspoint.core.ports import Clock
     from hibiscuspoint.core.position import LogPosition
-    from hibiscuspoint.core.sessions import EntryPlace, Reply, SessionContext, Shape, Statement
+    from hibiscuspoint.core.sessions import (
+        ConnectionDemand,
+        EntryPlace,
+        Reply,
+        SessionContext,
+        Shape,
+        Statement,
+    )
     from hibiscuspoint.ids import AvailabilityZone, GroupId, InstanceId, TargetId
 
 __all__ = ["ConnectionBorrowing"]
@@ -40,6 +47,9 @@
 #: Holders that are asked for one connection before this instance opens one itself.
 HOLDER_ATTEMPTS = 2
 
+#: Longest expected wait in seconds that is passed on; no statement has so much time.
+MAX_PATIENCE_SECONDS = 60.0
+
 #: Seconds beyond the timeout of a statement after which its holder is taken for lost; the holder
 #: reports the timeout itself.
 ANSWER_MARGIN_SECONDS = 0.1
@@ -61,29 +71,30 @@
         holders: Iterable[EntryPlace],
         group: GroupId,
         target: TargetId,
-        session: SessionContext,
-        priority: int,
-        deadline: float,
+        demand: ConnectionDemand,
     ) -> HeldConnection | None:
         """Return a connection; ``None`` when no holder answers.
 
-        :param priority: 0 is the highest.
-        :param deadline: monotonic time in seconds.
-        :raises ConnectError: a holder answers and has no connection until then.
+        :raises ConnectError: a holder answers and has no connection in time.
         """
         wanted = peer_pb2.ConnectionRequest(
-            group=group, target=target, priority=priority, values=session.values
+            group=group,
+            target=target,
+            priority=demand.priority,
+            values=demand.session.values,
+            patience_ms=int(min(demand.patience, MAX_PATIENCE_SECONDS) * MILLISECONDS_PER_SECOND),
         )
         for holder in self._contacts.ranked(holders, self._clock.monotonic())[:HOLDER_ATTEMPTS]:
             try:
-                return await self._ask(holder, wanted, deadline)
+                return await self._ask(holder, wanted, demand.deadline)
             except (TimeoutError, grpc.aio.AioRpcError) as error:
                 now = self._clock.monotonic()
-                if isinstance(error, TimeoutError) and now >= deadline:
+                if isinstance(error, TimeoutError) and now >= demand.deadline:
                     # This says nothing about the holder, which may have had no time to answer.
                     message = f"no connection to {target} in time"
                     raise ConnectError(ConnectFailure.LIMITED, message) from None
-                self._contacts.failed(holder, now)
+                if not self._contacts.failed(holder, now):
+                    continue
                 reason = error.details() if isinstance(error, grpc.aio.AioRpcError) else "silent"
                 log_event(
                     logger, catalogue.HOLDER_UNREACHABLE, subject=holder, group=group, reason=reason
--- a/hibiscuspoint/components/sessions/groups.py
+++ b/hibiscuspoint/components/sessions/groups.py
@@ -23,7 +23,7 @@
     from hibiscuspoint.components.sessions.connection import BorrowedConnection, PooledConnection
     from hibiscuspoint.core.entry.routes import Route, RouteMember
     from hibiscuspoint.core.ports import Clock, SessionDriver
-    from hibiscuspoint.core.sessions import SessionContext
+    from hibiscuspoint.core.sessions import ConnectionDemand
 
 __all__ = ["GroupAccess", "TargetCounts"]
 
@@ -146,35 +146,21 @@
         self._release_paused(group)
 
     async def borrow(
-        self,
-        group: GroupId,
-        member: RouteMember,
-        session: SessionContext,
-        priority: int,
-        deadline: float,
+        self, group: GroupId, member: RouteMember, demand: ConnectionDemand
     ) -> BorrowedConnection:
         """Return a connection to a target, of this instance or of a holder.
 
-        :param priority: 0 is the highest.
-        :param deadline: monotonic time in seconds.
         :raises ConnectError: there is none in time.
         """
         holders = self.holders(group)
         if holders and self._borrowing is not None:
-            connection = await self._borrowing.acquire(
-                holders, group, member.target, session, priority, deadline
-            )
+            connection = await self._borrowing.acquire(holders, group, member.target, demand)
             if connection is not None:
                 return connection
-        return await self._pool(group, member).acquire(session, priority, deadline)
+        return await self._pool(group, member).acquire(demand)
 
     async def acquire(
-        self,
-        group: GroupId,
-        target: TargetId,
-        session: SessionContext,
-        priority: int,
-        deadline: float,
+        self, group: GroupId, target: TargetId, demand: ConnectionDemand
     ) -> PooledConnection:
         """Return a connection of this instance, to lend it to another one.
 
@@ -183,7 +169,7 @@
         route = self._state.routes.route(group)
         for member in route.members if route is not None else ():
             if member.target == target:
-                return await self._pool(group, member).acquire(session, priority, deadline)
+                return await self._pool(group, member).acquire(demand)
         raise ConnectError(ConnectFailure.LIMITED, f"{target} is not listed at {self._instance}")
 
     def holders(self, group: GroupId) -> list[EntryPlace]:
--- a/hibiscuspoint/components/sessions/lending.py
+++ b/hibiscuspoint/components/sessions/lending.py
@@ -13,7 +13,7 @@
     reply_message,
     statement_from,
 )
-from hibiscuspoint.core.sessions import SessionContext, SessionState, Shape
+from hibiscuspoint.core.sessions import ConnectionDemand, SessionContext, SessionState, Shape
 from hibiscuspoint.drivers.errors import ConnectError, ConnectionLost
 from hibiscuspoint.ids import GroupId, TargetId
 from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
@@ -71,13 +71,13 @@
 
     async def _acquire(self, request: peer_pb2.BorrowRequest) -> PooledConnection:
         wanted = request.connection
-        return await self._access.acquire(
-            GroupId(wanted.group),
-            TargetId(wanted.target),
-            SessionContext(values=dict(wanted.values)),
-            wanted.priority,
+        demand = ConnectionDemand(
             self._deadline(request),
+            wanted.priority,
+            wanted.patience_ms / MILLISECONDS_PER_SECOND,
+            SessionContext(values=dict(wanted.values)),
         )
+        return await self._access.acquire(GroupId(wanted.group), TargetId(wanted.target), demand)
 
     async def _answer(
         self, pooled: PooledConnection, request: peer_pb2.BorrowRequest
--- a/hibiscuspoint/components/sessions/pool.py
+++ b/hibiscuspoint/components/sessions/pool.py
@@ -17,7 +17,7 @@
 
 if TYPE_CHECKING:
     from hibiscuspoint.core.ports import Clock, SessionDriver
-    from hibiscuspoint.core.sessions import SessionContext
+    from hibiscuspoint.core.sessions import ConnectionDemand, SessionContext
     from hibiscuspoint.ids import GroupId, TargetId
 
 __all__ = ["TargetPool"]
@@ -78,6 +78,7 @@
         self._full_until = 0.0
         self._full_wait = FULL_RETRY_MIN_SECONDS
         self._is_closed = False
+        self._is_failing = False
         self._timer: asyncio.TimerHandle | None = None
         self.share = 1
         self.limit = 1
@@ -99,27 +100,25 @@
         """Return the number of open connections."""
         return len(self._idle) + len(self._in_use)
 
-    async def acquire(
-        self, context: SessionContext, priority: int, deadline: float
-    ) -> PooledConnection:
+    async def acquire(self, demand: ConnectionDemand) -> PooledConnection:
         """Return a connection, preferably one whose values are those of the session.
 
-        :param priority: 0 is the highest.
-        :param deadline: monotonic time in seconds.
-        :raises ConnectError: the target cannot be reached, or has no connection until then; at once
-            if so many statements wait that this one would wait beyond the deadline.
+        :raises ConnectError: the target cannot be reached, or has no connection in time; at once if
+            so many statements wait that this one would wait too long.
         """
         if not self._waiters:
-            pooled = self._take_idle(context)
+            pooled = self._take_idle(demand.session)
             if pooled is not None:
                 return pooled
-        self._refuse_in_vain(priority, deadline)
+        self._refuse_in_vain(demand)
         future: asyncio.Future[PooledConnection] = asyncio.get_running_loop().create_future()
-        waiter = _Waiter(priority, next(self._numbers), future, context)
+        waiter = _Waiter(demand.priority, next(self._numbers), future, demand.session)
         heapq.heappush(self._waiters, waiter)
         self._serve_waiters()
         try:
-            await asyncio.wait({future}, timeout=max(0.0, deadline - self._clock.monotonic()))
+            await asyncio.wait(
+                {future}, timeout=max(0.0, demand.deadline - self._clock.monotonic())
+            )
         except asyncio.CancelledError:
             self._withdraw(waiter)
             raise
@@ -161,15 +160,15 @@
         self._idle.clear()
         self._fail_waiters(ConnectError(ConnectFailure.LEAVING, f"{self._target} is gone"))
 
-    def _refuse_in_vain(self, priority: int, deadline: float) -> None:
-        """Refuse a statement that cannot get one of the connections in use before its deadline."""
+    def _refuse_in_vain(self, demand: ConnectionDemand) -> None:
+        """Refuse a statement that would wait too long for one of the connections in use."""
         now = self._clock.monotonic()
         may_open = self.size + self._opening < self.limit and now >= self._full_until
         if may_open or not self._in_use:
             return
-        ahead = sum(waiter.priority <= priority for waiter in self._waiters)
+        ahead = sum(waiter.priority <= demand.priority for waiter in self._waiters)
         wait = self._use_times.expected_wait(ahead, len(self._in_use))
-        if wait > deadline - now:
+        if wait > min(demand.deadline - now, demand.patience):
             message = (
                 f"{ahead} statements wait for {len(self._in_use)} connections to {self._target}"
             )
@@ -222,6 +221,9 @@
             connection.close()
             return
         self._full_wait = FULL_RETRY_MIN_SECONDS
+        if self._is_failing:
+            self._is_failing = False
+            log_event(logger, catalogue.CONNECTION_RESTORED, target=self._target)
         pooled = PooledConnection(connection, self._clock, self.release)
         pooled.idle_since = self._clock.monotonic()
         self._idle.append(pooled)
@@ -235,7 +237,10 @@
             return
         if error.failure is ConnectFailure.REFUSED:
             self.refusals += 1
-        log_event(logger, catalogue.CONNECTION_FAILED, target=self._target, reason=str(error))
+        if not self._is_failing:
+            # Each failed statement has the reason in its own line.
+            self._is_failing = True
+            log_event(logger, catalogue.CONNECTION_FAILED, target=self._target, reason=str(error))
         self._fail_waiters(error)
 
     def _retry_later(self, seconds: float) -> None:
--- a/hibiscuspoint/components/sessions/transactions.py
+++ b/hibiscuspoint/components/sessions/transactions.py
@@ -255,3 +255,5 @@
         if transaction.member is not None:
             trace.target = transaction.member.target
             trace.term = transaction.term or 0
+        if transaction.connection is not None:
+            trace.holder = transaction.connection.holder
--- a/hibiscuspoint/core/sessions/__init__.py
+++ b/hibiscuspoint/core/sessions/__init__.py
@@ -30,10 +30,11 @@
     StatementError,
     StatementKind,
 )
-from hibiscuspoint.core.sessions.waiting import UseTimes
+from hibiscuspoint.core.sessions.waiting import ConnectionDemand, UseTimes
 
 __all__ = [
     "ConnectionContext",
+    "ConnectionDemand",
     "DatabaseRoute",
     "EntryPlace",
     "Failure",
--- a/hibiscuspoint/core/sessions/holders.py
+++ b/hibiscuspoint/core/sessions/holders.py
@@ -102,6 +102,8 @@
         """Record that a holder answers."""
         self._failed_at.pop(holder, None)
 
-    def failed(self, holder: InstanceId, now: float) -> None:
-        """Record that a holder did not answer."""
+    def failed(self, holder: InstanceId, now: float) -> bool:
+        """Record that a holder did not answer; returns whether it was not avoided before."""
+        is_new = now - self._failed_at.get(holder, float("-inf")) >= AVOID_SECONDS
         self._failed_at[holder] = now
+        return is_new
--- a/hibiscuspoint/core/sessions/waiting.py
+++ b/hibiscuspoint/core/sessions/waiting.py
@@ -2,12 +2,34 @@
 
 from __future__ import annotations
 
-__all__ = ["UseTimes"]
+import math
+from dataclasses import dataclass, field
+
+from hibiscuspoint.core.sessions.context import SessionContext
+
+__all__ = ["ConnectionDemand", "UseTimes"]
 
 #: Weight of the latest use in the moving average.
 LATEST_WEIGHT = 0.05
 
 
+@dataclass(frozen=True)
+class ConnectionDemand:
+    """What a statement needs of a pool of connections.
+
+    :param session: a connection with its values is preferred.
+    :param priority: 0 is the highest.
+    :param deadline: monotonic time in seconds until which a connection is waited for.
+    :param patience: longest expected wait in seconds with which a statement joins the queue. Beyond
+        its objective an answer is worth little, and a longer queue only makes all answers late.
+    """
+
+    deadline: float
+    priority: int = 0
+    patience: float = math.inf
+    session: SessionContext = field(default_factory=SessionContext)
+
+
 class UseTimes:
     """Moving average of the time for which a session uses a connection to one target."""
 
--- a/hibiscuspoint/telemetry/catalogue.py
+++ b/hibiscuspoint/telemetry/catalogue.py
@@ -352,6 +352,13 @@
     "group",
     "subject",
 )
+CONNECTION_RESTORED = define_event(
+    416,
+    "connection-restored",
+    INFO,
+    "Connections to {target} can be opened again.",
+    "target",
+)
 
 # 500: requests
 REQUEST_REFUSED = define_event(
--- a/tests/components/sessions/test_borrowing.py
+++ b/tests/components/sessions/test_borrowing.py
@@ -14,7 +14,7 @@
 from hibiscuspoint.components.peers import PeerChannels
 from hibiscuspoint.components.sessions import ConnectionBorrowing, ConnectionLending, GroupAccess
 from hibiscuspoint.components.sessions.borrow_messages import reply_from, reply_message
-from hibiscuspoint.core.sessions import EntryPlace, Failure, Reply, SessionContext, SessionState
+from hibiscuspoint.core.sessions import ConnectionDemand, EntryPlace, Failure, Reply, SessionState
 from hibiscuspoint.drivers.errors import AnswerTimeoutError, ConnectError, ConnectionLost
 from hibiscuspoint.ids import AvailabilityZone, InstanceId
 from hibiscuspoint.security import TlsMode, Transport
@@ -308,9 +308,8 @@
         async with _borrowers() as (entry, holder, _):
             place = entry.access.holders(GROUP)
             with pytest.raises(ConnectError):
-                await entry.access._borrowing.acquire(
-                    place, GROUP, PRIMARY, SessionContext(), 0, entry.clock.monotonic()
-                )
+                demand = ConnectionDemand(entry.clock.monotonic())
+                await entry.access._borrowing.acquire(place, GROUP, PRIMARY, demand)
             assert not entry.access._borrowing._contacts._failed_at
 
     asyncio.run(scenario())
--- a/tests/components/sessions/test_pool.py
+++ b/tests/components/sessions/test_pool.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 
 import pytest
 
 from hibiscuspoint.components.sessions.pool import TargetPool
-from hibiscuspoint.core.sessions import SessionContext
+from hibiscuspoint.core.sessions import ConnectionDemand
 from hibiscuspoint.drivers.errors import ConnectError, ConnectFailure
 from tests.builders_failover import GROUP, PRIMARY
 from tests.components.sessions.fakes import FakeDriver, LoopClock, ScriptedTarget
@@ -28,11 +29,11 @@
 
     async def scenario():
         pool = _pool(FakeDriver(), limit=1)
-        context, order = SessionContext(), []
-        held = await pool.acquire(context, 0, _now() + 1)
+        order = []
+        held = await pool.acquire(ConnectionDemand(_now() + 1))
 
         async def use(priority: int) -> None:
-            pooled = await pool.acquire(context, priority, _now() + 1)
+            pooled = await pool.acquire(ConnectionDemand(_now() + 1, priority))
             order.append(priority)
             pool.release(pooled)
 
@@ -65,11 +66,11 @@
         driver.connect = count
         pool = _pool(driver)
         with pytest.raises(ConnectError) as error:
-            await pool.acquire(SessionContext(), 0, _now() + 1.0)
+            await pool.acquire(ConnectionDemand(_now() + 1.0))
         assert error.value.failure is ConnectFailure.LIMITED
         assert attempts <= 8
         target.limit = 1
-        assert await pool.acquire(SessionContext(), 0, _now() + 1.0)
+        assert await pool.acquire(ConnectionDemand(_now() + 1.0))
 
     asyncio.run(scenario())
 
@@ -81,7 +82,7 @@
         driver = FakeDriver()
         driver.targets[PRIMARY] = ScriptedTarget(is_refusing=True)
         pool = _pool(driver)
-        waits = [pool.acquire(SessionContext(), 0, _now() + 5) for _ in range(5)]
+        waits = [pool.acquire(ConnectionDemand(_now() + 5)) for _ in range(5)]
         results = await asyncio.gather(*waits, return_exceptions=True)
         assert all(error.failure is ConnectFailure.REFUSED for error in results)
         assert pool.refusals
@@ -94,15 +95,15 @@
 
     async def scenario():
         pool = _pool(FakeDriver(), limit=1)
-        held = await pool.acquire(SessionContext(), 0, _now() + 1)
+        held = await pool.acquire(ConnectionDemand(_now() + 1))
         with pytest.raises(ConnectError):
-            await pool.acquire(SessionContext(), 0, _now() + 0.02)
-        task = asyncio.create_task(pool.acquire(SessionContext(), 0, _now() + 5))
+            await pool.acquire(ConnectionDemand(_now() + 0.02))
+        task = asyncio.create_task(pool.acquire(ConnectionDemand(_now() + 5)))
         await asyncio.sleep(0)
         pool.release(held)
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
-        assert await pool.acquire(SessionContext(), 0, _now() + 1)
+        assert await pool.acquire(ConnectionDemand(_now() + 1))
 
     asyncio.run(scenario())
 
@@ -113,7 +114,7 @@
     async def scenario():
         pool = _pool(FakeDriver())
         pool.share = 1
-        used = [await pool.acquire(SessionContext(), 0, _now() + 1) for _ in range(3)]
+        used = [await pool.acquire(ConnectionDemand(_now() + 1)) for _ in range(3)]
         for pooled in used:
             pool.release(pooled)
         pool.tick(_now() + 2.0)
@@ -131,7 +132,7 @@
     async def scenario():
         pool = _pool(FakeDriver())
         pool.share = 0
-        pool.release(await pool.acquire(SessionContext(), 0, _now() + 1))
+        pool.release(await pool.acquire(ConnectionDemand(_now() + 1)))
         pool.tick(_now() + 0.1)
         assert pool.size == 1
         pool.tick(_now() + 0.3)
@@ -149,22 +150,24 @@
     async def scenario():
         pool = _pool(FakeDriver(), limit=1)
         for _ in range(60):
-            pooled = await pool.acquire(SessionContext(), 0, _now() + 1)
+            pooled = await pool.acquire(ConnectionDemand(_now() + 1))
             await asyncio.sleep(0.01)
             pool.release(pooled)
-        held = await pool.acquire(SessionContext(), 0, _now() + 1)
+        held = await pool.acquire(ConnectionDemand(_now() + 1))
         waiting = [
-            asyncio.create_task(pool.acquire(SessionContext(), 1, _now() + 1)) for _ in range(10)
+            asyncio.create_task(pool.acquire(ConnectionDemand(_now() + 1, 1))) for _ in range(10)
         ]
         await asyncio.sleep(0)
         started = _now()
         with pytest.raises(ConnectError) as error:
-            await pool.acquire(SessionContext(), 1, started + 0.05)
+            await pool.acquire(ConnectionDemand(started + 0.05, 1))
         assert error.value.failure is ConnectFailure.LIMITED
         assert _now() - started < 0.02
+        with pytest.raises(ConnectError):
+            await pool.acquire(ConnectionDemand(started + 1, 1, patience=0.05))
         # One that has the time, or goes before the others, waits.
-        patient = asyncio.create_task(pool.acquire(SessionContext(), 1, _now() + 1))
-        urgent = asyncio.create_task(pool.acquire(SessionContext(), 0, _now() + 0.05))
+        patient = asyncio.create_task(pool.acquire(ConnectionDemand(_now() + 1, 1)))
+        urgent = asyncio.create_task(pool.acquire(ConnectionDemand(_now() + 0.05)))
         await asyncio.sleep(0)
         pool.release(held)
         assert await urgent
@@ -172,3 +175,25 @@
             task.cancel()
 
     asyncio.run(scenario())
+
+
+def test_target_that_is_lost_and_regained_is_logged_once_each(caplog):
+    """Load pattern: a target stops; each statement that cannot be sent must not add a line.
+
+    Found on trouble-1 of pluma-viva-grown: 3,328 lines in a second told of one target.
+    """
+    caplog.set_level(logging.INFO, logger="hibiscuspoint.components.sessions.pool")
+
+    async def scenario():
+        driver = FakeDriver()
+        target = driver.targets[PRIMARY] = ScriptedTarget(is_refusing=True)
+        pool = _pool(driver)
+        for _ in range(5):
+            with pytest.raises(ConnectError):
+                await pool.acquire(ConnectionDemand(_now() + 1))
+        target.is_refusing = False
+        assert await pool.acquire(ConnectionDemand(_now() + 1))
+
+    asyncio.run(scenario())
+    events = [r.event for r in caplog.records if r.name.startswith("hibiscuspoint.")]
+    assert events == ["connection-failed", "connection-restored"]
--- a/tests/components/sessions/test_session.py
+++ b/tests/components/sessions/test_session.py
@@ -7,7 +7,7 @@
 import pytest
 
 from hibiscuspoint.components.sessions.attempts import STALL_SECONDS
-from hibiscuspoint.core.sessions import Failure, ReadMode, SessionState
+from hibiscuspoint.core.sessions import ConnectionDemand, Failure, ReadMode, SessionState
 from hibiscuspoint.drivers.errors import AnswerTimeoutError, ConnectionLost
 from tests.builders_failover import GROUP, PRIMARY, REPLICA_A, REPLICA_B, position
 from tests.components.sessions.fakes import refusal
@@ -306,7 +306,7 @@
         assert _texts(harness, PRIMARY)[-1] == "ROLLBACK"
         pool = harness.access.pools[PRIMARY]
         assert pool.size == 1
-        assert await pool.acquire(session._context, 1, harness.clock.monotonic() + 0.1)
+        assert await pool.acquire(ConnectionDemand(harness.clock.monotonic() + 0.1))
 
     _run(scenario)
 
--- a/tests/core/sessions/test_holders.py
+++ b/tests/core/sessions/test_holders.py
@@ -59,9 +59,10 @@
     contacts = HolderContacts(AvailabilityZone("a"))
     near, other, far = _places(7)[0], _places(7)[3], _places(7)[1]
     assert contacts.ranked([far, other, near], 0.0)[-1] == far.instance
-    contacts.failed(near.instance, 0.0)
+    assert contacts.failed(near.instance, 0.0)
+    assert not contacts.failed(near.instance, 0.05)
     assert contacts.ranked([near, other, far], 0.1) == [o.instance for o in (other, far, near)]
-    assert contacts.ranked([near, other], AVOID_SECONDS)[0] == near.instance
+    assert contacts.ranked([near, other], 0.05 + AVOID_SECONDS)[0] == near.instance
     contacts.failed(near.instance, 5.0)
     contacts.answered(near.instance)
     assert contacts.ranked([near, other], 5.0)[0] == near.instance
