Keep an error that a caller reads in one line

Ruled out: rows of the target, the run at the target had ended before and its answer was lost with the holder.

The line protocol turns line ends in the text of an error into blanks, whatever the source; reasons of lost holders are one line.

--- a/hibiscuspoint/components/sessions/borrowing.py
+++ b/hibiscuspoint/components/sessions/borrowing.py
@@ -95,9 +95,12 @@
                     raise ConnectError(ConnectFailure.LIMITED, message) from None
                 if not self._contacts.failed(holder, now):
                     continue
-                reason = error.details() if isinstance(error, grpc.aio.AioRpcError) else "silent"
                 log_event(
-                    logger, catalogue.HOLDER_UNREACHABLE, subject=holder, group=group, reason=reason
+                    logger,
+                    catalogue.HOLDER_UNREACHABLE,
+                    subject=holder,
+                    group=group,
+                    reason=_describe(error),
                 )
         return None
 
@@ -199,7 +202,7 @@
         except (TimeoutError, grpc.aio.AioRpcError, asyncio.InvalidStateError) as error:
             self.close()
             self._contacts.failed(self.holder, self._clock.monotonic())
-            message = f"holder {self.holder} did not answer: {error!r}"
+            message = f"holder {self.holder} did not answer: {_describe(error)}"
             raise ConnectionLost(message, sent=True) from error
         except ValueError as error:
             self.close()
@@ -218,6 +221,13 @@
     )
 
 
+def _describe(error: Exception) -> str:
+    """Return the reason of a failed call in one line."""
+    if isinstance(error, grpc.aio.AioRpcError):
+        return " ".join(f"{error.code().name} {error.details()}".split())
+    return "no answer in time" if isinstance(error, TimeoutError) else "the call has ended"
+
+
 async def _finish(call: grpc.aio.StreamStreamCall) -> None:
     """Tell the holder that the use ends, and wait until it has ended its side."""
     try:
--- a/hibiscuspoint/platform/wire.py
+++ b/hibiscuspoint/platform/wire.py
@@ -180,8 +180,9 @@
 
 
 def format_error(failure: Failure, text: str) -> bytes:
-    """Return the message of an error."""
-    return f"ERROR {_CODES[failure]} {text or '-'}\r\n".encode()
+    """Return the message of an error; line ends in the text become blanks."""
+    words = " ".join(text.split())
+    return f"ERROR {_CODES[failure]} {words or '-'}\r\n".encode()
 
 
 def format_reply(reply: Reply) -> bytes:
--- a/tests/components/sessions/test_borrowing.py
+++ b/tests/components/sessions/test_borrowing.py
@@ -193,6 +193,8 @@
             assert reply.error.failure is Failure.IN_DOUBT
             (reply,) = await entry.run(transaction, "WRITE z 1")
             assert reply.error.failure is Failure.ABORTED
+            # The reason is part of a log line and of the error that a caller reads.
+            assert transaction.trace.reason.splitlines() == [transaction.trace.reason]
 
     asyncio.run(scenario())
 
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -89,3 +89,14 @@
     """Guards against a statement that no caller sent."""
     assert wire.format_set("a", "1") == b"QUERY - SET a 1\r\n"
     assert wire.format_prepare("s1", Shape(True, "q")) == b"QUERY - PREPARE s1 WRITE q\r\n"
+
+
+@pytest.mark.parametrize("text", ["lost:\n\tstatus = UNAVAILABLE", "a\rb", "a\r\nb", "\n"])
+def test_error_stays_one_line(text):
+    """Guards against an answer that the caller cannot read, as its text has several lines.
+
+    Found on scale-1 of kovacik-zaloha-grown: the text of a gRPC error was passed on.
+    """
+    message = wire.format_error(Failure.OVERLOADED, text)
+    assert message.endswith(b"\r\n")
+    assert len(message.splitlines()) == 1
