Break circles between modules, measure the log

The queues, connections and positions that the runners of a holder share are in holder/resources.py now, the parser of the command line in cli/parser.py, and the engine of the stand-in and the transactions of the load tool state what they need as protocols. No change of behaviour; the instances of the platform import none of these modules.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -18,6 +18,7 @@
     holders,
     leader,
     lease,
+    logs,
     overhead,
     overload,
     reads,
@@ -41,13 +42,14 @@
     holders,
     leader,
     lease,
+    logs,
     overhead,
     overload,
     reads,
 )
 ALL = "all"
 #: Benchmarks of decisions that do not depend on the deployment; one of them is enough.
-ONCE = ("acknowledgement", "control", "control_core", "holders", "leader", "lease")
+ONCE = ("acknowledgement", "control", "control_core", "holders", "leader", "lease", "logs")
 #: Time for one benchmark in seconds, far more than any needs; one that hangs counts as missed.
 TIMEOUT_S = 300.0
 
--- a/hibiscuspoint/cli/commands/completion.py
+++ b/hibiscuspoint/cli/commands/completion.py
@@ -7,6 +7,7 @@
 import shtab
 
 from hibiscuspoint.cli.command import Command, commands
+from hibiscuspoint.cli.parser import build_parser
 
 if TYPE_CHECKING:
     import argparse
@@ -30,8 +31,5 @@
 
     def run(self) -> int:
         """Print the script."""
-        # The parser is built from the registry, which imports this module.
-        from hibiscuspoint.cli.main import build_parser
-
         print(shtab.complete(build_parser(), self.args.shell))
         return 0
--- a/hibiscuspoint/components/holder/reads.py
+++ b/hibiscuspoint/components/holder/reads.py
@@ -30,8 +30,8 @@
 
 if TYPE_CHECKING:
     from hibiscuspoint.components.holder.context import GroupRequest
-    from hibiscuspoint.components.holder.group import GroupHolder
     from hibiscuspoint.components.holder.lane import TargetLane
+    from hibiscuspoint.components.holder.resources import GroupResources
     from hibiscuspoint.components.holder.turns import Turn
     from hibiscuspoint.core.entry.routes import Route
     from hibiscuspoint.drivers.answer import RunResult
@@ -46,7 +46,7 @@
 class ReadRunner:
     """Runs reads of one group where the planner decides."""
 
-    def __init__(self, holder: GroupHolder) -> None:
+    def __init__(self, holder: GroupResources) -> None:
         self._holder = holder
         self._planner = ReadPlanner()
 
--- a/hibiscuspoint/components/holder/transactions.py
+++ b/hibiscuspoint/components/holder/transactions.py
@@ -20,8 +20,8 @@
 
 if TYPE_CHECKING:
     from hibiscuspoint.components.holder.context import GroupRequest
-    from hibiscuspoint.components.holder.group import GroupHolder
     from hibiscuspoint.components.holder.lane import LentConnection, TargetLane
+    from hibiscuspoint.components.holder.resources import GroupResources
     from hibiscuspoint.core.entry.routes import Route
     from hibiscuspoint.drivers.answer import RunResult
     from hibiscuspoint.wire import common_pb2
@@ -35,7 +35,7 @@
 class TransactionRunner:
     """Opens interactive transactions of one group."""
 
-    def __init__(self, holder: GroupHolder) -> None:
+    def __init__(self, holder: GroupResources) -> None:
         self._holder = holder
 
     async def begin(self, request: GroupRequest) -> OpenTransaction:
@@ -63,7 +63,7 @@
 
     def __init__(
         self,
-        holder: GroupHolder,
+        holder: GroupResources,
         route: Route,
         lane: TargetLane,
         lent: LentConnection,
--- a/hibiscuspoint/components/holder/writes.py
+++ b/hibiscuspoint/components/holder/writes.py
@@ -24,8 +24,8 @@
 
 if TYPE_CHECKING:
     from hibiscuspoint.components.holder.context import GroupRequest
-    from hibiscuspoint.components.holder.group import GroupHolder
     from hibiscuspoint.components.holder.lane import LentConnection, TargetLane
+    from hibiscuspoint.components.holder.resources import GroupResources
     from hibiscuspoint.components.holder.turns import Turn
     from hibiscuspoint.core.entry.routes import Route
     from hibiscuspoint.drivers.answer import RunResult
@@ -47,7 +47,7 @@
 class WriteRunner:
     """Runs writes of one group."""
 
-    def __init__(self, holder: GroupHolder, retention_hours: int) -> None:
+    def __init__(self, holder: GroupResources, retention_hours: int) -> None:
         self._holder = holder
         self._table_known = False
         self.set_retention(retention_hours)
--- a/hibiscuspoint/load/transaction.py
+++ b/hibiscuspoint/load/transaction.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Self
+from typing import TYPE_CHECKING, Protocol, Self
 
 import grpc
 import grpc.aio
@@ -17,13 +17,30 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from hibiscuspoint.load.caller import Session
     from hibiscuspoint.load.entries import EntryConnection
     from hibiscuspoint.wire import common_pb2
 
 __all__ = ["Transaction"]
 
 
+class RoamingSession(Protocol):
+    """What a transaction tells the session that it belongs to."""
+
+    def keep(self, reply: caller_pb2.ExecuteReply) -> None:
+        """Keep the token of a reply."""
+
+    def move(self) -> None:
+        """Move to the next entry."""
+
+    def after_request(self, *, failed: bool = False) -> None:
+        """Move at the end of a request when something asks for it."""
+
+    def broken(
+        self, connection: EntryConnection, error: grpc.aio.AioRpcError, *, rolled_back: bool = False
+    ) -> EntryLostError:
+        """Return the error of a call that broke."""
+
+
 class Transaction:
     """One interactive transaction; leaving its context rolls it back unless it ended before.
 
@@ -33,7 +50,7 @@
 
     def __init__(
         self,
-        session: Session,
+        session: RoamingSession,
         call: grpc.aio.StreamStreamCall,
         connection: EntryConnection,
         next_call_id: Callable[[], int],
--- a/hibiscuspoint/standin/engine.py
+++ b/hibiscuspoint/standin/engine.py
@@ -5,7 +5,7 @@
 import logging
 import sqlite3
 from contextlib import contextmanager
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from hibiscuspoint.core.position import LogPosition
 from hibiscuspoint.ids import Term
@@ -17,7 +17,6 @@
     from collections.abc import Callable, Iterator, Sequence
     from pathlib import Path
 
-    from hibiscuspoint.standin.session import Session
 
 __all__ = ["Engine"]
 
@@ -35,6 +34,13 @@
 """
 
 
+class Writer(Protocol):
+    """A session that holds the sqlite write lock."""
+
+    def abort(self) -> None:
+        """Undo the transaction on behalf of the engine."""
+
+
 class Engine:
     """One database with its log; all methods return without waiting.
 
@@ -52,7 +58,7 @@
         self._own_term = Term(meta["own_term"])
         self._applied = meta["applied"]
         self._is_primary = False
-        self._writer: Session | None = None
+        self._writer: Writer | None = None
         self._listeners: list[Callable[[], None]] = []
 
     @property
@@ -111,7 +117,7 @@
         self._listeners.append(listener)
         return lambda: self._listeners.remove(listener)
 
-    def set_writer(self, session: Session | None) -> None:
+    def set_writer(self, session: Writer | None) -> None:
         """Take note of the session that holds the sqlite write lock.
 
         :raises RuntimeError: another session holds it.
