--- a/hibiscuspoint/components/sessions/connection.py
+++ b/hibiscuspoint/components/sessions/connection.py
@@ -11,8 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from hibiscuspoint.core.ports import Clock
-    from hibiscuspoint.core.ports import SessionConnection as TargetConnection
+    from hibiscuspoint.core.ports import Clock, SessionConnection
     from hibiscuspoint.core.position import LogPosition
     from hibiscuspoint.core.sessions import Reply, SessionContext, Shape, Statement
 
@@ -63,7 +62,7 @@
     :param release: takes the connection back.
     """
 
-    connection: TargetConnection
+    connection: SessionConnection
     clock: Clock
     release: Callable[[PooledConnection], None]
     context: ConnectionContext = field(default_factory=ConnectionContext)
