--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -81,12 +81,17 @@
     """Three instances, two of which may have no disk, and one service of three databases.
 
     :param network: second and third octet of the loopback addresses, unique to the test.
+    :param connections: connections that a database accepts, as the configuration states it; with
+        four, two of the instances hold them and lend them to the third one.
     """
 
-    def __init__(self, directory: Path, network: str, disks: int = 3) -> None:
+    def __init__(
+        self, directory: Path, network: str, disks: int = 3, connections: int = 16
+    ) -> None:
         self._directory = directory
         self._network = network
         self._disks = disks
+        self._connections = connections
         self._processes: dict[int, subprocess.Popen] = {}
         self._version = 7
         controls = [f"{self._ip(number)}:8782" for number in range(3)]
@@ -163,9 +168,7 @@
 
     async def configure(self, **changes: object) -> None:
         """Submit the next configuration until it is accepted."""
-        self._version += 1
-        routes = [route_fields(), route_fields(name="r-2", host="strict", kind="primary")]
-        fields = configuration_fields(version=self._version, routes=routes, **changes)
+        fields = {**self._next_configuration(), **changes}
         await self._until(lambda session: self._submit(session, fields))
 
     async def read_configuration(self) -> dict[str, object]:
@@ -211,13 +214,17 @@
 
     async def submit(self) -> int | None:
         """Submit the next configuration once; return its version if it was acknowledged."""
-        self._version += 1
+        fields = self._next_configuration()
         version = self._version
-        routes = [route_fields(), route_fields(name="r-2", host="strict", kind="primary")]
-        fields = configuration_fields(version=version, routes=routes)
         async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=2.0)) as session:
             return version if await self._submit(session, fields) else None
 
+    def _next_configuration(self) -> dict[str, object]:
+        self._version += 1
+        service = {"name": SERVICE, "max_conns": self._connections, "sync_replicas": 1}
+        routes = [route_fields(), route_fields(name="r-2", host="strict", kind="primary")]
+        return configuration_fields(version=self._version, routes=routes, services=[service])
+
     async def _until(self, attempt) -> None:
         deadline = asyncio.get_running_loop().time() + PATIENCE_SECONDS
         async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=2.0)) as session:
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -7,7 +7,7 @@
 import tempfile
 from pathlib import Path
 
-from tests.soak.run import run_seed
+from tests.soak.run import CONNECTIONS, run_seed
 
 
 def main() -> int:
@@ -17,11 +17,14 @@
     parser.add_argument("--seeds", type=int, default=50, help="number of seeds")
     parser.add_argument("--seconds", type=float, default=12.0, help="time of faults in each run")
     parser.add_argument("--network", default="90.1", help="octets of the loopback addresses")
+    parser.add_argument(
+        "--connections", type=int, default=CONNECTIONS, help="connections that a database accepts"
+    )
     options = parser.parse_args()
     failed = []
     for seed in range(options.first, options.first + options.seeds):
         directory = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        history = run_seed(seed, options.seconds, options.network, directory)
+        history = run_seed(seed, options.seconds, options.network, directory, options.connections)
         outcome = "; ".join(history.violations[:5]) or "ok"
         print(f"seed {seed}: {len(history.kept)} writes, {history.reads} reads: {outcome}")
         sys.stdout.flush()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -13,11 +13,15 @@
 from tests.soak.history import PROMISES, History
 from tests.system.fault_proxy import FaultProxy
 
-__all__ = ["run_seed"]
+__all__ = ["CONNECTIONS", "SCARCE_CONNECTIONS", "run_seed"]
 
 #: Callers at each instance.
 CALLERS = 2
 
+#: Connections that a database accepts: enough for all, and so few that two instances hold them.
+CONNECTIONS = 16
+SCARCE_CONNECTIONS = 4
+
 #: Seconds between two configurations.
 CONFIGURATION_SECONDS = 1.5
 
@@ -25,22 +29,32 @@
 ANSWER_SECONDS = 6.0
 
 
-def run_seed(seed: int, seconds: float, network: str, directory: Path | None = None) -> History:
+def run_seed(
+    seed: int,
+    seconds: float,
+    network: str,
+    directory: Path | None = None,
+    connections: int = CONNECTIONS,
+) -> History:
     """Run one seed and return what was seen, with the violations.
 
     :param network: second and third octet of the loopback addresses.
+    :param connections: connections that a database accepts; see ``Deployment``.
     :param directory: where logs are kept; a temporary one by default.
     """
     if directory is not None:
         directory.mkdir(parents=True, exist_ok=True)
-        return asyncio.run(_run(seed, seconds, network, directory))
+        return asyncio.run(_run(seed, seconds, network, directory, connections))
     with tempfile.TemporaryDirectory() as temporary:
-        return asyncio.run(_run(seed, seconds, network, Path(temporary)))
+        return asyncio.run(_run(seed, seconds, network, Path(temporary), connections))
 
 
-async def _run(seed: int, seconds: float, network: str, directory: Path) -> History:
+async def _run(
+    seed: int, seconds: float, network: str, directory: Path, connections: int
+) -> History:
     source = random.Random(seed)
-    deployment, history = Deployment(directory, network), History()
+    deployment = Deployment(directory, network, connections=connections)
+    history = History()
     proxies: list[FaultProxy] = []
 
     def announce(address: str) -> str:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import json
+
 import pytest
 
 from tests.platform.standin import StandinDatabase, StandinPlatform
 from tests.soak.history import History
-from tests.soak.run import run_seed
+from tests.soak.run import SCARCE_CONNECTIONS, run_seed
 
 #: Seconds of faults in a short run.
 SHORT_SECONDS = 8.0
@@ -28,6 +30,18 @@
     assert history.reads
 
 
+@pytest.mark.parametrize("seed", [2, 3])
+def test_promises_hold_over_borrowed_connections(seed, tmp_path):
+    """Guards against untrue answers when a holder is killed, paused or cut off."""
+    network = f"77.{seed}"
+    history = run_seed(seed, SHORT_SECONDS, network, tmp_path, SCARCE_CONNECTIONS)
+    assert not history.violations
+    assert history.kept
+    lines = [line for log in tmp_path.glob("log-*") for line in log.read_text().splitlines()]
+    answered = [json.loads(line) for line in lines if '"statement-answered"' in line]
+    assert any(line["holder"] and line["outcome"] == "done" for line in answered)
+
+
 def _primary(writes: list[str]) -> StandinDatabase:
     platform = StandinPlatform("127.0.0.1:1", "service", [])
     return StandinDatabase(platform, "i-0", "127.0.0.1:2", is_primary=True, writes=writes)
