Convert log positions in one place

The stand-in already had position_message and its inverse; borrow_messages, the control effects and eight other places wrote the same conversion again. Both are in wire/position.py now. No change of behaviour; tests of core, components, stand-in, drivers, platform and load pass.

--- a/hibiscuspoint/components/control_effects.py
+++ b/hibiscuspoint/components/control_effects.py
@@ -13,12 +13,12 @@
     Seal,
     Terminate,
 )
-from hibiscuspoint.core.position import LogPosition
 from hibiscuspoint.drivers import AdminError
 from hibiscuspoint.ids import Term
 from hibiscuspoint.telemetry import catalogue, log_event
 from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
 from hibiscuspoint.wire import target_pb2
+from hibiscuspoint.wire.position import position_from
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -102,7 +102,7 @@
         admin = self._driver.admin
         reply = await admin.seal(member.address, term, timeout=CALL_SECONDS)
         report = MemberReport(
-            member.target, reply.sealed, Term(reply.sealed_term), _position(reply.last)
+            member.target, reply.sealed, Term(reply.sealed_term), position_from(reply.last)
         )
         if reply.sealed:
             log_event(
@@ -153,7 +153,7 @@
         state: target_pb2.MemberState,
         listed: tuple[MemberAddress, ...] = (),
     ) -> None:
-        sealed_term, last = Term(state.sealed_term), _position(state.received)
+        sealed_term, last = Term(state.sealed_term), position_from(state.received)
         report = MemberReport(member.target, state.accepted, sealed_term, last, listed)
         now = self._clock.monotonic()
         self._decide(lambda leader: leader.joined(group, report, now))
@@ -184,7 +184,3 @@
         await work
     except AdminError as error:
         logger.debug("call to a target failed: %s", error)
-
-
-def _position(message: object) -> LogPosition:
-    return LogPosition(Term(message.term), message.index)
--- a/hibiscuspoint/components/entry.py
+++ b/hibiscuspoint/components/entry.py
@@ -14,12 +14,12 @@
     result_reply,
 )
 from hibiscuspoint.components.request_meter import RequestMeter
-from hibiscuspoint.core.position import LogPosition
 from hibiscuspoint.errors import HibiscusError, LimitError, NotReadyError, RequestError, TokenError
-from hibiscuspoint.ids import GroupId, Term
+from hibiscuspoint.ids import GroupId
 from hibiscuspoint.telemetry import catalogue, log_event
 from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
 from hibiscuspoint.wire import common_pb2, peer_pb2
+from hibiscuspoint.wire.position import position_from
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -34,6 +34,7 @@
     from hibiscuspoint.core.entry.drain import DrainState
     from hibiscuspoint.core.entry.session import SessionMarks, TokenCodec
     from hibiscuspoint.core.ports import Clock
+    from hibiscuspoint.core.position import LogPosition
     from hibiscuspoint.document.model import GroupModel
     from hibiscuspoint.settings import LimitSettings
     from hibiscuspoint.telemetry.metrics import Metrics
@@ -137,7 +138,7 @@
         return request_from_message(
             inner,
             inner.statements,
-            LogPosition(Term(message.mark.term), message.mark.index),
+            position_from(message.mark),
             self._clock.monotonic() + message.remaining_ms / MILLISECONDS_PER_SECOND,
             inner.read.max_age_ms if inner.HasField("read") else None,
         )
--- a/hibiscuspoint/components/forwarding.py
+++ b/hibiscuspoint/components/forwarding.py
@@ -5,16 +5,18 @@
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.components.holder import GroupRequest, GroupResult
-from hibiscuspoint.core.position import LogPosition
 from hibiscuspoint.errors import ERROR_CODES, HibiscusError
-from hibiscuspoint.ids import CallerId, GroupId, RequestId, TargetId, Term
+from hibiscuspoint.ids import CallerId, GroupId, RequestId, TargetId
 from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
 from hibiscuspoint.verdict import Verdict
 from hibiscuspoint.wire import caller_pb2, common_pb2, peer_pb2
+from hibiscuspoint.wire.position import position_from, position_message
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from hibiscuspoint.core.position import LogPosition
+
 __all__ = [
     "error_from_reply",
     "error_reply",
@@ -63,7 +65,7 @@
         message.idempotency.issued_at_ms = request.issued_at_ms
     return peer_pb2.ForwardRequest(
         request=message,
-        mark=common_pb2.Position(term=request.mark.term, index=request.mark.index),
+        mark=position_message(request.mark),
         remaining_ms=max(0, int((request.deadline - now) * MILLISECONDS_PER_SECOND)),
     )
 
@@ -95,7 +97,7 @@
 
 def forward_reply(result: GroupResult) -> peer_pb2.ForwardReply:
     """Return the reply that carries a result and its position to another entry."""
-    position = common_pb2.Position(term=result.position.term, index=result.position.index)
+    position = position_message(result.position)
     return peer_pb2.ForwardReply(reply=result_reply(result), position=position)
 
 
@@ -120,7 +122,7 @@
         raise error_from_reply(reply)
     return GroupResult(
         results=list(reply.results),
-        position=LogPosition(Term(message.position.term), message.position.index),
+        position=position_from(message.position),
         served_by=TargetId(reply.served_by),
         from_replica=reply.from_replica,
         replayed=reply.replayed,
--- a/hibiscuspoint/components/holder/progress.py
+++ b/hibiscuspoint/components/holder/progress.py
@@ -10,6 +10,7 @@
 from hibiscuspoint.core.entry.freshness import TipSamples
 from hibiscuspoint.core.position import ZERO, LogPosition
 from hibiscuspoint.ids import TargetId, Term
+from hibiscuspoint.wire.position import position_from
 
 if TYPE_CHECKING:
     from hibiscuspoint.components.holder.context import HolderContext
@@ -57,7 +58,7 @@
     def update(self, progress: target_pb2.Progress, now: float) -> None:
         """Take a report over."""
         self.term = Term(progress.term)
-        self.received = LogPosition(Term(progress.received.term), progress.received.index)
+        self.received = position_from(progress.received)
         self.applied = progress.applied
         self._measure_rate(now)
 
--- a/hibiscuspoint/components/sessions/borrow_messages.py
+++ b/hibiscuspoint/components/sessions/borrow_messages.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from hibiscuspoint.core.position import LogPosition
 from hibiscuspoint.core.sessions import (
     Failure,
     Reply,
@@ -16,16 +15,16 @@
     StatementKind,
 )
 from hibiscuspoint.drivers.errors import AnswerTimeoutError, ConnectionLost
-from hibiscuspoint.ids import Term
-from hibiscuspoint.wire import common_pb2, peer_pb2
+from hibiscuspoint.wire import peer_pb2
+from hibiscuspoint.wire.position import position_from, position_message
 
 if TYPE_CHECKING:
+    from hibiscuspoint.core.position import LogPosition
     from hibiscuspoint.drivers.errors import ConnectError
 
 __all__ = [
     "error_of",
     "lost_message",
-    "position_from",
     "refusal_message",
     "reply_from",
     "reply_message",
@@ -52,7 +51,7 @@
     if shape is not None:
         message.prepared.CopyFrom(peer_pb2.PreparedStatement(writes=shape.writes, text=shape.text))
     if after is not None:
-        message.after.CopyFrom(common_pb2.Position(term=after.term, index=after.index))
+        message.after.CopyFrom(position_message(after))
     return message
 
 
@@ -71,11 +70,6 @@
     return statement, SessionContext(values=dict(message.values))
 
 
-def position_from(message: common_pb2.Position) -> LogPosition:
-    """Return a log position."""
-    return LogPosition(Term(message.term), message.index)
-
-
 def reply_message(reply: Reply) -> peer_pb2.BorrowReply:
     """Return an answer of a target."""
     message = peer_pb2.BorrowReply(
@@ -86,7 +80,7 @@
         message.text = reply.error.text
     if reply.position is not None:
         position = reply.position
-        message.position.CopyFrom(common_pb2.Position(term=position.term, index=position.index))
+        message.position.CopyFrom(position_message(position))
     return message
 
 
--- a/hibiscuspoint/components/sessions/groups.py
+++ b/hibiscuspoint/components/sessions/groups.py
@@ -15,7 +15,8 @@
 from hibiscuspoint.ids import AvailabilityZone, GroupId, InstanceId, TargetId, Term
 from hibiscuspoint.telemetry import catalogue, log_event
 from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND, NANOSECONDS_PER_SECOND
-from hibiscuspoint.wire import common_pb2, peer_pb2
+from hibiscuspoint.wire import peer_pb2
+from hibiscuspoint.wire.position import position_from, position_message
 
 if TYPE_CHECKING:
     from hibiscuspoint.components.entry_state import EntryState
@@ -266,7 +267,7 @@
                 self._state.routes.release(group, now)
                 self._note_release(group)
             if route.HasField("tip"):
-                position = LogPosition(Term(route.tip.term), route.tip.index)
+                position = position_from(route.tip)
                 age = route.tip_age_ms / MILLISECONDS_PER_SECOND
                 self.tip(group).add(asked_at - age, position)
             self._release_paused(group)
@@ -301,7 +302,7 @@
             report.released.append(peer_pb2.RouteRelease(group=group, term=term))
         for group, position in self._acknowledged.items():
             item = report.acknowledged.add(group=group)
-            item.position.CopyFrom(common_pb2.Position(term=position.term, index=position.index))
+            item.position.CopyFrom(position_message(position))
         for target, pool in self._pools.items():
             if pool.refusals:
                 self.counts(target).refusals += pool.refusals
--- a/hibiscuspoint/components/sessions/lending.py
+++ b/hibiscuspoint/components/sessions/lending.py
@@ -8,7 +8,6 @@
 
 from hibiscuspoint.components.sessions.borrow_messages import (
     lost_message,
-    position_from,
     refusal_message,
     reply_message,
     statement_from,
@@ -18,6 +17,7 @@
 from hibiscuspoint.ids import GroupId, TargetId
 from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
 from hibiscuspoint.wire import peer_pb2, peer_pb2_grpc
+from hibiscuspoint.wire.position import position_from
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/hibiscuspoint/components/status.py
+++ b/hibiscuspoint/components/status.py
@@ -5,7 +5,8 @@
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
-from hibiscuspoint.wire import common_pb2, peer_pb2
+from hibiscuspoint.wire import peer_pb2
+from hibiscuspoint.wire.position import position_message
 
 if TYPE_CHECKING:
     from hibiscuspoint.components.control import Control
@@ -78,7 +79,7 @@
         availability_zone=info.availability_zone,
         primary=info.is_primary and info.term == record.term,
         term=info.term,
-        received=common_pb2.Position(term=info.received.term, index=info.received.index),
+        received=position_message(info.received),
         applied=info.applied,
         silent_ms=int((now - info.seen_at) * MILLISECONDS_PER_SECOND),
         leaving=info.leaving,
--- a/hibiscuspoint/core/control/targets.py
+++ b/hibiscuspoint/core/control/targets.py
@@ -6,11 +6,12 @@
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.core.control.effects import MemberAddress
-from hibiscuspoint.core.position import LogPosition
 from hibiscuspoint.ids import AvailabilityZone, GroupId, Incarnation, TargetId, Term
+from hibiscuspoint.wire.position import position_from
 
 if TYPE_CHECKING:
     from hibiscuspoint.core.control.state import ControlState
+    from hibiscuspoint.core.position import LogPosition
     from hibiscuspoint.wire import peer_pb2
 
 __all__ = ["TargetDirectory", "TargetInfo"]
@@ -57,7 +58,7 @@
             address=message.address,
             term=Term(message.term),
             is_primary=message.primary,
-            received=LogPosition(Term(message.received.term), message.received.index),
+            received=position_from(message.received),
             applied=message.applied,
             slots=message.slots,
             max_connections=message.max_connections,
--- a/hibiscuspoint/core/failover/leader.py
+++ b/hibiscuspoint/core/failover/leader.py
@@ -11,11 +11,11 @@
 from hibiscuspoint.core.control.route_state import RouteState
 from hibiscuspoint.core.control.state import GroupPhase, TargetRecord
 from hibiscuspoint.core.failover.group import GroupFailover
-from hibiscuspoint.core.position import LogPosition
 from hibiscuspoint.core.sessions import EntryPlace, serving_version
 from hibiscuspoint.ids import GroupId, Incarnation, InstanceId, TargetId, Term
 from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
-from hibiscuspoint.wire import common_pb2, peer_pb2, record_pb2
+from hibiscuspoint.wire import peer_pb2, record_pb2
+from hibiscuspoint.wire.position import position_from, position_message
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -138,7 +138,7 @@
             controller = self._groups.get(GroupId(item.group))
             if controller is not None:
                 position = item.position
-                controller.acknowledged(LogPosition(Term(position.term), position.index))
+                controller.acknowledged(position_from(position))
         touched = set()
         for released in message.released:
             group = GroupId(released.group)
@@ -269,7 +269,7 @@
             route.members.append(_member(record.targets[target]))
         if controller.tip is not None:
             position, asked_at = controller.tip
-            route.tip.CopyFrom(common_pb2.Position(term=position.term, index=position.index))
+            route.tip.CopyFrom(position_message(position))
             route.tip_age_ms = int((now - asked_at) * MILLISECONDS_PER_SECOND) + 1
         update.routes.append(route)
 
--- a/hibiscuspoint/drivers/answer.py
+++ b/hibiscuspoint/drivers/answer.py
@@ -5,12 +5,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from hibiscuspoint.core.position import LogPosition
-from hibiscuspoint.ids import Term
 from hibiscuspoint.wire import common_pb2
 from hibiscuspoint.wire.digest import digest_rows
+from hibiscuspoint.wire.position import position_from
 
 if TYPE_CHECKING:
+    from hibiscuspoint.core.position import LogPosition
     from hibiscuspoint.wire import target_pb2
 
 __all__ = ["AnswerError", "AnswerParts", "RunResult"]
@@ -58,7 +58,7 @@
         results = [self._result(index, e) for index, e in enumerate(end.statements)]
         if self._rows:
             raise AnswerError("the answer has rows of a statement that was not sent")
-        position = LogPosition(Term(end.position.term), end.position.index)
+        position = position_from(end.position)
         return RunResult(results, position)
 
     def _result(self, index: int, end: target_pb2.StatementEnd) -> common_pb2.ResultSet:
--- a/hibiscuspoint/standin/announcer.py
+++ b/hibiscuspoint/standin/announcer.py
@@ -10,8 +10,8 @@
 
 from hibiscuspoint.security import open_secured_channel
 from hibiscuspoint.standin.arrivals import ChangeSignal
-from hibiscuspoint.standin.replication import position_message
 from hibiscuspoint.wire import peer_pb2, peer_pb2_grpc
+from hibiscuspoint.wire.position import position_message
 
 if TYPE_CHECKING:
     from hibiscuspoint.standin.config import StandinConfig
--- a/hibiscuspoint/standin/connection.py
+++ b/hibiscuspoint/standin/connection.py
@@ -8,9 +8,9 @@
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.standin.classify import StatementKind, classify
-from hibiscuspoint.standin.replication import position_message
 from hibiscuspoint.standin.session import Session, StatementError
 from hibiscuspoint.wire import target_pb2
+from hibiscuspoint.wire.position import position_message
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Iterator
--- a/hibiscuspoint/standin/replication.py
+++ b/hibiscuspoint/standin/replication.py
@@ -14,7 +14,8 @@
 from hibiscuspoint.security import open_secured_channel
 from hibiscuspoint.standin.arrivals import ChangeSignal
 from hibiscuspoint.util.tasks import run_until_first
-from hibiscuspoint.wire import common_pb2, target_pb2, target_pb2_grpc
+from hibiscuspoint.wire import target_pb2, target_pb2_grpc
+from hibiscuspoint.wire.position import position_from, position_message
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -24,7 +25,7 @@
     from hibiscuspoint.standin.engine import Engine
     from hibiscuspoint.standin.faults import Faults
 
-__all__ = ["Applier", "Replication", "position_message", "receive"]
+__all__ = ["Applier", "Replication", "receive"]
 
 logger = logging.getLogger(__name__)
 
@@ -44,18 +45,9 @@
     """The stream to a follower cannot continue."""
 
 
-def position_message(position: LogPosition) -> common_pb2.Position:
-    """Return the protocol form of a position."""
-    return common_pb2.Position(term=position.term, index=position.index)
-
-
-def _position(message: common_pb2.Position) -> LogPosition:
-    return LogPosition(Term(message.term), message.index)
-
-
 def receive(engine: Engine, request: target_pb2.ShipRequest) -> target_pb2.ShipReply:
     """Store shipped records; on a mismatch, reply the point from which to ship again."""
-    previous = _position(request.previous)
+    previous = position_from(request.previous)
     accepted = engine.accept(request.term, previous, request.records)
     received = engine.received
     if not accepted:
--- a/hibiscuspoint/standin/server.py
+++ b/hibiscuspoint/standin/server.py
@@ -12,10 +12,11 @@
 from hibiscuspoint.standin.config import ServeTls
 from hibiscuspoint.standin.connection import ServerConnection, Workplace
 from hibiscuspoint.standin.engine import Engine
-from hibiscuspoint.standin.replication import Applier, Replication, position_message, receive
+from hibiscuspoint.standin.replication import Applier, Replication, receive
 from hibiscuspoint.standin.streams import PostedReplies, ReplyStream, StreamRegistry
 from hibiscuspoint.util.channels import SERVER_OPTIONS
 from hibiscuspoint.wire import target_pb2, target_pb2_grpc
+from hibiscuspoint.wire.position import position_message
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
