--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -33,7 +33,7 @@
 @pytest.mark.parametrize("seed", [2, 3])
 def test_promises_hold_over_borrowed_connections(seed, tmp_path):
     """Guards against untrue answers when a holder is killed, paused or cut off."""
-    network = f"77.{seed}"
+    network = f"79.{seed}"
     history = run_seed(seed, SHORT_SECONDS, network, tmp_path, SCARCE_CONNECTIONS)
     assert not history.violations
     assert history.kept
