Run single statements in one place, tell silent answers by the error itself

SingleStatements acquired, sent and gave back a connection in the same way for reads and writes, and three loops counted rounds and refused alike: Attempts.run_once and Attempts.next_round. An answer that did not come in time is silent by its class, where three places tested for both. The parts of a borrowed statement are read from its message in borrow_messages.

--- a/hibiscuspoint/components/sessions/attempts.py
+++ b/hibiscuspoint/components/sessions/attempts.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.core.sessions import ConnectionDemand, Failure, SessionState
-from hibiscuspoint.drivers.errors import AnswerTimeoutError, ConnectionLost
+from hibiscuspoint.drivers.errors import ConnectError, ConnectionLost
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -34,6 +34,9 @@
 BUSY_RETRY_MIN_SECONDS = 0.01
 BUSY_RETRY_MAX_SECONDS = 0.16
 
+#: Rounds over the candidates for a statement that has not run so far.
+ATTEMPT_ROUNDS = 6
+
 #: Seconds without an answer after which a commit or a single write is reported to control. It waits
 #: for the receipt at a replica only, which takes some milliseconds.
 STALL_SECONDS = 0.6
@@ -150,8 +153,45 @@
         self._last_elapsed = self._clock.monotonic() - started
         return reply
 
+    async def run_once(
+        self,
+        route: DatabaseRoute,
+        candidate: Candidate,
+        statement: Statement,
+        shape: Shape | None,
+        *,
+        is_write: bool = False,
+    ) -> Reply:
+        """Run a statement that is a transaction of its own at one target.
+
+        :raises ConnectionLost: there is no whole answer. The statement has not run if the error
+            says that it was not sent.
+        """
+        target = candidate.target
+        try:
+            connection = await self.acquire(route, candidate)
+        except ConnectError as error:
+            self.lost(target, error)
+            raise ConnectionLost(str(error), sent=False) from error
+        try:
+            with self.watch_commit(target, is_write):
+                reply = await self.send(
+                    connection,
+                    statement,
+                    candidate.answer_until,
+                    shape=shape,
+                    after=candidate.after,
+                )
+        except ConnectionLost as error:
+            self.lost(target, error)
+            raise
+        finally:
+            connection.give_back()
+        self.answered(target, reply)
+        return reply
+
     @contextmanager
-    def watch_commit(self, target: TargetId, is_commit: bool = True) -> Iterator[None]:
+    def watch_commit(self, target: TargetId, is_commit: bool) -> Iterator[None]:
         """Report a commit that has no answer for long, before its timeout."""
 
         def report() -> None:
@@ -184,8 +224,7 @@
     def lost(self, target: TargetId, error: Exception) -> None:
         """Take a missing answer into account; the target comes last for a moment."""
         self.trace.reason = str(error)
-        is_silent = isinstance(error, ConnectionLost) and error.is_silent
-        if is_silent or isinstance(error, AnswerTimeoutError):
+        if isinstance(error, ConnectionLost) and error.is_silent:
             self._access.counts(target).timeouts += 1
         self._access.load(target).failed(self._clock.monotonic())
 
@@ -200,3 +239,13 @@
             return False
         await asyncio.sleep(seconds)
         return True
+
+    async def next_round(self, number: int, deadline: float) -> None:
+        """Wait before the next round over the candidates.
+
+        :param number: rounds so far.
+        :param deadline: monotonic time in seconds.
+        :raises RefusedError: there is no time for another round, or there were enough.
+        """
+        if not await self.pause(number, deadline) or number >= ATTEMPT_ROUNDS:
+            raise RefusedError(Failure.OVERLOADED, self.trace.reason or "no room in time")
--- a/hibiscuspoint/components/sessions/borrow_messages.py
+++ b/hibiscuspoint/components/sessions/borrow_messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.core.sessions import (
@@ -23,6 +24,7 @@
     from hibiscuspoint.drivers.errors import ConnectError
 
 __all__ = [
+    "BorrowedStatement",
     "error_of",
     "lost_message",
     "refusal_message",
@@ -55,11 +57,27 @@
     return message
 
 
-def statement_from(message: peer_pb2.StatementRequest) -> tuple[Statement, SessionContext]:
-    """Return a statement and the values that must be set for it.
+@dataclass(frozen=True)
+class BorrowedStatement:
+    """A statement of another instance, with what it needs at the connection.
+
+    :param session: values that must be set.
+    :param shape: prepared statement that the statement executes, if any.
+    :param after: position that the target must have applied.
+    """
+
+    statement: Statement
+    session: SessionContext
+    shape: Shape | None
+    after: LogPosition | None
+
+
+def statement_from(message: peer_pb2.StatementRequest) -> BorrowedStatement:
+    """Return the statement of a message.
 
     :raises ValueError: the kind is not known.
     """
+    prepared = message.prepared
     statement = Statement(
         request_id=message.request_id,
         kind=StatementKind(message.kind),
@@ -67,7 +85,12 @@
         operand=message.operand,
         writes=message.writes,
     )
-    return statement, SessionContext(values=dict(message.values))
+    return BorrowedStatement(
+        statement,
+        SessionContext(values=dict(message.values)),
+        Shape(prepared.writes, prepared.text) if message.HasField("prepared") else None,
+        position_from(message.after) if message.HasField("after") else None,
+    )
 
 
 def reply_message(reply: Reply) -> peer_pb2.BorrowReply:
@@ -103,8 +126,7 @@
 
 def lost_message(error: ConnectionLost) -> peer_pb2.BorrowReply:
     """Return the report that a connection was lost."""
-    is_silent = error.is_silent or isinstance(error, AnswerTimeoutError)
-    lost = peer_pb2.BorrowFailure(text=str(error), sent=error.sent, silent=is_silent)
+    lost = peer_pb2.BorrowFailure(text=str(error), sent=error.sent, silent=error.is_silent)
     return peer_pb2.BorrowReply(lost=lost)
 
 
--- a/hibiscuspoint/components/sessions/connection.py
+++ b/hibiscuspoint/components/sessions/connection.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from hibiscuspoint.core.sessions import ConnectionContext, Failure
-from hibiscuspoint.drivers.errors import AnswerTimeoutError, ConnectionLost
+from hibiscuspoint.drivers.errors import ConnectionLost
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -91,9 +91,8 @@
         try:
             await self._prepare(session, shape, deadline)
         except ConnectionLost as error:
-            is_silent = isinstance(error, AnswerTimeoutError)
             message = f"context not set: {error}"
-            raise ConnectionLost(message, sent=False, is_silent=is_silent) from error
+            raise ConnectionLost(message, sent=False, is_silent=error.is_silent) from error
         name = self.context.name_of(shape) if shape is not None else None
         timeout = max(0.0, deadline - self.clock.monotonic())
         reply = await self.connection.run(statement, timeout=timeout, name=name, after=after)
--- a/hibiscuspoint/components/sessions/lending.py
+++ b/hibiscuspoint/components/sessions/lending.py
@@ -12,12 +12,11 @@
     reply_message,
     statement_from,
 )
-from hibiscuspoint.core.sessions import ConnectionDemand, SessionContext, SessionState, Shape
+from hibiscuspoint.core.sessions import ConnectionDemand, SessionContext, SessionState
 from hibiscuspoint.drivers.errors import ConnectError, ConnectionLost
 from hibiscuspoint.ids import GroupId, TargetId
 from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
 from hibiscuspoint.wire import peer_pb2, peer_pb2_grpc
-from hibiscuspoint.wire.position import position_from
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -85,14 +84,13 @@
         try:
             if request.WhichOneof("step") == "rollback":
                 return reply_message(await pooled.rollback(self._seconds(request)))
-            message = request.statement
-            statement, session = statement_from(message)
-            shape = None
-            if message.HasField("prepared"):
-                shape = Shape(message.prepared.writes, message.prepared.text)
-            after = position_from(message.after) if message.HasField("after") else None
+            asked = statement_from(request.statement)
             reply = await pooled.run(
-                statement, session, self._deadline(request), shape=shape, after=after
+                asked.statement,
+                asked.session,
+                self._deadline(request),
+                shape=asked.shape,
+                after=asked.after,
             )
         except ConnectionLost as error:
             return lost_message(error)
--- a/hibiscuspoint/components/sessions/single.py
+++ b/hibiscuspoint/components/sessions/single.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
+import itertools
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from hibiscuspoint.components.sessions.attempts import RefusedError
 from hibiscuspoint.core.sessions import Failure, Reply, SessionState
-from hibiscuspoint.drivers.errors import AnswerTimeoutError, ConnectError, ConnectionLost
+from hibiscuspoint.drivers.errors import AnswerTimeoutError, ConnectionLost
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -22,10 +22,7 @@
     #: Returns the answer to a commit or write, given the group and the term of the primary.
     Committed = Callable[[GroupId, Term | None, Reply], Reply]
 
-__all__ = ["ATTEMPT_ROUNDS", "SingleStatements"]
-
-#: Rounds over the candidates for a statement that has not run so far.
-ATTEMPT_ROUNDS = 6
+__all__ = ["SingleStatements"]
 
 
 class SingleStatements:
@@ -54,15 +51,13 @@
         :raises RefusedError: it has not run and there is no time for another attempt.
         """
         deadline = self._clock.monotonic() + route.timeout
-        for number in range(1, ATTEMPT_ROUNDS + 1):
+        for number in itertools.count(1):
             (candidate,) = await self._candidates.for_write(route, deadline)
             with self._attempts.use(route.group, candidate):
                 reply = await self._write_once(route, candidate, statement, shape)
             if reply is not None:
                 return reply
-            if not await self._attempts.pause(number, deadline):
-                break
-        raise RefusedError(Failure.OVERLOADED, self._attempts.trace.reason or "no room in time")
+            await self._attempts.next_round(number, deadline)
 
     async def _write_once(
         self,
@@ -74,24 +69,12 @@
         """Return the answer; ``None`` when the statement did not run and may be sent again."""
         attempts, target = self._attempts, candidate.target
         try:
-            connection = await attempts.acquire(route, candidate)
-        except ConnectError as error:
-            attempts.lost(target, error)
-            return None
-        try:
-            with attempts.watch_commit(target):
-                reply = await attempts.send(
-                    connection, statement, candidate.answer_until, shape=shape
-                )
+            reply = await attempts.run_once(route, candidate, statement, shape, is_write=True)
         except ConnectionLost as error:
-            attempts.lost(target, error)
             if not error.sent:
                 return None
             text = "the answer to the write was lost"
             return Reply.failed(Failure.IN_DOUBT, text, SessionState.IDLE)
-        finally:
-            connection.give_back()
-        attempts.answered(target, reply)
         if reply.error is None:
             self._access.counts(target).commits += 1
             return self._committed(route.group, candidate.term, reply)
@@ -107,7 +90,7 @@
         """
         deadline = self._clock.monotonic() + route.timeout
         runs = 0
-        for number in range(1, ATTEMPT_ROUNDS + 1):
+        for number in itertools.count(1):
             for candidate in await self._candidates.for_read(route, deadline):
                 with self._attempts.use(route.group, candidate):
                     reply = await self._read_once(route, candidate, statement, shape)
@@ -117,9 +100,7 @@
                 is_out_of_time = self._clock.monotonic() >= deadline
                 if reply.error is None or runs >= route.max_attempts or is_out_of_time:
                     return reply
-            if not await self._attempts.pause(number, deadline):
-                break
-        raise RefusedError(Failure.OVERLOADED, self._attempts.trace.reason or "no room in time")
+            await self._attempts.next_round(number, deadline)
 
     async def _read_once(
         self,
@@ -131,24 +112,12 @@
         """Return the answer of one target; ``None`` when it did not run the statement."""
         attempts, target = self._attempts, candidate.target
         try:
-            connection = await attempts.acquire(route, candidate)
-        except ConnectError as error:
-            attempts.lost(target, error)
-            return None
-        try:
-            reply = await attempts.send(
-                connection, statement, candidate.answer_until, shape=shape, after=candidate.after
-            )
-        except AnswerTimeoutError as error:
-            attempts.lost(target, error)
+            reply = await attempts.run_once(route, candidate, statement, shape)
+        except AnswerTimeoutError:
             text = "no answer within the timeout of the route"
             return Reply.failed(Failure.TIMEOUT, text, SessionState.IDLE)
-        except ConnectionLost as error:
-            attempts.lost(target, error)
+        except ConnectionLost:
             return None
-        finally:
-            connection.give_back()
-        attempts.answered(target, reply)
         if reply.error is not None:
             attempts.refused(target, reply)
             has_not_run = reply.error.failure.has_not_run
--- a/hibiscuspoint/components/sessions/transactions.py
+++ b/hibiscuspoint/components/sessions/transactions.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.components.sessions.attempts import RefusedError
-from hibiscuspoint.components.sessions.single import ATTEMPT_ROUNDS
 from hibiscuspoint.core.sessions import Failure, Reply, SessionState, StatementKind
 from hibiscuspoint.drivers.errors import AnswerTimeoutError, ConnectError, ConnectionLost
 
@@ -194,14 +193,11 @@
             self._candidates.for_read if transaction.is_read_only else self._candidates.for_write
         )
         try:
-            for number in range(1, ATTEMPT_ROUNDS + 1):
+            for number in itertools.count(1):
                 for candidate in await choose(route, deadline):
                     if await self._begin(transaction, candidate):
                         return None
-                if not await self._attempts.pause(number, deadline):
-                    break
-            reason = self._attempts.trace.reason or "no room in time"
-            raise RefusedError(Failure.OVERLOADED, reason)
+                await self._attempts.next_round(number, deadline)
         except RefusedError as refusal:
             self._attempts.trace.reason = refusal.text
             transaction.is_lost = True
--- a/hibiscuspoint/drivers/errors.py
+++ b/hibiscuspoint/drivers/errors.py
@@ -63,7 +63,7 @@
     """The connection ended before the whole answer arrived; it is never used again.
 
     :param sent: false only when the request cannot have left the process.
-    :param is_silent: nothing came back after a ping.
+    :param is_silent: nothing came back in time.
     """
 
     def __init__(self, message: str, *, sent: bool, is_silent: bool = False) -> None:
@@ -87,4 +87,4 @@
     """The answer did not arrive in time; the connection cannot be used any more."""
 
     def __init__(self) -> None:
-        super().__init__("no answer in time", sent=True)
+        super().__init__("no answer in time", sent=True, is_silent=True)
