Hand an overloaded primary over when all replicas apply the log late

Ruled out: replicas that were left paused (term held is 0, RESUME was confirmed); entries that avoid replicas without need (each attempt is answered with LAGGING); more work for the primary (its five slots are in use all the time).

Change: when all slots of the primary are in use for 1.5 s and every replica is 5 s or more behind but has received the log, the control leader starts a switchover. The new primary serves what it received, the former one serves reads. An attempt without a moment free of transactions is given up after 2 s and not repeated for 10 s. The adapter reads lag and slots in use from the row of STATUS.

--- a/hibiscuspoint/components/failover_effects.py
+++ b/hibiscuspoint/components/failover_effects.py
@@ -6,7 +6,13 @@
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.components.leader_effects import LeaderEffects
-from hibiscuspoint.core.failover import PauseReplica, RequestPromotion, ResumeReplica, StepDown
+from hibiscuspoint.core.failover import (
+    PauseReplica,
+    PrimaryRelieved,
+    RequestPromotion,
+    ResumeReplica,
+    StepDown,
+)
 from hibiscuspoint.core.ports import PromotionOutcome
 from hibiscuspoint.telemetry import catalogue, log_event
 
@@ -58,6 +64,14 @@
                 self._start(self._step_down(group, member.target, term), "end of a primary")
             case ResumeReplica(group, member):
                 self._start(self._resume(group, member.target), "resumption of a replica")
+            case PrimaryRelieved(group, primary):
+                log_event(
+                    logger,
+                    catalogue.PRIMARY_RELIEVED,
+                    group=group,
+                    target=primary,
+                    term=self._record(group).term,
+                )
             case RequestPromotion(group, target, token):
                 self._start(self._promote(group, target, token), "promotion")
 
--- a/hibiscuspoint/core/failover/__init__.py
+++ b/hibiscuspoint/core/failover/__init__.py
@@ -4,6 +4,7 @@
 
 from hibiscuspoint.core.failover.effects import (
     PauseReplica,
+    PrimaryRelieved,
     RequestPromotion,
     ResumeReplica,
     StepDown,
@@ -17,6 +18,7 @@
     "FailoverLeader",
     "GroupFailover",
     "PauseReplica",
+    "PrimaryRelieved",
     "RequestPromotion",
     "ResumeReplica",
     "StepDown",
--- a/hibiscuspoint/core/failover/effects.py
+++ b/hibiscuspoint/core/failover/effects.py
@@ -11,7 +11,7 @@
     from hibiscuspoint.core.control.effects import MemberAddress
     from hibiscuspoint.ids import GroupId, TargetId, Term
 
-__all__ = ["PauseReplica", "RequestPromotion", "ResumeReplica", "StepDown"]
+__all__ = ["PauseReplica", "PrimaryRelieved", "RequestPromotion", "ResumeReplica", "StepDown"]
 
 
 @dataclass(frozen=True)
@@ -50,3 +50,11 @@
     group: GroupId
     target: TargetId
     token: int
+
+
+@dataclass(frozen=True)
+class PrimaryRelieved(Effect):
+    """Report that a healthy primary hands over because no replica can serve reads."""
+
+    group: GroupId
+    primary: TargetId
--- a/hibiscuspoint/core/failover/group.py
+++ b/hibiscuspoint/core/failover/group.py
@@ -10,7 +10,9 @@
 from hibiscuspoint.core.control.state import GroupPhase
 from hibiscuspoint.core.control.switchover import Switchover, SwitchoverState
 from hibiscuspoint.core.failover.contacts import STATUS_SECONDS, TargetContacts
+from hibiscuspoint.core.failover.effects import PrimaryRelieved
 from hibiscuspoint.core.failover.promotion import PromotionRound
+from hibiscuspoint.core.failover.relief import LagRelief
 from hibiscuspoint.core.failover.watch import Loss, PrimaryWatch
 from hibiscuspoint.core.position import ZERO
 from hibiscuspoint.wire import record_pb2
@@ -18,7 +20,7 @@
 if TYPE_CHECKING:
     from hibiscuspoint.core.control.effects import Effect
     from hibiscuspoint.core.control.leases import LeaseLedger
-    from hibiscuspoint.core.control.state import GroupRecord
+    from hibiscuspoint.core.control.state import GroupRecord, TargetRecord
     from hibiscuspoint.core.failover.status import TargetStatus
     from hibiscuspoint.core.position import LogPosition
     from hibiscuspoint.ids import InstanceId, TargetId
@@ -58,6 +60,7 @@
         self._watch: PrimaryWatch | None = None
         self._round: PromotionRound | None = None
         self._switchover: Switchover | None = None
+        self._relief = LagRelief()
         self._idle_since: float | None = None
         self._suspected_term = 0
         self._keeps_former = True
@@ -100,8 +103,11 @@
         self._contacts.answered(target, status, asked_at, now)
         if self._round is not None and self._record.phase is GroupPhase.SEALING:
             self._round.polled(target, status, asked_at)
+        if target != self._record.primary:
+            self._relief.replica_polled(target, status, now)
         if target != self._record.primary or self._record.phase is not GroupPhase.STARTED:
             return
+        self._relief.primary_polled(status, self._slots(target), now)
         if self._watch is not None:
             self._watch.answered(status.is_primary, now)
         if status.is_primary:
@@ -114,6 +120,7 @@
         self._contacts.heard(target, now)
         if self._watch is not None and self._watch.primary == target:
             self._watch.answered(is_primary=True, now=now)
+            self._relief.primary_full(now)
 
     def refused(self, target: TargetId, now: float) -> None:
         """Record that the address of a target refused a connection."""
@@ -253,17 +260,28 @@
         return now - self._started_at >= COOLDOWN_SECONDS
 
     def _hand_over(self, now: float) -> list[Effect]:
-        """Move the primary away from a target that leaves, without interrupting a transaction."""
+        """Move the primary to another target as planned, without interrupting a transaction."""
         record = self._record
         primary = record.targets.get(record.primary)
         successors = self._successors(now)
-        if primary is None or not primary.leaving or not successors:
+        if primary is None or not successors:
             self._switchover = None
             return []
+        effects: list[Effect] = []
         if self._switchover is None:
-            if not self._ledger.is_known(now):
+            is_relief = not primary.leaving and self._relief.is_due(successors, now)
+            if not self._ledger.is_known(now) or not (primary.leaving or is_relief):
                 return []
             self._switchover = Switchover(record.primary, None, now)
+            if is_relief:
+                self._relief.tried(now)
+                effects.append(PrimaryRelieved(record.group, record.primary))
+        return effects + self._continue_switchover(primary, successors, now)
+
+    def _continue_switchover(
+        self, primary: TargetRecord, successors: list[TargetId], now: float
+    ) -> list[Effect]:
+        record = self._record
         held = self._ledger.held_by(record.group, now)
         self._idle_since = None if held else (self._idle_since or now)
         caught_up = self._idle_since is not None and self._has_caught_up(successors)
@@ -271,8 +289,14 @@
         if state is SwitchoverState.READY:
             self._keeps_former = False
             return self._open_term(now)
+        if state is SwitchoverState.RESUMED and not primary.leaving:
+            self._switchover = None
         return []
 
+    def _slots(self, target: TargetId) -> int:
+        known = self._record.targets.get(target)
+        return max(1, known.slots) if known is not None else 1
+
     def _has_caught_up(self, successors: list[TargetId]) -> bool:
         primary = self._fresh_position(self._record.primary)
         if primary is None:
--- a/hibiscuspoint/platform/database.py
+++ b/hibiscuspoint/platform/database.py
@@ -199,9 +199,12 @@
 
 
 def _parse_status(row: str) -> TargetStatus:
-    """Return the state from a row: role, term, received position, term of a pause, and figures."""
+    """Return the state from a row: role, term, position, term of a pause, lag and slots in use.
+
+    :raises ProtocolError: the row is not complete.
+    """
     fields = row.split()
-    if len(fields) < 4:
+    if len(fields) < 6:
         raise wire.ProtocolError("the state of a database is not complete")
     position = wire.parse_position(fields[2])
     if position is None:
@@ -211,4 +214,6 @@
         term=Term(int(fields[1])),
         received=position,
         paused_term=Term(int(fields[3])),
+        lag=int(fields[4]) / MILLISECONDS_PER_SECOND,
+        in_use=int(fields[5]),
     )
--- a/hibiscuspoint/telemetry/catalogue.py
+++ b/hibiscuspoint/telemetry/catalogue.py
@@ -235,6 +235,15 @@
     "term",
 )
 
+PRIMARY_RELIEVED = define_event(
+    324,
+    "primary-relieved",
+    INFO,
+    "{target} hands group {group} over: it is overloaded, and all replicas apply the log late.",
+    "group",
+    "target",
+    "term",
+)
 TERM_STARTED = define_event(
     317,
     "term-started",
--- a/tests/builders_failover.py
+++ b/tests/builders_failover.py
@@ -40,14 +40,16 @@
     return LogPosition(Term(term), index)
 
 
-def primary_status(index: int, term: int = 1) -> TargetStatus:
+def primary_status(index: int, term: int = 1, in_use: int = 0) -> TargetStatus:
     """Return the state of a primary."""
-    return TargetStatus(is_primary=True, term=Term(term), received=position(index, term))
+    return TargetStatus(True, Term(term), position(index, term), in_use=in_use)
 
 
-def replica_status(index: int, term: int = 1, paused_term: int = 0) -> TargetStatus:
+def replica_status(
+    index: int, term: int = 1, paused_term: int = 0, lag: float = 0.0
+) -> TargetStatus:
     """Return the state of a replica."""
-    return TargetStatus(False, Term(term), position(index, term), Term(paused_term))
+    return TargetStatus(False, Term(term), position(index, term), Term(paused_term), lag)
 
 
 def target(
