Refuse requests that waited while a holder was suspended

Cause, from the logs: a caller's commit went to a holder that was paused; after 1.1 s the caller was told that it is in doubt and went on. The holder woke up 0.9 s later and ran the commit, over what the caller had written since. An outcome in doubt promises nothing, but an effect that comes seconds later helps nobody.

Ruled out: a read at a replica that was behind (every position read is at most 5 records behind the newest one); mixed answers (the statements before and after belong together); a second primary (one term in the whole run).

The check of the soak stays as it is.

--- a/hibiscuspoint/components/sessions/lending.py
+++ b/hibiscuspoint/components/sessions/lending.py
@@ -12,7 +12,12 @@
     reply_message,
     statement_from,
 )
-from hibiscuspoint.core.sessions import ConnectionDemand, SessionContext, SessionState
+from hibiscuspoint.core.sessions import (
+    ConnectionDemand,
+    SessionContext,
+    SessionState,
+    SuspensionWatch,
+)
 from hibiscuspoint.drivers.errors import ConnectError, ConnectionLost
 from hibiscuspoint.ids import GroupId, TargetId
 from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
@@ -37,6 +42,11 @@
     def __init__(self, access: GroupAccess, clock: Clock) -> None:
         self._access = access
         self._clock = clock
+        self._suspension = SuspensionWatch(clock.monotonic())
+
+    def tick(self, now: float) -> None:
+        """Record that this process runs; called every 0.05 s."""
+        self._suspension.tick(now)
 
     async def Borrow(
         self,
@@ -81,6 +91,12 @@
     async def _answer(
         self, pooled: PooledConnection, request: peer_pb2.BorrowRequest
     ) -> peer_pb2.BorrowReply:
+        waited = self._suspension.longest_wait(self._clock.monotonic())
+        if waited >= self._seconds(request):
+            # The borrower may have given up and called the statement in doubt. Run now, a commit
+            # would overwrite what its caller has written since.
+            message = f"this instance was suspended for up to {waited:.1f} s"
+            return lost_message(ConnectionLost(message, sent=False))
         try:
             if request.WhichOneof("step") == "rollback":
                 return reply_message(await pooled.rollback(self._seconds(request)))
--- a/hibiscuspoint/core/sessions/__init__.py
+++ b/hibiscuspoint/core/sessions/__init__.py
@@ -30,6 +30,7 @@
     StatementError,
     StatementKind,
 )
+from hibiscuspoint.core.sessions.suspension import SuspensionWatch
 from hibiscuspoint.core.sessions.waiting import ConnectionDemand, UseTimes
 
 __all__ = [
@@ -50,6 +51,7 @@
     "Statement",
     "StatementError",
     "StatementKind",
+    "SuspensionWatch",
     "TargetLoad",
     "TipLog",
     "UseTimes",
--- a/hibiscuspoint/daemon/session_node.py
+++ b/hibiscuspoint/daemon/session_node.py
@@ -158,6 +158,7 @@
         self._access = GroupAccess(
             self._state, self._ports.driver, self._clock, settings.instance, borrowing
         )
+        self._lending = ConnectionLending(self._access, self._clock)
         self._service = SessionService(
             self._state,
             self._access,
@@ -258,9 +259,7 @@
         peer_pb2_grpc.add_ControlServicer_to_server(
             ControlService(self._control, self._leader_client), self._server
         )
-        peer_pb2_grpc.add_ConnectionsServicer_to_server(
-            ConnectionLending(self._access, self._clock), self._server
-        )
+        peer_pb2_grpc.add_ConnectionsServicer_to_server(self._lending, self._server)
         if self._log is not None:
             consensus_pb2_grpc.add_ConsensusServicer_to_server(self._log.servicer, self._server)
         self._server.add_insecure_port(self._settings.instance)
@@ -288,6 +287,7 @@
             now = self._clock.monotonic()
             self._metrics.loop_lag.observe(max(0.0, now - due))
             self._access.tick(now)
+            self._lending.tick(now)
             self._readiness.tick(now)
             self._watch_contact(now)
             self._log_handler.flush()
--- a/tests/components/sessions/test_borrowing.py
+++ b/tests/components/sessions/test_borrowing.py
@@ -27,7 +27,7 @@
 from hibiscuspoint.security import TlsMode, Transport
 from hibiscuspoint.wire import peer_pb2, peer_pb2_grpc
 from tests.builders_failover import GROUP, PRIMARY, REPLICA_A, REPLICA_B
-from tests.components.sessions.fakes import refusal
+from tests.components.sessions.fakes import LoopClock, refusal
 from tests.components.sessions.harness import SessionHarness
 
 ZONE = AvailabilityZone("zone-a")
@@ -56,6 +56,27 @@
     return EntryPlace(InstanceId(address), ZONE)
 
 
+class _SuspendedClock(LoopClock):
+    """A clock that a test moves on, as the suspension of a process does."""
+
+    def __init__(self) -> None:
+        self._suspended = 0.0
+
+    def monotonic(self) -> float:
+        """Return seconds."""
+        return super().monotonic() + self._suspended
+
+    def suspend(self, seconds: float) -> None:
+        """Let time pass in which the process does not run."""
+        self._suspended += seconds
+
+
+async def _tick_forever(lending: ConnectionLending, clock: _SuspendedClock) -> None:
+    while True:
+        lending.tick(clock.monotonic())
+        await asyncio.sleep(0.02)
+
+
 @asynccontextmanager
 async def _borrowers(silent: int = 0):
     """Yield an entry, the holder behind it and the gRPC server of the holder.
@@ -64,7 +85,9 @@
     """
     holder = SessionHarness()
     server = grpc.aio.server()
-    lending = ConnectionLending(holder.access, holder.clock)
+    clock = _SuspendedClock()
+    lending = ConnectionLending(holder.access, clock)
+    ticker = asyncio.create_task(_tick_forever(lending, clock))
     peer_pb2_grpc.add_ConnectionsServicer_to_server(lending, server)
     port = server.add_insecure_port("127.0.0.1:0")
     await server.start()
@@ -72,9 +95,11 @@
     addresses = [f"127.0.0.1:{s.sockets[0].getsockname()[1]}" for s in mute]
     channels = PeerChannels(Transport(TlsMode.PLAIN_TEXT, None, 1_000_000))
     entry = BorrowingHarness([*addresses, f"127.0.0.1:{port}"], channels)
+    holder.suspend = clock.suspend
     try:
         yield entry, holder, server
     finally:
+        ticker.cancel()
         await channels.close()
         await server.stop(0)
         for server_without_answers in mute:
@@ -199,6 +224,26 @@
     asyncio.run(scenario())
 
 
+def test_holder_that_was_suspended_runs_no_commit_that_may_be_given_up():
+    """Guards against a commit that takes effect after its caller was told that it is in doubt.
+
+    Found by seed 612 of the soak over borrowed connections: a holder that was paused for 2 s ran a
+    commit when it woke up, over what the caller had written meanwhile.
+    """
+
+    async def scenario():
+        async with _borrowers() as (entry, holder, _):
+            session = entry.session()
+            await entry.run(session, "BEGIN", "WRITE x 1")
+            holder.suspend(3.0)
+            (reply,) = await entry.run(session, "COMMIT")
+            assert reply.error.failure is Failure.ABORTED
+            assert "COMMIT" not in [text for text, _ in holder.targets[PRIMARY].log]
+            assert not any(c.is_open for c in holder.targets[PRIMARY].connections)
+
+    asyncio.run(scenario())
+
+
 def test_entry_that_leaves_inside_a_transaction_has_it_rolled_back():
     """Guards against a connection that goes to the next session inside a transaction."""
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -20,6 +20,11 @@
     35: "SIGHUP ended an instance that was still starting",
 }
 
+#: The same over borrowed connections.
+BORROWING_REGRESSIONS: dict[int, str] = {
+    612: "a holder that was paused ran a commit after its caller had been told that it is in doubt",
+}
+
 
 @pytest.mark.parametrize("seed", [1, *REGRESSIONS])
 def test_promises_hold_under_faults(seed, tmp_path):
@@ -30,10 +35,10 @@
     assert history.reads
 
 
-@pytest.mark.parametrize("seed", [2, 3])
+@pytest.mark.parametrize("seed", [2, 3, *BORROWING_REGRESSIONS])
 def test_promises_hold_over_borrowed_connections(seed, tmp_path):
     """Guards against untrue answers when a holder is killed, paused or cut off."""
-    network = f"79.{seed}"
+    network = f"79.{seed % 250}"
     history = run_seed(seed, SHORT_SECONDS, network, tmp_path, SCARCE_CONNECTIONS)
     assert not history.violations
     assert history.kept
