Forget the load of a former primary, and name the overload switchover after the field

Found by reading: the time for which the slots of a primary were in use was kept when the primary changed, so that a group with replicas far behind could change its primary again before the new one was polled. The rest is a rename: relief becomes overload switchover.

--- a/hibiscuspoint/components/failover_effects.py
+++ b/hibiscuspoint/components/failover_effects.py
@@ -7,8 +7,8 @@
 
 from hibiscuspoint.components.leader_effects import LeaderEffects
 from hibiscuspoint.core.failover import (
+    OverloadSwitchover,
     PauseReplica,
-    PrimaryRelieved,
     RequestPromotion,
     ResumeReplica,
     StepDown,
@@ -64,10 +64,10 @@
                 self._start(self._step_down(group, member.target, term), "end of a primary")
             case ResumeReplica(group, member):
                 self._start(self._resume(group, member.target), "resumption of a replica")
-            case PrimaryRelieved(group, primary):
+            case OverloadSwitchover(group, primary):
                 log_event(
                     logger,
-                    catalogue.PRIMARY_RELIEVED,
+                    catalogue.OVERLOAD_SWITCHOVER,
                     group=group,
                     target=primary,
                     term=self._record(group).term,
--- a/hibiscuspoint/core/failover/__init__.py
+++ b/hibiscuspoint/core/failover/__init__.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from hibiscuspoint.core.failover.effects import (
+    OverloadSwitchover,
     PauseReplica,
-    PrimaryRelieved,
     RequestPromotion,
     ResumeReplica,
     StepDown,
@@ -17,8 +17,8 @@
 __all__ = [
     "FailoverLeader",
     "GroupFailover",
+    "OverloadSwitchover",
     "PauseReplica",
-    "PrimaryRelieved",
     "RequestPromotion",
     "ResumeReplica",
     "StepDown",
--- a/hibiscuspoint/core/failover/effects.py
+++ b/hibiscuspoint/core/failover/effects.py
@@ -11,7 +11,7 @@
     from hibiscuspoint.core.control.effects import MemberAddress
     from hibiscuspoint.ids import GroupId, TargetId, Term
 
-__all__ = ["PauseReplica", "PrimaryRelieved", "RequestPromotion", "ResumeReplica", "StepDown"]
+__all__ = ["OverloadSwitchover", "PauseReplica", "RequestPromotion", "ResumeReplica", "StepDown"]
 
 
 @dataclass(frozen=True)
@@ -53,7 +53,7 @@
 
 
 @dataclass(frozen=True)
-class PrimaryRelieved(Effect):
+class OverloadSwitchover(Effect):
     """Report that a healthy primary hands over because no replica can serve reads."""
 
     group: GroupId
--- a/hibiscuspoint/core/failover/group.py
+++ b/hibiscuspoint/core/failover/group.py
@@ -10,9 +10,9 @@
 from hibiscuspoint.core.control.state import GroupPhase
 from hibiscuspoint.core.control.switchover import Switchover, SwitchoverState
 from hibiscuspoint.core.failover.contacts import STATUS_SECONDS, TargetContacts
-from hibiscuspoint.core.failover.effects import PrimaryRelieved
+from hibiscuspoint.core.failover.effects import OverloadSwitchover
+from hibiscuspoint.core.failover.overload import OverloadWatch
 from hibiscuspoint.core.failover.promotion import PromotionRound
-from hibiscuspoint.core.failover.relief import LagRelief
 from hibiscuspoint.core.failover.watch import Loss, PrimaryWatch
 from hibiscuspoint.core.position import ZERO
 from hibiscuspoint.wire import record_pb2
@@ -60,7 +60,7 @@
         self._watch: PrimaryWatch | None = None
         self._round: PromotionRound | None = None
         self._switchover: Switchover | None = None
-        self._relief = LagRelief()
+        self._overload = OverloadWatch()
         self._idle_since: float | None = None
         self._suspected_term = 0
         self._keeps_former = True
@@ -104,10 +104,10 @@
         if self._round is not None and self._record.phase is GroupPhase.SEALING:
             self._round.polled(target, status, asked_at)
         if target != self._record.primary:
-            self._relief.replica_polled(target, status, now)
+            self._overload.replica_polled(target, status, now)
         if target != self._record.primary or self._record.phase is not GroupPhase.STARTED:
             return
-        self._relief.primary_polled(status, self._slots(target), now)
+        self._overload.primary_polled(status, self._slots(target), now)
         if self._watch is not None:
             self._watch.answered(status.is_primary, now)
         if status.is_primary:
@@ -120,7 +120,7 @@
         self._contacts.heard(target, now)
         if self._watch is not None and self._watch.primary == target:
             self._watch.answered(is_primary=True, now=now)
-            self._relief.primary_full(now)
+            self._overload.primary_full(now)
 
     def refused(self, target: TargetId, now: float) -> None:
         """Record that the address of a target refused a connection."""
@@ -232,6 +232,7 @@
             if self._round is not None:
                 self._started_at = now
             self._watch = PrimaryWatch(record.primary, now)
+            self._overload.primary_changed()
             self._switchover = None
             self._idle_since = None
             self._resume_replicas(now)
@@ -269,13 +270,13 @@
             return []
         effects: list[Effect] = []
         if self._switchover is None:
-            is_relief = not primary.leaving and self._relief.is_due(successors, now)
-            if not self._ledger.is_known(now) or not (primary.leaving or is_relief):
+            is_overloaded = not primary.leaving and self._overload.is_due(successors, now)
+            if not self._ledger.is_known(now) or not (primary.leaving or is_overloaded):
                 return []
             self._switchover = Switchover(record.primary, None, now)
-            if is_relief:
-                self._relief.tried(now)
-                effects.append(PrimaryRelieved(record.group, record.primary))
+            if is_overloaded:
+                self._overload.tried(now)
+                effects.append(OverloadSwitchover(record.group, record.primary))
         return effects + self._continue_switchover(primary, successors, now)
 
     def _continue_switchover(
--- a/hibiscuspoint/core/failover/relief.py
+++ b/hibiscuspoint/core/failover/overload.py
@@ -1,4 +1,4 @@
-"""The change of a healthy primary whose replicas are too far behind to serve reads."""
+"""Detection of an overloaded primary whose replicas are too far behind to serve reads."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
     from hibiscuspoint.core.position import LogPosition
     from hibiscuspoint.ids import TargetId
 
-__all__ = ["LagRelief"]
+__all__ = ["OverloadWatch"]
 
 #: Remaining lag in seconds from which a change of primary pays: it interrupts writes for about a
 #: second, and reads accept data that is up to 2.5 s old.
@@ -42,7 +42,7 @@
     receives: bool
 
 
-class LagRelief:
+class OverloadWatch:
     """Tells when a group gains from a new primary although the present one is healthy.
 
     A replica that has received the whole log and applies it late serves no reads, so that the
@@ -56,6 +56,10 @@
         self._written: LogPosition = ZERO
         self._replicas: dict[TargetId, _Reading] = {}
 
+    def primary_changed(self) -> None:
+        """Forget the load of the former primary."""
+        self._full_since = math.inf
+
     def primary_polled(self, status: TargetStatus, slots: int, now: float) -> None:
         """Take the state of the primary.
 
--- a/hibiscuspoint/telemetry/catalogue.py
+++ b/hibiscuspoint/telemetry/catalogue.py
@@ -235,9 +235,9 @@
     "term",
 )
 
-PRIMARY_RELIEVED = define_event(
+OVERLOAD_SWITCHOVER = define_event(
     324,
-    "primary-relieved",
+    "overload-switchover",
     INFO,
     "{target} hands group {group} over: it is overloaded, and all replicas apply the log late.",
     "group",
