Do the shared parts of updates, heartbeats and holder choices once

Both builders of updates name the document and the revoked leases through one piece of code; heartbeats and departures share how they are read and answered; the delivery learns of a document when it changes instead of with each update; the digest of the serving entries is computed when their list changes instead of ten times a second; holders are scored once.

--- a/hibiscuspoint/components/leading.py
+++ b/hibiscuspoint/components/leading.py
@@ -167,7 +167,6 @@
         now = self._clock.monotonic()
         update = leader.update_for(instance, now)
         update.drain = instance in self._draining
-        self._delivery.accept(self.state.document)
         self._delivery.add_to(update, entry.document_number, delivered, now)
         return update
 
@@ -227,6 +226,8 @@
         self._leader = self._make_leader(term, self._clock.monotonic())
         self._metrics.leader.set(1)
         log_event(logger, catalogue.LEADERSHIP_GAINED, term=term)
+        # A document that came in a snapshot was not applied as a command.
+        self._delivery.accept(self.state.document)
         self._take_document()
 
     @handler("leadership_lost", channel="*")
--- a/hibiscuspoint/components/sessions/borrow_messages.py
+++ b/hibiscuspoint/components/sessions/borrow_messages.py
@@ -102,8 +102,7 @@
         message.failure = reply.error.failure.value
         message.text = reply.error.text
     if reply.position is not None:
-        position = reply.position
-        message.position.CopyFrom(position_message(position))
+        message.position.CopyFrom(position_message(reply.position))
     return message
 
 
--- a/hibiscuspoint/core/control/updates.py
+++ b/hibiscuspoint/core/control/updates.py
@@ -23,7 +23,7 @@
     from hibiscuspoint.core.control.targets import TargetDirectory
     from hibiscuspoint.ids import GroupId, InstanceId
 
-__all__ = ["UpdateBuilder"]
+__all__ = ["UpdateBuilder", "add_document", "add_revocation"]
 
 
 class UpdateBuilder:
@@ -94,7 +94,7 @@
             leader=self._instance,
             holders_version=self._holders_version,
         )
-        self._add_document(update)
+        add_document(update, self._state)
         if entry.holders_version != self._holders_version:
             update.holders.extend(self._holders)
         for group in sorted(self._concerned.get(entry.instance, ())):
@@ -110,12 +110,6 @@
         is_leased = entry.instance in self._ledger.held_by(group, now)
         return is_leased or entry.instance in holding.concerned
 
-    def _add_document(self, update: peer_pb2.ControlUpdate) -> None:
-        document = self._state.document
-        if document is not None:
-            update.document_number = document.number
-            update.document_digest = document.digest
-
     def _add_route(
         self,
         update: peer_pb2.ControlUpdate,
@@ -126,7 +120,7 @@
     ) -> None:
         record = controller.record
         if record.primary is None or record.phase is not GroupPhase.STARTED:
-            _add_revocation(update, record)
+            add_revocation(update, record)
             return
         state = controller.route_state
         is_holder = entry.instance in holding.holders
@@ -197,7 +191,15 @@
                 )
 
 
-def _add_revocation(update: peer_pb2.ControlUpdate, record: GroupRecord) -> None:
+def add_document(update: peer_pb2.ControlUpdate, state: ControlState) -> None:
+    """Name the document in force; its text follows where an entry needs it."""
+    document = state.document
+    if document is not None:
+        update.document_number = document.number
+        update.document_digest = document.digest
+
+
+def add_revocation(update: peer_pb2.ControlUpdate, record: GroupRecord) -> None:
     """Ask for the leases of the last started term, which a promotion under way waits for."""
     if record.starts:
         term, _ = record.starts[-1]
--- a/hibiscuspoint/core/failover/group.py
+++ b/hibiscuspoint/core/failover/group.py
@@ -105,7 +105,8 @@
             self._round.polled(target, status, asked_at)
         if target != self._record.primary:
             self._overload.replica_polled(target, status, now)
-        if target != self._record.primary or self._record.phase is not GroupPhase.STARTED:
+            return
+        if self._record.phase is not GroupPhase.STARTED:
             return
         self._overload.primary_polled(status, self._slots(target), now)
         if self._watch is not None:
--- a/hibiscuspoint/core/failover/leader.py
+++ b/hibiscuspoint/core/failover/leader.py
@@ -10,6 +10,7 @@
 from hibiscuspoint.core.control.leases import LeaseLedger
 from hibiscuspoint.core.control.route_state import RouteState
 from hibiscuspoint.core.control.state import GroupPhase, TargetRecord
+from hibiscuspoint.core.control.updates import add_document, add_revocation
 from hibiscuspoint.core.failover.group import GroupFailover
 from hibiscuspoint.core.sessions import EntryPlace, serving_version
 from hibiscuspoint.ids import GroupId, Incarnation, InstanceId, TargetId, Term
@@ -63,6 +64,7 @@
         self._last_tick = now
         self._serving: list[peer_pb2.ServingEntry] = []
         self._serving_version = 0
+        self._serving_places: list[EntryPlace] = []
         self._serving_count = 0
         self._counted_at = now
         self.control_members: list[str] = []
@@ -137,8 +139,7 @@
         for item in message.acknowledged:
             controller = self._groups.get(GroupId(item.group))
             if controller is not None:
-                position = item.position
-                controller.acknowledged(position_from(position))
+                controller.acknowledged(position_from(item.position))
         touched = set()
         for released in message.released:
             group = GroupId(released.group)
@@ -197,10 +198,10 @@
         if len(places) != self._serving_count:
             self._serving_count, self._counted_at = len(places), now
         is_settled = now - self._counted_at >= QUIET_SECONDS or now - self._since >= SETTLE_SECONDS
-        version = serving_version(places)
-        if not places or not is_settled or version == self._serving_version:
+        if not places or not is_settled or places == self._serving_places:
             return
-        self._serving_version = version
+        self._serving_places = places
+        self._serving_version = serving_version(places)
         self._serving = [
             peer_pb2.ServingEntry(instance=place.instance, availability_zone=place.zone)
             for place in places
@@ -231,10 +232,7 @@
         entry = self._entries.get(instance)
         if entry.serving_version != self._serving_version:
             update.serving.extend(self._serving)
-        document = self._state.document
-        if document is not None:
-            update.document_number = document.number
-            update.document_digest = document.digest
+        add_document(update, self._state)
         for controller in self._groups.values():
             self._add_route(update, controller, entry, now)
         return update
@@ -248,9 +246,7 @@
     ) -> None:
         record = controller.record
         if record.primary is None or record.phase is not GroupPhase.STARTED:
-            if record.starts:
-                term, _ = record.starts[-1]
-                update.revoked.append(peer_pb2.RouteRelease(group=record.group, term=term))
+            add_revocation(update, record)
             return
         state = controller.route_state
         route = peer_pb2.Route(
--- a/hibiscuspoint/core/sessions/holders.py
+++ b/hibiscuspoint/core/sessions/holders.py
@@ -57,9 +57,9 @@
     count = max(MINIMUM_HOLDERS, usable_connections // CONNECTIONS_PER_HOLDER)
     ranks: dict[AvailabilityZone, int] = {}
     ranked = []
-    for entry in sorted(known, key=lambda entry: _score(group, entry)):
+    for score, entry in sorted((_score(group, entry), entry) for entry in known):
         rank = ranks[entry.zone] = ranks.get(entry.zone, -1) + 1
-        ranked.append((rank, _score(group, entry), entry))
+        ranked.append((rank, score, entry))
     return [entry for _, _, entry in sorted(ranked)[:count]]
 
 
--- a/hibiscuspoint/platform/control_api.py
+++ b/hibiscuspoint/platform/control_api.py
@@ -56,22 +56,19 @@
         self._configuration = configuration
 
     async def _heartbeat(self, request: web.Request) -> web.Response:
-        try:
-            announcement = parse_heartbeat(request.match_info["target"], await request.read())
-        except HeartbeatError as error:
-            logger.warning("%s", error)
-            return web.json_response({}, status=400)
-        return await self._announced(announcement)
+        return await self._take(request, parse_heartbeat)
 
     async def _deregister(self, request: web.Request) -> web.Response:
+        return await self._take(request, departure)
+
+    async def _take(
+        self, request: web.Request, parse: Callable[[str, bytes], peer_pb2.Announcement]
+    ) -> web.Response:
         try:
-            announcement = departure(request.match_info["target"], await request.read())
+            announcement = parse(request.match_info["target"], await request.read())
         except HeartbeatError as error:
             logger.warning("%s", error)
             return web.json_response({}, status=400)
-        return await self._announced(announcement)
-
-    async def _announced(self, announcement: peer_pb2.Announcement) -> web.Response:
         accepted = await self._announce(announcement)
         return web.json_response({}, status=200 if accepted else 503)
 
