Send entries only the routes that changed

Change: the leader remembers what it sent on each stream. The first update carries all routes; later ones carry those that changed, one number that renews the leases of the others, and positions of primaries read since the last update. An entry that ignored an update renews nothing and asks for all routes. A stream that was given up no longer delivers updates.

--- a/hibiscuspoint/components/attachment.py
+++ b/hibiscuspoint/components/attachment.py
@@ -88,6 +88,7 @@
         self._is_redirected = False
         self._suggested = asyncio.Event()
         self._attempt: asyncio.Task[None] | None = None
+        self._attempt_number = 0
         self._news = asyncio.Event()
         self._heard_at = 0.0
         self._task: asyncio.Task | None = None
@@ -125,6 +126,7 @@
             self._suggested.clear()
             self._is_redirected = False
             channel = self._channels.open(address)
+            self._attempt_number += 1
             self._attempt = asyncio.ensure_future(self._attach(channel, address))
             try:
                 reason = await self._watch(self._attempt)
@@ -187,7 +189,11 @@
 
     async def _receive(self, call: grpc.aio.StreamStreamCall) -> None:
         loop = asyncio.get_running_loop()
+        number = self._attempt_number
         while (update := await call.read()) is not grpc.aio.EOF:
+            if number != self._attempt_number:
+                # The stream was given up but did not end; its updates are those of another leader.
+                return
             if update.redirect or not update.control_term:
                 self._on_refused(update)
                 self._redirect_to(update.redirect)
--- a/hibiscuspoint/components/control_service.py
+++ b/hibiscuspoint/components/control_service.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from hibiscuspoint.core.control import DeliveredDocument
+from hibiscuspoint.core.control import DeliveredState
 from hibiscuspoint.ids import InstanceId
 from hibiscuspoint.wire import peer_pb2, peer_pb2_grpc
 
@@ -86,7 +86,7 @@
         self._ended = False
         self._instance: InstanceId | None = None
         self._echo = 0
-        self._delivered = DeliveredDocument()
+        self._delivered = DeliveredState()
 
     async def read(self, reports: AsyncIterator[peer_pb2.EntryReport]) -> None:
         """Take the reports of the entry until its stream ends."""
@@ -97,6 +97,8 @@
                 if self._instance is None:
                     self._instance = InstanceId(report.instance)
                     self._control.attach(self._instance, self._due.set)
+                if report.routes_missed:
+                    self._delivered.forget_routes()
                 self._echo = report.sent_at_ns
                 self._due.set()
         finally:
--- a/hibiscuspoint/components/entry_state.py
+++ b/hibiscuspoint/components/entry_state.py
@@ -62,6 +62,10 @@
         self._contact = ContactMonitor(contact_seconds)
         self._holders: dict[GroupId, list[tuple[InstanceId, str]]] = {}
         self._document_text = ""
+        # Terms of the routes that the present stream has sent with a lease.
+        self._leased_terms: dict[GroupId, Term] = {}
+        #: Whether an update was ignored, so that later ones that hold only changes do not suffice.
+        self.has_missed_routes = False
         self.routes = RouteTable()
         self.document: AnyDocument | None = None
         self.holders_version = 0
@@ -98,7 +102,11 @@
         :returns: false when the update is older than the state in force and was ignored.
         """
         if not self._fence.accept(update.control_term, update.document_number):
+            self.has_missed_routes = True
             return False
+        if update.all_routes:
+            self.has_missed_routes = False
+            self._leased_terms.clear()
         self._contact.record_contact(update.echo_sent_at_ns / NANOSECONDS_PER_SECOND)
         if update.packed_document and update.document_number > self.document_number:
             self._apply_document(update)
@@ -117,13 +125,35 @@
         applied = []
         for message in update.routes:
             grant = _grant_from_message(message, requested_at)
+            if message.lease_ms:
+                self._leased_terms[grant.group] = grant.term
+            else:
+                self._leased_terms.pop(grant.group, None)
             if self.routes.apply(grant):
                 applied.append(grant.group)
         return applied
 
+    def renew_routes(self, update: peer_pb2.ControlUpdate) -> list[GroupId]:
+        """Renew the leases that an update does not mention; return the groups that have one.
+
+        Called after the routes of the update were applied and revoked.
+        """
+        if not update.renewed_lease_ms or self.has_missed_routes:
+            return []
+        requested_at = update.echo_sent_at_ns / NANOSECONDS_PER_SECOND
+        seconds = update.renewed_lease_ms / MILLISECONDS_PER_SECOND
+        carried = {route.group for route in update.routes}
+        return [
+            group
+            for group, term in self._leased_terms.items()
+            if group not in carried and self.routes.renew(group, term, seconds, requested_at)
+        ]
+
     def revoke_routes(self, update: peer_pb2.ControlUpdate) -> list[GroupId]:
         """Revoke the leases that an update lists; return the groups that had a lease."""
         revoked = [(GroupId(item.group), Term(item.term)) for item in update.revoked]
+        for group, _ in revoked:
+            self._leased_terms.pop(group, None)
         return [group for group, term in revoked if self.routes.revoke_lease(group, term)]
 
     def _apply_document(self, update: peer_pb2.ControlUpdate) -> None:
--- a/hibiscuspoint/components/leader_client.py
+++ b/hibiscuspoint/components/leader_client.py
@@ -72,10 +72,15 @@
         self.set_seeds(introduction.control_members)
 
     def record_attachment(self, leader: str, members: Iterable[str]) -> None:
-        """Take the addresses of the leader and of the control group from an update."""
+        """Take the addresses of the leader and of the control group from an update.
+
+        :param members: empty when they have not changed.
+        """
         self._attached_to = leader
-        self._members = list(members) or self._members
-        self._known_members = list(members)
+        members = list(members)
+        if members:
+            self._members = members
+            self._known_members = list(members)
 
     @property
     def members(self) -> list[str]:
--- a/hibiscuspoint/components/leading.py
+++ b/hibiscuspoint/components/leading.py
@@ -19,7 +19,8 @@
 
     from hibiscuspoint.components.consensus import ReplicatedLog
     from hibiscuspoint.components.control_state import ControlStateMachine
-    from hibiscuspoint.core.control import ControlState, DeliveredDocument, Effect
+    from hibiscuspoint.core.control import ControlState, DeliveredState, Effect
+    from hibiscuspoint.core.control.delivery import DeliveredRoutes
     from hibiscuspoint.core.control.entries import EntryDirectory
     from hibiscuspoint.core.ports import Clock
     from hibiscuspoint.ids import GroupId, InstanceId
@@ -65,8 +66,10 @@
     def tick_group(self, group: GroupId, now: float) -> list[Effect]:
         """Advance one group."""
 
-    def build_update(self, instance: InstanceId, now: float) -> peer_pb2.ControlUpdate:
-        """Return the update for an entry."""
+    def build_update(
+        self, instance: InstanceId, now: float, delivered: DeliveredRoutes
+    ) -> peer_pb2.ControlUpdate:
+        """Return the update for an entry, given the routes that were sent on its stream."""
 
 
 class EffectExecutor(Protocol):
@@ -163,20 +166,20 @@
         self._wake([instance])
 
     def build_update(
-        self, instance: InstanceId, delivered: DeliveredDocument
+        self, instance: InstanceId, delivered: DeliveredState
     ) -> peer_pb2.ControlUpdate | None:
         """Return the update for an entry; ``None`` when this instance does not lead.
 
-        :param delivered: the document that was sent last on the stream of the entry.
+        :param delivered: what was sent on the stream of the entry; updated.
         """
         leader = self.leader
         entry = leader.entries.get(instance) if leader is not None else None
         if entry is None:
             return None
         now = self._clock.monotonic()
-        update = leader.build_update(instance, now)
+        update = leader.build_update(instance, now, delivered.routes)
         update.drain = instance in self._draining
-        self._delivery.add_to_update(update, entry.document_number, delivered, now)
+        self._delivery.add_to_update(update, entry.document_number, delivered.document, now)
         return update
 
     def handle_report(self, report: peer_pb2.EntryReport) -> bool:
--- a/hibiscuspoint/components/reporting.py
+++ b/hibiscuspoint/components/reporting.py
@@ -96,6 +96,7 @@
             drained=self._drain.phase is DrainPhase.DRAINED,
             holders_version=self._state.holders_version,
             control_term=self._state.control_term,
+            routes_missed=self._state.has_missed_routes,
         )
         self._lease_user.fill_report(report, now_ns / NANOSECONDS_PER_SECOND)
         return report
@@ -149,6 +150,10 @@
         granted again.
         """
         usable = {route.group for route in update.routes if route.lease_ms and not route.paused}
+        if update.renewed_lease_ms and not update.all_routes:
+            # The update holds only changes.
+            changed = {item.group for item in (*update.routes, *update.revoked)}
+            usable |= self._usable_groups - changed
         withdrawn = self._usable_groups - usable
         self._usable_groups = usable
         return bool(withdrawn)
--- a/hibiscuspoint/components/sessions/groups.py
+++ b/hibiscuspoint/components/sessions/groups.py
@@ -247,16 +247,15 @@
         before = dict(self._released)
         now = self._clock.monotonic()
         leased = {
-            group
-            for group in self._state.routes.groups
-            if self._state.routes.leased_route(group, now) is not None
+            GroupId(route.group)
+            for route in update.routes
+            if self._state.routes.leased_route(GroupId(route.group), now) is not None
         }
         for group in self._state.apply_routes(update):
             self._log_route(group)
         self._update_places(update)
         for group in self._state.revoke_routes(update):
             self._record_release(group)
-        requested_at = update.echo_sent_at_ns / NANOSECONDS_PER_SECOND
         for route in update.routes:
             group = GroupId(route.group)
             known = self._released.get(group)
@@ -266,16 +265,24 @@
                 # Control ends the lease; it may not be used again before a later grant.
                 self._state.routes.release_lease(group, now)
                 self._record_release(group)
-            if route.HasField("tip"):
-                position = position_from(route.tip)
-                age = route.tip_age_ms / MILLISECONDS_PER_SECOND
-                self.tip(group).add(requested_at - age, position)
             self._release_paused(group)
-        self._close_unlisted_pools()
+        for group in self._state.renew_routes(update):
+            self._released.pop(group, None)
+            self._release_paused(group)
+        self._record_tips(update)
+        if update.routes:
+            self._close_unlisted_pools()
         self._changed.set()
         self._changed = asyncio.Event()
         return any(before.get(group) != term for group, term in self._released.items())
 
+    def _record_tips(self, update: peer_pb2.ControlUpdate) -> None:
+        """Take over the positions that the control leader has read at the primaries."""
+        requested_at = update.echo_sent_at_ns / NANOSECONDS_PER_SECOND
+        for tip in update.tips:
+            read_at = requested_at - tip.age_ms / MILLISECONDS_PER_SECOND
+            self.tip(GroupId(tip.group)).add(read_at, position_from(tip.position))
+
     def _update_places(self, update: peer_pb2.ControlUpdate) -> None:
         """Take over which instances serve; a new control leader does not know it at once."""
         if not update.serving_entries:
--- a/hibiscuspoint/core/control/__init__.py
+++ b/hibiscuspoint/core/control/__init__.py
@@ -9,7 +9,7 @@
     __name__,
     submod_attrs={
         "configuration": ["SubmissionOutcome", "check_formed_groups", "judge_submission"],
-        "delivery": ["DeliveredDocument", "DocumentDelivery"],
+        "delivery": ["DeliveredDocument", "DeliveredState", "DocumentDelivery"],
         "effects": [
             "Effect",
             "Follow",
--- a/hibiscuspoint/core/control/delivery.py
+++ b/hibiscuspoint/core/control/delivery.py
@@ -3,16 +3,17 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.wire.packing import pack
 
 if TYPE_CHECKING:
     from hibiscuspoint.core.control.state import AcceptedDocument
+    from hibiscuspoint.ids import GroupId
     from hibiscuspoint.wire import peer_pb2
 
-__all__ = ["DeliveredDocument", "DocumentDelivery"]
+__all__ = ["DeliveredDocument", "DeliveredRoutes", "DeliveredState", "DocumentDelivery"]
 
 #: Documents that are kept as the base of differences. A new document may come into force every
 #: 0.3 s, and an entry on a slow link is about a second behind.
@@ -35,6 +36,34 @@
     sent_at: float = -math.inf
 
 
+@dataclass
+class DeliveredRoutes:
+    """The routes that were sent on one stream; updates hold only what differs from them.
+
+    :param contents: last route of each group.
+    :param tips: monotonic time at which the position of each primary that was sent last was read.
+    :param control_members: addresses of the control group that were sent last.
+    :param is_started: whether an update was sent.
+    """
+
+    contents: dict[GroupId, object] = field(default_factory=dict)
+    tips: dict[GroupId, float] = field(default_factory=dict)
+    control_members: list[str] = field(default_factory=list)
+    is_started: bool = False
+
+
+@dataclass
+class DeliveredState:
+    """What was sent on one stream to an entry."""
+
+    document: DeliveredDocument = field(default_factory=DeliveredDocument)
+    routes: DeliveredRoutes = field(default_factory=DeliveredRoutes)
+
+    def forget_routes(self) -> None:
+        """Send all routes with the next update, as the entry has missed one."""
+        self.routes = DeliveredRoutes()
+
+
 class DocumentDelivery:
     """Packs the document in force, as the difference to an earlier document that the entry has.
 
--- a/hibiscuspoint/core/control/leader.py
+++ b/hibiscuspoint/core/control/leader.py
@@ -17,6 +17,7 @@
 from hibiscuspoint.wire import record_pb2
 
 if TYPE_CHECKING:
+    from hibiscuspoint.core.control.delivery import DeliveredRoutes
     from hibiscuspoint.core.control.effects import Effect
     from hibiscuspoint.core.control.promotion import MemberReply
     from hibiscuspoint.core.control.state import ControlState
@@ -203,8 +204,13 @@
         self._ensure_controller(group, now)
         return self._tick_group(self._groups[group], now)
 
-    def build_update(self, instance: InstanceId, now: float) -> peer_pb2.ControlUpdate:
-        """Return the update for an entry and record the leases that it grants."""
+    def build_update(
+        self, instance: InstanceId, now: float, delivered: DeliveredRoutes | None = None
+    ) -> peer_pb2.ControlUpdate:
+        """Return the update for an entry and record the leases that it grants.
+
+        :param delivered: not used, as each update carries all routes of the entry.
+        """
         entry = self._entries.get(instance)
         return self._updates.build(entry, self._groups, self._allocators, now)
 
--- a/hibiscuspoint/core/entry/routes.py
+++ b/hibiscuspoint/core/entry/routes.py
@@ -122,7 +122,9 @@
         known = self._routes.get(grant.group)
         if known is not None and self._is_outdated(known, grant):
             return False
-        lease_ends_at = self._lease_end_of(grant)
+        lease_ends_at = self._lease_end(
+            grant.group, grant.term, grant.lease_seconds, grant.requested_at
+        )
         self._routes[grant.group] = Route(
             group=grant.group,
             term=grant.term,
@@ -138,6 +140,23 @@
             self._reported_expired.discard(grant.group)
         return True
 
+    def renew(self, group: GroupId, term: Term, lease_seconds: float, requested_at: float) -> bool:
+        """Renew the lease of a known route and return whether it has one.
+
+        Like a grant of the same route, the renewal is ignored for another term and if it was
+        requested before the last grant, and gives no lease if the lease was released after that.
+        """
+        known = self._routes.get(group)
+        if known is None or known.term != term or requested_at < self._requested_at[group]:
+            return False
+        lease_ends_at = self._lease_end(group, term, lease_seconds, requested_at)
+        self._requested_at[group] = requested_at
+        self._routes[group] = replace(known, lease_ends_at=lease_ends_at)
+        if lease_ends_at == -math.inf:
+            return False
+        self._reported_expired.discard(group)
+        return True
+
     def route(self, group: GroupId) -> Route | None:
         """Return the known route whether or not its lease is valid, for the use of its replicas."""
         return self._routes.get(group)
@@ -201,16 +220,16 @@
             return grant.term < known.term
         return grant.requested_at < self._requested_at[grant.group]
 
-    def _lease_end_of(self, grant: RouteGrant) -> float:
-        release = self._releases.get(grant.group)
+    def _lease_end(
+        self, group: GroupId, term: Term, lease_seconds: float, requested_at: float
+    ) -> float:
+        release = self._releases.get(group)
         is_void = (
-            release is not None
-            and grant.term <= release.term
-            and grant.requested_at <= release.released_at
+            release is not None and term <= release.term and requested_at <= release.released_at
         )
-        if is_void or grant.lease_seconds <= 0:
+        if is_void or lease_seconds <= 0:
             return -math.inf
-        return lease_end_at_holder(grant.requested_at, grant.lease_seconds)
+        return lease_end_at_holder(requested_at, lease_seconds)
 
 
 class DocumentFence:
--- a/hibiscuspoint/core/failover/leader.py
+++ b/hibiscuspoint/core/failover/leader.py
@@ -8,19 +8,19 @@
 from hibiscuspoint.core.control.detector import STALL_SECONDS
 from hibiscuspoint.core.control.entries import EntryDirectory, EntryInfo
 from hibiscuspoint.core.control.leases import LeaseLedger
-from hibiscuspoint.core.control.route_state import RouteState
-from hibiscuspoint.core.control.state import GroupPhase, TargetRecord
-from hibiscuspoint.core.control.updates import add_document_identity, add_revocation
+from hibiscuspoint.core.control.state import TargetRecord
+from hibiscuspoint.core.control.updates import add_document_identity
 from hibiscuspoint.core.failover.group import GroupFailover
+from hibiscuspoint.core.failover.updates import add_routes
 from hibiscuspoint.core.sessions import EntryPlace, serving_version
 from hibiscuspoint.ids import GroupId, Incarnation, InstanceId, TargetId, Term
-from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
 from hibiscuspoint.wire import peer_pb2, record_pb2
-from hibiscuspoint.wire.position import position_from, position_message
+from hibiscuspoint.wire.position import position_from
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from hibiscuspoint.core.control.delivery import DeliveredRoutes
     from hibiscuspoint.core.control.effects import Effect
     from hibiscuspoint.core.control.state import ControlState, GroupRecord
     from hibiscuspoint.core.failover.status import TargetStatus
@@ -233,12 +233,16 @@
         failover = self._groups.get(group)
         return failover.tick(now) if failover is not None else []
 
-    def build_update(self, instance: InstanceId, now: float) -> peer_pb2.ControlUpdate:
-        """Return the update for an entry and record the leases in it as granted."""
+    def build_update(
+        self, instance: InstanceId, now: float, delivered: DeliveredRoutes
+    ) -> peer_pb2.ControlUpdate:
+        """Return the update for an entry and record the leases in it as granted.
+
+        :param delivered: the routes that were sent on the stream of the entry before; updated.
+        """
         update = peer_pb2.ControlUpdate(
             control_term=self._control_term,
             leader=self._instance,
-            control_members=self.control_members,
             serving_entries=len(self._serving),
             serving_version=self._serving_version,
         )
@@ -246,40 +250,12 @@
         if entry.serving_version != self._serving_version:
             update.serving.extend(self._serving)
         add_document_identity(update, self._state)
-        for failover in self._groups.values():
-            self._add_route(update, failover, entry, now)
+        if delivered.control_members != self.control_members:
+            delivered.control_members = list(self.control_members)
+            update.control_members.extend(self.control_members)
+        add_routes(update, self._groups, instance, self._ledger, delivered, LEASE_SECONDS, now)
         return update
 
-    def _add_route(
-        self,
-        update: peer_pb2.ControlUpdate,
-        failover: GroupFailover,
-        entry: EntryInfo,
-        now: float,
-    ) -> None:
-        record = failover.record
-        if record.primary is None or record.phase is not GroupPhase.STARTED:
-            add_revocation(update, record)
-            return
-        state = failover.route_state
-        route = peer_pb2.Route(
-            group=record.group,
-            term=record.term,
-            primary=record.primary,
-            paused=state is RouteState.PAUSED,
-        )
-        is_held = entry.instance in self._ledger.leaseholders(record.group, now)
-        if state is RouteState.GRANTED or (state is RouteState.PAUSED and is_held):
-            route.lease_ms = int(LEASE_SECONDS * MILLISECONDS_PER_SECOND)
-            self._ledger.grant(record.group, entry.instance, record.term, now)
-        for target in failover.listed_targets(now):
-            route.members.append(_route_member(record.targets[target]))
-        if failover.tip is not None:
-            position, polled_at = failover.tip
-            route.tip.CopyFrom(position_message(position))
-            route.tip_age_ms = int((now - polled_at) * MILLISECONDS_PER_SECOND) + 1
-        update.routes.append(route)
-
     def _departure_command(
         self, registered: TargetRecord | None, message: peer_pb2.Announcement
     ) -> record_pb2.Command | None:
@@ -310,13 +286,3 @@
     def _failover_of(self, target: TargetId) -> GroupFailover | None:
         record = self._group_record(target)
         return self._groups.get(record.group) if record is not None else None
-
-
-def _route_member(target: TargetRecord) -> peer_pb2.RouteMember:
-    return peer_pb2.RouteMember(
-        target=target.target,
-        address=target.address,
-        availability_zone=target.availability_zone,
-        slots=target.slots,
-        leaving=target.leaving,
-    )
--- a/hibiscuspoint/daemon/session_node.py
+++ b/hibiscuspoint/daemon/session_node.py
@@ -229,7 +229,8 @@
     def _on_attached(self, update: peer_pb2.ControlUpdate) -> None:
         """Remember where control is, for the next attachment and for calls of others."""
         self._leader_client.record_attachment(update.leader, update.control_members)
-        self._attachment.set_members(self._candidates())
+        if update.control_members:
+            self._attachment.set_members(self._candidates())
 
     def _on_refused(self, update: peer_pb2.ControlUpdate) -> None:
         """Take what an instance that does not lead knows about control."""
--- a/tests/components/sessions/harness.py
+++ b/tests/components/sessions/harness.py
@@ -90,7 +90,7 @@
         route = update.routes.add(
             group=GROUP, term=self.term, primary=self.primary, lease_ms=lease_ms, paused=paused
         )
-        route.tip.CopyFrom(common_pb2.Position(term=1, index=tip))
+        update.tips.add(group=GROUP, position=common_pb2.Position(term=1, index=tip))
         for port, name in enumerate(self.targets, 9000):
             route.members.add(
                 target=name, address=f"10.0.0.1:{port}", availability_zone="zone-a", slots=2
--- a/tests/core/failover/test_leader.py
+++ b/tests/core/failover/test_leader.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from hibiscuspoint.core.control.delivery import DeliveredRoutes
 from hibiscuspoint.core.control.state import ControlState
 from hibiscuspoint.core.failover import FailoverLeader
 from hibiscuspoint.core.failover.leader import SERVING_LIST_DELAY_SECONDS
@@ -101,15 +102,18 @@
     for number in (2, 3):
         _report(leader, NOW, 1, number)
     leader.tick(NOW)
-    assert leader.build_update(entry, NOW).serving_entries == 0
+    assert leader.build_update(entry, NOW, DeliveredRoutes()).serving_entries == 0
     published_at = NOW + SERVING_LIST_DELAY_SECONDS
     for number in (2, 3):
         _report(leader, published_at, 2, number)
     leader.tick(published_at)
-    update = leader.build_update(entry, published_at)
+    update = leader.build_update(entry, published_at, DeliveredRoutes())
     assert [place.instance for place in update.serving] == ["10.0.0.2:7440", "10.0.0.3:7440"]
     _report(leader, published_at, 3, 2, serving_version=update.serving_version)
-    assert not leader.build_update(entry, published_at).serving
+    assert not leader.build_update(entry, published_at, DeliveredRoutes()).serving
     _report(leader, published_at, 4, 3, draining=True)
     leader.tick(published_at)
-    assert [place.instance for place in leader.build_update(entry, published_at).serving] == [entry]
+    assert [
+        place.instance
+        for place in leader.build_update(entry, published_at, DeliveredRoutes()).serving
+    ] == [entry]
