Answer a statement that was received just before an idle session is closed

Cause: when an instance stops or has lost control, it closes its idle sessions at once, also one whose statement is in the receive buffer and not read yet.

Change: a session is closed after the tasks that are due have run; a session that turned out to be busy is closed after its answer.

--- a/hibiscuspoint/components/http_connection.py
+++ b/hibiscuspoint/components/http_connection.py
@@ -67,13 +67,14 @@
     def stop(self) -> None:
         """Close the connection after the request in progress, or at once when there is none.
 
-        Bytes that were received but not parsed yet are still read, so that a request that was
-        accepted is answered.
+        A request that was received before is read first, so that it is not cut off.
         """
         self._is_stopping = True
+        asyncio.get_running_loop().call_soon(self._close_if_idle)
+
+    def _close_if_idle(self) -> None:
         if self.is_idle:
-            self._writer.transport.pause_reading()
-            self._reader.feed_eof()
+            self._writer.close()
 
     async def run(self) -> None:
         """Serve until either side closes the connection."""
--- a/hibiscuspoint/platform/frontend.py
+++ b/hibiscuspoint/platform/frontend.py
@@ -130,7 +130,13 @@
         self.close_if_idle()
 
     def close_if_idle(self) -> None:
-        """Close the connection if neither a statement nor a transaction is in progress."""
+        """Close the connection if neither a statement nor a transaction is in progress.
+
+        A statement that was received before is read first, so that it is not cut off.
+        """
+        asyncio.get_running_loop().call_soon(self._close_if_still_idle)
+
+    def _close_if_still_idle(self) -> None:
         if self._is_idle():
             self.close()
 
