Wake up less often while nothing happens

Change: control instances introduce themselves every second after 5 s without a change; an entry that loses control wakes its introductions. One timer for a report; pools are looked at every 0.25 s.

--- a/hibiscuspoint/components/attachment.py
+++ b/hibiscuspoint/components/attachment.py
@@ -231,12 +231,13 @@
             self._news.clear()
             async with asyncio.timeout(limit):
                 await call.write(self._make_report())
-            await asyncio.sleep(REPORT_SPACING_SECONDS)
+            sent_at = loop.time()
             try:
                 async with asyncio.timeout(REPORT_INTERVAL_SECONDS):
                     await self._news.wait()
             except TimeoutError:
                 continue
+            await asyncio.sleep(max(0.0, sent_at + REPORT_SPACING_SECONDS - loop.time()))
 
 
 def _retrieve(task: asyncio.Task[None]) -> None:
--- a/hibiscuspoint/components/introductions.py
+++ b/hibiscuspoint/components/introductions.py
@@ -19,9 +19,16 @@
 
 __all__ = ["Introductions"]
 
-#: Seconds between two introductions to the seeds.
+#: Seconds between two introductions to the seeds while control is looked for, or has just changed.
 INTERVAL_SECONDS = 0.2
 
+#: Seconds between two introductions of a control instance when nothing has changed, for a seed that
+#: was started again.
+SETTLED_INTERVAL_SECONDS = 1.0
+
+#: Seconds after a change in which a control instance introduces itself at the shorter interval.
+SETTLING_SECONDS = 5.0
+
 #: Longest time in seconds to wait for the answer of a seed.
 ANSWER_SECONDS = 0.4
 
@@ -52,8 +59,13 @@
         self._seeds = seeds
         self._is_needed = is_needed
         self._on_learned = on_learned
+        self._due = asyncio.Event()
         self._task: asyncio.Task | None = None
 
+    def wake(self) -> None:
+        """Introduce this instance now, as it has lost control."""
+        self._due.set()
+
     def start(self) -> None:
         """Start to introduce."""
         self._task = spawn(self._run(), "introductions")
@@ -65,11 +77,28 @@
             await asyncio.gather(self._task, return_exceptions=True)
 
     async def _run(self) -> None:
+        loop = asyncio.get_running_loop()
+        introduced: object = None
+        changed_at = loop.time()
         while True:
+            seeds = [seed for seed in self._seeds() if seed != self._instance]
+            known = (seeds, self._leader.introduction())
+            if known != introduced:
+                introduced, changed_at = known, loop.time()
             if self._is_needed():
-                seeds = [seed for seed in self._seeds() if seed != self._instance]
                 await asyncio.gather(*map(self._introduce, seeds))
-            await asyncio.sleep(INTERVAL_SECONDS)
+            is_settled = loop.time() - changed_at >= SETTLING_SECONDS
+            has_leader = bool(self._leader.known_leader)
+            interval = SETTLED_INTERVAL_SECONDS if is_settled and has_leader else INTERVAL_SECONDS
+            await self._pause(interval)
+
+    async def _pause(self, seconds: float) -> None:
+        self._due.clear()
+        try:
+            async with asyncio.timeout(seconds):
+                await self._due.wait()
+        except TimeoutError:
+            return
 
     async def _introduce(self, seed: str) -> None:
         stub = peer_pb2_grpc.ControlStub(self._channels.get(seed))
--- a/hibiscuspoint/components/sessions/groups.py
+++ b/hibiscuspoint/components/sessions/groups.py
@@ -30,6 +30,9 @@
 
 logger = logging.getLogger(__name__)
 
+#: Seconds between two looks for idle connections to close.
+POOL_TICK_SECONDS = 0.25
+
 #: Connections of a target that are left to control and to handshakes in progress.
 RESERVED_CONNECTIONS = 2
 
@@ -85,6 +88,7 @@
         self._driver = driver
         self._clock = clock
         self._pools: dict[TargetId, TargetPool] = {}
+        self._pools_due_at = 0.0
         self._counts: dict[TargetId, TargetCounts] = {}
         self._uses: Counter[GroupId] = Counter()
         self._released: dict[GroupId, Term] = {}
@@ -338,6 +342,9 @@
         for route in self._state.routes.pop_expired_routes(now):
             if route.group not in self._released:
                 log_event(logger, catalogue.LEASE_EXPIRED, group=route.group, term=route.term)
+        if now < self._pools_due_at:
+            return
+        self._pools_due_at = now + POOL_TICK_SECONDS
         for pool in self._pools.values():
             pool.tick(now)
 
--- a/hibiscuspoint/daemon/session_node.py
+++ b/hibiscuspoint/daemon/session_node.py
@@ -206,7 +206,7 @@
             list(settings.seeds),
             self._make_report,
             on_update=self._on_attached,
-            on_detached=self._leader_client.record_detachment,
+            on_detached=self._on_detached,
             on_refused=self._on_refused,
             silence_seconds=CONTROL_SILENCE_SECONDS,
             first_update_seconds=FIRST_UPDATE_SECONDS,
@@ -232,6 +232,10 @@
         if update.control_members:
             self._attachment.set_members(self._candidates())
 
+    def _on_detached(self) -> None:
+        self._leader_client.record_detachment()
+        self._introductions.wake()
+
     def _on_refused(self, update: peer_pb2.ControlUpdate) -> None:
         """Take what an instance that does not lead knows about control."""
         self._leader_client.record_introduction(
