Borrow connections where statements wait least

An entry always asked a holder of its own zone, and of two equal ones always the first (440 and 35 statements); that holder has six connections to a target, while others were idle. Ruled out: slots of the targets (54% used) and processor time (0.31 of a core at most).

Change: an entry remembers how long each holder took for each target, asks the one that took least for 60 ms and then two others, the last one for all the time that is left. Equal holders are used in turn.

--- a/hibiscuspoint/components/sessions/borrowing.py
+++ b/hibiscuspoint/components/sessions/borrowing.py
@@ -44,8 +44,11 @@
 #: of the processor is used up stands still for 0.1 s, and a lost packet is sent again after 0.2 s.
 HOLDER_TIMEOUT_SECONDS = 0.25
 
-#: Holders that are asked for one connection before this instance opens one itself.
-HOLDER_ATTEMPTS = 2
+#: Holders that are asked for one connection. If none of them answers, this instance opens one.
+HOLDER_ATTEMPTS = 3
+
+#: Longest time in seconds to wait for a connection at a holder while another one can be asked.
+HOLDER_WAIT_SECONDS = 0.06
 
 #: Longest expected wait in seconds that is passed on; no statement has so much time.
 MAX_EXPECTED_WAIT_SECONDS = 60.0
@@ -77,19 +80,16 @@
 
         :raises ConnectError: a holder answers and has no connection in time.
         """
-        wanted = peer_pb2.ConnectionRequest(
-            group=group,
-            target=target,
-            priority=demand.priority,
-            values=demand.session.values,
-            patience_ms=int(
-                min(demand.max_expected_wait_seconds, MAX_EXPECTED_WAIT_SECONDS)
-                * MILLISECONDS_PER_SECOND
-            ),
-        )
-        for holder in self._ranking.rank(holders, self._clock.monotonic())[:HOLDER_ATTEMPTS]:
+        ranked = self._ranking.rank(holders, target, self._clock.monotonic())[:HOLDER_ATTEMPTS]
+        refusal: ConnectError | None = None
+        for number, holder in enumerate(ranked, 1):
+            is_last = number == len(ranked)
             try:
-                return await self._ask(holder, wanted, demand.deadline)
+                return await self._ask_for(holder, group, target, demand, is_last=is_last)
+            except ConnectError as error:
+                if is_last or error.failure is not ConnectFailure.LIMITED:
+                    raise
+                refusal = error
             except (TimeoutError, grpc.aio.AioRpcError) as error:
                 now = self._clock.monotonic()
                 if isinstance(error, TimeoutError) and now >= demand.deadline:
@@ -105,22 +105,65 @@
                     group=group,
                     reason=_describe(error),
                 )
+        if refusal is not None:
+            raise refusal
         return None
 
+    async def _ask_for(
+        self,
+        holder: InstanceId,
+        group: GroupId,
+        target: TargetId,
+        demand: ConnectionDemand,
+        *,
+        is_last: bool,
+    ) -> HeldConnection:
+        """Ask one holder for a connection and record how long it took.
+
+        The last holder gets all the time that is left; a statement does not wait at one holder
+        while another one may have an idle connection.
+        """
+        started = self._clock.monotonic()
+        wait = max(0.0, demand.deadline - started)
+        patience = demand.max_expected_wait_seconds
+        if not is_last:
+            wait, patience = min(wait, HOLDER_WAIT_SECONDS), min(patience, HOLDER_WAIT_SECONDS)
+        wanted = peer_pb2.ConnectionRequest(
+            group=group,
+            target=target,
+            priority=demand.priority,
+            values=demand.session.values,
+            patience_ms=int(min(patience, MAX_EXPECTED_WAIT_SECONDS) * MILLISECONDS_PER_SECOND),
+        )
+        try:
+            connection = await self._ask(holder, wanted, demand.deadline, wait)
+        except ConnectError:
+            # A refusal comes at once, but a statement would have waited longer than it could.
+            self._ranking.record_wait(holder, target, HOLDER_WAIT_SECONDS, started)
+            raise
+        now = self._clock.monotonic()
+        self._ranking.record_wait(holder, target, now - started, now)
+        return connection
+
     async def _ask(
-        self, holder: InstanceId, wanted: peer_pb2.ConnectionRequest, deadline: float
+        self, holder: InstanceId, wanted: peer_pb2.ConnectionRequest, deadline: float, wait: float
     ) -> HeldConnection:
+        """Ask a holder for a connection.
+
+        :param deadline: monotonic time until which the holder may take the request.
+        :param wait: seconds for which the holder waits for a connection.
+        """
         remaining = max(0.0, deadline - self._clock.monotonic())
         stub = peer_pb2_grpc.ConnectionsStub(self._channels.get(holder))
         call = stub.Borrow()
         try:
             request = peer_pb2.BorrowRequest(
-                connection=wanted, remaining_ms=int(remaining * MILLISECONDS_PER_SECOND)
+                connection=wanted, remaining_ms=int(wait * MILLISECONDS_PER_SECOND)
             )
             async with asyncio.timeout(min(HOLDER_TIMEOUT_SECONDS, remaining)):
                 await call.write(request)
                 await call.initial_metadata()
-            async with asyncio.timeout(remaining + ANSWER_MARGIN_SECONDS):
+            async with asyncio.timeout(wait + ANSWER_MARGIN_SECONDS):
                 reply = await call.read()
         except asyncio.InvalidStateError:
             # The call ended before the request was written.
--- a/hibiscuspoint/core/sessions/holders.py
+++ b/hibiscuspoint/core/sessions/holders.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -10,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from hibiscuspoint.ids import AvailabilityZone, GroupId, InstanceId
+    from hibiscuspoint.ids import AvailabilityZone, GroupId, InstanceId, TargetId
 
 __all__ = ["EntryPlace", "HolderRanking", "choose_holders", "serving_version"]
 
@@ -24,6 +26,22 @@
 #: Time for which a holder that did not reply is ranked last; a restart takes about as long.
 FAILURE_PENALTY_SECONDS = 1.0
 
+#: Difference in seconds from which one holder counts as slower than another. It is above the time
+#: that a message takes between availability zones, so that a holder of the own zone is preferred
+#: unless statements wait there.
+WAIT_STEP_SECONDS = 0.005
+
+#: Weight of the latest wait in the average of a holder.
+WAIT_WEIGHT = 0.3
+
+#: Time in seconds in which the average wait at a holder fades to a third without new waits.
+WAIT_FADE_SECONDS = 1.0
+
+#: Pairs of a holder and a target of which waits are remembered before unused ones are forgotten,
+#: and the time in seconds after which a pair counts as unused.
+MAX_WAITS = 1024
+WAIT_MEMORY_SECONDS = 30.0
+
 
 @dataclass(frozen=True, order=True, slots=True)
 class EntryPlace:
@@ -81,25 +99,39 @@
         self._zone = zone
         self._borrowed_counts: dict[InstanceId, int] = {}
         self._failed_at: dict[InstanceId, float] = {}
+        self._waits: dict[tuple[InstanceId, TargetId], _WaitAverage] = {}
+        self._uses = itertools.count()
+        self._last_uses: dict[InstanceId, int] = {}
 
-    def rank(self, holders: Iterable[EntryPlace], now: float) -> list[InstanceId]:
+    def rank(self, holders: Iterable[EntryPlace], target: TargetId, now: float) -> list[InstanceId]:
         """Return the holders, best first.
 
-        Holders without a recent failure precede the others, then those in the zone of this
-        instance, then those from which it borrows the fewest connections.
+        Holders without a recent failure precede the others, then those at which statements wait
+        less for a connection to the target, then those in the zone of this instance, then those
+        from which it borrows the fewest connections, and last the one used least recently.
         """
 
-        def cost(entry: EntryPlace) -> tuple[bool, bool, int]:
-            failed_at = self._failed_at.get(entry.instance, float("-inf"))
-            borrowed_count = self._borrowed_counts.get(entry.instance, 0)
+        def cost(entry: EntryPlace) -> tuple[bool, int, bool, int, int]:
+            holder = entry.instance
+            failed_at = self._failed_at.get(holder, float("-inf"))
+            wait = self._waits.get((holder, target))
             return (
                 now - failed_at < FAILURE_PENALTY_SECONDS,
+                int(wait.seconds(now) / WAIT_STEP_SECONDS) if wait is not None else 0,
                 entry.zone != self._zone,
-                borrowed_count,
+                self._borrowed_counts.get(holder, 0),
+                self._last_uses.get(holder, -1),
             )
 
         return [entry.instance for entry in sorted(holders, key=cost)]
 
+    def record_wait(self, holder: InstanceId, target: TargetId, seconds: float, now: float) -> None:
+        """Record how long a holder took to lend a connection to a target, or to refuse one."""
+        if len(self._waits) >= MAX_WAITS:
+            self._forget_faded(now)
+        self._last_uses[holder] = next(self._uses)
+        self._waits.setdefault((holder, target), _WaitAverage()).record(seconds, now)
+
     def record_borrow(self, holder: InstanceId) -> None:
         """Record that a connection was borrowed."""
         self._borrowed_counts[holder] = self._borrowed_counts.get(holder, 0) + 1
@@ -119,3 +151,37 @@
         is_new = now - self._failed_at.get(holder, float("-inf")) >= FAILURE_PENALTY_SECONDS
         self._failed_at[holder] = now
         return is_new
+
+    def _forget_faded(self, now: float) -> None:
+        """Forget holders and targets that were not used for long, such as those that left."""
+        self._waits = {
+            key: wait
+            for key, wait in self._waits.items()
+            if now - wait.recorded_at < WAIT_MEMORY_SECONDS
+        }
+        known = {holder for holder, _ in self._waits}
+        self._last_uses = {h: use for h, use in self._last_uses.items() if h in known}
+        self._failed_at = {
+            holder: failed_at
+            for holder, failed_at in self._failed_at.items()
+            if now - failed_at < WAIT_MEMORY_SECONDS
+        }
+
+
+class _WaitAverage:
+    """Moving average of waits that fades, so that an avoided holder is tried again."""
+
+    def __init__(self) -> None:
+        self._average_seconds = 0.0
+        #: Monotonic time of the last wait.
+        self.recorded_at = float("-inf")
+
+    def seconds(self, now: float) -> float:
+        """Return the average in seconds at a monotonic time."""
+        return self._average_seconds * math.exp((self.recorded_at - now) / WAIT_FADE_SECONDS)
+
+    def record(self, seconds: float, now: float) -> None:
+        """Record one wait."""
+        average = self.seconds(now)
+        self._average_seconds = average + WAIT_WEIGHT * (seconds - average)
+        self.recorded_at = now
--- a/tests/components/sessions/test_borrowing.py
+++ b/tests/components/sessions/test_borrowing.py
@@ -14,6 +14,8 @@
 from hibiscuspoint.components.peers import PeerChannels
 from hibiscuspoint.components.sessions import ConnectionBorrowing, ConnectionLending, GroupAccess
 from hibiscuspoint.components.sessions.borrow_messages import reply_from, reply_message
+from hibiscuspoint.components.sessions.borrowing import HOLDER_WAIT_SECONDS
+from hibiscuspoint.core.entry.routes import RouteMember
 from hibiscuspoint.core.sessions import (
     ConnectionDemand,
     EntryPlace,
@@ -96,6 +98,7 @@
     channels = PeerChannels(Transport(TlsMode.PLAIN_TEXT, None, 1_000_000))
     entry = BorrowingHarness([*addresses, f"127.0.0.1:{port}"], channels)
     holder.suspend = clock.suspend
+    holder.addresses = [_place(f"127.0.0.1:{port}")]
     try:
         yield entry, holder, server
     finally:
@@ -122,6 +125,11 @@
     return update
 
 
+def _primary(harness: SessionHarness) -> RouteMember:
+    members = harness.access.route(GROUP).members
+    return next(member for member in members if member.target == PRIMARY)
+
+
 def _connections(harness: SessionHarness) -> int:
     return sum(len(target.connections) for target in harness.targets.values())
 
@@ -274,6 +282,47 @@
     asyncio.run(scenario())
 
 
+def test_holder_without_a_connection_is_left_for_another_one():
+    """Guards against a statement that waits at a busy holder while another has idle connections.
+
+    Found on scale-1 of a deployment of 89 machines: in a zone with one holder, statements waited
+    there until their deadline.
+    """
+
+    async def scenario():
+        async with _borrowers() as (entry, busy, _), _borrowers() as (_, idle, _):
+            for holder in (busy, idle):
+                holder.targets[PRIMARY].limit = 1
+            both = [*entry.access.holders(GROUP), *idle.addresses]
+            entry.access.holders = lambda group: both
+            demand = ConnectionDemand(busy.clock.monotonic() + 10.0)
+            held = await busy.access.acquire(GROUP, PRIMARY, demand)
+            borrowed = await entry.access.borrow(GROUP, _primary(entry), demand)
+            assert borrowed.holder == idle.addresses[0].instance
+            assert _connections(entry) == 0
+            borrowed.give_back()
+            held.give_back()
+
+    asyncio.run(scenario())
+
+
+def test_statement_waits_for_the_last_holder_until_its_deadline():
+    """Guards against a refusal while the only connection is about to become free."""
+
+    async def scenario():
+        async with _borrowers() as (entry, holder, _):
+            holder.targets[PRIMARY].limit = 1
+            demand = ConnectionDemand(holder.clock.monotonic() + 10.0)
+            held = await holder.access.acquire(GROUP, PRIMARY, demand)
+            waiting = asyncio.create_task(entry.access.borrow(GROUP, _primary(entry), demand))
+            await asyncio.sleep(3 * HOLDER_WAIT_SECONDS)
+            assert not waiting.done()
+            held.give_back()
+            (await waiting).give_back()
+
+    asyncio.run(scenario())
+
+
 def test_silent_holders_are_passed_over_and_then_avoided():
     """Guards against an outage of a group while one of its holders is frozen."""
 
--- a/tests/core/sessions/test_holders.py
+++ b/tests/core/sessions/test_holders.py
@@ -14,7 +14,7 @@
 )
 from hibiscuspoint.core.sessions.holders import CONNECTIONS_PER_HOLDER, FAILURE_PENALTY_SECONDS
 from hibiscuspoint.ids import AvailabilityZone, InstanceId
-from tests.builders_failover import GROUP
+from tests.builders_failover import GROUP, PRIMARY
 
 ZONES = ("a", "b", "c")
 
@@ -58,14 +58,16 @@
     """Guards against statements that wait for a frozen machine repeatedly."""
     ranking = HolderRanking(AvailabilityZone("a"))
     near, other, far = _places(7)[0], _places(7)[3], _places(7)[1]
-    assert ranking.rank([far, other, near], 0.0)[-1] == far.instance
+    assert ranking.rank([far, other, near], PRIMARY, 0.0)[-1] == far.instance
     assert ranking.record_failure(near.instance, 0.0)
     assert not ranking.record_failure(near.instance, 0.05)
-    assert ranking.rank([near, other, far], 0.1) == [o.instance for o in (other, far, near)]
-    assert ranking.rank([near, other], 0.05 + FAILURE_PENALTY_SECONDS)[0] == near.instance
+    assert ranking.rank([near, other, far], PRIMARY, 0.1) == [
+        o.instance for o in (other, far, near)
+    ]
+    assert ranking.rank([near, other], PRIMARY, 0.05 + FAILURE_PENALTY_SECONDS)[0] == near.instance
     ranking.record_failure(near.instance, 5.0)
     ranking.record_answer(near.instance)
-    assert ranking.rank([near, other], 5.0)[0] == near.instance
+    assert ranking.rank([near, other], PRIMARY, 5.0)[0] == near.instance
 
 
 def test_holder_with_the_fewest_borrowed_connections_is_ranked_first():
@@ -73,9 +75,9 @@
     ranking = HolderRanking(AvailabilityZone("a"))
     first, second = _places(4)[0], _places(4)[3]
     ranking.record_borrow(first.instance)
-    assert ranking.rank([first, second], 0.0)[0] == second.instance
+    assert ranking.rank([first, second], PRIMARY, 0.0)[0] == second.instance
     ranking.record_return(first.instance)
-    assert ranking.rank([first, second], 0.0)[0] == first.instance
+    assert ranking.rank([first, second], PRIMARY, 0.0)[0] == first.instance
 
 
 def test_version_of_the_list_depends_on_its_content_only():
