--- a/tests/components/sessions/test_borrowing.py
+++ b/tests/components/sessions/test_borrowing.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
 
 import grpc
 import pytest
@@ -15,7 +16,6 @@
 from hibiscuspoint.components.sessions import ConnectionBorrowing, ConnectionLending, GroupAccess
 from hibiscuspoint.components.sessions.borrow_messages import reply_from, reply_message
 from hibiscuspoint.components.sessions.borrowing import HOLDER_WAIT_SECONDS
-from hibiscuspoint.core.entry.routes import RouteMember
 from hibiscuspoint.core.sessions import (
     ConnectionDemand,
     EntryPlace,
@@ -32,6 +32,9 @@
 from tests.components.sessions.fakes import LoopClock, refusal
 from tests.components.sessions.harness import SessionHarness
 
+if TYPE_CHECKING:
+    from hibiscuspoint.core.entry.routes import RouteMember
+
 ZONE = AvailabilityZone("zone-a")
 
 #: More than the 14 usable connections of a target in the harness.
