Elect a leader at once also when a voter lost its disk in the restart

Change: a voter whose instance answers with an empty disk of no group has ended, and its vote is not needed; a majority must still grant theirs (design D23).

--- a/hibiscuspoint/core/consensus/election.py
+++ b/hibiscuspoint/core/consensus/election.py
@@ -193,12 +193,10 @@
 
     def _count_votes(self) -> None:
         configuration = self._state.configuration
-        is_complete = (
-            self._votes >= configuration.all_voters
-            if self._needs_all
-            else configuration.has_quorum(self._votes)
-        )
-        if not is_complete:
+        if not configuration.has_quorum(self._votes):
+            return
+        missing = configuration.all_voters - self._votes
+        if self._needs_all and not all(map(self._state.has_lost_disk, missing)):
             return
         if self._state.role is Role.PRE_CANDIDATE:
             self._start_election()
--- a/hibiscuspoint/core/consensus/formation.py
+++ b/hibiscuspoint/core/consensus/formation.py
@@ -10,7 +10,6 @@
 from hibiscuspoint.core.consensus.timing import PROBE_INTERVAL_SECONDS
 
 if TYPE_CHECKING:
-    from hibiscuspoint.core.consensus.membership import Member
     from hibiscuspoint.core.consensus.messages import Message
     from hibiscuspoint.core.consensus.state import NodeState
 
@@ -30,8 +29,6 @@
     def __init__(self, state: NodeState) -> None:
         self._state = state
         self._next_probe_at = float("-inf")
-        #: Peers whose disks belong to no group, with the monotonic time of their latest reply.
-        self._unassigned_peers: dict[Member, float] = {}
 
     @property
     def next_probe_at(self) -> float:
@@ -58,11 +55,11 @@
         """Record a peer that belongs to no group, or the leader of the existing group."""
         state = self._state
         if message.group:
-            self._unassigned_peers.pop(message.source, None)
+            state.unassigned_peers.pop(message.source, None)
             if not state.is_voter:
                 state.leader = reply.leader or state.leader
         elif message.target_disk == state.me.disk:
-            self._unassigned_peers[message.source] = state.now
+            state.unassigned_peers[message.source] = state.now
 
     def _form_if_possible(self) -> None:
         state = self._state
@@ -70,7 +67,7 @@
             return
         voters = {state.me} | {
             member
-            for member, replied_at in self._unassigned_peers.items()
+            for member, replied_at in state.unassigned_peers.items()
             if state.now - replied_at < state.timing.election_timeout_min_seconds
         }
         if sorted(voter.instance for voter in voters) != sorted(state.peers):
--- a/hibiscuspoint/core/consensus/messages.py
+++ b/hibiscuspoint/core/consensus/messages.py
@@ -49,9 +49,9 @@
     :param term: term of the election; in a pre-vote the term after the candidate's current one.
     :param last_index: index of the last entry in the candidate's log.
     :param last_term: term of that entry.
-    :param needs_all: whether the candidate needs the votes of all voters. No leader of an earlier
-        term is left once it has them, so that a voter which no leader has reached since its start
-        need not wait until the leases of such a leader have expired.
+    :param needs_all: whether the candidate needs the votes of all voters that have their disks. No
+        leader of an earlier term is left once it has them, so that a voter which no leader has
+        reached since its start need not wait until the leases of such a leader have expired.
     """
 
     term: int
--- a/hibiscuspoint/core/consensus/state.py
+++ b/hibiscuspoint/core/consensus/state.py
@@ -67,6 +67,8 @@
         # The time of the last contact is not stored. The lease of a leader may rely on a contact
         # shortly before this restart, so the start counts as a contact.
         self.last_leader_contact_at = now if self.hard_state.group else float("-inf")
+        #: Peers whose disks belong to no group, with the monotonic time of their latest reply.
+        self.unassigned_peers: dict[Member, float] = {}
         #: Whether a leader has reached this member since its start.
         self.has_heard_leader = False
         self._effects: list[Effect] = []
@@ -92,6 +94,16 @@
         recent = self.now - self.last_leader_contact_at < self.timing.election_timeout_min_seconds
         return recent and not self.is_sole_voter
 
+    def has_lost_disk(self, voter: Member) -> bool:
+        """Return whether the instance of a voter has started again with an empty disk.
+
+        The process that kept the former disk has ended then, and with it any lease that it had.
+        """
+        return any(
+            peer.instance == voter.instance and peer.disk != voter.disk
+            for peer in self.unassigned_peers
+        )
+
     def record_leader_contact(self) -> None:
         """Record that a leader has reached this member, so that its lease may rely on it."""
         self.last_leader_contact_at = self.now
--- a/tests/core/consensus/test_node.py
+++ b/tests/core/consensus/test_node.py
@@ -22,6 +22,7 @@
     AppendRequest,
     Body,
     Message,
+    ProbeReply,
     VoteReply,
     VoteRequest,
 )
@@ -176,6 +177,58 @@
     assert number in cluster.leader.machine.numbers
 
 
+def test_voter_that_lost_its_disk_does_not_bring_back_the_election_timeout():
+    """Guards against a longer outage when one machine comes back with an empty disk.
+
+    Pattern: an instance loses its disk right after it has acknowledged something, while all other
+    machines lose power. Found on an incident of a deployment of 11 machines: 0.9 s.
+    """
+    cluster = Cluster()
+    number = cluster.commit()
+    wiped = cluster.leader
+    for server in cluster.servers.values():
+        server.stop()
+    cluster.network.clear()
+    wiped.wipe()
+    for server in cluster.servers.values():
+        server.start()
+    cluster.settle_until(
+        lambda: cluster.leader is not None, ELECTION_TIMEOUT_MIN_SECONDS / 2, NETWORK_STEP_SECONDS
+    )
+    assert cluster.leader is not wiped
+    assert number in cluster.leader.machine.numbers
+
+
+def test_majority_without_disks_elects_nobody():
+    """Guards against a leader that has lost what the others acknowledged."""
+    cluster = Cluster()
+    cluster.commit()
+    for server in cluster.servers.values():
+        server.stop()
+    cluster.network.clear()
+    for server in list(cluster.servers.values())[1:]:
+        server.wipe()
+    for server in cluster.servers.values():
+        server.start()
+    for _ in range(100):
+        cluster.settle(ELECTION_TIMEOUT_MAX_SECONDS / 50, NETWORK_STEP_SECONDS)
+        assert all(server.node.role is not Role.LEADER for server in cluster.servers.values())
+
+
+def test_disk_of_a_group_is_no_proof_that_a_voter_has_ended():
+    """Guards against a voter that is left out because of a message from before its repair."""
+    cluster = Cluster()
+    cluster.commit()
+    server, other = list(cluster.servers.values())[:2]
+    former = Member(other.instance, DiskId("former"))
+    probe = server.node.make_probe(other.instance)
+    reply = Message(former, server.instance, server.node.me.disk, probe.group, 1, ProbeReply(None))
+    server.handle(reply)
+    assert not server.node._state.has_lost_disk(other.node.me)
+    server.handle(replace(reply, group=""))
+    assert server.node._state.has_lost_disk(other.node.me)
+
+
 def test_late_voter_completes_the_election_after_a_restart():
     """Guards against an election that is not repeated when the last voter has started."""
     cluster = Cluster()
