Close a lent connection before its caller is told that nothing is kept

Cause: a holder that was suspended wrote its refusal of a commit, which the entry passes on as a promise that nothing is kept, and closed the connection with the open transaction only afterwards.

Change: the connection is closed first.

--- a/hibiscuspoint/components/sessions/lending.py
+++ b/hibiscuspoint/components/sessions/lending.py
@@ -70,8 +70,12 @@
                 is_idle = False
                 reply = await self._answer(pooled, request)
                 is_idle = reply.state == SessionState.IDLE.value
+                is_lost = reply.HasField("lost")
+                if is_lost:
+                    # The caller is told that nothing is kept, so the transaction ends before that.
+                    pooled.close()
                 await context.write(reply)
-                if reply.HasField("lost"):
+                if is_lost:
                     return
         finally:
             if not is_idle:
