Answer an entry as soon as a seed knows where control is

Change: a seed keeps an introduction or an attachment waiting for up to 0.3 s until it knows the control group.

--- a/hibiscuspoint/components/control_service.py
+++ b/hibiscuspoint/components/control_service.py
@@ -19,8 +19,8 @@
 
 __all__ = ["ControlService"]
 
-#: Time in seconds for which an entry is kept waiting during an election. It is shorter
-#: than the time that an entry waits for its first update.
+#: Time in seconds for which an entry is kept waiting during an election, or until a seed knows
+#: where control is. It is shorter than the times that an entry waits for an update or an answer.
 LEADER_WAIT_SECONDS = 0.3
 
 
@@ -49,6 +49,7 @@
     ) -> peer_pb2.Introduction:
         """Take and return what is known about control."""
         self._leader.record_introduction(request)
+        await self._leader.wait_for_control(LEADER_WAIT_SECONDS)
         return self._leader.introduction()
 
     async def Attach(
@@ -58,6 +59,7 @@
     ) -> AsyncIterator[peer_pb2.ControlUpdate]:
         """Exchange reports and updates with an entry."""
         if self._control is None:
+            await self._leader.wait_for_control(LEADER_WAIT_SECONDS)
             yield self._refusal()
             return
         stream = _AttachedStream(self._control)
--- a/hibiscuspoint/components/leader_client.py
+++ b/hibiscuspoint/components/leader_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import grpc
@@ -48,6 +49,20 @@
         self._channels = channels
         self._attached_to = ""
         self._known_members: list[str] = []
+        self._control_known = asyncio.Event()
+
+    async def wait_for_control(self, timeout: float) -> None:
+        """Wait until this instance knows where control is, for ``timeout`` seconds at most.
+
+        A seed without a disk knows it once a control instance has introduced itself.
+        """
+        if self._log is not None or self.known_leader:
+            return
+        try:
+            async with asyncio.timeout(timeout):
+                await self._control_known.wait()
+        except TimeoutError:
+            return
 
     @property
     def known_leader(self) -> str:
@@ -67,6 +82,8 @@
         for address in introduction.control_members:
             if address not in self._known_members:
                 self._known_members.append(address)
+        if self._known_members:
+            self._control_known.set()
         # Instances that were replaced long ago are forgotten first.
         del self._known_members[:-MEMBERS_LIMIT]
         self.set_seeds(introduction.control_members)
@@ -81,6 +98,7 @@
         if members:
             self._members = members
             self._known_members = list(members)
+            self._control_known.set()
 
     @property
     def members(self) -> list[str]:
