Let the target of a pool test be slow to refuse a connection

The test of the commit before passed on the old rule as well, because the refusal came at once; with an attempt on its way the old rule fails it.

--- a/tests/components/sessions/fakes.py
+++ b/tests/components/sessions/fakes.py
@@ -40,6 +40,7 @@
 class ScriptedTarget:
     """What a target does; answers in ``script`` come before the usual ones.
 
+    :param connect_delay: seconds until a connection is accepted or refused.
     :param delay: seconds until a statement is answered.
     :param script: replies, or errors to raise, for the next statements of callers.
     :param log: texts of the statements that ran, with the position that they required.
@@ -48,6 +49,7 @@
     index: int = 10
     limit: int = 16
     is_refusing: bool = False
+    connect_delay: float = 0.0
     delay: float = 0.0
     script: deque[Reply | Exception] = field(default_factory=deque)
     log: list[tuple[str, LogPosition | None]] = field(default_factory=list)
@@ -62,8 +64,8 @@
 
     async def connect(self, group, target, address, timeout) -> FakeConnection:
         """Open a connection."""
-        await asyncio.sleep(0)
         scripted = self.targets.setdefault(target, ScriptedTarget())
+        await asyncio.sleep(scripted.connect_delay)
         if scripted.is_refusing:
             raise ConnectError(ConnectFailure.REFUSED, "refused")
         if sum(connection.is_open for connection in scripted.connections) >= scripted.limit:
--- a/tests/components/sessions/test_pool.py
+++ b/tests/components/sessions/test_pool.py
@@ -197,8 +197,10 @@
         waiting = [
             asyncio.create_task(pool.acquire(ConnectionDemand(_now() + 10, 1))) for _ in range(10)
         ]
-        # The target refuses a second connection, and the pause before the next attempt passes.
-        await asyncio.sleep(2 * FULL_RETRY_MIN_SECONDS)
+        # The target has refused a second connection, and the next attempt is on its way.
+        await asyncio.sleep(FULL_RETRY_MIN_SECONDS / 2)
+        driver.targets[PRIMARY].connect_delay = 1.0
+        await asyncio.sleep(4 * FULL_RETRY_MIN_SECONDS)
         for _ in range(20):
             started = _now()
             with pytest.raises(ConnectError) as error:
