Add the interfaces of organisations, limits and scheduling

Cause: two deployments identify callers by a key, limit organisations across all instances and compete for scarce capacity; the parts are built side by side and need common types and messages first.

--- a/hibiscuspoint/core/ports.py
+++ b/hibiscuspoint/core/ports.py
@@ -5,6 +5,8 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Protocol
 
+from hibiscuspoint.ids import NO_ORGANISATION
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
@@ -12,7 +14,7 @@
     from hibiscuspoint.core.position import LogPosition
     from hibiscuspoint.core.sessions import PreparedStatement, Reply, Statement
     from hibiscuspoint.drivers.answer import RunResult
-    from hibiscuspoint.ids import GroupId, Incarnation, InstanceId, TargetId
+    from hibiscuspoint.ids import GroupId, Incarnation, InstanceId, OrganisationId, TargetId
     from hibiscuspoint.wire import target_pb2
 
 __all__ = [
@@ -126,9 +128,14 @@
     """Opens connections to targets that serve sessions."""
 
     async def connect(
-        self, group: GroupId, target: TargetId, address: str, timeout: float
+        self,
+        group: GroupId,
+        target: TargetId,
+        address: str,
+        timeout: float,
+        organisation: OrganisationId = NO_ORGANISATION,
     ) -> SessionConnection:
-        """Open a connection.
+        """Open a connection, in the name of an organisation if there are any.
 
         :param timeout: time limit in seconds.
         :raises ConnectError: no connection could be opened.
--- a/hibiscuspoint/core/sessions/routing.py
+++ b/hibiscuspoint/core/sessions/routing.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from hibiscuspoint.core.organisations import OrganisationDirectory
     from hibiscuspoint.ids import GroupId
 
 __all__ = ["DatabaseRoute", "GroupLimits", "ReadMode", "RoutingTable"]
@@ -32,6 +33,7 @@
     :param priority: priority of its statements; 0 is the highest.
     :param max_attempts: greatest number of times that targets run one read.
     :param max_age_seconds: greatest age of the data of a read; 0 with mode ``PRIMARY``.
+    :param is_public: whether callers need no key.
     """
 
     name: str
@@ -43,6 +45,7 @@
     priority: int
     max_attempts: int
     max_age_seconds: float
+    is_public: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +70,8 @@
         rolled back.
     :param environment: environment as named in documents; empty, as a deployment with a routing
         table has only one.
+    :param organisations: organisations that callers may belong to; ``None`` where callers are not
+        authenticated.
     """
 
     number: int
@@ -75,3 +80,4 @@
     groups: dict[GroupId, GroupLimits]
     transaction_idle_seconds: float
     environment: str = ""
+    organisations: OrganisationDirectory | None = None
--- a/hibiscuspoint/core/sessions/waiting.py
+++ b/hibiscuspoint/core/sessions/waiting.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from hibiscuspoint.core.sessions.context import SessionContext
+from hibiscuspoint.ids import NO_ORGANISATION, OrganisationId
 
 __all__ = ["ConnectionDemand", "ConnectionUseAverage"]
 
@@ -23,12 +24,23 @@
     :param max_expected_wait_seconds: a statement with a longer expected wait is refused at once.
         Beyond its latency objective an answer is worth little, and a longer queue only delays all
         answers.
+    :param organisation: the only organisation whose connections the statement may use.
+    :param objective_at: monotonic time in seconds at which the answer stops being in time.
+    :param expected_seconds: time for which the statement is expected to use a connection; 0 when
+        nothing is known.
+    :param is_retry: whether an attempt of the same statement found no room before.
+    :param is_transaction: whether the connection is used until the end of a transaction.
     """
 
     deadline: float
     priority: int = 0
     max_expected_wait_seconds: float = math.inf
     session: SessionContext = field(default_factory=SessionContext)
+    organisation: OrganisationId = NO_ORGANISATION
+    objective_at: float = math.inf
+    expected_seconds: float = 0.0
+    is_retry: bool = False
+    is_transaction: bool = False
 
 
 class ConnectionUseAverage:
--- a/hibiscuspoint/platform/database.py
+++ b/hibiscuspoint/platform/database.py
@@ -14,7 +14,7 @@
     ConnectFailure,
     ConnectionLost,
 )
-from hibiscuspoint.ids import Term
+from hibiscuspoint.ids import NO_ORGANISATION, Term
 from hibiscuspoint.platform import wire
 from hibiscuspoint.util.address import parse_address
 from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
@@ -22,7 +22,7 @@
 if TYPE_CHECKING:
     from hibiscuspoint.core.position import LogPosition
     from hibiscuspoint.core.sessions import PreparedStatement, Reply, Statement
-    from hibiscuspoint.ids import GroupId, TargetId
+    from hibiscuspoint.ids import GroupId, OrganisationId, TargetId
 
 __all__ = ["DatabaseConnection", "DatabaseDriver"]
 
@@ -30,7 +30,7 @@
 #: A database drops a connection to an unreachable peer after 3 s as well.
 UNACKNOWLEDGED_SECONDS = 3.0
 
-#: Client name that the proxy sends to a database in the startup message.
+#: Client name that the proxy sends to a database for a connection of no organisation.
 CALLER_NAME = "hibiscuspoint"
 
 _CONNECT_FAILURES = {
@@ -148,7 +148,12 @@
     """Opens connections to databases."""
 
     async def connect(
-        self, group: GroupId, target: TargetId, address: str, timeout: float
+        self,
+        group: GroupId,
+        target: TargetId,
+        address: str,
+        timeout: float,
+        organisation: OrganisationId = NO_ORGANISATION,
     ) -> DatabaseConnection:
         """Open a connection and complete the startup exchange.
 
@@ -161,7 +166,7 @@
             async with asyncio.timeout(timeout):
                 reader, writer = await asyncio.open_connection(host, port, limit=wire.LINE_BYTES)
                 _set_socket_options(writer)
-                return await _start_up(reader, writer, group, target)
+                return await _start_up(reader, writer, group, target, organisation or CALLER_NAME)
         except TimeoutError:
             raise ConnectError(ConnectFailure.TIMED_OUT, "no answer in time") from None
         except ConnectionRefusedError as error:
@@ -175,9 +180,10 @@
     writer: asyncio.StreamWriter,
     group: GroupId,
     target: TargetId,
+    caller: str,
 ) -> DatabaseConnection:
     try:
-        writer.write(f"STARTUP {group} {CALLER_NAME} {target}\r\n".encode())
+        writer.write(f"STARTUP {group} {caller} {target}\r\n".encode())
         builder = wire.ReplyBuilder()
         while True:
             line = await reader.readline()
--- a/tests/components/sessions/fakes.py
+++ b/tests/components/sessions/fakes.py
@@ -62,7 +62,7 @@
     def __init__(self) -> None:
         self.targets: dict[str, ScriptedTarget] = {}
 
-    async def connect(self, group, target, address, timeout) -> FakeConnection:
+    async def connect(self, group, target, address, timeout, organisation="") -> FakeConnection:
         """Open a connection."""
         scripted = self.targets.setdefault(target, ScriptedTarget())
         await asyncio.sleep(scripted.connect_delay)
