Authenticate callers by the keys of organisations

Cause: two deployments identify callers by a key, which may be revoked while sessions are open. Change: tenants and public routes of the configuration become an OrganisationDirectory; the text after the database in STARTUP is the key, of which only a keyed hash is kept. A session resolves it at the start of each operation against the configuration in force, passes the name of the organisation with its demands for connections and asks the limiter, if there is one. An unknown key is answered with NOAUTH and the session is closed. Without tenants nobody is authenticated.

--- a/hibiscuspoint/components/sessions/attempts.py
+++ b/hibiscuspoint/components/sessions/attempts.py
@@ -5,10 +5,12 @@
 import asyncio
 from contextlib import contextmanager
 from dataclasses import dataclass
+from enum import Enum
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.core.sessions import ConnectionDemand, Failure, SessionState
 from hibiscuspoint.drivers.errors import ConnectError, ConnectionLost
+from hibiscuspoint.ids import NO_ORGANISATION
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -27,7 +29,7 @@
     )
     from hibiscuspoint.ids import GroupId, TargetId, Term
 
-__all__ = ["Attempts", "Candidate", "RefusedError", "Trace"]
+__all__ = ["Admission", "Attempts", "Candidate", "RefusedError", "Trace"]
 
 #: Bounds of the seconds between two attempts at targets that had no room for a statement. The time
 #: doubles, as each attempt of thousands of waiting statements keeps a full target busy.
@@ -51,15 +53,26 @@
         self.text = text
 
 
+class Admission(Enum):
+    """Decision about one operation of a caller."""
+
+    ADMITTED = "admitted"
+    UNAUTHORIZED = "unauthorized"
+    OVER_LIMIT = "over limit"
+
+
 @dataclass
 class Trace:
     """What decided about one statement, for the log.
 
+    :param admission: decision about the operation that the statement began, if it began one.
     :param required: position that the target had to have applied.
     :param holder: instance that kept the connection open; empty for this one.
     """
 
     group: str = ""
+    organisation: str = ""
+    admission: Admission | None = None
     target: str = ""
     term: int = 0
     holder: str = ""
@@ -103,6 +116,8 @@
         self._last_started = float("-inf")
         self._last_elapsed = 0.0
         self.trace = Trace()
+        #: Organisation of the operation in progress; its connections are used.
+        self.organisation = NO_ORGANISATION
 
     @contextmanager
     def use(self, group: GroupId, candidate: Candidate) -> Iterator[None]:
@@ -128,7 +143,11 @@
         :raises ConnectError: there is none in time.
         """
         demand = ConnectionDemand(
-            candidate.connect_until, route.priority, route.objective_seconds, self._context
+            candidate.connect_until,
+            route.priority,
+            route.objective_seconds,
+            self._context,
+            organisation=self.organisation,
         )
         connection = await self._access.borrow(route.group, candidate.member, demand)
         self.trace.holder = connection.holder
--- a/hibiscuspoint/components/sessions/service.py
+++ b/hibiscuspoint/components/sessions/service.py
@@ -10,7 +10,14 @@
 
 from hibiscuspoint.components.events import report_due
 from hibiscuspoint.components.sessions.session import Session
-from hibiscuspoint.core.sessions import Failure, SessionState, StatementKind
+from hibiscuspoint.core.sessions import (
+    Caller,
+    Failure,
+    OperationRefusal,
+    SessionState,
+    StatementKind,
+    resolve_operation,
+)
 from hibiscuspoint.telemetry import catalogue, log_event
 from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
 
@@ -19,7 +26,8 @@
     from hibiscuspoint.components.sessions.groups import GroupAccess
     from hibiscuspoint.core.entry.drain import DrainState
     from hibiscuspoint.core.ports import Clock
-    from hibiscuspoint.core.sessions import DatabaseRoute, Reply, Statement
+    from hibiscuspoint.core.quotas import OperationLimiter
+    from hibiscuspoint.core.sessions import Reply, RoutingTable, Statement
     from hibiscuspoint.ids import AvailabilityZone
     from hibiscuspoint.telemetry.metrics import Metrics
     from hibiscuspoint.wire import peer_pb2
@@ -52,6 +60,7 @@
     """Serves callers whose session is a connection.
 
     :param zone: availability zone of this instance.
+    :param limiter: admits the operations of organisations; ``None`` admits all.
     """
 
     channel = "sessions"
@@ -64,6 +73,7 @@
         drain: DrainState,
         clock: Clock,
         metrics: Metrics,
+        limiter: OperationLimiter | None = None,
     ) -> None:
         super().__init__()
         self._state = state
@@ -72,6 +82,7 @@
         self._drain = drain
         self._clock = clock
         self._metrics = metrics
+        self._limiter = limiter
 
     @property
     def is_ready(self) -> bool:
@@ -84,9 +95,11 @@
         table = self._state.document
         return table.transaction_idle_seconds if table else DEFAULT_TRANSACTION_IDLE_SECONDS
 
-    async def open(self, database: str) -> Session | Failure:
+    async def open(self, database: str, key: str) -> Session | Failure:
         """Return a new session, or why there is none.
 
+        :param key: key of the organisation of the caller; may be empty.
+
         An instance that was just started does not know which databases exist, so it waits for its
         first configuration.
         """
@@ -97,10 +110,14 @@
         if self._state.document is None:
             self._log_refusal(database, "this instance has no configuration")
             return Failure.OVERLOADED
-        if self._find_route(database) is None:
-            self._log_refusal(database, "no route has this name")
-            return Failure.UNKNOWN_DATABASE
-        return Session(database, self._find_route, self._access, self._zone, self._clock)
+        caller = Caller.from_key(database, key)
+        outcome = resolve_operation(self._state.document, caller)
+        if isinstance(outcome, OperationRefusal):
+            self._log_refusal(database, outcome.text)
+            return outcome.failure
+        return Session(
+            caller, self._find_table, self._access, self._zone, self._clock, self._limiter
+        )
 
     def _log_refusal(self, database: str, reason: str) -> None:
         log_event(
@@ -137,9 +154,8 @@
         )
         await session.abort()
 
-    def _find_route(self, database: str) -> DatabaseRoute | None:
-        table = self._state.document
-        return table.routes.get(database) if table is not None else None
+    def _find_table(self) -> RoutingTable | None:
+        return self._state.document
 
     def _record(self, session: Session, statement: Statement, reply: Reply, elapsed: float) -> None:
         trace = session.trace
@@ -149,6 +165,7 @@
             catalogue.STATEMENT_ANSWERED,
             request=statement.request_id,
             database=session.database,
+            organisation=trace.organisation,
             kind=statement.kind.value,
             group=trace.group,
             target=trace.target,
--- a/hibiscuspoint/components/sessions/session.py
+++ b/hibiscuspoint/components/sessions/session.py
@@ -2,28 +2,35 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
-from hibiscuspoint.components.sessions.attempts import Attempts, RefusedError, Trace
+from hibiscuspoint.components.sessions.attempts import Admission, Attempts, RefusedError, Trace
 from hibiscuspoint.components.sessions.candidates import Candidates
 from hibiscuspoint.components.sessions.single import SingleStatements
 from hibiscuspoint.components.sessions.transactions import Transaction, Transactions
 from hibiscuspoint.core.sessions import (
     Failure,
+    OperationGrant,
+    OperationRefusal,
     PreparedStatement,
     Reply,
     SessionContext,
     SessionState,
     Statement,
     StatementKind,
+    resolve_operation,
 )
+from hibiscuspoint.ids import NO_ORGANISATION
+from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from hibiscuspoint.components.sessions.groups import GroupAccess
     from hibiscuspoint.core.ports import Clock
-    from hibiscuspoint.core.sessions import DatabaseRoute
+    from hibiscuspoint.core.quotas import OperationLimiter
+    from hibiscuspoint.core.sessions import Caller, RoutingTable
     from hibiscuspoint.ids import AvailabilityZone, GroupId, Term
 
 __all__ = ["Session"]
@@ -34,22 +41,26 @@
 class Session:
     """Serves the statements of one caller one after the other.
 
-    :param database: database that the caller named.
-    :param find_route: returns the route that is in force for a database, if any.
+    :param find_table: returns the configuration in force, if any.
     :param zone: availability zone of this instance.
+    :param limiter: admits the operations of organisations; ``None`` admits all.
     """
 
     def __init__(
         self,
-        database: str,
-        find_route: Callable[[str], DatabaseRoute | None],
+        caller: Caller,
+        find_table: Callable[[], RoutingTable | None],
         access: GroupAccess,
         zone: AvailabilityZone,
         clock: Clock,
+        limiter: OperationLimiter | None = None,
     ) -> None:
-        self._database = database
-        self._find_route = find_route
+        self._caller = caller
+        self._find_table = find_table
         self._access = access
+        self._clock = clock
+        self._limiter = limiter
+        self._is_refused = False
         self._context = SessionContext()
         self._attempts = Attempts(access, self._context, clock)
         self._candidates = Candidates(access, zone, clock)
@@ -62,13 +73,34 @@
     @property
     def database(self) -> str:
         """Return the database that the caller named."""
-        return self._database
+        return self._caller.database
 
     @property
     def state(self) -> SessionState:
         """Return the state between two statements."""
         return self._state
 
+    @property
+    def is_refused(self) -> bool:
+        """Tell whether an operation was refused because of the key; the session must be closed."""
+        return self._is_refused
+
+    @property
+    def is_revoked(self) -> bool:
+        """Tell whether the configuration in force has organisations and excludes this session.
+
+        It does if the caller may not begin an operation, or if the open transaction belongs to
+        another organisation than the key does now.
+        """
+        table = self._find_table()
+        if table is None or table.organisations is None:
+            return False
+        outcome = resolve_operation(table, self._caller)
+        if isinstance(outcome, OperationRefusal):
+            return True
+        is_open = self._transaction is not None
+        return is_open and outcome.organisation.name != self._attempts.organisation
+
     @property
     def target(self) -> str:
         """Return the target of the open transaction; empty without one."""
@@ -83,7 +115,12 @@
     async def execute(self, statement: Statement) -> Reply:
         """Serve a statement and return its whole answer."""
         self._attempts.trace = Trace()
-        reply = await self._execute(statement)
+        try:
+            reply = await self._execute(statement)
+        except RefusedError as refusal:
+            self.trace.reason = refusal.text
+            reply = Reply.failed(refusal.failure, refusal.text, SessionState.IDLE)
+        self.trace.organisation = self._attempts.organisation
         self._state = reply.state
         if reply.state is SessionState.IDLE:
             self._drop_transaction()
@@ -128,10 +165,7 @@
     def _begin(self, statement: Statement) -> Reply:
         if self._transaction is not None:
             return self._malformed("a transaction is open")
-        route = self._find_route(self._database)
-        if route is None:
-            return self._without_route()
-        self._transaction = Transaction(statement, route)
+        self._transaction = Transaction(statement, self._admit().route)
         return Reply(state=SessionState.IN_TRANSACTION)
 
     async def _run(self, statement: Statement) -> Reply:
@@ -146,16 +180,42 @@
             return await self._transactions.run(
                 self._transaction, statement, prepared_statement, writes=writes
             )
-        route = self._find_route(self._database)
-        if route is None:
-            return self._without_route()
+        route = self._admit().route
         self.trace.group = route.group
         run = self._single.write if writes else self._single.read
-        try:
-            return await run(route, statement, prepared_statement)
-        except RefusedError as refusal:
-            self.trace.reason = refusal.text
-            return Reply.failed(refusal.failure, refusal.text, SessionState.IDLE)
+        return await run(route, statement, prepared_statement)
+
+    def _admit(self) -> OperationGrant:
+        """Begin an operation: look the key up in the configuration in force and count it.
+
+        :raises RefusedError: the caller may not run the operation now.
+        """
+        self._attempts.organisation = NO_ORGANISATION
+        outcome = resolve_operation(self._find_table(), self._caller)
+        if isinstance(outcome, OperationRefusal):
+            if outcome.failure is Failure.UNAUTHORIZED:
+                self._is_refused = True
+                self.trace.admission = Admission.UNAUTHORIZED
+            raise RefusedError(outcome.failure, outcome.text)
+        self._attempts.organisation = outcome.organisation.name
+        self._check_limit(outcome)
+        self.trace.admission = Admission.ADMITTED
+        return outcome
+
+    def _check_limit(self, grant: OperationGrant) -> None:
+        """Count one operation of an organisation.
+
+        :raises RefusedError: the organisation has used up its limit.
+        """
+        if self._limiter is None or not grant.organisation.name:
+            return
+        verdict = self._limiter.admit(grant.organisation, self._clock.monotonic())
+        if verdict.is_admitted:
+            return
+        self.trace.admission = Admission.OVER_LIMIT
+        milliseconds = math.ceil(verdict.retry_after_seconds * MILLISECONDS_PER_SECOND)
+        text = f"the organisation has reached its limit, retry after {milliseconds} ms"
+        raise RefusedError(Failure.OVERLOADED, text)
 
     def _confirm_commit(self, group: GroupId, term: Term | None, reply: Reply) -> Reply:
         """Return the answer to a commit or a write, unless the primary was replaced meanwhile."""
@@ -173,9 +233,5 @@
             self._transactions.release(transaction)
         self._state = SessionState.IDLE
 
-    def _without_route(self) -> Reply:
-        text = "the database has no route any more"
-        return Reply.failed(Failure.UNKNOWN_DATABASE, text, SessionState.IDLE)
-
     def _malformed(self, text: str) -> Reply:
         return Reply.failed(Failure.MALFORMED, text, self._state)
--- a/hibiscuspoint/core/sessions/__init__.py
+++ b/hibiscuspoint/core/sessions/__init__.py
@@ -16,6 +16,13 @@
     choose_holders,
     serving_version,
 )
+from hibiscuspoint.core.sessions.operations import (
+    ANONYMOUS,
+    Caller,
+    OperationGrant,
+    OperationRefusal,
+    resolve_operation,
+)
 from hibiscuspoint.core.sessions.routing import (
     DatabaseRoute,
     GroupLimits,
@@ -34,6 +41,8 @@
 from hibiscuspoint.core.sessions.waiting import ConnectionDemand, ConnectionUseAverage
 
 __all__ = [
+    "ANONYMOUS",
+    "Caller",
     "ConnectionContext",
     "ConnectionDemand",
     "ConnectionUseAverage",
@@ -42,6 +51,8 @@
     "Failure",
     "GroupLimits",
     "HolderRanking",
+    "OperationGrant",
+    "OperationRefusal",
     "Preparation",
     "PreparedStatement",
     "ReadMode",
@@ -57,5 +68,6 @@
     "TipLog",
     "choose_holders",
     "rank_targets",
+    "resolve_operation",
     "serving_version",
 ]
--- a/hibiscuspoint/core/sessions/statements.py
+++ b/hibiscuspoint/core/sessions/statements.py
@@ -55,6 +55,8 @@
     UNKNOWN_STATEMENT = "unknown statement"
     #: No route exists for the database.
     UNKNOWN_DATABASE = "unknown database"
+    #: The key of the caller is not known; the statement did not run.
+    UNAUTHORIZED = "unauthorized"
     #: The statement is malformed or not allowed in the current state of the session.
     MALFORMED = "malformed"
     #: The target ran the statement and failed.
@@ -78,6 +80,7 @@
         Failure.WRONG_TARGET,
         Failure.TOO_MANY_CONNECTIONS,
         Failure.UNKNOWN_STATEMENT,
+        Failure.UNAUTHORIZED,
     }
 )
 
--- a/hibiscuspoint/platform/configuration.py
+++ b/hibiscuspoint/platform/configuration.py
@@ -9,7 +9,8 @@
 from hibiscuspoint.core.sessions import DatabaseRoute, GroupLimits, ReadMode, RoutingTable
 from hibiscuspoint.errors import ConfigurationError
 from hibiscuspoint.ids import GroupId
-from hibiscuspoint.platform.fields import read_text, read_whole
+from hibiscuspoint.platform.fields import read_flag, read_text, read_whole
+from hibiscuspoint.platform.tenants import parse_tenants
 from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
 
 __all__ = ["parse_routing_table"]
@@ -62,6 +63,7 @@
         routes=routes,
         groups=groups,
         transaction_idle_seconds=read_whole(idle_ms) / MILLISECONDS_PER_SECOND,
+        organisations=parse_tenants(fields),
     )
 
 
@@ -80,4 +82,5 @@
         priority=read_whole(item["priority"]),
         max_attempts=read_whole(item.get("max_attempts", DEFAULT_MAX_ATTEMPTS)),
         max_age_seconds=read_whole(item.get("max_staleness_ms", 0)) / MILLISECONDS_PER_SECOND,
+        is_public=read_flag(item.get("public", False)),
     )
--- a/hibiscuspoint/platform/fields.py
+++ b/hibiscuspoint/platform/fields.py
@@ -2,7 +2,17 @@
 
 from __future__ import annotations
 
-__all__ = ["read_text", "read_whole"]
+__all__ = ["read_flag", "read_text", "read_whole"]
+
+
+def read_flag(value: object) -> bool:
+    """Return the value, checked to be a boolean.
+
+    :raises TypeError: the value is not a boolean.
+    """
+    if not isinstance(value, bool):
+        raise TypeError(f"{value!r} is not true or false")
+    return value
 
 
 def read_text(value: object) -> str:
--- a/hibiscuspoint/platform/frontend.py
+++ b/hibiscuspoint/platform/frontend.py
@@ -111,9 +111,11 @@
         if not line:
             return
         startup = wire.parse_startup(line)
-        session = await self._service.open(startup.database)
+        session = await self._service.open(startup.database, startup.key)
         if isinstance(session, Failure):
-            self._writer.write(wire.format_error(session, startup.database))
+            is_key = session is Failure.UNAUTHORIZED
+            text = "the key is not known" if is_key else startup.database
+            self._writer.write(wire.format_error(session, text))
             await self._writer.drain()
             return
         self._session = session
@@ -161,6 +163,8 @@
                 return
             self._writer.write(wire.format_reply(reply))
             await self._writer.drain()
+            if self._session.is_refused:
+                return
             self._is_busy = False
 
     async def _read_line(self) -> bytes:
--- a/hibiscuspoint/platform/wire.py
+++ b/hibiscuspoint/platform/wire.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.core.position import LogPosition
@@ -55,6 +55,7 @@
     "TOOMANY": Failure.TOO_MANY_CONNECTIONS,
     "NOSTMT": Failure.UNKNOWN_STATEMENT,
     "NODB": Failure.UNKNOWN_DATABASE,
+    "NOAUTH": Failure.UNAUTHORIZED,
     "MALFORMED": Failure.MALFORMED,
     "FAILED": Failure.FAILED,
     "TIMEOUT": Failure.TIMEOUT,
@@ -85,11 +86,12 @@
 class Startup:
     """First message of a caller.
 
-    :param caller: client name, which the caller chooses freely.
+    :param key: key of the organisation of the caller; may be empty. It is not part of the text
+        form, so that no log contains it.
     """
 
     database: str
-    caller: str
+    key: str = field(repr=False)
 
 
 def parse_startup(line: bytes) -> Startup:
@@ -98,10 +100,10 @@
     :raises ProtocolError: the message is malformed or of another type.
     """
     word, _, rest = _decode_line(line).partition(" ")
-    database, _, caller = rest.partition(" ")
+    database, _, key = rest.partition(" ")
     if word != "STARTUP" or not database:
         raise ProtocolError("expected STARTUP with a database")
-    return Startup(database, caller)
+    return Startup(database, key)
 
 
 def parse_statement(line: bytes) -> Statement | None:
--- a/hibiscuspoint/telemetry/catalogue.py
+++ b/hibiscuspoint/telemetry/catalogue.py
@@ -402,6 +402,7 @@
     "Statement {request} of {database}: {outcome}.",
     "request",
     "database",
+    "organisation",
     "kind",
     "group",
     "target",
--- a/tests/components/sessions/harness.py
+++ b/tests/components/sessions/harness.py
@@ -5,6 +5,7 @@
 from hibiscuspoint.components.entry_state import EntryState
 from hibiscuspoint.components.sessions import GroupAccess, Session
 from hibiscuspoint.core.sessions import (
+    Caller,
     DatabaseRoute,
     GroupLimits,
     ReadMode,
@@ -67,14 +68,15 @@
         route = DatabaseRoute("r", DATABASE, GROUP, mode, 0.4, 0.2, 1, 2, 2.5)
         return RoutingTable(1, "d", {DATABASE: route}, {GROUP: GroupLimits(GROUP, 16)}, 3.0)
 
-    def session(self) -> Session:
+    def session(self, key: str = "", limiter=None) -> Session:
         """Return a new session."""
         return Session(
-            DATABASE,
-            lambda name: self.state.document.routes.get(name),
+            Caller.from_key(DATABASE, key),
+            lambda: self.state.document,
             self.access,
             AvailabilityZone("zone-a"),
             self.clock,
+            limiter,
         )
 
     def route(self, *, lease_ms: int, paused: bool = False, tip: int = 10) -> None:
--- a/tests/platform/builders.py
+++ b/tests/platform/builders.py
@@ -2,7 +2,13 @@
 
 from __future__ import annotations
 
-__all__ = ["configuration_fields", "heartbeat_fields", "route_fields", "settings_fields"]
+__all__ = [
+    "configuration_fields",
+    "heartbeat_fields",
+    "route_fields",
+    "settings_fields",
+    "tenant_fields",
+]
 
 
 def route_fields(**changes: object) -> dict[str, object]:
@@ -73,3 +79,15 @@
         "cloud_api": {"addr": "10.200.0.160:8783"},
     }
     return {**fields, **changes}
+
+
+def tenant_fields(name: object, *api_keys: object, **changes: object) -> dict[str, object]:
+    """Return the fields of a tenant."""
+    fields = {
+        "name": name,
+        "api_keys": list(api_keys),
+        "priority": 1,
+        "rate_per_s": 50,
+        "burst": 20,
+    }
+    return {**fields, **changes}
--- a/tests/platform/test_frontend.py
+++ b/tests/platform/test_frontend.py
@@ -14,6 +14,7 @@
 
 class _Session:
     state = SessionState.IDLE
+    is_refused = False
 
     async def close(self) -> None:
         """Free the session."""
@@ -27,7 +28,7 @@
     def __init__(self) -> None:
         self.executed: list[str] = []
 
-    async def open(self, database: str) -> _Session:
+    async def open(self, database: str, key: str) -> _Session:
         """Open a session."""
         return _Session()
 
