Keep connections to targets apart by organisation

Cause: a connection is opened in the name of one organisation, but pools gave an idle connection to the next statement of any organisation. Change: PooledConnection has the organisation in whose name it was opened; a request to a holder carries the organisation; a pool reuses an idle connection of the same organisation, else opens one within its limit, else closes the idle connection used least recently, else the statement waits. A statement that waits longer than 25 ms at the head of the queue gets the place of the next returned connection of another organisation. Without organisations nothing changes.

--- a/hibiscuspoint/components/sessions/borrowing.py
+++ b/hibiscuspoint/components/sessions/borrowing.py
@@ -134,6 +134,7 @@
             priority=demand.priority,
             values=demand.session.values,
             patience_ms=int(min(patience, MAX_EXPECTED_WAIT_SECONDS) * MILLISECONDS_PER_SECOND),
+            organisation=demand.organisation,
         )
         try:
             connection = await self._ask(holder, wanted, demand.deadline, wait)
--- a/hibiscuspoint/components/sessions/connection.py
+++ b/hibiscuspoint/components/sessions/connection.py
@@ -7,6 +7,7 @@
 
 from hibiscuspoint.core.sessions import ConnectionContext, Failure
 from hibiscuspoint.drivers.errors import ConnectionLost
+from hibiscuspoint.ids import NO_ORGANISATION
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -14,6 +15,7 @@
     from hibiscuspoint.core.ports import Clock, SessionConnection
     from hibiscuspoint.core.position import LogPosition
     from hibiscuspoint.core.sessions import PreparedStatement, Reply, SessionContext, Statement
+    from hibiscuspoint.ids import OrganisationId
 
 __all__ = ["BorrowedConnection", "PooledConnection"]
 
@@ -60,11 +62,13 @@
     """A connection of this instance with the context that is in force at it.
 
     :param release: takes the connection back.
+    :param organisation: the only organisation whose statements may run at it.
     """
 
     connection: SessionConnection
     clock: Clock
     release: Callable[[PooledConnection], None]
+    organisation: OrganisationId = NO_ORGANISATION
     context: ConnectionContext = field(default_factory=ConnectionContext)
     idle_since: float = 0.0
     taken_at: float = 0.0
--- a/hibiscuspoint/components/sessions/lending.py
+++ b/hibiscuspoint/components/sessions/lending.py
@@ -19,7 +19,7 @@
     SuspensionDetector,
 )
 from hibiscuspoint.drivers.errors import ConnectError, ConnectionLost
-from hibiscuspoint.ids import GroupId, TargetId
+from hibiscuspoint.ids import GroupId, OrganisationId, TargetId
 from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
 from hibiscuspoint.wire import peer_pb2, peer_pb2_grpc
 
@@ -89,6 +89,7 @@
             wanted.priority,
             wanted.patience_ms / MILLISECONDS_PER_SECOND,
             SessionContext(values=dict(wanted.values)),
+            OrganisationId(wanted.organisation),
         )
         return await self._access.acquire(GroupId(wanted.group), TargetId(wanted.target), demand)
 
--- a/hibiscuspoint/components/sessions/pool.py
+++ b/hibiscuspoint/components/sessions/pool.py
@@ -6,6 +6,7 @@
 import heapq
 import itertools
 import logging
+from collections import Counter
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -16,9 +17,11 @@
 from hibiscuspoint.util.tasks import spawn
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from hibiscuspoint.core.ports import Clock, SessionDriver
-    from hibiscuspoint.core.sessions import ConnectionDemand, SessionContext
-    from hibiscuspoint.ids import GroupId, TargetId
+    from hibiscuspoint.core.sessions import ConnectionDemand
+    from hibiscuspoint.ids import GroupId, OrganisationId, TargetId
 
 __all__ = ["TargetPool"]
 
@@ -45,13 +48,19 @@
 #: Seconds after which an idle connection within the share is closed.
 IDLE_SECONDS = 30.0
 
+#: Seconds for which a statement may be overtaken by statements of other organisations that reuse
+#: their connections. It is about two handshakes: a shorter wait would replace connections that are
+#: in use all the time.
+OVERTAKE_SECONDS = 0.025
+
 
 @dataclass(order=True)
 class _Waiter:
     priority: int
     number: int
     future: asyncio.Future = field(compare=False)
-    context: SessionContext = field(compare=False)
+    demand: ConnectionDemand = field(compare=False)
+    since: float = field(compare=False)
 
 
 class TargetPool:
@@ -74,7 +83,9 @@
         self._numbers = itertools.count()
         self._in_use: set[PooledConnection] = set()
         self._use_times = ConnectionUseAverage()
-        self._opening = 0
+        self._opening: Counter[OrganisationId] = Counter()
+        self._waiting: Counter[OrganisationId] = Counter()
+        self._has_made_room = False
         self._retry_at = 0.0
         self._retry_delay_seconds = FULL_RETRY_MIN_SECONDS
         self._is_closed = False
@@ -84,6 +95,9 @@
         self.limit = 1
         #: Connections that the address refused since the last report.
         self.refusals = 0
+        #: Connections opened, and those closed for a statement of another organisation.
+        self.opened = 0
+        self.replaced = 0
 
     @property
     def group(self) -> GroupId:
@@ -106,14 +120,15 @@
         :raises ConnectError: the target cannot be reached, or has no connection in time; at once if
             so many statements wait that this one would wait too long.
         """
-        if not self._waiters:
-            pooled = self._take_idle(demand.session)
+        if not self._waiting[demand.organisation]:
+            pooled = self._take_idle(demand)
             if pooled is not None:
                 return pooled
         self._check_expected_wait(demand)
         future: asyncio.Future[PooledConnection] = asyncio.get_running_loop().create_future()
-        waiter = _Waiter(demand.priority, next(self._numbers), future, demand.session)
-        heapq.heappush(self._waiters, waiter)
+        now = self._clock.monotonic()
+        waiter = _Waiter(demand.priority, next(self._numbers), future, demand, now)
+        self._push_waiter(waiter)
         self._serve_waiters()
         try:
             await asyncio.wait(
@@ -134,7 +149,8 @@
         if pooled in self._in_use:
             self._in_use.discard(pooled)
             self._use_times.record_use(now - pooled.taken_at)
-        if pooled.connection.is_open and not self._is_closed:
+        is_usable = pooled.connection.is_open and not self._is_closed
+        if is_usable and not self._is_needed_elsewhere(pooled, now):
             pooled.idle_since = now
             self._idle.append(pooled)
         else:
@@ -165,7 +181,7 @@
         now = self._clock.monotonic()
         # A target that had no connection left may be asked again, but probably has none yet.
         is_full = self._retry_delay_seconds > FULL_RETRY_MIN_SECONDS
-        may_open = self.size + self._opening < self.limit and not is_full
+        may_open = (self._has_room and not is_full) or self._idle
         if may_open or not self._in_use:
             return
         ahead = sum(waiter.priority <= demand.priority for waiter in self._waiters)
@@ -176,57 +192,115 @@
             )
             raise ConnectError(ConnectFailure.LIMITED, message)
 
-    def _take_idle(self, context: SessionContext) -> PooledConnection | None:
-        usable = [pooled for pooled in self._idle if pooled.connection.is_open]
-        for pooled in self._idle:
-            if not pooled.connection.is_open:
-                pooled.connection.close()
-        self._idle = usable
+    @property
+    def _has_room(self) -> bool:
+        """Return whether the limit allows another connection."""
+        return self.size + self._opening.total() < self.limit
+
+    def _take_idle(self, demand: ConnectionDemand) -> PooledConnection | None:
+        self._drop_closed()
+        usable = [pooled for pooled in self._idle if pooled.organisation == demand.organisation]
         if not usable:
             return None
         # Of equally near ones the one used last, so that the others can be closed.
-        best = min(reversed(usable), key=lambda pooled: pooled.context.distance(context))
-        usable.remove(best)
+        best = min(reversed(usable), key=lambda pooled: pooled.context.distance(demand.session))
+        self._idle.remove(best)
         self._in_use.add(best)
         best.taken_at = self._clock.monotonic()
         return best
 
+    def _drop_closed(self) -> None:
+        """Forget idle connections that the target has closed."""
+        for pooled in self._idle:
+            if not pooled.connection.is_open:
+                pooled.connection.close()
+        self._idle = [pooled for pooled in self._idle if pooled.connection.is_open]
+
     def _serve_waiters(self) -> None:
-        while self._waiters:
-            pooled = self._take_idle(self._waiters[0].context)
-            if pooled is None:
-                break
-            heapq.heappop(self._waiters).future.set_result(pooled)
-        wanted = min(len(self._waiters), OPENING_LIMIT, self.limit - self.size)
+        self._drop_closed()
+        while waiter := self._pop_waiter(self._has_idle):
+            waiter.future.set_result(self._take_idle(waiter.demand))
         now = self._clock.monotonic()
-        if wanted > self._opening and now < self._retry_at:
-            self._retry_later(self._retry_at - now)
-            return
-        for _ in range(wanted - self._opening):
-            self._opening += 1
-            spawn(self._open(), f"connection to {self._target}")
+        while self._opening.total() < OPENING_LIMIT:
+            waiter = self._first_waiter(self._lacks_connection)
+            if waiter is None or not self._make_room(now):
+                return
+            if now < self._retry_at:
+                self._retry_later(self._retry_at - now)
+                return
+            self._has_made_room = False
+            organisation = waiter.demand.organisation
+            self._opening[organisation] += 1
+            spawn(self._open(organisation), f"connection to {self._target}")
+
+    def _has_idle(self, demand: ConnectionDemand) -> bool:
+        """Tell whether a statement may use one of the idle connections."""
+        return any(pooled.organisation == demand.organisation for pooled in self._idle)
+
+    def _lacks_connection(self, demand: ConnectionDemand) -> bool:
+        """Tell whether more statements of an organisation wait than connections are opened."""
+        organisation = demand.organisation
+        return self._waiting[organisation] > self._opening[organisation]
+
+    def _make_room(self, now: float) -> bool:
+        """Close the idle connection used least recently, if no other one can be opened before.
+
+        While statements wait, idle connections are those of other organisations.
+
+        :returns: whether the limit allows another connection.
+        """
+        is_full = now < self._retry_at and not self._has_made_room
+        if (self._has_room and not is_full) or not self._idle:
+            return self._has_room
+        self._replace(self._idle.pop(0), now)
+        return True
 
-    async def _open(self) -> None:
+    def _is_needed_elsewhere(self, pooled: PooledConnection, now: float) -> bool:
+        """Close a returned connection if the first waiting statement cannot get another one.
+
+        :returns: whether it was closed for a statement of another organisation.
+        """
+        first = self._first_waiter(self._lacks_connection)
+        if first is None or first.demand.organisation == pooled.organisation:
+            return False
+        is_full = now < self._retry_at and not self._has_made_room
+        is_limited = self.size + 1 + self._opening.total() >= self.limit
+        may_open = self._opening.total() < OPENING_LIMIT
+        if not (is_full or (is_limited and may_open)) or now - first.since < OVERTAKE_SECONDS:
+            return False
+        self._replace(pooled, now)
+        return True
+
+    def _replace(self, pooled: PooledConnection, now: float) -> None:
+        """Close a connection so that one of another organisation can be opened."""
+        pooled.connection.close()
+        self.replaced += 1
+        if now < self._retry_at:
+            self._retry_at = min(self._retry_at, now + FULL_RETRY_MIN_SECONDS)
+        self._has_made_room = True
+
+    async def _open(self, organisation: OrganisationId) -> None:
         try:
             connection = await self._driver.connect(
-                self._group, self._target, self._address, CONNECT_SECONDS
+                self._group, self._target, self._address, CONNECT_SECONDS, organisation
             )
         except ConnectError as error:
-            self._opening -= 1
+            self._opening[organisation] -= 1
             self._open_failed(error)
             return
         except BaseException:
-            self._opening -= 1
+            self._opening[organisation] -= 1
             raise
-        self._opening -= 1
+        self._opening[organisation] -= 1
         if self._is_closed:
             connection.close()
             return
+        self.opened += 1
         self._retry_delay_seconds = FULL_RETRY_MIN_SECONDS
         if self._is_failing:
             self._is_failing = False
             log_event(logger, catalogue.CONNECTION_RESTORED, target=self._target)
-        pooled = PooledConnection(connection, self._clock, self.release)
+        pooled = PooledConnection(connection, self._clock, self.release, organisation)
         pooled.idle_since = self._clock.monotonic()
         self._idle.append(pooled)
         self._serve_waiters()
@@ -246,9 +320,12 @@
         self._fail_waiters(error)
 
     def _retry_later(self, seconds: float) -> None:
-        if self._timer is None:
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(seconds, self._retry)
+        loop = asyncio.get_running_loop()
+        if self._timer is not None:
+            if self._timer.when() <= loop.time() + seconds:
+                return
+            self._timer.cancel()
+        self._timer = loop.call_later(seconds, self._retry)
 
     def _retry(self) -> None:
         self._timer = None
@@ -257,6 +334,7 @@
 
     def _fail_waiters(self, error: ConnectError) -> None:
         waiters, self._waiters = self._waiters, []
+        self._waiting.clear()
         for waiter in waiters:
             if not waiter.future.done():
                 waiter.future.set_exception(error)
@@ -264,7 +342,26 @@
     def _cancel_wait(self, waiter: _Waiter) -> None:
         """Forget a waiter that gave up, and take back a connection that it was given meanwhile."""
         if waiter in self._waiters:
-            self._waiters.remove(waiter)
-            heapq.heapify(self._waiters)
+            self._remove_waiter(waiter)
         elif waiter.future.done() and waiter.future.exception() is None:
             self.release(waiter.future.result())
+
+    def _push_waiter(self, waiter: _Waiter) -> None:
+        heapq.heappush(self._waiters, waiter)
+        self._waiting[waiter.demand.organisation] += 1
+
+    def _first_waiter(self, can_use: Callable[[ConnectionDemand], bool]) -> _Waiter | None:
+        """Return the first waiter in order of service whose demand satisfies a condition."""
+        return min((w for w in self._waiters if can_use(w.demand)), default=None)
+
+    def _pop_waiter(self, can_use: Callable[[ConnectionDemand], bool]) -> _Waiter | None:
+        """Remove and return the first waiter whose demand satisfies a condition."""
+        waiter = self._first_waiter(can_use)
+        if waiter is not None:
+            self._remove_waiter(waiter)
+        return waiter
+
+    def _remove_waiter(self, waiter: _Waiter) -> None:
+        self._waiters.remove(waiter)
+        heapq.heapify(self._waiters)
+        self._waiting[waiter.demand.organisation] -= 1
--- a/tests/components/sessions/fakes.py
+++ b/tests/components/sessions/fakes.py
@@ -70,16 +70,20 @@
             raise ConnectError(ConnectFailure.REFUSED, "refused")
         if sum(connection.is_open for connection in scripted.connections) >= scripted.limit:
             raise ConnectError(ConnectFailure.LIMITED, "full")
-        connection = FakeConnection(scripted)
+        connection = FakeConnection(scripted, organisation)
         scripted.connections.append(connection)
         return connection
 
 
 class FakeConnection:
-    """A connection to a scripted target."""
+    """A connection to a scripted target.
 
-    def __init__(self, target: ScriptedTarget) -> None:
+    :param organisation: organisation in whose name it was opened.
+    """
+
+    def __init__(self, target: ScriptedTarget, organisation: str = "") -> None:
         self._target = target
+        self.organisation = organisation
         self.is_open = True
         self.state = SessionState.IDLE
         self.values: dict[str, str] = {}
--- a/tests/components/sessions/test_borrowing.py
+++ b/tests/components/sessions/test_borrowing.py
@@ -25,12 +25,12 @@
     choose_holders,
 )
 from hibiscuspoint.drivers.errors import AnswerTimeoutError, ConnectError, ConnectionLost
-from hibiscuspoint.ids import AvailabilityZone, InstanceId
+from hibiscuspoint.ids import AvailabilityZone, InstanceId, OrganisationId
 from hibiscuspoint.security import TlsMode, Transport
 from hibiscuspoint.wire import peer_pb2, peer_pb2_grpc
 from tests.builders_failover import GROUP, PRIMARY, REPLICA_A, REPLICA_B
 from tests.components.sessions.fakes import LoopClock, refusal
-from tests.components.sessions.harness import SessionHarness
+from tests.components.sessions.harness import SessionHarness, statement
 
 if TYPE_CHECKING:
     from hibiscuspoint.core.entry.routes import RouteMember
@@ -326,6 +326,25 @@
     asyncio.run(scenario())
 
 
+def test_holder_lends_only_connections_of_the_organisation():
+    """Guards against a statement that a holder runs in the name of another organisation."""
+
+    async def scenario():
+        async with _borrowers() as (entry, holder, _):
+            deadline = holder.clock.monotonic() + 10.0
+            for organisation in ("a", "b", "a"):
+                demand = ConnectionDemand(deadline, organisation=OrganisationId(organisation))
+                borrowed = await entry.access.borrow(GROUP, _primary(entry), demand)
+                reply = await borrowed.run(statement("READ x"), demand.session, deadline)
+                assert reply.error is None
+                borrowed.give_back()
+                await _until(lambda: _idle(holder) == _connections(holder))
+            opened = [c.organisation for c in holder.targets[PRIMARY].connections]
+            assert opened == ["a", "b"]
+
+    asyncio.run(scenario())
+
+
 def test_silent_holders_are_passed_over_and_then_avoided():
     """Guards against an outage of a group while one of its holders is frozen."""
 
--- /dev/null
+++ b/tests/components/sessions/test_pool_organisations.py
@@ -0,0 +1,116 @@
+"""Tests of pools whose connections belong to one organisation each."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from hibiscuspoint.components.sessions.pool import TargetPool
+from hibiscuspoint.core.sessions import ConnectionDemand
+from hibiscuspoint.ids import NO_ORGANISATION, OrganisationId
+from tests.builders_failover import GROUP, PRIMARY
+from tests.components.sessions.fakes import FakeDriver, LoopClock, ScriptedTarget
+
+A, B, C = (OrganisationId(name) for name in "abc")
+
+
+def _pool(driver: FakeDriver, limit: int) -> TargetPool:
+    pool = TargetPool(GROUP, PRIMARY, "10.0.0.1:9000", driver, LoopClock())
+    pool.limit = pool.share = limit
+    return pool
+
+
+def _demand(organisation: OrganisationId, seconds: float = 1.0) -> ConnectionDemand:
+    now = asyncio.get_running_loop().time()
+    return ConnectionDemand(now + seconds, organisation=organisation)
+
+
+async def _use(pool: TargetPool, organisation: OrganisationId, seconds: float = 0.0) -> None:
+    pooled = await pool.acquire(_demand(organisation))
+    assert pooled.connection.organisation == organisation
+    await asyncio.sleep(seconds)
+    pooled.give_back()
+
+
+def _opened(driver: FakeDriver) -> list[str]:
+    return [connection.organisation for connection in driver.targets[PRIMARY].connections]
+
+
+def _open(driver: FakeDriver) -> list[str]:
+    return [c.organisation for c in driver.targets[PRIMARY].connections if c.is_open]
+
+
+def test_idle_connection_is_reused_by_its_organisation_only():
+    """Guards against a statement on a connection that was opened in the name of another."""
+
+    async def scenario():
+        driver = FakeDriver()
+        pool = _pool(driver, limit=3)
+        for organisation in (A, B, A, NO_ORGANISATION, B, A):
+            await _use(pool, organisation)
+        assert _opened(driver) == [A, B, NO_ORGANISATION]
+        assert pool.replaced == 0
+
+    asyncio.run(scenario())
+
+
+def test_idle_connection_used_least_recently_is_replaced():
+    """Load pattern: more organisations than connections."""
+
+    async def scenario():
+        driver = FakeDriver()
+        pool = _pool(driver, limit=2)
+        for organisation in (A, B, A, C):
+            await _use(pool, organisation)
+        assert _open(driver) == [A, C]
+        assert pool.replaced == 1
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("limit_at", ["pool", "target"])
+def test_organisation_that_always_waits_does_not_keep_all_connections(limit_at):
+    """Load pattern: one organisation sends 5 times its usual, another one a statement now and then.
+
+    :param limit_at: whether the pool or the target has no other connection.
+    """
+
+    async def scenario():
+        driver = FakeDriver()
+        driver.targets[PRIMARY] = ScriptedTarget(limit=2)
+        pool = _pool(driver, limit=2 if limit_at == "pool" else 4)
+        stop = False
+
+        async def flood():
+            while not stop:
+                await _use(pool, A, 0.005)
+
+        tasks = [asyncio.create_task(flood()) for _ in range(8)]
+        await asyncio.sleep(0.1)
+        async with asyncio.timeout(0.3):
+            for _ in range(2):
+                await _use(pool, B)
+        stop = True
+        await asyncio.gather(*tasks)
+        assert len(_opened(driver)) < 10
+
+    asyncio.run(scenario())
+
+
+def test_statement_that_gave_up_leaves_no_count_behind():
+    """Guards against an organisation that counts as waiting for ever and gets no connection."""
+
+    async def scenario():
+        driver = FakeDriver()
+        pool = _pool(driver, limit=1)
+        held = await pool.acquire(_demand(A))
+        waiting = [asyncio.create_task(pool.acquire(_demand(B, 0.02))) for _ in range(3)]
+        await asyncio.gather(*waiting, return_exceptions=True)
+        assert not pool._waiting.total()
+        held.give_back()
+        await _use(pool, B)
+        await _use(pool, A)
+        assert _opened(driver) == [A, B, A]
+
+    asyncio.run(scenario())
