Take the order of waiting statements from a queue object

Cause: deployments with scarce capacity need another order of waiting statements than priority and arrival, and a connection that serves one organisation needs a choice by predicate. Change: core/scheduling with the interface WaitQueue, the registry wait_queues and the queue "priority", which is the order of TargetPool so far; the pool uses push, remove, pop, check and the length only.

--- a/hibiscuspoint/components/sessions/pool.py
+++ b/hibiscuspoint/components/sessions/pool.py
@@ -3,13 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import heapq
-import itertools
 import logging
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.components.sessions.connection import PooledConnection
+from hibiscuspoint.core.scheduling import ConnectionUse, Waiter, wait_queues
 from hibiscuspoint.core.sessions import ConnectionUseAverage
 from hibiscuspoint.drivers.errors import ConnectError, ConnectFailure
 from hibiscuspoint.telemetry import catalogue, log_event
@@ -46,23 +44,22 @@
 IDLE_SECONDS = 30.0
 
 
-@dataclass(order=True)
-class _Waiter:
-    priority: int
-    number: int
-    future: asyncio.Future = field(compare=False)
-    context: SessionContext = field(compare=False)
-
-
 class TargetPool:
     """Opens connections when sessions need them and closes those that are idle for long.
 
     :param address: "ip:port" of the target.
     :param share: connections that this instance keeps while they are idle.
+    :param scheduling: registered name of the order in which statements get connections.
     """
 
     def __init__(
-        self, group: GroupId, target: TargetId, address: str, driver: SessionDriver, clock: Clock
+        self,
+        group: GroupId,
+        target: TargetId,
+        address: str,
+        driver: SessionDriver,
+        clock: Clock,
+        scheduling: str = "priority",
     ) -> None:
         self._group = group
         self._target = target
@@ -70,8 +67,8 @@
         self._driver = driver
         self._clock = clock
         self._idle: list[PooledConnection] = []
-        self._waiters: list[_Waiter] = []
-        self._numbers = itertools.count()
+        self._queue = wait_queues.get(scheduling)()
+        self._futures: dict[Waiter, asyncio.Future[PooledConnection]] = {}
         self._in_use: set[PooledConnection] = set()
         self._use_times = ConnectionUseAverage()
         self._opening = 0
@@ -106,25 +103,25 @@
         :raises ConnectError: the target cannot be reached, or has no connection in time; at once if
             so many statements wait that this one would wait too long.
         """
-        if not self._waiters:
+        if not self._queue:
             pooled = self._take_idle(demand.session)
             if pooled is not None:
                 return pooled
         self._check_expected_wait(demand)
         future: asyncio.Future[PooledConnection] = asyncio.get_running_loop().create_future()
-        waiter = _Waiter(demand.priority, next(self._numbers), future, demand.session)
-        heapq.heappush(self._waiters, waiter)
+        waiter = self._queue.push(demand, self._clock.monotonic())
+        self._futures[waiter] = future
         self._serve_waiters()
         try:
             await asyncio.wait(
                 {future}, timeout=max(0.0, demand.deadline - self._clock.monotonic())
             )
         except asyncio.CancelledError:
-            self._cancel_wait(waiter)
+            self._cancel_wait(waiter, future)
             raise
         if future.done():
             return future.result()
-        self._cancel_wait(waiter)
+        self._cancel_wait(waiter, future)
         message = f"no connection to {self._target} in time"
         raise ConnectError(ConnectFailure.LIMITED, message)
 
@@ -166,39 +163,41 @@
         # A target that had no connection left may be asked again, but probably has none yet.
         is_full = self._retry_delay_seconds > FULL_RETRY_MIN_SECONDS
         may_open = self.size + self._opening < self.limit and not is_full
-        if may_open or not self._in_use:
-            return
-        ahead = sum(waiter.priority <= demand.priority for waiter in self._waiters)
-        wait = self._use_times.expected_wait(ahead, len(self._in_use))
-        if wait > min(demand.deadline - now, demand.max_expected_wait_seconds):
-            message = (
-                f"{ahead} statements wait for {len(self._in_use)} connections to {self._target}"
-            )
+        held = tuple(now - pooled.taken_at for pooled in self._in_use)
+        use = ConnectionUse(held, self._use_times.average_seconds, may_open)
+        refusal = self._queue.check(demand, use, now)
+        if refusal is not None:
+            message = f"{refusal.text} to {self._target}"
             raise ConnectError(ConnectFailure.LIMITED, message)
 
     def _take_idle(self, context: SessionContext) -> PooledConnection | None:
-        usable = [pooled for pooled in self._idle if pooled.connection.is_open]
-        for pooled in self._idle:
-            if not pooled.connection.is_open:
-                pooled.connection.close()
-        self._idle = usable
-        if not usable:
+        self._drop_closed()
+        if not self._idle:
             return None
         # Of equally near ones the one used last, so that the others can be closed.
-        best = min(reversed(usable), key=lambda pooled: pooled.context.distance(context))
-        usable.remove(best)
+        best = min(reversed(self._idle), key=lambda pooled: pooled.context.distance(context))
+        self._idle.remove(best)
         self._in_use.add(best)
         best.taken_at = self._clock.monotonic()
         return best
 
+    def _drop_closed(self) -> None:
+        usable = [pooled for pooled in self._idle if pooled.connection.is_open]
+        for pooled in self._idle:
+            if not pooled.connection.is_open:
+                pooled.connection.close()
+        self._idle = usable
+
+    def _can_use(self, demand: ConnectionDemand) -> bool:
+        """Tell whether a connection for a demand is idle."""
+        return bool(self._idle)
+
     def _serve_waiters(self) -> None:
-        while self._waiters:
-            pooled = self._take_idle(self._waiters[0].context)
-            if pooled is None:
-                break
-            heapq.heappop(self._waiters).future.set_result(pooled)
-        wanted = min(len(self._waiters), OPENING_LIMIT, self.limit - self.size)
         now = self._clock.monotonic()
+        self._drop_closed()
+        while (waiter := self._queue.pop(now, self._can_use)) is not None:
+            self._futures.pop(waiter).set_result(self._take_idle(waiter.demand.session))
+        wanted = min(len(self._queue), OPENING_LIMIT, self.limit - self.size)
         if wanted > self._opening and now < self._retry_at:
             self._retry_later(self._retry_at - now)
             return
@@ -256,15 +255,14 @@
             self._serve_waiters()
 
     def _fail_waiters(self, error: ConnectError) -> None:
-        waiters, self._waiters = self._waiters, []
-        for waiter in waiters:
-            if not waiter.future.done():
-                waiter.future.set_exception(error)
+        futures, self._futures = self._futures, {}
+        for waiter, future in futures.items():
+            self._queue.remove(waiter)
+            future.set_exception(error)
 
-    def _cancel_wait(self, waiter: _Waiter) -> None:
+    def _cancel_wait(self, waiter: Waiter, future: asyncio.Future[PooledConnection]) -> None:
         """Forget a waiter that gave up, and take back a connection that it was given meanwhile."""
-        if waiter in self._waiters:
-            self._waiters.remove(waiter)
-            heapq.heapify(self._waiters)
-        elif waiter.future.done() and waiter.future.exception() is None:
-            self.release(waiter.future.result())
+        if self._futures.pop(waiter, None) is not None:
+            self._queue.remove(waiter)
+        elif future.done() and future.exception() is None:
+            self.release(future.result())
--- /dev/null
+++ b/hibiscuspoint/core/scheduling/__init__.py
@@ -0,0 +1,21 @@
+"""Order in which waiting statements get the connections to a target."""
+
+from __future__ import annotations
+
+from hibiscuspoint.core.scheduling.priority import PriorityQueue
+from hibiscuspoint.core.scheduling.queue import (
+    ConnectionUse,
+    Refusal,
+    Waiter,
+    WaitQueue,
+    wait_queues,
+)
+
+__all__ = [
+    "ConnectionUse",
+    "PriorityQueue",
+    "Refusal",
+    "WaitQueue",
+    "Waiter",
+    "wait_queues",
+]
--- /dev/null
+++ b/hibiscuspoint/core/scheduling/priority.py
@@ -0,0 +1,70 @@
+"""Order of waiting statements by priority and arrival."""
+
+from __future__ import annotations
+
+import bisect
+import itertools
+from typing import TYPE_CHECKING
+
+from hibiscuspoint.core.scheduling.queue import ConnectionUse, Refusal, Waiter, wait_queues
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from hibiscuspoint.core.sessions import ConnectionDemand
+
+__all__ = ["PriorityQueue"]
+
+
+def _order(waiter: Waiter) -> tuple[int, int]:
+    return waiter.demand.priority, waiter.number
+
+
+@wait_queues.register("priority")
+class PriorityQueue:
+    """Serves the most urgent priority first, and the longest wait within one."""
+
+    def __init__(self) -> None:
+        self._waiters: list[Waiter] = []
+        self._numbers = itertools.count()
+
+    def __len__(self) -> int:
+        return len(self._waiters)
+
+    def push(self, demand: ConnectionDemand, now: float) -> Waiter:
+        """Add a demand."""
+        waiter = Waiter(demand, next(self._numbers), now, demand.deadline)
+        bisect.insort(self._waiters, waiter, key=_order)
+        return waiter
+
+    def remove(self, waiter: Waiter) -> None:
+        """Remove a waiter that gave up; one that does not wait any more is ignored."""
+        if waiter in self._waiters:
+            self._waiters.remove(waiter)
+
+    def pop(self, now: float, can_use: Callable[[ConnectionDemand], bool]) -> Waiter | None:
+        """Remove and return the first waiter that can use an idle connection."""
+        for position, waiter in enumerate(self._waiters):
+            if can_use(waiter.demand):
+                return self._waiters.pop(position)
+        return None
+
+    def expired(self, now: float) -> list[Waiter]:
+        """Return nothing: each waiter gives up at its deadline by itself."""
+        return []
+
+    def ahead_of(self, demand: ConnectionDemand) -> int:
+        """Return the number of waiters of the same and of more urgent priorities."""
+        return sum(waiter.demand.priority <= demand.priority for waiter in self._waiters)
+
+    def check(
+        self, demand: ConnectionDemand, connections: ConnectionUse, now: float
+    ) -> Refusal | None:
+        """Refuse a demand that would wait too long for one of the connections in use."""
+        if connections.may_open or not connections.in_use:
+            return None
+        ahead = self.ahead_of(demand)
+        wait = (ahead + 1) * connections.average_seconds / connections.in_use
+        if wait <= min(demand.deadline - now, demand.max_expected_wait_seconds):
+            return None
+        return Refusal(f"{ahead} statements wait for {connections.in_use} connections")
--- /dev/null
+++ b/hibiscuspoint/core/scheduling/queue.py
@@ -0,0 +1,95 @@
+"""The interface of queues of statements that wait for a connection to a target."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
+
+from hibiscuspoint.registry import Registry
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from hibiscuspoint.core.sessions import ConnectionDemand
+
+__all__ = ["ConnectionUse", "Refusal", "WaitQueue", "Waiter", "wait_queues"]
+
+
+@dataclass(eq=False)
+class Waiter:
+    """A demand that waits.
+
+    :param number: increases with each demand of a queue.
+    :param pushed_at: monotonic time in seconds at which the wait began.
+    :param check_at: monotonic time in seconds at which ``expired`` is to be asked again.
+    """
+
+    demand: ConnectionDemand
+    number: int
+    pushed_at: float
+    check_at: float
+
+
+@dataclass(frozen=True)
+class ConnectionUse:
+    """Connections of one instance to one target when a demand arrives.
+
+    :param held_seconds: time since each connection in use was taken.
+    :param average_seconds: moving average of the time of a use.
+    :param may_open: whether another connection may be opened.
+    """
+
+    held_seconds: tuple[float, ...]
+    average_seconds: float
+    may_open: bool
+
+    @property
+    def in_use(self) -> int:
+        """Return the number of connections in use."""
+        return len(self.held_seconds)
+
+
+@dataclass(frozen=True)
+class Refusal:
+    """Why a demand does not join a queue.
+
+    :param retry_after_seconds: time after which capacity is expected; 0 when it is not known.
+    """
+
+    text: str
+    retry_after_seconds: float = 0.0
+
+
+class WaitQueue(Protocol):
+    """Decides which waiting demand gets the next connection and which ones are refused."""
+
+    def __len__(self) -> int:
+        """Return the number of waiting demands."""
+
+    def push(self, demand: ConnectionDemand, now: float) -> Waiter:
+        """Add a demand."""
+
+    def remove(self, waiter: Waiter) -> None:
+        """Remove a waiter that gave up; one that does not wait any more is ignored."""
+
+    def pop(self, now: float, can_use: Callable[[ConnectionDemand], bool]) -> Waiter | None:
+        """Remove and return the waiter that is served next.
+
+        :param can_use: tells whether a connection for a demand is idle.
+        :returns: ``None`` when no waiter can use an idle connection.
+        """
+
+    def expired(self, now: float) -> list[Waiter]:
+        """Remove and return the waiters that are to be refused."""
+
+    def ahead_of(self, demand: ConnectionDemand) -> int:
+        """Return the number of waiters that would be served before a demand."""
+
+    def check(
+        self, demand: ConnectionDemand, connections: ConnectionUse, now: float
+    ) -> Refusal | None:
+        """Return why a demand is refused at once; ``None`` when it may wait."""
+
+
+#: Classes of queues without arguments by the name in the settings.
+wait_queues: Registry[Callable[[], WaitQueue]] = Registry("queue of waiting statements")
--- a/hibiscuspoint/core/sessions/waiting.py
+++ b/hibiscuspoint/core/sessions/waiting.py
@@ -49,16 +49,11 @@
     def __init__(self) -> None:
         self._average_seconds = 0.0
 
+    @property
+    def average_seconds(self) -> float:
+        """Return the average in seconds; 0 before the first use."""
+        return self._average_seconds
+
     def record_use(self, seconds: float) -> None:
         """Record the duration of a use in seconds."""
         self._average_seconds += AVERAGE_WEIGHT * (seconds - self._average_seconds)
-
-    def expected_wait(self, waiting: int, connections: int) -> float:
-        """Return the expected time in seconds until a statement gets a connection.
-
-        :param waiting: number of statements that get a connection before it.
-        :param connections: number of connections in use, which become free one by one.
-        """
-        if not connections:
-            return 0.0
-        return (waiting + 1) * self._average_seconds / connections
