--- a/hibiscuspoint/components/sessions/pool.py
+++ b/hibiscuspoint/components/sessions/pool.py
@@ -3,21 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-import heapq
-import itertools
 import logging
 from collections import Counter
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.components.sessions.connection import PooledConnection
+from hibiscuspoint.core.scheduling import ConnectionUse, Waiter, wait_queues
 from hibiscuspoint.core.sessions import ConnectionUseAverage
 from hibiscuspoint.drivers.errors import ConnectError, ConnectFailure
 from hibiscuspoint.telemetry import catalogue, log_event
 from hibiscuspoint.util.tasks import spawn
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
 
     from hibiscuspoint.core.ports import Clock, SessionDriver
     from hibiscuspoint.core.sessions import ConnectionDemand
@@ -54,24 +51,22 @@
 OVERTAKE_SECONDS = 0.025
 
 
-@dataclass(order=True)
-class _Waiter:
-    priority: int
-    number: int
-    future: asyncio.Future = field(compare=False)
-    demand: ConnectionDemand = field(compare=False)
-    since: float = field(compare=False)
-
-
 class TargetPool:
     """Opens connections when sessions need them and closes those that are idle for long.
 
     :param address: "ip:port" of the target.
     :param share: connections that this instance keeps while they are idle.
+    :param scheduling: registered name of the order in which statements get connections.
     """
 
     def __init__(
-        self, group: GroupId, target: TargetId, address: str, driver: SessionDriver, clock: Clock
+        self,
+        group: GroupId,
+        target: TargetId,
+        address: str,
+        driver: SessionDriver,
+        clock: Clock,
+        scheduling: str = "priority",
     ) -> None:
         self._group = group
         self._target = target
@@ -79,8 +74,8 @@
         self._driver = driver
         self._clock = clock
         self._idle: list[PooledConnection] = []
-        self._waiters: list[_Waiter] = []
-        self._numbers = itertools.count()
+        self._queue = wait_queues.get(scheduling)()
+        self._futures: dict[Waiter, asyncio.Future[PooledConnection]] = {}
         self._in_use: set[PooledConnection] = set()
         self._use_times = ConnectionUseAverage()
         self._opening: Counter[OrganisationId] = Counter()
@@ -126,20 +121,20 @@
                 return pooled
         self._check_expected_wait(demand)
         future: asyncio.Future[PooledConnection] = asyncio.get_running_loop().create_future()
-        now = self._clock.monotonic()
-        waiter = _Waiter(demand.priority, next(self._numbers), future, demand, now)
-        self._push_waiter(waiter)
+        waiter = self._queue.push(demand, self._clock.monotonic())
+        self._futures[waiter] = future
+        self._waiting[demand.organisation] += 1
         self._serve_waiters()
         try:
             await asyncio.wait(
                 {future}, timeout=max(0.0, demand.deadline - self._clock.monotonic())
             )
         except asyncio.CancelledError:
-            self._cancel_wait(waiter)
+            self._cancel_wait(waiter, future)
             raise
         if future.done():
             return future.result()
-        self._cancel_wait(waiter)
+        self._cancel_wait(waiter, future)
         message = f"no connection to {self._target} in time"
         raise ConnectError(ConnectFailure.LIMITED, message)
 
@@ -181,15 +176,12 @@
         now = self._clock.monotonic()
         # A target that had no connection left may be asked again, but probably has none yet.
         is_full = self._retry_delay_seconds > FULL_RETRY_MIN_SECONDS
-        may_open = (self._has_room and not is_full) or self._idle
-        if may_open or not self._in_use:
-            return
-        ahead = sum(waiter.priority <= demand.priority for waiter in self._waiters)
-        wait = self._use_times.expected_wait(ahead, len(self._in_use))
-        if wait > min(demand.deadline - now, demand.max_expected_wait_seconds):
-            message = (
-                f"{ahead} statements wait for {len(self._in_use)} connections to {self._target}"
-            )
+        may_open = bool((self._has_room and not is_full) or self._idle)
+        held = tuple(now - pooled.taken_at for pooled in self._in_use)
+        use = ConnectionUse(held, self._use_times.average_seconds, may_open)
+        refusal = self._queue.check(demand, use, now)
+        if refusal is not None:
+            message = f"{refusal.text} to {self._target}"
             raise ConnectError(ConnectFailure.LIMITED, message)
 
     @property
@@ -218,11 +210,11 @@
 
     def _serve_waiters(self) -> None:
         self._drop_closed()
-        while waiter := self._pop_waiter(self._has_idle):
-            waiter.future.set_result(self._take_idle(waiter.demand))
         now = self._clock.monotonic()
+        while (waiter := self._queue.pop(now, self._has_idle)) is not None:
+            self._forget(waiter).set_result(self._take_idle(waiter.demand))
         while self._opening.total() < OPENING_LIMIT:
-            waiter = self._first_waiter(self._lacks_connection)
+            waiter = self._queue.first(now, self._lacks_connection)
             if waiter is None or not self._make_room(now):
                 return
             if now < self._retry_at:
@@ -260,13 +252,13 @@
 
         :returns: whether it was closed for a statement of another organisation.
         """
-        first = self._first_waiter(self._lacks_connection)
+        first = self._queue.first(now, self._lacks_connection)
         if first is None or first.demand.organisation == pooled.organisation:
             return False
         is_full = now < self._retry_at and not self._has_made_room
         is_limited = self.size + 1 + self._opening.total() >= self.limit
         may_open = self._opening.total() < OPENING_LIMIT
-        if not (is_full or (is_limited and may_open)) or now - first.since < OVERTAKE_SECONDS:
+        if not (is_full or (is_limited and may_open)) or now - first.pushed_at < OVERTAKE_SECONDS:
             return False
         self._replace(pooled, now)
         return True
@@ -333,35 +325,21 @@
             self._serve_waiters()
 
     def _fail_waiters(self, error: ConnectError) -> None:
-        waiters, self._waiters = self._waiters, []
-        self._waiting.clear()
-        for waiter in waiters:
-            if not waiter.future.done():
-                waiter.future.set_exception(error)
+        for waiter in list(self._futures):
+            self._queue.remove(waiter)
+            future = self._forget(waiter)
+            if not future.done():
+                future.set_exception(error)
 
-    def _cancel_wait(self, waiter: _Waiter) -> None:
+    def _cancel_wait(self, waiter: Waiter, future: asyncio.Future[PooledConnection]) -> None:
         """Forget a waiter that gave up, and take back a connection that it was given meanwhile."""
-        if waiter in self._waiters:
-            self._remove_waiter(waiter)
-        elif waiter.future.done() and waiter.future.exception() is None:
-            self.release(waiter.future.result())
-
-    def _push_waiter(self, waiter: _Waiter) -> None:
-        heapq.heappush(self._waiters, waiter)
-        self._waiting[waiter.demand.organisation] += 1
-
-    def _first_waiter(self, can_use: Callable[[ConnectionDemand], bool]) -> _Waiter | None:
-        """Return the first waiter in order of service whose demand satisfies a condition."""
-        return min((w for w in self._waiters if can_use(w.demand)), default=None)
-
-    def _pop_waiter(self, can_use: Callable[[ConnectionDemand], bool]) -> _Waiter | None:
-        """Remove and return the first waiter whose demand satisfies a condition."""
-        waiter = self._first_waiter(can_use)
-        if waiter is not None:
-            self._remove_waiter(waiter)
-        return waiter
-
-    def _remove_waiter(self, waiter: _Waiter) -> None:
-        self._waiters.remove(waiter)
-        heapq.heapify(self._waiters)
+        if waiter in self._futures:
+            self._queue.remove(waiter)
+            self._forget(waiter)
+        elif future.done() and future.exception() is None:
+            self.release(future.result())
+
+    def _forget(self, waiter: Waiter) -> asyncio.Future[PooledConnection]:
+        """Return the future of a waiter that has left the queue."""
         self._waiting[waiter.demand.organisation] -= 1
+        return self._futures.pop(waiter)
