Run the reads of organisations at holders in one exchange

Cause: a borrowed connection takes two exchanges between entry and holder for one read; the connection is idle during the second one, and gRPC streams in both directions cost more processor time. Change: Connections.RunRead carries the demand for a connection together with the read. Only for organisations, so deployments without them are served as before.

--- a/hibiscuspoint/components/sessions/attempts.py
+++ b/hibiscuspoint/components/sessions/attempts.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from hibiscuspoint.components.sessions.borrow_messages import statement_message
+from hibiscuspoint.components.sessions.borrowing import HeldRead
 from hibiscuspoint.core.sessions import ConnectionDemand, Failure, SessionState
 from hibiscuspoint.drivers.errors import ConnectError, ConnectionLost
 
@@ -127,13 +129,16 @@
 
         :raises ConnectError: there is none in time.
         """
-        demand = ConnectionDemand(
-            candidate.connect_until, route.priority, route.objective_seconds, self._context
-        )
+        demand = self._demand(route, candidate)
         connection = await self._access.borrow(route.group, candidate.member, demand)
         self.trace.holder = connection.holder
         return connection
 
+    def _demand(self, route: DatabaseRoute, candidate: Candidate) -> ConnectionDemand:
+        return ConnectionDemand(
+            candidate.connect_until, route.priority, route.objective_seconds, self._context
+        )
+
     async def send(
         self,
         connection: BorrowedConnection,
@@ -170,6 +175,11 @@
             says that it was not sent.
         """
         target = candidate.target
+        if not is_write:
+            reply = await self._read_at_holder(route, candidate, statement, prepared_statement)
+            if reply is not None:
+                self.record_answer(target, reply)
+                return reply
         try:
             connection = await self.acquire(route, candidate)
         except ConnectError as error:
@@ -192,6 +202,38 @@
         self.record_answer(target, reply)
         return reply
 
+    async def _read_at_holder(
+        self,
+        route: DatabaseRoute,
+        candidate: Candidate,
+        statement: Statement,
+        prepared_statement: PreparedStatement | None,
+    ) -> Reply | None:
+        """Return the answer to a read that a holder ran; ``None`` where none was asked.
+
+        :raises ConnectionLost: there is no whole answer.
+        """
+        demand = self._demand(route, candidate)
+        if not self._access.runs_reads_at_holders(route.group, demand):
+            return None
+        message = statement_message(statement, self._context, prepared_statement, candidate.after)
+        read = HeldRead(message, candidate.answer_until)
+        started = self._clock.monotonic()
+        try:
+            answer = await self._access.run_read(route.group, candidate.member, demand, read)
+        except ConnectError as error:
+            self.record_failure(candidate.target, error)
+            raise ConnectionLost(str(error), sent=False) from error
+        except ConnectionLost as error:
+            self.record_failure(candidate.target, error)
+            raise
+        if answer is None:
+            return None
+        self.trace.holder = answer.holder
+        self._last_started = started
+        self._last_elapsed = self._clock.monotonic() - started
+        return answer.reply
+
     @contextmanager
     def watch_commit(self, target: TargetId, is_commit: bool) -> Iterator[None]:
         """Report a commit that has no answer for long, before its timeout."""
--- a/hibiscuspoint/components/sessions/borrowing.py
+++ b/hibiscuspoint/components/sessions/borrowing.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import logging
-from typing import TYPE_CHECKING
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, TypeVar
 
 import grpc
 
@@ -14,14 +15,19 @@
     statement_message,
 )
 from hibiscuspoint.core.sessions import HolderRanking
-from hibiscuspoint.drivers.errors import ConnectError, ConnectFailure, ConnectionLost
+from hibiscuspoint.drivers.errors import (
+    AnswerTimeoutError,
+    ConnectError,
+    ConnectFailure,
+    ConnectionLost,
+)
 from hibiscuspoint.telemetry import catalogue, log_event
 from hibiscuspoint.util.tasks import spawn
-from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
+from hibiscuspoint.util.units import MICROSECONDS_PER_SECOND, MILLISECONDS_PER_SECOND
 from hibiscuspoint.wire import peer_pb2, peer_pb2_grpc
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Awaitable, Callable, Iterable
 
     from hibiscuspoint.components.peers import PeerChannels
     from hibiscuspoint.core.ports import Clock
@@ -36,7 +42,7 @@
     )
     from hibiscuspoint.ids import AvailabilityZone, GroupId, InstanceId, TargetId
 
-__all__ = ["ConnectionBorrowing"]
+__all__ = ["ConnectionBorrowing", "HeldRead", "HeldReply"]
 
 logger = logging.getLogger(__name__)
 
@@ -58,6 +64,44 @@
 ANSWER_MARGIN_SECONDS = 0.1
 
 
+_T = TypeVar("_T")
+
+
+@dataclass(frozen=True)
+class HeldRead:
+    """A read outside a transaction that a holder is asked to run.
+
+    :param message: statement with the context that it needs at the connection.
+    :param answer_until: monotonic time in seconds until which the answer is waited for.
+    """
+
+    message: peer_pb2.StatementRequest
+    answer_until: float
+
+
+@dataclass(frozen=True)
+class HeldReply:
+    """Reply of a target to a read that a holder ran.
+
+    :param elapsed_seconds: time that the target took, as the holder saw it.
+    """
+
+    holder: InstanceId
+    reply: Reply
+    elapsed_seconds: float
+
+
+@dataclass(frozen=True)
+class _Wanted:
+    """What one holder is asked for.
+
+    :param wait_seconds: time for which the holder waits for a connection.
+    """
+
+    request: peer_pb2.ConnectionRequest
+    wait_seconds: float
+
+
 class ConnectionBorrowing:
     """Borrows connections from the holders of a group.
 
@@ -80,12 +124,48 @@
 
         :raises ConnectError: a holder answers and has no connection in time.
         """
+
+        async def ask(holder: InstanceId, wanted: _Wanted) -> HeldConnection:
+            return await self._ask(holder, wanted, demand.deadline)
+
+        return await self._ask_holders(holders, group, target, demand, ask)
+
+    async def run_read(
+        self,
+        holders: Iterable[EntryPlace],
+        group: GroupId,
+        target: TargetId,
+        demand: ConnectionDemand,
+        read: HeldRead,
+    ) -> HeldReply | None:
+        """Have a holder run a read in one exchange; ``None`` when no holder answers.
+
+        Borrowing a connection first takes a second exchange, during which the connection is idle.
+
+        :raises ConnectError: a holder answers and has no connection in time.
+        :raises ConnectionLost: there is no whole answer of the target.
+        """
+
+        async def ask(holder: InstanceId, wanted: _Wanted) -> HeldReply:
+            return await self._run_read(holder, wanted, read)
+
+        return await self._ask_holders(holders, group, target, demand, ask)
+
+    async def _ask_holders(
+        self,
+        holders: Iterable[EntryPlace],
+        group: GroupId,
+        target: TargetId,
+        demand: ConnectionDemand,
+        ask: Callable[[InstanceId, _Wanted], Awaitable[_T]],
+    ) -> _T | None:
+        """Return what the first holder with a connection returns; ``None`` when none answers."""
         ranked = self._ranking.rank(holders, target, self._clock.monotonic())[:HOLDER_ATTEMPTS]
         refusal: ConnectError | None = None
         for number, holder in enumerate(ranked, 1):
             is_last = number == len(ranked)
             try:
-                return await self._ask_for(holder, group, target, demand, is_last=is_last)
+                return await self._ask_for(holder, group, target, demand, ask, is_last=is_last)
             except ConnectError as error:
                 if is_last or error.failure is not ConnectFailure.LIMITED:
                     raise
@@ -115,9 +195,10 @@
         group: GroupId,
         target: TargetId,
         demand: ConnectionDemand,
+        ask: Callable[[InstanceId, _Wanted], Awaitable[_T]],
         *,
         is_last: bool,
-    ) -> HeldConnection:
+    ) -> _T:
         """Ask one holder for a connection and record how long it took.
 
         The last holder gets all the time that is left; a statement does not wait at one holder
@@ -136,29 +217,72 @@
             patience_ms=int(min(patience, MAX_EXPECTED_WAIT_SECONDS) * MILLISECONDS_PER_SECOND),
         )
         try:
-            connection = await self._ask(holder, wanted, demand.deadline, wait)
+            answer = await ask(holder, _Wanted(wanted, wait))
         except ConnectError:
             # A refusal comes at once, but a statement would have waited longer than it could.
             self._ranking.record_wait(holder, target, HOLDER_WAIT_SECONDS, started)
             raise
         now = self._clock.monotonic()
-        self._ranking.record_wait(holder, target, now - started, now)
-        return connection
+        run_seconds = answer.elapsed_seconds if isinstance(answer, HeldReply) else 0.0
+        self._ranking.record_wait(holder, target, max(0.0, now - started - run_seconds), now)
+        return answer
+
+    async def _run_read(self, holder: InstanceId, wanted: _Wanted, read: HeldRead) -> HeldReply:
+        """Have one holder run a read."""
+        remaining = max(0.0, read.answer_until - self._clock.monotonic())
+        request = peer_pb2.ReadRequest(
+            connection=wanted.request,
+            wait_ms=int(wanted.wait_seconds * MILLISECONDS_PER_SECOND),
+            statement=read.message,
+            remaining_ms=int(remaining * MILLISECONDS_PER_SECOND),
+        )
+        call = peer_pb2_grpc.ConnectionsStub(self._channels.get(holder)).RunRead(request)
+        try:
+            async with asyncio.timeout(min(HOLDER_TIMEOUT_SECONDS, remaining)):
+                await call.initial_metadata()
+            reply = await self._await_read(call, wanted.wait_seconds + remaining)
+        except BaseException:
+            call.cancel()
+            raise
+        self._ranking.record_answer(holder)
+        if reply.lost.connect_failure:
+            raise ConnectError(ConnectFailure(reply.lost.connect_failure), reply.lost.text)
+        if reply.HasField("lost"):
+            raise error_of(reply.lost)
+        elapsed = reply.elapsed_us / MICROSECONDS_PER_SECOND
+        try:
+            return HeldReply(holder, reply_from(reply), elapsed)
+        except ValueError as error:
+            raise ConnectionLost(f"holder {holder}: {error}", sent=True) from error
+
+    async def _await_read(
+        self, call: grpc.aio.UnaryStreamCall, seconds: float
+    ) -> peer_pb2.BorrowReply:
+        """Return the reply to a read that a holder has taken.
+
+        :raises AnswerTimeoutError: there is none in time; the target may have run the read.
+        """
+        try:
+            async with asyncio.timeout(seconds + ANSWER_MARGIN_SECONDS):
+                reply = await call.read()
+        except TimeoutError:
+            raise AnswerTimeoutError from None
+        if reply is grpc.aio.EOF:
+            raise await _failure_of(call)
+        return reply
 
-    async def _ask(
-        self, holder: InstanceId, wanted: peer_pb2.ConnectionRequest, deadline: float, wait: float
-    ) -> HeldConnection:
+    async def _ask(self, holder: InstanceId, wanted: _Wanted, deadline: float) -> HeldConnection:
         """Ask a holder for a connection.
 
         :param deadline: monotonic time until which the holder may take the request.
-        :param wait: seconds for which the holder waits for a connection.
         """
+        wait = wanted.wait_seconds
         remaining = max(0.0, deadline - self._clock.monotonic())
         stub = peer_pb2_grpc.ConnectionsStub(self._channels.get(holder))
         call = stub.Borrow()
         try:
             request = peer_pb2.BorrowRequest(
-                connection=wanted, remaining_ms=int(wait * MILLISECONDS_PER_SECOND)
+                connection=wanted.request, remaining_ms=int(wait * MILLISECONDS_PER_SECOND)
             )
             async with asyncio.timeout(min(HOLDER_TIMEOUT_SECONDS, remaining)):
                 await call.write(request)
@@ -257,7 +381,7 @@
         raise error_of(reply.lost)
 
 
-async def _failure_of(call: grpc.aio.StreamStreamCall) -> grpc.aio.AioRpcError:
+async def _failure_of(call: grpc.aio.Call) -> grpc.aio.AioRpcError:
     """Return the error with which a call ended before its holder answered."""
     return grpc.aio.AioRpcError(
         await call.code(),
--- a/hibiscuspoint/components/sessions/groups.py
+++ b/hibiscuspoint/components/sessions/groups.py
@@ -20,7 +20,7 @@
 
 if TYPE_CHECKING:
     from hibiscuspoint.components.entry_state import EntryState
-    from hibiscuspoint.components.sessions.borrowing import ConnectionBorrowing
+    from hibiscuspoint.components.sessions.borrowing import ConnectionBorrowing, HeldRead, HeldReply
     from hibiscuspoint.components.sessions.connection import BorrowedConnection, PooledConnection
     from hibiscuspoint.core.entry.routes import Route, RouteMember
     from hibiscuspoint.core.ports import Clock, SessionDriver
@@ -168,6 +168,27 @@
                 return connection
         return await self._pool(group, member).acquire(demand)
 
+    def runs_reads_at_holders(self, group: GroupId, demand: ConnectionDemand) -> bool:
+        """Tell whether holders run reads, rather than lend a connection for each.
+
+        Only for organisations: their connections are kept by few holders, mostly in another zone,
+        so that a second exchange would cost as much as the read.
+        """
+        return (
+            bool(demand.organisation) and self._borrowing is not None and bool(self.holders(group))
+        )
+
+    async def run_read(
+        self, group: GroupId, member: RouteMember, demand: ConnectionDemand, read: HeldRead
+    ) -> HeldReply | None:
+        """Have a holder run a read; ``None`` when no holder answers.
+
+        :raises ConnectError: no holder has a connection in time.
+        :raises ConnectionLost: there is no whole answer of the target.
+        """
+        holders = self.holders(group)
+        return await self._borrowing.run_read(holders, group, member.target, demand, read)
+
     async def acquire(
         self, group: GroupId, target: TargetId, demand: ConnectionDemand
     ) -> PooledConnection:
--- a/hibiscuspoint/components/sessions/lending.py
+++ b/hibiscuspoint/components/sessions/lending.py
@@ -20,7 +20,7 @@
 )
 from hibiscuspoint.drivers.errors import ConnectError, ConnectionLost
 from hibiscuspoint.ids import GroupId, TargetId
-from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
+from hibiscuspoint.util.units import MICROSECONDS_PER_SECOND, MILLISECONDS_PER_SECOND
 from hibiscuspoint.wire import peer_pb2, peer_pb2_grpc
 
 if TYPE_CHECKING:
@@ -59,7 +59,7 @@
         if request is grpc.aio.EOF:
             return
         try:
-            pooled = await self._acquire(request)
+            pooled = await self._acquire(request.connection, self._seconds(request))
         except ConnectError as error:
             await context.write(refusal_message(error))
             return
@@ -82,10 +82,38 @@
                 pooled.close()
             pooled.give_back()
 
-    async def _acquire(self, request: peer_pb2.BorrowRequest) -> PooledConnection:
-        wanted = request.connection
+    async def RunRead(
+        self, request: peer_pb2.ReadRequest, context: grpc.aio.ServicerContext
+    ) -> None:
+        """Run one read of another instance."""
+        await context.send_initial_metadata(())
+        await context.write(await self._run_read(request))
+
+    async def _run_read(self, request: peer_pb2.ReadRequest) -> peer_pb2.BorrowReply:
+        wait = request.wait_ms / MILLISECONDS_PER_SECOND
+        try:
+            pooled = await self._acquire(request.connection, wait)
+        except ConnectError as error:
+            return refusal_message(error)
+        is_idle = False
+        try:
+            started = self._clock.monotonic()
+            seconds = request.remaining_ms / MILLISECONDS_PER_SECOND
+            reply = await self._run(pooled, request.statement, seconds)
+            reply.elapsed_us = int((self._clock.monotonic() - started) * MICROSECONDS_PER_SECOND)
+            is_idle = reply.state == SessionState.IDLE.value
+            return reply
+        finally:
+            if not is_idle:
+                # Also when the caller gave up: the answer may still come.
+                pooled.close()
+            pooled.give_back()
+
+    async def _acquire(
+        self, wanted: peer_pb2.ConnectionRequest, seconds: float
+    ) -> PooledConnection:
         demand = ConnectionDemand(
-            self._deadline(request),
+            self._clock.monotonic() + seconds,
             wanted.priority,
             wanted.patience_ms / MILLISECONDS_PER_SECOND,
             SessionContext(values=dict(wanted.values)),
@@ -104,11 +132,19 @@
         try:
             if request.WhichOneof("step") == "rollback":
                 return reply_message(await pooled.rollback(self._seconds(request)))
-            asked = statement_from(request.statement)
+        except ConnectionLost as error:
+            return lost_message(error)
+        return await self._run(pooled, request.statement, self._seconds(request))
+
+    async def _run(
+        self, pooled: PooledConnection, message: peer_pb2.StatementRequest, seconds: float
+    ) -> peer_pb2.BorrowReply:
+        asked = statement_from(message)
+        try:
             reply = await pooled.run(
                 asked.statement,
                 asked.session,
-                self._deadline(request),
+                self._clock.monotonic() + seconds,
                 prepared_statement=asked.prepared_statement,
                 after=asked.after,
             )
@@ -116,8 +152,5 @@
             return lost_message(error)
         return reply_message(reply)
 
-    def _deadline(self, request: peer_pb2.BorrowRequest) -> float:
-        return self._clock.monotonic() + self._seconds(request)
-
     def _seconds(self, request: peer_pb2.BorrowRequest) -> float:
         return request.remaining_ms / MILLISECONDS_PER_SECOND
--- a/tests/components/sessions/test_borrowing.py
+++ b/tests/components/sessions/test_borrowing.py
@@ -14,23 +14,33 @@
 
 from hibiscuspoint.components.peers import PeerChannels
 from hibiscuspoint.components.sessions import ConnectionBorrowing, ConnectionLending, GroupAccess
-from hibiscuspoint.components.sessions.borrow_messages import reply_from, reply_message
-from hibiscuspoint.components.sessions.borrowing import HOLDER_WAIT_SECONDS
+from hibiscuspoint.components.sessions.borrow_messages import (
+    reply_from,
+    reply_message,
+    statement_message,
+)
+from hibiscuspoint.components.sessions.borrowing import (
+    HOLDER_TIMEOUT_SECONDS,
+    HOLDER_WAIT_SECONDS,
+    HeldRead,
+    HeldReply,
+)
 from hibiscuspoint.core.sessions import (
     ConnectionDemand,
     EntryPlace,
     Failure,
     Reply,
+    SessionContext,
     SessionState,
     choose_holders,
 )
 from hibiscuspoint.drivers.errors import AnswerTimeoutError, ConnectError, ConnectionLost
-from hibiscuspoint.ids import AvailabilityZone, InstanceId
+from hibiscuspoint.ids import AvailabilityZone, InstanceId, OrganisationId
 from hibiscuspoint.security import TlsMode, Transport
 from hibiscuspoint.wire import peer_pb2, peer_pb2_grpc
 from tests.builders_failover import GROUP, PRIMARY, REPLICA_A, REPLICA_B
 from tests.components.sessions.fakes import LoopClock, refusal
-from tests.components.sessions.harness import SessionHarness
+from tests.components.sessions.harness import SessionHarness, statement
 
 if TYPE_CHECKING:
     from hibiscuspoint.core.entry.routes import RouteMember
@@ -455,3 +465,79 @@
     ):
         message = peer_pb2.BorrowReply.FromString(reply_message(reply).SerializeToString())
         assert reply_from(message) == reply
+
+
+async def _run_read(entry: SessionHarness, seconds: float = 1.0) -> HeldReply | None:
+    """Have a holder run a read at the primary in the name of an organisation."""
+    until = entry.clock.monotonic() + seconds
+    message = statement_message(statement("READ x"), SessionContext(), None, None)
+    demand = ConnectionDemand(until, organisation=OrganisationId("agents"))
+    return await entry.access.run_read(GROUP, _primary(entry), demand, HeldRead(message, until))
+
+
+def test_read_of_an_organisation_runs_at_the_holder_in_one_exchange():
+    """Guards against a connection that is idle during a second exchange, and against a leak."""
+
+    async def scenario():
+        async with _borrowers() as (entry, holder, _):
+            answer = await _run_read(entry)
+            assert answer.reply.error is None
+            assert answer.reply.signature == "signature"
+            assert holder.targets[PRIMARY].log == [("READ x", None)]
+            await _until(lambda: _idle(holder) == _connections(holder) == 1)
+
+    asyncio.run(scenario())
+
+
+def test_holders_run_reads_only_for_organisations():
+    """Guards against a change for deployments whose configuration lists no organisations."""
+
+    async def scenario():
+        async with _borrowers() as (entry, _, _):
+            assert not entry.access.runs_reads_at_holders(GROUP, ConnectionDemand(1.0))
+
+    asyncio.run(scenario())
+
+
+def test_read_that_finds_no_connection_is_refused_as_not_run():
+    """Guards against a read that waits at a full holder until its deadline has passed."""
+
+    async def scenario():
+        async with _borrowers() as (entry, holder, _):
+            holder.targets[PRIMARY].limit = 0
+            with pytest.raises(ConnectError):
+                await _run_read(entry, seconds=0.1)
+            assert holder.targets[PRIMARY].log == []
+
+    asyncio.run(scenario())
+
+
+def test_read_without_an_answer_closes_its_connection():
+    """Guards against a late answer that the next session of the connection would get."""
+
+    async def scenario():
+        async with _borrowers() as (entry, holder, _):
+            holder.targets[PRIMARY].script.append(ConnectionLost("reset", sent=True))
+            with pytest.raises(ConnectionLost) as raised:
+                await _run_read(entry)
+            assert raised.value.sent
+            holder.targets[PRIMARY].delay = 0.5
+            with pytest.raises(ConnectionLost):
+                await _run_read(entry, seconds=0.05)
+            await _until(lambda: not any(c.is_open for c in holder.targets[PRIMARY].connections))
+
+    asyncio.run(scenario())
+
+
+def test_silent_holder_is_left_for_the_next_one_by_a_read():
+    """Guards against reads that end with their deadline because one holder is frozen."""
+
+    async def scenario():
+        async with _borrowers(silent=1) as (entry, holder, _):
+            started = entry.clock.monotonic()
+            answer = await _run_read(entry)
+            assert answer.reply.error is None
+            assert entry.clock.monotonic() - started < 2 * HOLDER_TIMEOUT_SECONDS
+            assert holder.targets[PRIMARY].log == [("READ x", None)]
+
+    asyncio.run(scenario())
