End the sessions of revoked keys when a configuration takes effect

Cause: a revoked key must stop working within 4 s of the acknowledgement, also in sessions that are open. Change: a configuration with organisations that takes effect closes the idle sessions that it excludes; open transactions have 2 s to end and are rolled back then. Nothing is done while the configuration stays the same. One log line per configuration states the number; operations are counted by organisation and outcome, with eight organisations by name.

--- a/hibiscuspoint/components/sessions/service.py
+++ b/hibiscuspoint/components/sessions/service.py
@@ -9,6 +9,7 @@
 from circuits import Component, handler
 
 from hibiscuspoint.components.events import report_due
+from hibiscuspoint.components.sessions.attempts import Admission
 from hibiscuspoint.components.sessions.session import Session
 from hibiscuspoint.core.sessions import (
     Caller,
@@ -19,9 +20,12 @@
     resolve_operation,
 )
 from hibiscuspoint.telemetry import catalogue, log_event
+from hibiscuspoint.telemetry.bounds import BoundedLabels, LogPace
 from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from hibiscuspoint.components.entry_state import EntryState
     from hibiscuspoint.components.sessions.groups import GroupAccess
     from hibiscuspoint.core.entry.drain import DrainState
@@ -55,6 +59,9 @@
 #: Seconds of a transaction without a statement where no configuration states a limit.
 DEFAULT_TRANSACTION_IDLE_SECONDS = 3.0
 
+#: Organisations that metrics name; there may be thousands.
+NAMED_ORGANISATIONS = 8
+
 
 class SessionService(Component):
     """Serves callers whose session is a connection.
@@ -83,6 +90,9 @@
         self._clock = clock
         self._metrics = metrics
         self._limiter = limiter
+        self._close_revoked: Callable[[], int] | None = None
+        self._labels = BoundedLabels(NAMED_ORGANISATIONS)
+        self._pace = LogPace()
 
     @property
     def is_ready(self) -> bool:
@@ -95,6 +105,13 @@
         table = self._state.document
         return table.transaction_idle_seconds if table else DEFAULT_TRANSACTION_IDLE_SECONDS
 
+    def watch_revocations(self, close_revoked: Callable[[], int]) -> None:
+        """Set what is called when a configuration with organisations takes effect.
+
+        :param close_revoked: ends the sessions that are revoked and returns their number.
+        """
+        self._close_revoked = close_revoked
+
     async def open(self, database: str, key: str) -> Session | Failure:
         """Return a new session, or why there is none.
 
@@ -113,12 +130,21 @@
         caller = Caller.from_key(database, key)
         outcome = resolve_operation(self._state.document, caller)
         if isinstance(outcome, OperationRefusal):
-            self._log_refusal(database, outcome.text)
+            if outcome.failure is Failure.UNAUTHORIZED:
+                self._record_unauthorized(database)
+            else:
+                self._log_refusal(database, "no route has this name")
             return outcome.failure
         return Session(
             caller, self._find_table, self._access, self._zone, self._clock, self._limiter
         )
 
+    def _record_unauthorized(self, database: str) -> None:
+        """Count a refused key; wrong keys may come often, so they are logged once per second."""
+        self._metrics.operations.labels("", Admission.UNAUTHORIZED.value).inc()
+        if self._pace.allows(f"database {database}", self._clock.monotonic()):
+            self._log_refusal(database, "the key is not known")
+
     def _log_refusal(self, database: str, reason: str) -> None:
         log_event(
             logger,
@@ -131,16 +157,44 @@
     async def execute(self, session: Session, statement: Statement) -> Reply:
         """Answer a statement and log what decided about it."""
         if statement.kind in _LOCAL_KINDS:
-            return await session.execute(statement)
+            reply = await session.execute(statement)
+            self._count_operation(session)
+            return reply
         self._drain.begin_request()
         started = self._clock.monotonic()
         try:
             reply = await session.execute(statement)
         finally:
             self._drain.end_request()
-        self._record(session, statement, reply, self._clock.monotonic() - started)
+        if self._count_operation(session):
+            self._record(session, statement, reply, self._clock.monotonic() - started)
         return reply
 
+    def _count_operation(self, session: Session) -> bool:
+        """Count the operation that a statement began, if any; tell whether it was admitted.
+
+        Refused operations may be many times more than the admitted ones, so they are logged once
+        per second and organisation.
+        """
+        table, trace = self._state.document, session.trace
+        if trace.admission is None or table is None or table.organisations is None:
+            return True
+        if trace.admission is Admission.UNAUTHORIZED:
+            self._record_unauthorized(session.database)
+            return False
+        label = self._labels.label(trace.organisation) if trace.organisation else ""
+        self._metrics.operations.labels(label, trace.admission.value).inc()
+        if trace.admission is Admission.ADMITTED:
+            return True
+        if self._pace.allows(f"organisation {trace.organisation}", self._clock.monotonic()):
+            log_event(
+                logger,
+                catalogue.LIMIT_REACHED,
+                caller=trace.organisation,
+                limit="operations per second",
+            )
+        return False
+
     async def abort(self, session: Session, reason: str) -> None:
         """Roll back the open transaction of a session and log why."""
         if session.state is SessionState.IDLE:
@@ -191,11 +245,22 @@
 
     @handler("update_received", channel="*")
     def _on_update(self, update: peer_pb2.ControlUpdate) -> None:
+        table = self._state.document
         if not self._state.accept_update(update):
             return
+        if self._state.document is not table:
+            self._end_revoked_sessions()
         if self._access.update(update):
             self.fire(report_due(), "*")
 
+    def _end_revoked_sessions(self) -> None:
+        table = self._state.document
+        if self._close_revoked is None or table.organisations is None:
+            return
+        count = self._close_revoked()
+        if count:
+            log_event(logger, catalogue.SESSIONS_REVOKED, configuration=table.number, count=count)
+
 
 def _position(position: object) -> str:
     return f"{position.term}.{position.index}" if position is not None else ""
--- a/hibiscuspoint/platform/frontend.py
+++ b/hibiscuspoint/platform/frontend.py
@@ -24,6 +24,11 @@
 #: Length of the kernel queue of connections that are not yet accepted.
 LISTEN_BACKLOG = 512
 
+#: Seconds that an open transaction has to end when its key is revoked. The platform allows 4 s from
+#: the acknowledgement of a configuration; it takes up to 1 s until the configuration is in force
+#: here, and a statement that runs at the end of this time is answered first.
+REVOCATION_GRACE_SECONDS = 2.0
+
 
 class Frontend:
     """Accepts caller connections and runs their statements through the session service.
@@ -37,6 +42,7 @@
         self._server: asyncio.Server | None = None
         self._connections: set[_CallerConnection] = set()
         self._is_leaving = False
+        service.watch_revocations(self.close_revoked)
 
     @property
     def open_sessions(self) -> int:
@@ -63,6 +69,24 @@
         for connection in list(self._connections):
             connection.close_if_idle()
 
+    def close_revoked(self) -> int:
+        """End the sessions that the configuration in force excludes; return their number.
+
+        Idle ones are closed now, open transactions have ``REVOCATION_GRACE_SECONDS`` to end.
+        """
+        revoked = [connection for connection in self._connections if connection.is_revoked]
+        for connection in revoked:
+            connection.close_when_idle()
+        if revoked:
+            loop = asyncio.get_running_loop()
+            loop.call_later(REVOCATION_GRACE_SECONDS, self._end_revoked, revoked)
+        return len(revoked)
+
+    def _end_revoked(self, connections: list[_CallerConnection]) -> None:
+        for connection in connections:
+            if connection in self._connections and connection.is_revoked:
+                connection.end("the key of the session was revoked")
+
     async def abort_transactions(self) -> None:
         """Roll back the open transactions and close their sessions."""
         await asyncio.gather(
@@ -103,6 +127,12 @@
         self._session: Session | None = None
         self._is_busy = False
         self._is_leaving = False
+        self._end_reason = ""
+
+    @property
+    def is_revoked(self) -> bool:
+        """Tell whether the configuration in force excludes the session."""
+        return self._session is not None and self._session.is_revoked
 
     async def run(self) -> None:
         """Serve the connection until either side closes it."""
@@ -123,7 +153,7 @@
         try:
             await self._serve_statements()
         finally:
-            await self._service.abort(self._session, "the caller left")
+            await self._service.abort(self._session, self._end_reason or "the caller left")
             await self._session.close()
 
     def close_when_idle(self) -> None:
@@ -148,14 +178,21 @@
             await self._service.abort(self._session, reason)
             self.close()
 
+    def end(self, reason: str) -> None:
+        """Close the connection after the statement in progress, and roll back its transaction."""
+        self._end_reason = reason
+        if not self._is_busy:
+            # A caller that does not read its answers would delay the end of a closed connection.
+            self._writer.transport.abort()
+
     def close(self) -> None:
         """Close the connection."""
         self._writer.close()
 
     async def _serve_statements(self) -> None:
-        while not (self._is_leaving and self._is_idle()):
+        while not self._is_finished():
             line = await self._read_line()
-            if not line:
+            if not line or self._end_reason:
                 return
             self._is_busy = True
             reply = await self._execute_line(line)
@@ -163,10 +200,13 @@
                 return
             self._writer.write(wire.format_reply(reply))
             await self._writer.drain()
-            if self._session.is_refused:
-                return
             self._is_busy = False
 
+    def _is_finished(self) -> bool:
+        if self._end_reason or self._session.is_refused:
+            return True
+        return self._is_leaving and self._is_idle()
+
     async def _read_line(self) -> bytes:
         session = self._session
         if session.state is not SessionState.IN_TRANSACTION:
--- a/hibiscuspoint/telemetry/catalogue.py
+++ b/hibiscuspoint/telemetry/catalogue.py
@@ -434,6 +434,14 @@
     "target",
     "reason",
 )
+SESSIONS_REVOKED = define_event(
+    513,
+    "sessions-revoked",
+    INFO,
+    "Configuration {configuration} ends {count} sessions whose key or database it excludes.",
+    "configuration",
+    "count",
+)
 LIMIT_REACHED = define_event(
     503, "limit-reached", WARNING, "A caller reached the limit {limit}.", "caller", "limit"
 )
--- a/hibiscuspoint/telemetry/metrics.py
+++ b/hibiscuspoint/telemetry/metrics.py
@@ -83,6 +83,15 @@
             "group",
             "kind",
         )
+        self.operations = self._counter(
+            "operations",
+            "Operations of callers by organisation and outcome, where callers have keys; one is a "
+            "statement outside a transaction, or a transaction. outcome is admitted, unauthorized "
+            "or over limit. The first 8 organisations at this instance have their "
+            "names, the others are other; organisation is empty without a known key.",
+            "organisation",
+            "outcome",
+        )
         self.log_lines_dropped = self._counter(
             "log_lines_dropped", "Log lines that were not written, as their reader was too slow."
         )
--- a/tests/components/sessions/harness.py
+++ b/tests/components/sessions/harness.py
@@ -57,7 +57,8 @@
             name: self.driver.targets.setdefault(name, ScriptedTarget())
             for name in (PRIMARY, REPLICA_A, REPLICA_B)
         }
-        self.state = EntryState("", lambda text: self.table(mode))
+        self.configured = self.table(mode)
+        self.state = EntryState("", lambda text: self.configured)
         self.access = GroupAccess(self.state, self.driver, self.clock)
         self.term = 1
         self.primary = PRIMARY
@@ -79,12 +80,22 @@
             limiter,
         )
 
+    def configuration(self, table: RoutingTable) -> peer_pb2.ControlUpdate:
+        """Return the update that carries a configuration."""
+        self.configured = table
+        return peer_pb2.ControlUpdate(
+            control_term=1,
+            document_number=table.number,
+            packed_document=pack("text"),
+            echo_sent_at_ns=int(self.clock.monotonic() * NANOSECONDS_PER_SECOND),
+        )
+
     def route(self, *, lease_ms: int, paused: bool = False, tip: int = 10) -> None:
         """Take an update of the control leader."""
         now = self.clock.monotonic()
         update = peer_pb2.ControlUpdate(
             control_term=1,
-            document_number=1,
+            document_number=max(1, self.state.document_number),
             packed_document=pack("text"),
             echo_sent_at_ns=int(now * NANOSECONDS_PER_SECOND),
             serving_entries=3,
--- a/tests/platform/test_frontend.py
+++ b/tests/platform/test_frontend.py
@@ -15,6 +15,7 @@
 class _Session:
     state = SessionState.IDLE
     is_refused = False
+    is_revoked = False
 
     async def close(self) -> None:
         """Free the session."""
@@ -28,6 +29,9 @@
     def __init__(self) -> None:
         self.executed: list[str] = []
 
+    def watch_revocations(self, close_revoked) -> None:
+        """No configuration takes effect."""
+
     async def open(self, database: str, key: str) -> _Session:
         """Open a session."""
         return _Session()
