--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -44,12 +44,12 @@
         self.last_id = ""
 
     @classmethod
-    async def open(cls, address: str, database: str = DATABASE) -> Client:
+    async def open(cls, address: str, database: str = DATABASE, key: str = "test") -> Client:
         """Open a session; raises ``ConnectionError`` when it is refused."""
         host, _, port = address.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         client = cls(reader, writer)
-        writer.write(f"STARTUP {database} test\r\n".encode())
+        writer.write(f"STARTUP {database} {key}\r\n".encode())
         answer = await client._answer()
         if not answer[-1].startswith("READY"):
             raise ConnectionError(answer[-1])
@@ -66,6 +66,11 @@
         """Close the connection."""
         self._writer.close()
 
+    async def wait_for_end(self) -> bytes:
+        """Return what the instance sends until it closes the connection."""
+        async with asyncio.timeout(PATIENCE_SECONDS):
+            return await self._reader.read()
+
     async def _answer(self) -> list[str]:
         messages: list[str] = []
         async with asyncio.timeout(PATIENCE_SECONDS):
@@ -176,6 +181,23 @@
         lines = (self._directory / f"log-{number}").read_text().splitlines()
         return [json.loads(line) for line in lines if line.startswith("{")]
 
+    def log_text(self, number: int) -> str:
+        """Return the whole log of an instance."""
+        return (self._directory / f"log-{number}").read_text()
+
+    async def wait_until_refused(self, numbers: tuple[int, ...], key: str) -> None:
+        """Wait until instances refuse a key."""
+
+        async def is_refused(session: aiohttp.ClientSession, number: int) -> bool:
+            try:
+                (await Client.open(self.callers_address(number), key=key)).close()
+            except ConnectionError as error:
+                return "NOAUTH" in str(error)
+            return False
+
+        for number in numbers:
+            await self._until(lambda session, number=number: is_refused(session, number))
+
     async def configure(self, **changes: object) -> None:
         """Submit the next configuration until it is accepted."""
         fields = {**self._next_configuration(), **changes}
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -32,6 +32,7 @@
     :param announced: address that heartbeats state; ``address`` by default.
     :param is_deaf: whether it receives no commits.
     :param writes: ids of the writes that took effect, in order.
+    :param runs: callers that the startup messages named, with each statement of their connections.
     """
 
     platform: StandinPlatform
@@ -48,6 +49,7 @@
     items: dict[str, str] = field(default_factory=dict)
     writes: list[str] = field(default_factory=list)
     statements: list[str] = field(default_factory=list)
+    runs: list[tuple[str, str]] = field(default_factory=list)
     server: asyncio.Server | None = None
     connections: set[asyncio.StreamWriter] = field(default_factory=set)
 
@@ -129,19 +131,22 @@
         self._writes: dict[str, str] | None = None
         self._ids: list[str] = []
         self._state = "I"
+        self._caller = ""
         self._term = 0
         self._is_read_only = False
 
     def answer(self, line: str) -> str | None:
         """Return the messages that answer one message; ``None`` for no answer."""
         word, _, rest = line.partition(" ")
+        self._database.platform.check_for_keys(line)
         if word == "STARTUP":
-            name = rest.split(" ")[-1]
+            _, self._caller, name = rest.split(" ")
             if name != self._database.name:
                 return "ERROR WRONGNODE -\r\n"
             return self._ready()
         request, _, text = rest.partition(" ")
         self._database.statements.append(text)
+        self._database.runs.append((self._caller, text))
         rows = self._run(request, text)
         return None if rows is None else rows + self._ready()
 
@@ -260,6 +265,9 @@
         self._sequence = itertools.count(1)
         self.databases: list[StandinDatabase] = []
         self.promotions: list[tuple[str, int]] = []
+        #: Keys of callers, and the messages to databases that contained one.
+        self.keys: set[str] = set()
+        self.leaks: list[str] = []
 
     @property
     def primary(self) -> StandinDatabase:
@@ -267,6 +275,11 @@
         primaries = [d for d in self.databases if d.is_primary and d.is_running]
         return max(primaries, key=lambda database: database.term)
 
+    def check_for_keys(self, line: str) -> None:
+        """Record a message to a database that contains the key of a caller."""
+        if any(key in line for key in self.keys):
+            self.leaks.append(line)
+
     async def start(
         self, addresses: list[str], announce: Callable[[str], str] = lambda address: address
     ) -> None:
--- a/tests/platform/test_deployment.py
+++ b/tests/platform/test_deployment.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from tests.platform.builders import tenant_fields
 from tests.platform.deployment import Client, deployment
 
 pytestmark = pytest.mark.xdist_group("platform")
@@ -175,3 +176,38 @@
     with_disk, without_disk = asyncio.run(scenario())
     assert "cygrpc" in output
     assert with_disk | without_disk <= set(output.split())
+
+
+def test_revoked_key_stops_working_everywhere(tmp_path):
+    """Guards against a key that works at one instance only, or outlives its revocation.
+
+    Also guards against keys in logs and in messages to databases.
+    """
+    keys = {"lumen": "key-of-lumen", "orca": "key-of-orca"}
+
+    async def scenario():
+        async with deployment(tmp_path, "77.14") as running:
+            running.platform.keys = set(keys.values())
+            tenants = [tenant_fields(name, key) for name, key in keys.items()]
+            await running.configure(tenants=tenants)
+            await running.wait_until_refused((0, 1, 2), "unknown")
+            clients = [
+                await Client.open(running.callers_address(number), key=keys["lumen"])
+                for number in range(3)
+            ]
+            await clients[0].run("BEGIN")
+            assert not (await clients[0].run("WRITE item lost"))[0].startswith("ERROR")
+            await running.configure(tenants=tenants[1:])
+            async with asyncio.timeout(4.0):
+                ends = await asyncio.gather(*(client.wait_for_end() for client in clients))
+                await running.wait_until_refused((0, 1, 2), keys["lumen"])
+            other = await Client.open(running.callers_address(0), key=keys["orca"])
+            assert (await other.run("READ item"))[0] == "ROW none"
+            assert ends == [b""] * 3
+            assert running.platform.leaks == []
+            callers = {name for d in running.platform.databases for name, _ in d.runs}
+            assert callers <= {"hibiscuspoint", *keys}
+            for number in range(3):
+                assert not any(key in running.log_text(number) for key in keys.values())
+
+    asyncio.run(scenario())
