Read limits of organisations with fractions

Cause: the configuration format does not state that limits are whole numbers, and a valid configuration that is refused stops all later changes of an operator.

--- a/hibiscuspoint/core/organisations/directory.py
+++ b/hibiscuspoint/core/organisations/directory.py
@@ -36,8 +36,8 @@
     :param burst: operations beyond the rate that may come at once.
     """
 
-    rate_per_s: int
-    burst: int
+    rate_per_s: float
+    burst: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/hibiscuspoint/platform/fields.py
+++ b/hibiscuspoint/platform/fields.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-__all__ = ["read_flag", "read_text", "read_whole"]
+import math
+
+__all__ = ["read_flag", "read_number", "read_text", "read_whole"]
 
 
 def read_flag(value: object) -> bool:
@@ -15,6 +17,16 @@
     return value
 
 
+def read_number(value: object) -> float:
+    """Return the value, checked to be a finite number; a boolean is none.
+
+    :raises TypeError: the value is not a number.
+    """
+    if not isinstance(value, int | float) or isinstance(value, bool) or not math.isfinite(value):
+        raise TypeError(f"{value!r} is not a number")
+    return value
+
+
 def read_text(value: object) -> str:
     """Return the value, checked to be a non-empty string.
 
--- a/hibiscuspoint/platform/tenants.py
+++ b/hibiscuspoint/platform/tenants.py
@@ -7,7 +7,7 @@
 from hibiscuspoint.core.organisations import Organisation, OrganisationDirectory, RateLimit
 from hibiscuspoint.errors import ConfigurationError
 from hibiscuspoint.ids import OrganisationId
-from hibiscuspoint.platform.fields import read_whole
+from hibiscuspoint.platform.fields import read_number, read_whole
 
 __all__ = ["parse_tenants"]
 
@@ -49,8 +49,8 @@
     return RateLimit(_read_number(item, "rate_per_s", name), burst)
 
 
-def _read_number(item: dict[str, Any], field: str, name: str) -> int:
-    number = read_whole(item.get(field, 0))
+def _read_number(item: dict[str, Any], field: str, name: str) -> float:
+    number = read_number(item.get(field, 0))
     if number < 0:
         raise ConfigurationError(f"{field} of tenant {name!r} is negative")
     return number
