Give each organisation its holders and divide the connections among them

Cause: connections belong to one organisation, so a statement that goes to any holder of a group mostly finds connections of others there and costs a handshake of 12 ms in a slot of the target. Change: with organisations in force the holders of a target are those of its group in its zone (all where fewer than two are there). Demands of an organisation go to the holder that rendezvous hashing puts first, to the next one when that one is slow, full or dead or when one instance uses three connections there. Each holder of a target may open an equal part of the connections and keeps three quarters of it while idle. New connections are bounded to a quarter of the slot time of a target; an organisation has at most half of the connections of a pool while others wait; a statement waits for a connection of its organisation that is expected back within a handshake. Counters of opened and replaced connections. Without organisations nothing changes.

--- a/hibiscuspoint/components/sessions/borrowing.py
+++ b/hibiscuspoint/components/sessions/borrowing.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import grpc
@@ -24,6 +25,8 @@
     from collections.abc import Iterable
 
     from hibiscuspoint.components.peers import PeerChannels
+    from hibiscuspoint.components.sessions.connection import PooledConnection
+    from hibiscuspoint.components.sessions.own_connections import OwnConnections
     from hibiscuspoint.core.ports import Clock
     from hibiscuspoint.core.position import LogPosition
     from hibiscuspoint.core.sessions import (
@@ -75,17 +78,25 @@
         group: GroupId,
         target: TargetId,
         demand: ConnectionDemand,
-    ) -> HeldConnection | None:
+        own: OwnConnections | None = None,
+    ) -> HeldConnection | PooledConnection | None:
         """Return a connection; ``None`` when no holder answers.
 
+        :param own: connections of this instance, which may be a holder; ``None`` where there are no
+            organisations, and holders serve their own callers alone.
         :raises ConnectError: a holder answers and has no connection in time.
         """
-        ranked = self._ranking.rank(holders, target, self._clock.monotonic())[:HOLDER_ATTEMPTS]
+        now = self._clock.monotonic()
+        if own is None:
+            ranked = self._ranking.rank(holders, target, now)
+        else:
+            ranked = self._ranking.rank_for(demand.organisation, group, holders, target, now)
+        ranked = ranked[:HOLDER_ATTEMPTS]
         refusal: ConnectError | None = None
         for number, holder in enumerate(ranked, 1):
             is_last = number == len(ranked)
             try:
-                return await self._ask_for(holder, group, target, demand, is_last=is_last)
+                return await self._ask_for(holder, group, target, demand, own, is_last=is_last)
             except ConnectError as error:
                 if is_last or error.failure is not ConnectFailure.LIMITED:
                     raise
@@ -115,9 +126,10 @@
         group: GroupId,
         target: TargetId,
         demand: ConnectionDemand,
+        own: OwnConnections | None,
         *,
         is_last: bool,
-    ) -> HeldConnection:
+    ) -> HeldConnection | PooledConnection:
         """Ask one holder for a connection and record how long it took.
 
         The last holder gets all the time that is left; a statement does not wait at one holder
@@ -128,22 +140,29 @@
         patience = demand.max_expected_wait_seconds
         if not is_last:
             wait, patience = min(wait, HOLDER_WAIT_SECONDS), min(patience, HOLDER_WAIT_SECONDS)
+        organisation = demand.organisation
         wanted = peer_pb2.ConnectionRequest(
             group=group,
             target=target,
             priority=demand.priority,
             values=demand.session.values,
             patience_ms=int(min(patience, MAX_EXPECTED_WAIT_SECONDS) * MILLISECONDS_PER_SECOND),
-            organisation=demand.organisation,
+            organisation=organisation,
         )
         try:
-            connection = await self._ask(holder, wanted, demand.deadline, wait)
+            if own is not None and holder == own.instance:
+                limited = replace(
+                    demand, deadline=started + wait, max_expected_wait_seconds=patience
+                )
+                connection = await own.acquire(limited)
+            else:
+                connection = await self._ask(holder, wanted, demand.deadline, wait)
         except ConnectError:
             # A refusal comes at once, but a statement would have waited longer than it could.
-            self._ranking.record_wait(holder, target, HOLDER_WAIT_SECONDS, started)
+            self._ranking.record_wait(holder, target, HOLDER_WAIT_SECONDS, started, organisation)
             raise
         now = self._clock.monotonic()
-        self._ranking.record_wait(holder, target, now - started, now)
+        self._ranking.record_wait(holder, target, now - started, now, organisation)
         return connection
 
     async def _ask(
@@ -178,7 +197,7 @@
         if reply.HasField("lost"):
             call.cancel()
             raise ConnectError(ConnectFailure(reply.lost.connect_failure), reply.lost.text)
-        return HeldConnection(holder, call, self._ranking, self._clock)
+        return HeldConnection(holder, call, self._ranking, self._clock, wanted)
 
 
 class HeldConnection:
@@ -190,13 +209,15 @@
         call: grpc.aio.StreamStreamCall,
         ranking: HolderRanking,
         clock: Clock,
+        wanted: peer_pb2.ConnectionRequest,
     ) -> None:
         self._call = call
         self._ranking = ranking
         self._clock = clock
         self._is_open = True
         self.holder = holder
-        ranking.record_borrow(holder)
+        self._use = (holder, wanted.target, wanted.organisation)
+        ranking.record_borrow(*self._use)
 
     async def run(
         self,
@@ -228,7 +249,7 @@
 
     def give_back(self) -> None:
         """End the use of the connection."""
-        self._ranking.record_return(self.holder)
+        self._ranking.record_return(*self._use)
         if self._is_open:
             self._is_open = False
             spawn(_finish(self._call), f"end of a connection held by {self.holder}")
--- a/hibiscuspoint/components/sessions/groups.py
+++ b/hibiscuspoint/components/sessions/groups.py
@@ -8,9 +8,19 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from hibiscuspoint.components.sessions.own_connections import OwnConnections
 from hibiscuspoint.components.sessions.pool import TargetPool
 from hibiscuspoint.core.position import ZERO_POSITION, LogPosition
-from hibiscuspoint.core.sessions import EntryPlace, TargetLoad, TipLog, choose_holders
+from hibiscuspoint.core.sessions import (
+    ConnectionPlan,
+    EntryPlace,
+    OpeningRules,
+    TargetLoad,
+    TipLog,
+    choose_holders,
+    target_holders,
+)
+from hibiscuspoint.core.sessions.connection_plan import MINIMUM_LIMIT
 from hibiscuspoint.drivers.errors import ConnectError, ConnectFailure
 from hibiscuspoint.ids import AvailabilityZone, GroupId, InstanceId, TargetId, Term
 from hibiscuspoint.telemetry import catalogue, log_event
@@ -25,6 +35,7 @@
     from hibiscuspoint.core.entry.routes import Route, RouteMember
     from hibiscuspoint.core.ports import Clock, SessionDriver
     from hibiscuspoint.core.sessions import ConnectionDemand
+    from hibiscuspoint.telemetry.metrics import Metrics
 
 __all__ = ["GroupAccess", "TargetCounts"]
 
@@ -36,10 +47,6 @@
 #: Connections of a target that are left to control and to handshakes in progress.
 RESERVED_CONNECTIONS = 2
 
-
-#: Connections that one instance may open to a target in any case.
-MINIMUM_LIMIT = 4
-
 #: Multiple of its share of the connections that one instance may open; the load of the instances
 #: differs, and not all have their peak at the same time.
 BURST_FACTOR = 3
@@ -72,6 +79,7 @@
     :param instance: this instance, as others know it.
     :param borrowing: borrows connections where there are fewer than instances; ``None`` where each
         instance opens its own.
+    :param metrics: counts the connections that are opened and replaced.
     """
 
     def __init__(
@@ -81,10 +89,12 @@
         clock: Clock,
         instance: InstanceId = _NO_INSTANCE,
         borrowing: ConnectionBorrowing | None = None,
+        metrics: Metrics | None = None,
     ) -> None:
         self._state = state
         self._instance = instance
         self._borrowing = borrowing
+        self._metrics = metrics
         self._driver = driver
         self._clock = clock
         self._pools: dict[TargetId, TargetPool] = {}
@@ -161,9 +171,14 @@
 
         :raises ConnectError: there is none in time.
         """
-        holders = self.holders(group)
+        own = None
+        if self._has_organisations:
+            holders = target_holders(self._group_holders(group), member.zone)
+            own = OwnConnections(self._instance, self._pool(group, member).acquire)
+        else:
+            holders = self.holders(group)
         if holders and self._borrowing is not None:
-            connection = await self._borrowing.acquire(holders, group, member.target, demand)
+            connection = await self._borrowing.acquire(holders, group, member.target, demand, own)
             if connection is not None:
                 return connection
         return await self._pool(group, member).acquire(demand)
@@ -175,10 +190,9 @@
 
         :raises ConnectError: the target is not listed here, or has no connection in time.
         """
-        route = self._state.routes.route(group)
-        for member in route.members if route is not None else ():
-            if member.target == target:
-                return await self._pool(group, member).acquire(demand)
+        member = self._member(group, target)
+        if member is not None:
+            return await self._pool(group, member).acquire(demand)
         raise ConnectError(ConnectFailure.LIMITED, f"{target} is not listed at {self._instance}")
 
     def holders(self, group: GroupId) -> list[EntryPlace]:
@@ -186,6 +200,12 @@
 
         :returns: nothing where this instance has connections of its own.
         """
+        holders = self._group_holders(group)
+        is_holder = any(place.instance == self._instance for place in holders)
+        return [] if is_holder else holders
+
+    def _group_holders(self, group: GroupId) -> list[EntryPlace]:
+        """Return all instances that hold connections of a group; empty if every one does."""
         holders = self._holders.get(group)
         if holders is None:
             usable = self._usable_connections(group)
@@ -194,8 +214,17 @@
             if holders:
                 subject = ", ".join(place.instance for place in holders)
                 log_event(logger, catalogue.HOLDERS_CHANGED, group=group, subject=subject)
-        is_holder = any(place.instance == self._instance for place in holders)
-        return [] if is_holder else holders
+        return holders
+
+    @property
+    def _has_organisations(self) -> bool:
+        document = self._state.document
+        return document is not None and document.organisations is not None
+
+    def _member(self, group: GroupId, target: TargetId) -> RouteMember | None:
+        route = self._state.routes.route(group)
+        members = route.members if route is not None else ()
+        return next((member for member in members if member.target == target), None)
 
     def _pool(self, group: GroupId, member: RouteMember) -> TargetPool:
         """Return the connections of this instance to a target."""
@@ -214,6 +243,11 @@
         usable = self._usable_connections(pool.group)
         if not usable:
             return
+        member = self._member(pool.group, pool.target)
+        if self._has_organisations and member is not None:
+            self._set_plan(pool, member, usable)
+            return
+        pool.rules = None
         if self.holders(pool.group):
             pool.share = 0
         else:
@@ -222,6 +256,16 @@
             pool.share = kept // (len(holders) or self.entries)
         pool.limit = min(usable, max(MINIMUM_LIMIT, BURST_FACTOR * pool.share))
 
+    def _set_plan(self, pool: TargetPool, member: RouteMember, usable: int) -> None:
+        """Divide the connections of a target where organisations are in force."""
+        holders = target_holders(self._group_holders(pool.group), member.zone)
+        plan = ConnectionPlan.divide(usable, holders, self._instance, self.entries, member.slots)
+        pool.share, pool.limit = plan.kept, plan.limit
+        if pool.rules is None:
+            pool.rules = OpeningRules(plan)
+        else:
+            pool.rules.update(plan)
+
     def _usable_connections(self, group: GroupId) -> int:
         """Return the connections that instances may have to one target; 0 when it is not known."""
         limits = self._state.document.groups.get(group) if self._state.document else None
@@ -347,6 +391,15 @@
         self._pools_due_at = now + POOL_TICK_SECONDS
         for pool in self._pools.values():
             pool.tick(now)
+            self._count_connections(pool)
+
+    def _count_connections(self, pool: TargetPool) -> None:
+        """Add what a pool has opened and replaced to the metrics."""
+        opened, replaced = pool.take_counts()
+        if self._metrics is not None and opened:
+            self._metrics.connections_opened.labels(pool.group).inc(opened)
+        if self._metrics is not None and replaced:
+            self._metrics.connections_replaced.labels(pool.group).inc(replaced)
 
     def close(self) -> None:
         """Close all connections."""
--- a/hibiscuspoint/components/sessions/pool.py
+++ b/hibiscuspoint/components/sessions/pool.py
@@ -17,10 +17,8 @@
 from hibiscuspoint.util.tasks import spawn
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from hibiscuspoint.core.ports import Clock, SessionDriver
-    from hibiscuspoint.core.sessions import ConnectionDemand
+    from hibiscuspoint.core.sessions import ConnectionDemand, OpeningRules
     from hibiscuspoint.ids import GroupId, OrganisationId, TargetId
 
 __all__ = ["TargetPool"]
@@ -93,17 +91,23 @@
         self._timer: asyncio.TimerHandle | None = None
         self.share = 1
         self.limit = 1
+        #: Bounds on new connections where organisations are in force; ``None`` elsewhere.
+        self.rules: OpeningRules | None = None
         #: Connections that the address refused since the last report.
         self.refusals = 0
-        #: Connections opened, and those closed for a statement of another organisation.
-        self.opened = 0
-        self.replaced = 0
+        self._opened = 0
+        self._replaced = 0
 
     @property
     def group(self) -> GroupId:
         """Return the group of the target."""
         return self._group
 
+    @property
+    def target(self) -> TargetId:
+        """Return the target."""
+        return self._target
+
     @property
     def address(self) -> str:
         """Return the address of the target."""
@@ -114,6 +118,15 @@
         """Return the number of open connections."""
         return len(self._idle) + len(self._in_use)
 
+    def take_counts(self) -> tuple[int, int]:
+        """Return the connections opened since the last call, and those replaced.
+
+        A connection is replaced when it is closed for a statement of another organisation.
+        """
+        counts = self._opened, self._replaced
+        self._opened = self._replaced = 0
+        return counts
+
     async def acquire(self, demand: ConnectionDemand) -> PooledConnection:
         """Return a connection, preferably one whose values are those of the session.
 
@@ -150,6 +163,9 @@
             self._in_use.discard(pooled)
             self._use_times.record_use(now - pooled.taken_at)
         is_usable = pooled.connection.is_open and not self._is_closed
+        if self.rules is not None and not self._has_room:
+            # The limit was lowered, as another holder takes a part.
+            is_usable = False
         if is_usable and not self._is_needed_elsewhere(pooled, now):
             pooled.idle_since = now
             self._idle.append(pooled)
@@ -218,29 +234,67 @@
 
     def _serve_waiters(self) -> None:
         self._drop_closed()
-        while waiter := self._pop_waiter(self._has_idle):
+        while waiter := self._pop_waiter({pooled.organisation for pooled in self._idle}):
             waiter.future.set_result(self._take_idle(waiter.demand))
         now = self._clock.monotonic()
         while self._opening.total() < OPENING_LIMIT:
-            waiter = self._first_waiter(self._lacks_connection)
-            if waiter is None or not self._make_room(now):
+            waiter = self._first_waiter(self._organisations_to_open_for(now))
+            if waiter is None:
+                self._decide_later(now)
                 return
-            if now < self._retry_at:
-                self._retry_later(self._retry_at - now)
+            delay = self._opening_delay(now)
+            if delay <= 0:
+                if not self._make_room(now):
+                    return
+                delay = self._retry_at - now
+            if delay > 0:
+                self._retry_later(delay)
                 return
-            self._has_made_room = False
-            organisation = waiter.demand.organisation
-            self._opening[organisation] += 1
-            spawn(self._open(organisation), f"connection to {self._target}")
+            self._start_opening(waiter.demand.organisation, now)
 
-    def _has_idle(self, demand: ConnectionDemand) -> bool:
-        """Tell whether a statement may use one of the idle connections."""
-        return any(pooled.organisation == demand.organisation for pooled in self._idle)
+    def _start_opening(self, organisation: OrganisationId, now: float) -> None:
+        self._has_made_room = False
+        self._opening[organisation] += 1
+        if self.rules is not None:
+            self.rules.record_opening(now)
+        spawn(self._open(organisation), f"connection to {self._target}")
+
+    def _opening_delay(self, now: float) -> float:
+        """Return the seconds until the next connection may be opened."""
+        return self.rules.opening_delay(now) if self.rules is not None else 0.0
+
+    def _decide_later(self, now: float) -> None:
+        """Look again when statements have waited long enough for connections in use."""
+        delay = self.rules.next_decision(now) if self.rules is not None else None
+        if delay is not None:
+            self._retry_later(delay)
+
+    def _organisations_to_open_for(self, now: float) -> set[OrganisationId]:
+        """Return the organisations for whose waiting statements connections may be opened."""
+        return {
+            organisation
+            for organisation in self._waiting
+            if self._lacks_connection(organisation, now) and not self._has_its_part(organisation)
+        }
+
+    def _lacks_connection(self, organisation: OrganisationId, now: float) -> bool:
+        """Tell whether more statements of an organisation wait than connections will be free."""
+        expected = self._opening[organisation]
+        if self.rules is not None:
+            in_use = self._in_use_count(organisation)
+            average = self._use_times.average_seconds
+            expected += self.rules.expected_returns(organisation, in_use, average, now)
+        return self._waiting[organisation] > expected
+
+    def _has_its_part(self, organisation: OrganisationId) -> bool:
+        """Tell whether an organisation has as many connections as it may while others wait."""
+        if self.rules is None or self._waiting.total() == self._waiting[organisation]:
+            return False
+        held = self._in_use_count(organisation) + self._opening[organisation]
+        return held >= self.rules.organisation_limit
 
-    def _lacks_connection(self, demand: ConnectionDemand) -> bool:
-        """Tell whether more statements of an organisation wait than connections are opened."""
-        organisation = demand.organisation
-        return self._waiting[organisation] > self._opening[organisation]
+    def _in_use_count(self, organisation: OrganisationId) -> int:
+        return sum(pooled.organisation == organisation for pooled in self._in_use)
 
     def _make_room(self, now: float) -> bool:
         """Close the idle connection used least recently, if no other one can be opened before.
@@ -260,13 +314,18 @@
 
         :returns: whether it was closed for a statement of another organisation.
         """
-        first = self._first_waiter(self._lacks_connection)
+        if not self._waiting:
+            return False
+        first = self._first_waiter(self._organisations_to_open_for(now))
         if first is None or first.demand.organisation == pooled.organisation:
             return False
         is_full = now < self._retry_at and not self._has_made_room
         is_limited = self.size + 1 + self._opening.total() >= self.limit
-        may_open = self._opening.total() < OPENING_LIMIT
-        if not (is_full or (is_limited and may_open)) or now - first.since < OVERTAKE_SECONDS:
+        may_open = self._opening.total() < OPENING_LIMIT and not self._opening_delay(now)
+        if not (is_full or (is_limited and may_open)):
+            return False
+        has_its_part = self._has_its_part(pooled.organisation)
+        if now - first.since < OVERTAKE_SECONDS and not has_its_part:
             return False
         self._replace(pooled, now)
         return True
@@ -274,7 +333,7 @@
     def _replace(self, pooled: PooledConnection, now: float) -> None:
         """Close a connection so that one of another organisation can be opened."""
         pooled.connection.close()
-        self.replaced += 1
+        self._replaced += 1
         if now < self._retry_at:
             self._retry_at = min(self._retry_at, now + FULL_RETRY_MIN_SECONDS)
         self._has_made_room = True
@@ -295,7 +354,7 @@
         if self._is_closed:
             connection.close()
             return
-        self.opened += 1
+        self._opened += 1
         self._retry_delay_seconds = FULL_RETRY_MIN_SECONDS
         if self._is_failing:
             self._is_failing = False
@@ -348,20 +407,33 @@
 
     def _push_waiter(self, waiter: _Waiter) -> None:
         heapq.heappush(self._waiters, waiter)
-        self._waiting[waiter.demand.organisation] += 1
-
-    def _first_waiter(self, can_use: Callable[[ConnectionDemand], bool]) -> _Waiter | None:
-        """Return the first waiter in order of service whose demand satisfies a condition."""
-        return min((w for w in self._waiters if can_use(w.demand)), default=None)
-
-    def _pop_waiter(self, can_use: Callable[[ConnectionDemand], bool]) -> _Waiter | None:
-        """Remove and return the first waiter whose demand satisfies a condition."""
-        waiter = self._first_waiter(can_use)
+        organisation = waiter.demand.organisation
+        self._waiting[organisation] += 1
+        if self.rules is not None and self._waiting[organisation] == 1:
+            self.rules.record_progress(organisation, waiter.since)
+
+    def _first_waiter(self, organisations: set[OrganisationId]) -> _Waiter | None:
+        """Return the first waiter of some organisations in order of service."""
+        return min(
+            (waiter for waiter in self._waiters if waiter.demand.organisation in organisations),
+            default=None,
+        )
+
+    def _pop_waiter(self, organisations: set[OrganisationId]) -> _Waiter | None:
+        """Remove and return the first waiter of some organisations."""
+        waiter = self._first_waiter(organisations) if organisations else None
         if waiter is not None:
+            if self.rules is not None:
+                self.rules.record_progress(waiter.demand.organisation, self._clock.monotonic())
             self._remove_waiter(waiter)
         return waiter
 
     def _remove_waiter(self, waiter: _Waiter) -> None:
         self._waiters.remove(waiter)
         heapq.heapify(self._waiters)
-        self._waiting[waiter.demand.organisation] -= 1
+        organisation = waiter.demand.organisation
+        self._waiting[organisation] -= 1
+        if not self._waiting[organisation]:
+            del self._waiting[organisation]
+            if self.rules is not None:
+                self.rules.forget(organisation)
--- a/hibiscuspoint/core/sessions/__init__.py
+++ b/hibiscuspoint/core/sessions/__init__.py
@@ -3,6 +3,12 @@
 from __future__ import annotations
 
 from hibiscuspoint.core.sessions.choice import TargetLoad, rank_targets
+from hibiscuspoint.core.sessions.connection_plan import (
+    ConnectionPlan,
+    OpeningRules,
+    order_holders,
+    target_holders,
+)
 from hibiscuspoint.core.sessions.context import (
     ConnectionContext,
     Preparation,
@@ -36,12 +42,14 @@
 __all__ = [
     "ConnectionContext",
     "ConnectionDemand",
+    "ConnectionPlan",
     "ConnectionUseAverage",
     "DatabaseRoute",
     "EntryPlace",
     "Failure",
     "GroupLimits",
     "HolderRanking",
+    "OpeningRules",
     "Preparation",
     "PreparedStatement",
     "ReadMode",
@@ -56,6 +64,8 @@
     "TargetLoad",
     "TipLog",
     "choose_holders",
+    "order_holders",
     "rank_targets",
     "serving_version",
+    "target_holders",
 ]
--- /dev/null
+++ b/hibiscuspoint/core/sessions/connection_plan.py
@@ -0,0 +1,160 @@
+"""Division of the connections of a target among holders and organisations."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import xxhash
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from hibiscuspoint.core.sessions.holders import EntryPlace
+    from hibiscuspoint.ids import AvailabilityZone, GroupId, InstanceId, OrganisationId
+
+__all__ = [
+    "MINIMUM_LIMIT",
+    "ConnectionPlan",
+    "OpeningRules",
+    "order_holders",
+    "target_holders",
+]
+
+#: Connections that one instance may open to a target in any case, as when no holder answers.
+MINIMUM_LIMIT = 4
+
+#: Minimum number of holders of a target, so that the loss of one leaves another.
+MINIMUM_TARGET_HOLDERS = 2
+
+#: Time in seconds for which a new connection occupies a slot of its target.
+HANDSHAKE_SECONDS = 0.012
+
+#: Part of the slot time of a target that new connections may take in the long run.
+HANDSHAKE_SHARE = 0.25
+
+#: Part of its connections that a holder keeps while they are idle. A target counts connections of a
+#: machine that lost power for 3 s more. When all machines start again, a quarter of the connections
+#: is still more than twice the slots of a target.
+KEPT_SHARE = 0.75
+
+#: Part of the connections of a pool that one organisation may take while others wait.
+ORGANISATION_SHARE = 0.5
+
+
+def target_holders(holders: Sequence[EntryPlace], zone: AvailabilityZone) -> list[EntryPlace]:
+    """Return the holders of a target: those of its group in its zone, all where these are few."""
+    near = [holder for holder in holders if holder.zone == zone]
+    return near if len(near) >= MINIMUM_TARGET_HOLDERS else list(holders)
+
+
+def order_holders(
+    group: GroupId, organisation: OrganisationId, holders: Iterable[EntryPlace]
+) -> list[EntryPlace]:
+    """Return holders in the order in which an organisation uses them, by rendezvous hashing."""
+    scored = sorted(
+        (xxhash.xxh64_intdigest(f"{group} {organisation} {holder.instance}".encode()), holder)
+        for holder in holders
+    )
+    return [holder for _, holder in scored]
+
+
+@dataclass(frozen=True)
+class ConnectionPlan:
+    """Connections of one instance to one target where organisations are in force.
+
+    :param kept: connections that the instance keeps while they are idle.
+    :param limit: connections that it may have.
+    :param openings_per_second: connections that it may open per second in the long run.
+    """
+
+    kept: int
+    limit: int
+    openings_per_second: float
+
+    @classmethod
+    def divide(
+        cls,
+        usable: int,
+        holders: Sequence[EntryPlace],
+        instance: InstanceId,
+        entries: int,
+        slots: int,
+    ) -> ConnectionPlan:
+        """Return the part of one instance.
+
+        :param usable: connections that the target accepts from all instances together.
+        :param holders: holders of the target; empty if every instance has its own connections.
+        :param entries: number of instances that serve callers.
+        :param slots: statements that the target executes at the same time.
+        """
+        sharing = max(1, len(holders) or entries)
+        part = max(1, usable // sharing)
+        rate = max(1, slots) * HANDSHAKE_SHARE / HANDSHAKE_SECONDS / sharing
+        if not holders:
+            return cls(part, min(usable, max(MINIMUM_LIMIT, part)), rate)
+        if any(holder.instance == instance for holder in holders):
+            return cls(max(1, int(part * KEPT_SHARE)), part, rate)
+        return cls(0, min(usable, MINIMUM_LIMIT), rate)
+
+
+class OpeningRules:
+    """Decides whether a pool opens a connection for an organisation now."""
+
+    def __init__(self, plan: ConnectionPlan) -> None:
+        self._plan = plan
+        self._allowance = float(plan.limit)
+        self._counted_at = -math.inf
+        self._patient_until: dict[OrganisationId, float] = {}
+
+    @property
+    def organisation_limit(self) -> int:
+        """Return the connections that one organisation may take while others wait."""
+        return max(1, math.ceil(self._plan.limit * ORGANISATION_SHARE))
+
+    def update(self, plan: ConnectionPlan) -> None:
+        """Take over another division of the connections."""
+        self._plan = plan
+
+    def opening_delay(self, now: float) -> float:
+        """Return the seconds until the rate of the plan allows the next connection."""
+        self._refill(now)
+        return max(0.0, (1.0 - self._allowance) / self._plan.openings_per_second)
+
+    def record_opening(self, now: float) -> None:
+        """Record that a connection is opened."""
+        self._refill(now)
+        self._allowance -= 1.0
+
+    def record_progress(self, organisation: OrganisationId, now: float) -> None:
+        """Record that an organisation began to wait or that one of its statements was served."""
+        self._patient_until[organisation] = now + HANDSHAKE_SECONDS
+
+    def forget(self, organisation: OrganisationId) -> None:
+        """Forget an organisation that no longer waits."""
+        self._patient_until.pop(organisation, None)
+
+    def expected_returns(
+        self, organisation: OrganisationId, in_use: int, use_seconds: float, now: float
+    ) -> int:
+        """Return the connections that become free before a new one would be open.
+
+        :param in_use: connections that the organisation uses.
+        :param use_seconds: average time of a use; 0 when nothing is known.
+        """
+        if use_seconds <= 0 or now >= self._patient_until.get(organisation, now):
+            return 0
+        return min(in_use, int(in_use * HANDSHAKE_SECONDS / use_seconds))
+
+    def next_decision(self, now: float) -> float | None:
+        """Return the seconds until an organisation no longer waits for its own connections."""
+        ends = [until - now for until in self._patient_until.values() if until > now]
+        return min(ends, default=None)
+
+    def _refill(self, now: float) -> None:
+        """Add what the rate allows since the last call; at most all connections at once."""
+        if self._counted_at > -math.inf:
+            self._allowance += (now - self._counted_at) * self._plan.openings_per_second
+        self._allowance = min(self._allowance, float(self._plan.limit))
+        self._counted_at = now
--- a/hibiscuspoint/core/sessions/holders.py
+++ b/hibiscuspoint/core/sessions/holders.py
@@ -4,15 +4,19 @@
 
 import itertools
 import math
+from collections import Counter
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeAlias
 
 import xxhash
 
+from hibiscuspoint.core.sessions.connection_plan import order_holders
+from hibiscuspoint.ids import NO_ORGANISATION, TargetId
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from hibiscuspoint.ids import AvailabilityZone, GroupId, InstanceId, TargetId
+    from hibiscuspoint.ids import AvailabilityZone, GroupId, InstanceId, OrganisationId
 
 __all__ = ["EntryPlace", "HolderRanking", "choose_holders", "serving_version"]
 
@@ -31,6 +35,15 @@
 #: unless statements wait there.
 WAIT_STEP_SECONDS = 0.005
 
+#: As above, for the demands of an organisation: another holder costs a handshake of 12 ms in a slot
+#: of the target, so it must be faster by more than two of them.
+ORGANISATION_WAIT_STEP_SECONDS = 0.03
+
+#: Connections of an organisation that one instance borrows from one holder before it asks the next.
+#: Statements of one organisation that one instance runs at the same time at a target are usually
+#: fewer; an instance with more of them serves an organisation with excess load.
+SPREAD_CONNECTIONS = 3
+
 #: Weight of the latest wait in the average of a holder.
 WAIT_WEIGHT = 0.3
 
@@ -42,6 +55,8 @@
 MAX_WAITS = 1024
 WAIT_MEMORY_SECONDS = 30.0
 
+_NO_TARGET = TargetId("")
+
 
 @dataclass(frozen=True, order=True, slots=True)
 class EntryPlace:
@@ -89,6 +104,9 @@
     return xxhash.xxh64_intdigest(f"{group} {entry.instance}".encode())
 
 
+_WaitKey: TypeAlias = "tuple[InstanceId, TargetId, OrganisationId]"
+
+
 class HolderRanking:
     """Order in which one instance borrows from the holders of a group.
 
@@ -98,8 +116,10 @@
     def __init__(self, zone: AvailabilityZone) -> None:
         self._zone = zone
         self._borrowed_counts: dict[InstanceId, int] = {}
+        self._organisation_counts: Counter[_WaitKey] = Counter()
         self._failed_at: dict[InstanceId, float] = {}
-        self._waits: dict[tuple[InstanceId, TargetId], _WaitAverage] = {}
+        self._waits: dict[_WaitKey, _WaitAverage] = {}
+        self._forget_at = MAX_WAITS
         self._uses = itertools.count()
         self._last_uses: dict[InstanceId, int] = {}
 
@@ -114,7 +134,7 @@
         def cost(entry: EntryPlace) -> tuple[bool, int, bool, int, int]:
             holder = entry.instance
             failed_at = self._failed_at.get(holder, float("-inf"))
-            wait = self._waits.get((holder, target))
+            wait = self._waits.get((holder, target, NO_ORGANISATION))
             return (
                 now - failed_at < FAILURE_PENALTY_SECONDS,
                 int(wait.seconds(now) / WAIT_STEP_SECONDS) if wait is not None else 0,
@@ -125,19 +145,74 @@
 
         return [entry.instance for entry in sorted(holders, key=cost)]
 
-    def record_wait(self, holder: InstanceId, target: TargetId, seconds: float, now: float) -> None:
+    def rank_for(
+        self,
+        organisation: OrganisationId,
+        group: GroupId,
+        holders: Iterable[EntryPlace],
+        target: TargetId,
+        now: float,
+    ) -> list[InstanceId]:
+        """Return the holders of a target for a demand of an organisation, best first.
+
+        Holders without a recent failure precede the others, then those at which the organisation
+        waits less, then those from which it borrows few connections, and last the order that all
+        instances compute for the organisation, so that its connections are at few holders.
+        """
+
+        def cost(holder: InstanceId) -> tuple[bool, int, int]:
+            key = (holder, target, organisation)
+            failed_at = self._failed_at.get(holder, float("-inf"))
+            wait = self._waits.get(key)
+            return (
+                now - failed_at < FAILURE_PENALTY_SECONDS,
+                int(wait.seconds(now) / ORGANISATION_WAIT_STEP_SECONDS) if wait is not None else 0,
+                self._organisation_counts.get(key, 0) // SPREAD_CONNECTIONS,
+            )
+
+        ordered = order_holders(group, organisation, holders)
+        return sorted((place.instance for place in ordered), key=cost)
+
+    def record_wait(
+        self,
+        holder: InstanceId,
+        target: TargetId,
+        seconds: float,
+        now: float,
+        organisation: OrganisationId = NO_ORGANISATION,
+    ) -> None:
         """Record how long a holder took to lend a connection to a target, or to refuse one."""
-        if len(self._waits) >= MAX_WAITS:
+        if len(self._waits) >= self._forget_at:
             self._forget_faded(now)
+            # Each organisation has waits of its own, so more than the maximum may be in use.
+            self._forget_at = max(MAX_WAITS, 2 * len(self._waits))
         self._last_uses[holder] = next(self._uses)
-        self._waits.setdefault((holder, target), _WaitAverage()).record(seconds, now)
-
-    def record_borrow(self, holder: InstanceId) -> None:
+        key = (holder, target, organisation)
+        self._waits.setdefault(key, _WaitAverage()).record(seconds, now)
+
+    def record_borrow(
+        self,
+        holder: InstanceId,
+        target: TargetId = _NO_TARGET,
+        organisation: OrganisationId = NO_ORGANISATION,
+    ) -> None:
         """Record that a connection was borrowed."""
+        if organisation:
+            self._organisation_counts[holder, target, organisation] += 1
         self._borrowed_counts[holder] = self._borrowed_counts.get(holder, 0) + 1
 
-    def record_return(self, holder: InstanceId) -> None:
+    def record_return(
+        self,
+        holder: InstanceId,
+        target: TargetId = _NO_TARGET,
+        organisation: OrganisationId = NO_ORGANISATION,
+    ) -> None:
         """Record that a borrowed connection was returned."""
+        if organisation:
+            key = (holder, target, organisation)
+            self._organisation_counts[key] -= 1
+            if not self._organisation_counts[key]:
+                del self._organisation_counts[key]
         self._borrowed_counts[holder] -= 1
         if not self._borrowed_counts[holder]:
             del self._borrowed_counts[holder]
@@ -159,7 +234,7 @@
             for key, wait in self._waits.items()
             if now - wait.recorded_at < WAIT_MEMORY_SECONDS
         }
-        known = {holder for holder, _ in self._waits}
+        known = {holder for holder, _, _ in self._waits}
         self._last_uses = {h: use for h, use in self._last_uses.items() if h in known}
         self._failed_at = {
             holder: failed_at
--- a/hibiscuspoint/core/sessions/waiting.py
+++ b/hibiscuspoint/core/sessions/waiting.py
@@ -49,6 +49,11 @@
     def __init__(self) -> None:
         self._average_seconds = 0.0
 
+    @property
+    def average_seconds(self) -> float:
+        """Return the average; 0 before the first use."""
+        return self._average_seconds
+
     def record_use(self, seconds: float) -> None:
         """Record the duration of a use in seconds."""
         self._average_seconds += AVERAGE_WEIGHT * (seconds - self._average_seconds)
--- a/hibiscuspoint/daemon/session_node.py
+++ b/hibiscuspoint/daemon/session_node.py
@@ -146,7 +146,12 @@
         self._state = EntryState("", self._ports.parse, CONTACT_SECONDS)
         borrowing = ConnectionBorrowing(settings.availability_zone, self._channels, self._clock)
         self._access = GroupAccess(
-            self._state, self._ports.driver, self._clock, settings.instance, borrowing
+            self._state,
+            self._ports.driver,
+            self._clock,
+            settings.instance,
+            borrowing,
+            self._metrics,
         )
         self._lending = ConnectionLending(self._access, self._clock)
         self._service = SessionService(
--- a/hibiscuspoint/telemetry/metrics.py
+++ b/hibiscuspoint/telemetry/metrics.py
@@ -110,6 +110,16 @@
         self.connection_share = self._gauge(
             "connection_share", "Connections granted to this instance.", "target"
         )
+        self.connections_opened = self._counter(
+            "connections_opened",
+            "Connections that this instance opened to targets, for sessions that are connections.",
+            "group",
+        )
+        self.connections_replaced = self._counter(
+            "connections_replaced",
+            "Connections that this instance closed for a statement of another organisation.",
+            "group",
+        )
         self.open_transactions = self._gauge(
             "open_transactions",
             "Open interactive transactions, at the entry that the caller reached.",
--- a/tests/components/sessions/harness.py
+++ b/tests/components/sessions/harness.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from hibiscuspoint.components.entry_state import EntryState
 from hibiscuspoint.components.sessions import GroupAccess, Session
 from hibiscuspoint.core.sessions import (
@@ -20,6 +22,9 @@
 from tests.builders_failover import GROUP, PRIMARY, REPLICA_A, REPLICA_B
 from tests.components.sessions.fakes import FakeDriver, LoopClock, ScriptedTarget
 
+if TYPE_CHECKING:
+    from hibiscuspoint.core.organisations import OrganisationDirectory
+
 __all__ = ["SessionHarness", "statement"]
 
 DATABASE = "deposits"
@@ -49,6 +54,9 @@
 class SessionHarness:
     """One entry with a group of three scripted targets."""
 
+    #: Organisations of the configuration; ``None`` where callers are not authenticated.
+    organisations: OrganisationDirectory | None = None
+
     def __init__(self, mode: ReadMode = ReadMode.READ_YOUR_WRITES) -> None:
         self.clock = LoopClock()
         self.driver = FakeDriver()
@@ -65,7 +73,10 @@
     def table(self, mode: ReadMode) -> RoutingTable:
         """Return a configuration with one database."""
         route = DatabaseRoute("r", DATABASE, GROUP, mode, 0.4, 0.2, 1, 2, 2.5)
-        return RoutingTable(1, "d", {DATABASE: route}, {GROUP: GroupLimits(GROUP, 16)}, 3.0)
+        limits = {GROUP: GroupLimits(GROUP, 16)}
+        return RoutingTable(
+            1, "d", {DATABASE: route}, limits, 3.0, organisations=self.organisations
+        )
 
     def session(self) -> Session:
         """Return a new session."""
--- a/tests/components/sessions/test_borrowing.py
+++ b/tests/components/sessions/test_borrowing.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import grpc
@@ -16,6 +17,7 @@
 from hibiscuspoint.components.sessions import ConnectionBorrowing, ConnectionLending, GroupAccess
 from hibiscuspoint.components.sessions.borrow_messages import reply_from, reply_message
 from hibiscuspoint.components.sessions.borrowing import HOLDER_WAIT_SECONDS
+from hibiscuspoint.core.organisations import OrganisationDirectory
 from hibiscuspoint.core.sessions import (
     ConnectionDemand,
     EntryPlace,
@@ -345,6 +347,34 @@
     asyncio.run(scenario())
 
 
+def test_organisation_uses_its_next_holder_when_the_first_one_dies():
+    """Guards against an outage of an organisation while the holder of its connections restarts."""
+
+    async def scenario():
+        async with _borrowers() as (entry, first, one), _borrowers() as (_, second, other):
+            entry.state.document = replace(
+                entry.state.document, organisations=OrganisationDirectory()
+            )
+            both = [*first.addresses, *second.addresses]
+            entry.access._group_holders = lambda group: both
+            demand = ConnectionDemand(
+                entry.clock.monotonic() + 10.0, organisation=OrganisationId("a")
+            )
+            used = []
+            for _ in range(3):
+                borrowed = await entry.access.borrow(GROUP, _primary(entry), demand)
+                used.append(borrowed.holder)
+                borrowed.give_back()
+            assert len(set(used)) == 1
+            await (one if used[0] == first.addresses[0].instance else other).stop(0)
+            borrowed = await entry.access.borrow(GROUP, _primary(entry), demand)
+            assert {used[0], borrowed.holder} == {place.instance for place in both}
+            assert _connections(entry) == 0
+            borrowed.give_back()
+
+    asyncio.run(scenario())
+
+
 def test_silent_holders_are_passed_over_and_then_avoided():
     """Guards against an outage of a group while one of its holders is frozen."""
 
--- a/tests/components/sessions/test_pool_organisations.py
+++ b/tests/components/sessions/test_pool_organisations.py
@@ -7,7 +7,7 @@
 import pytest
 
 from hibiscuspoint.components.sessions.pool import TargetPool
-from hibiscuspoint.core.sessions import ConnectionDemand
+from hibiscuspoint.core.sessions import ConnectionDemand, ConnectionPlan, OpeningRules
 from hibiscuspoint.ids import NO_ORGANISATION, OrganisationId
 from tests.builders_failover import GROUP, PRIMARY
 from tests.components.sessions.fakes import FakeDriver, LoopClock, ScriptedTarget
@@ -50,7 +50,7 @@
         for organisation in (A, B, A, NO_ORGANISATION, B, A):
             await _use(pool, organisation)
         assert _opened(driver) == [A, B, NO_ORGANISATION]
-        assert pool.replaced == 0
+        assert pool.take_counts() == (3, 0)
 
     asyncio.run(scenario())
 
@@ -64,7 +64,7 @@
         for organisation in (A, B, A, C):
             await _use(pool, organisation)
         assert _open(driver) == [A, C]
-        assert pool.replaced == 1
+        assert pool.take_counts() == (3, 1)
 
     asyncio.run(scenario())
 
@@ -98,6 +98,58 @@
     asyncio.run(scenario())
 
 
+def test_all_organisations_at_once_are_served_within_the_rate():
+    """Load pattern: all machines start again, and every organisation sends a statement at once."""
+
+    async def scenario():
+        driver = FakeDriver()
+        target = driver.targets[PRIMARY] = ScriptedTarget(connect_delay=0.002)
+        pool = _pool(driver, limit=6)
+        pool.rules = OpeningRules(ConnectionPlan(6, 6, 60.0))
+        started = asyncio.get_running_loop().time()
+        names = [OrganisationId(f"o{number}") for number in range(24)]
+        await asyncio.gather(*(_use(pool, name) for name in names))
+        elapsed = asyncio.get_running_loop().time() - started
+        assert sum(connection.is_open for connection in target.connections) <= 6
+        assert len(target.connections) == len(names) <= 6 + 60.0 * elapsed + 1
+
+    asyncio.run(scenario())
+
+
+def test_organisation_with_excess_load_leaves_connections_to_waiting_ones():
+    """Load pattern: one organisation sends 5 times its usual, in transactions of 30 ms."""
+
+    async def scenario():
+        driver = FakeDriver()
+        pool = _pool(driver, limit=4)
+        pool.rules = OpeningRules(ConnectionPlan(4, 4, 100.0))
+        flood = [asyncio.create_task(_use(pool, A, 0.03)) for _ in range(40)]
+        await asyncio.sleep(0.05)
+        assert _open(driver) == [A] * 4
+        others = [asyncio.create_task(_use(pool, name, 0.2)) for name in (B, C)]
+        await asyncio.sleep(0.1)
+        assert sorted(_open(driver)) == [A, A, B, C]
+        await asyncio.gather(*flood, *others)
+
+    asyncio.run(scenario())
+
+
+def test_burst_of_short_statements_reuses_connections():
+    """Guards against a handshake of 12 ms for a statement that could wait 5 ms."""
+
+    async def scenario():
+        driver = FakeDriver()
+        driver.targets[PRIMARY] = ScriptedTarget(connect_delay=0.012)
+        pool = _pool(driver, limit=16)
+        pool.rules = OpeningRules(ConnectionPlan(16, 16, 100.0))
+        for _ in range(40):
+            await _use(pool, A, 0.001)
+        await asyncio.gather(*(_use(pool, A, 0.001) for _ in range(3)))
+        assert len(_opened(driver)) <= 3
+
+    asyncio.run(scenario())
+
+
 def test_statement_that_gave_up_leaves_no_count_behind():
     """Guards against an organisation that counts as waiting for ever and gets no connection."""
 
