--- a/hibiscuspoint/components/sessions/attempts.py
+++ b/hibiscuspoint/components/sessions/attempts.py
@@ -8,7 +8,6 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from hibiscuspoint.components.sessions.borrow_messages import statement_message
 from hibiscuspoint.components.sessions.borrowing import HeldRead
 from hibiscuspoint.core.sessions import ConnectionDemand, Failure, SessionState
 from hibiscuspoint.drivers.errors import ConnectError, ConnectionLost
@@ -233,10 +232,11 @@
         :raises ConnectionLost: there is no whole answer.
         """
         demand = self._demand(route, candidate)
-        if not self._access.runs_reads_at_holders(route.group, demand):
+        if not self._access.runs_reads_at_holders(route.group):
             return None
-        message = statement_message(statement, self._context, prepared_statement, candidate.after)
-        read = HeldRead(message, candidate.answer_until)
+        read = HeldRead(
+            statement, self._context, candidate.answer_until, prepared_statement, candidate.after
+        )
         started = self._clock.monotonic()
         try:
             answer = await self._access.run_read(route.group, candidate.member, demand, read)
--- a/hibiscuspoint/components/sessions/borrowing.py
+++ b/hibiscuspoint/components/sessions/borrowing.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, TypeVar
 
 import grpc
@@ -21,6 +21,7 @@
     ConnectFailure,
     ConnectionLost,
 )
+from hibiscuspoint.ids import InstanceId
 from hibiscuspoint.telemetry import catalogue, log_event
 from hibiscuspoint.util.tasks import spawn
 from hibiscuspoint.util.units import MICROSECONDS_PER_SECOND, MILLISECONDS_PER_SECOND
@@ -30,6 +31,8 @@
     from collections.abc import Awaitable, Callable, Iterable
 
     from hibiscuspoint.components.peers import PeerChannels
+    from hibiscuspoint.components.sessions.connection import PooledConnection
+    from hibiscuspoint.components.sessions.own_connections import OwnConnections
     from hibiscuspoint.core.ports import Clock
     from hibiscuspoint.core.position import LogPosition
     from hibiscuspoint.core.sessions import (
@@ -40,7 +43,7 @@
         SessionContext,
         Statement,
     )
-    from hibiscuspoint.ids import AvailabilityZone, GroupId, InstanceId, TargetId
+    from hibiscuspoint.ids import AvailabilityZone, GroupId, TargetId
 
 __all__ = ["ConnectionBorrowing", "HeldRead", "HeldReply"]
 
@@ -71,12 +74,40 @@
 class HeldRead:
     """A read outside a transaction that a holder is asked to run.
 
-    :param message: statement with the context that it needs at the connection.
+    :param session: values that must be set at the connection.
+    :param prepared_statement: prepared statement that the read executes, if any.
+    :param after: position that the target must have applied.
     :param answer_until: monotonic time in seconds until which the answer is waited for.
     """
 
-    message: peer_pb2.StatementRequest
+    statement: Statement
+    session: SessionContext
     answer_until: float
+    prepared_statement: PreparedStatement | None = None
+    after: LogPosition | None = None
+
+    @property
+    def message(self) -> peer_pb2.StatementRequest:
+        """Return the statement with the context that it needs at the connection."""
+        return statement_message(self.statement, self.session, self.prepared_statement, self.after)
+
+    async def run_at(self, pooled: PooledConnection, clock: Clock) -> HeldReply:
+        """Run the read at a connection of this instance and give the connection back.
+
+        :raises ConnectionLost: there is no whole answer.
+        """
+        started = clock.monotonic()
+        try:
+            reply = await pooled.run(
+                self.statement,
+                self.session,
+                self.answer_until,
+                prepared_statement=self.prepared_statement,
+                after=self.after,
+            )
+        finally:
+            pooled.give_back()
+        return HeldReply(InstanceId(pooled.holder), reply, clock.monotonic() - started)
 
 
 @dataclass(frozen=True)
@@ -95,10 +126,12 @@
 class _Wanted:
     """What one holder is asked for.
 
+    :param demand: the same for this instance, if it is the holder.
     :param wait_seconds: time for which the holder waits for a connection.
     """
 
     request: peer_pb2.ConnectionRequest
+    demand: ConnectionDemand
     wait_seconds: float
 
 
@@ -119,16 +152,26 @@
         group: GroupId,
         target: TargetId,
         demand: ConnectionDemand,
-    ) -> HeldConnection | None:
+        own: OwnConnections | None = None,
+    ) -> HeldConnection | PooledConnection | None:
         """Return a connection; ``None`` when no holder answers.
 
+        :param own: connections of this instance, which may be a holder; ``None`` where there are no
+            organisations, and holders serve their own callers alone.
         :raises ConnectError: a holder answers and has no connection in time.
         """
 
-        async def ask(holder: InstanceId, wanted: _Wanted) -> HeldConnection:
+        async def ask(holder: InstanceId, wanted: _Wanted) -> HeldConnection | PooledConnection:
+            if own is not None and holder == own.instance:
+                return await own.acquire(wanted.demand)
             return await self._ask(holder, wanted, demand.deadline)
 
-        return await self._ask_holders(holders, group, target, demand, ask)
+        now = self._clock.monotonic()
+        if own is None:
+            ranked = self._ranking.rank(holders, target, now)
+        else:
+            ranked = self._ranking.rank_for(demand.organisation, group, holders, target, now)
+        return await self._ask_holders(ranked[:HOLDER_ATTEMPTS], group, target, demand, ask)
 
     async def run_read(
         self,
@@ -137,30 +180,40 @@
         target: TargetId,
         demand: ConnectionDemand,
         read: HeldRead,
+        own: OwnConnections,
     ) -> HeldReply | None:
         """Have a holder run a read in one exchange; ``None`` when no holder answers.
 
         Borrowing a connection first takes a second exchange, during which the connection is idle.
 
+        :param own: connections of this instance, which may be a holder.
         :raises ConnectError: a holder answers and has no connection in time.
         :raises ConnectionLost: there is no whole answer of the target.
         """
 
         async def ask(holder: InstanceId, wanted: _Wanted) -> HeldReply:
-            return await self._run_read(holder, wanted, read)
+            if holder == own.instance:
+                return await read.run_at(await own.acquire(wanted.demand), self._clock)
+            use = (holder, target, demand.organisation)
+            self._ranking.record_borrow(*use)
+            try:
+                return await self._run_read(holder, wanted, read)
+            finally:
+                self._ranking.record_return(*use)
 
-        return await self._ask_holders(holders, group, target, demand, ask)
+        now = self._clock.monotonic()
+        ranked = self._ranking.rank_for(demand.organisation, group, holders, target, now)
+        return await self._ask_holders(ranked[:HOLDER_ATTEMPTS], group, target, demand, ask)
 
     async def _ask_holders(
         self,
-        holders: Iterable[EntryPlace],
+        ranked: list[InstanceId],
         group: GroupId,
         target: TargetId,
         demand: ConnectionDemand,
         ask: Callable[[InstanceId, _Wanted], Awaitable[_T]],
     ) -> _T | None:
         """Return what the first holder with a connection returns; ``None`` when none answers."""
-        ranked = self._ranking.rank(holders, target, self._clock.monotonic())[:HOLDER_ATTEMPTS]
         refusal: ConnectError | None = None
         for number, holder in enumerate(ranked, 1):
             is_last = number == len(ranked)
@@ -209,23 +262,26 @@
         patience = demand.max_expected_wait_seconds
         if not is_last:
             wait, patience = min(wait, HOLDER_WAIT_SECONDS), min(patience, HOLDER_WAIT_SECONDS)
+        organisation = demand.organisation
         wanted = peer_pb2.ConnectionRequest(
             group=group,
             target=target,
             priority=demand.priority,
             values=demand.session.values,
             patience_ms=int(min(patience, MAX_EXPECTED_WAIT_SECONDS) * MILLISECONDS_PER_SECOND),
-            organisation=demand.organisation,
+            organisation=organisation,
         )
         try:
-            answer = await ask(holder, _Wanted(wanted, wait))
+            limited = replace(demand, deadline=started + wait, max_expected_wait_seconds=patience)
+            answer = await ask(holder, _Wanted(wanted, limited, wait))
         except ConnectError:
             # A refusal comes at once, but a statement would have waited longer than it could.
-            self._ranking.record_wait(holder, target, HOLDER_WAIT_SECONDS, started)
+            self._ranking.record_wait(holder, target, HOLDER_WAIT_SECONDS, started, organisation)
             raise
         now = self._clock.monotonic()
         run_seconds = answer.elapsed_seconds if isinstance(answer, HeldReply) else 0.0
-        self._ranking.record_wait(holder, target, max(0.0, now - started - run_seconds), now)
+        waited = max(0.0, now - started - run_seconds)
+        self._ranking.record_wait(holder, target, waited, now, organisation)
         return answer
 
     async def _run_read(self, holder: InstanceId, wanted: _Wanted, read: HeldRead) -> HeldReply:
@@ -302,7 +358,7 @@
         if reply.HasField("lost"):
             call.cancel()
             raise ConnectError(ConnectFailure(reply.lost.connect_failure), reply.lost.text)
-        return HeldConnection(holder, call, self._ranking, self._clock)
+        return HeldConnection(holder, call, self._ranking, self._clock, wanted.request)
 
 
 class HeldConnection:
@@ -314,13 +370,15 @@
         call: grpc.aio.StreamStreamCall,
         ranking: HolderRanking,
         clock: Clock,
+        wanted: peer_pb2.ConnectionRequest,
     ) -> None:
         self._call = call
         self._ranking = ranking
         self._clock = clock
         self._is_open = True
         self.holder = holder
-        ranking.record_borrow(holder)
+        self._use = (holder, wanted.target, wanted.organisation)
+        ranking.record_borrow(*self._use)
 
     async def run(
         self,
@@ -352,7 +410,7 @@
 
     def give_back(self) -> None:
         """End the use of the connection."""
-        self._ranking.record_return(self.holder)
+        self._ranking.record_return(*self._use)
         if self._is_open:
             self._is_open = False
             spawn(_finish(self._call), f"end of a connection held by {self.holder}")
--- a/hibiscuspoint/core/sessions/__init__.py
+++ b/hibiscuspoint/core/sessions/__init__.py
@@ -3,6 +3,12 @@
 from __future__ import annotations
 
 from hibiscuspoint.core.sessions.choice import TargetLoad, rank_targets
+from hibiscuspoint.core.sessions.connection_plan import (
+    ConnectionPlan,
+    OpeningRules,
+    order_holders,
+    target_holders,
+)
 from hibiscuspoint.core.sessions.context import (
     ConnectionContext,
     Preparation,
@@ -45,12 +51,14 @@
     "Caller",
     "ConnectionContext",
     "ConnectionDemand",
+    "ConnectionPlan",
     "ConnectionUseAverage",
     "DatabaseRoute",
     "EntryPlace",
     "Failure",
     "GroupLimits",
     "HolderRanking",
+    "OpeningRules",
     "OperationGrant",
     "OperationRefusal",
     "Preparation",
@@ -67,7 +75,9 @@
     "TargetLoad",
     "TipLog",
     "choose_holders",
+    "order_holders",
     "rank_targets",
     "resolve_operation",
     "serving_version",
+    "target_holders",
 ]
--- a/tests/components/sessions/test_borrowing.py
+++ b/tests/components/sessions/test_borrowing.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import grpc
@@ -14,17 +15,14 @@
 
 from hibiscuspoint.components.peers import PeerChannels
 from hibiscuspoint.components.sessions import ConnectionBorrowing, ConnectionLending, GroupAccess
-from hibiscuspoint.components.sessions.borrow_messages import (
-    reply_from,
-    reply_message,
-    statement_message,
-)
+from hibiscuspoint.components.sessions.borrow_messages import reply_from, reply_message
 from hibiscuspoint.components.sessions.borrowing import (
     HOLDER_TIMEOUT_SECONDS,
     HOLDER_WAIT_SECONDS,
     HeldRead,
     HeldReply,
 )
+from hibiscuspoint.core.organisations import OrganisationDirectory
 from hibiscuspoint.core.sessions import (
     ConnectionDemand,
     EntryPlace,
@@ -64,6 +62,7 @@
             self.state, self.driver, self.clock, InstanceId("127.0.0.9:1"), borrowing
         )
         self.access.holders = lambda group: [_place(holder) for holder in holders]
+        self.access._group_holders = self.access.holders
         self.route(lease_ms=2500)
 
 
@@ -355,6 +354,34 @@
     asyncio.run(scenario())
 
 
+def test_organisation_uses_its_next_holder_when_the_first_one_dies():
+    """Guards against an outage of an organisation while the holder of its connections restarts."""
+
+    async def scenario():
+        async with _borrowers() as (entry, first, one), _borrowers() as (_, second, other):
+            entry.state.document = replace(
+                entry.state.document, organisations=OrganisationDirectory()
+            )
+            both = [*first.addresses, *second.addresses]
+            entry.access._group_holders = lambda group: both
+            demand = ConnectionDemand(
+                entry.clock.monotonic() + 10.0, organisation=OrganisationId("a")
+            )
+            used = []
+            for _ in range(3):
+                borrowed = await entry.access.borrow(GROUP, _primary(entry), demand)
+                used.append(borrowed.holder)
+                borrowed.give_back()
+            assert len(set(used)) == 1
+            await (one if used[0] == first.addresses[0].instance else other).stop(0)
+            borrowed = await entry.access.borrow(GROUP, _primary(entry), demand)
+            assert {used[0], borrowed.holder} == {place.instance for place in both}
+            assert _connections(entry) == 0
+            borrowed.give_back()
+
+    asyncio.run(scenario())
+
+
 def test_silent_holders_are_passed_over_and_then_avoided():
     """Guards against an outage of a group while one of its holders is frozen."""
 
@@ -489,9 +516,9 @@
 async def _run_read(entry: SessionHarness, seconds: float = 1.0) -> HeldReply | None:
     """Have a holder run a read at the primary in the name of an organisation."""
     until = entry.clock.monotonic() + seconds
-    message = statement_message(statement("READ x"), SessionContext(), None, None)
+    read = HeldRead(statement("READ x"), SessionContext(), until)
     demand = ConnectionDemand(until, organisation=OrganisationId("agents"))
-    return await entry.access.run_read(GROUP, _primary(entry), demand, HeldRead(message, until))
+    return await entry.access.run_read(GROUP, _primary(entry), demand, read)
 
 
 def test_read_of_an_organisation_runs_at_the_holder_in_one_exchange():
@@ -513,7 +540,7 @@
 
     async def scenario():
         async with _borrowers() as (entry, _, _):
-            assert not entry.access.runs_reads_at_holders(GROUP, ConnectionDemand(1.0))
+            assert not entry.access.runs_reads_at_holders(GROUP)
 
     asyncio.run(scenario())
 
