--- a/hibiscuspoint/components/sessions/service.py
+++ b/hibiscuspoint/components/sessions/service.py
@@ -131,7 +131,7 @@
         outcome = resolve_operation(self._state.document, caller)
         if isinstance(outcome, OperationRefusal):
             if outcome.failure is Failure.UNAUTHORIZED:
-                self._record_unauthorized(database)
+                self._record_unauthorized(database, "the key is not known" if key else "no key")
             else:
                 self._log_refusal(database, "no route has this name")
             return outcome.failure
@@ -139,11 +139,11 @@
             caller, self._find_table, self._access, self._zone, self._clock, self._limiter
         )
 
-    def _record_unauthorized(self, database: str) -> None:
+    def _record_unauthorized(self, database: str, reason: str) -> None:
         """Count a refused key; wrong keys may come often, so they are logged once per second."""
         self._metrics.operations.labels("", Admission.UNAUTHORIZED.value).inc()
         if self._pace.allows(f"database {database}", self._clock.monotonic()):
-            self._log_refusal(database, "the key is not known")
+            self._log_refusal(database, reason)
 
     def _log_refusal(self, database: str, reason: str) -> None:
         log_event(
@@ -180,7 +180,7 @@
         if trace.admission is None or table is None or table.organisations is None:
             return True
         if trace.admission is Admission.UNAUTHORIZED:
-            self._record_unauthorized(session.database)
+            self._record_unauthorized(session.database, "the key was revoked")
             return False
         label = self._labels.label(trace.organisation) if trace.organisation else ""
         self._metrics.operations.labels(label, trace.admission.value).inc()
--- a/hibiscuspoint/telemetry/docs.py
+++ b/hibiscuspoint/telemetry/docs.py
@@ -62,6 +62,30 @@
 canonical JSON of all values that differ from their defaults; comments, the order of keys and groups
 and stated defaults do not change it.
 """
+_ROUTING_HEAD = """
+## Organisations in a configuration of the platform
+
+A configuration for sessions that are connections may name the organisations of the callers. It is
+refused as a whole when a value is invalid. Without `tenants` callers are not authenticated.
+
+| Key | Type | Unit | Default | Allowed | Effect |
+| --- | --- | --- | --- | --- | --- |
+"""
+#: Key, type, unit, default, allowed values and effect.
+_ROUTING_ROWS = (
+    ("tenants", "array", "", "none", "objects with different names and keys",
+     "Organisations that callers may belong to."),
+    ("tenants[].name", "string", "", "required", "without blanks and line breaks",
+     "Name that databases are told."),
+    ("tenants[].api_keys", "array", "", "required", "strings with content; the array may be empty",
+     "Keys of the callers of the organisation."),
+    ("tenants[].priority", "integer", "", "`0`", "any", "Priority; 0 is the highest."),
+    ("tenants[].rate_per_s", "integer", "operations/s", "none", "at least 0",
+     "Limit at all instances together; 0 admits nothing, and there is no limit without it."),
+    ("tenants[].burst", "integer", "operations", "`0`", "at least 0",
+     "Operations beyond the rate; without effect unless there is a rate."),
+    ("routes[].public", "boolean", "", "`false`", "", "Callers of the database need no key."),
+)  # fmt: skip
 
 
 def pages() -> dict[str, str]:
@@ -76,7 +100,8 @@
 def _configuration() -> str:
     parts = [_CONFIGURATION_HEAD.format(note=_NOTE)]
     parts += [_SETTINGS_HEAD, *_sections(NodeSettings, "")]
-    parts += [_DOCUMENT_HEAD, *_sections(EnvironmentModel, "")]
+    parts += [_DOCUMENT_HEAD, *_sections(EnvironmentModel, ""), _ROUTING_HEAD]
+    parts += [f"| `{key}` | {' | '.join(cells)} |\n" for key, *cells in _ROUTING_ROWS]
     return "".join(parts)
 
 
