Keep the key of a caller only while its session is opened

Cause: the serving coroutine of a connection held the startup message, with the key, until the session ended. Change: a method of its own opens the session.

--- a/hibiscuspoint/components/sessions/service.py
+++ b/hibiscuspoint/components/sessions/service.py
@@ -115,10 +115,10 @@
     async def open(self, database: str, key: str) -> Session | Failure:
         """Return a new session, or why there is none.
 
-        :param key: key of the organisation of the caller; may be empty.
-
         An instance that was just started does not know which databases exist, so it waits for its
         first configuration.
+
+        :param key: key of the organisation of the caller; may be empty.
         """
         deadline = self._clock.monotonic() + CONFIGURATION_WAIT_SECONDS
         # The state has no event for its first document.
--- a/hibiscuspoint/platform/frontend.py
+++ b/hibiscuspoint/platform/frontend.py
@@ -136,19 +136,9 @@
 
     async def run(self) -> None:
         """Serve the connection until either side closes it."""
-        async with asyncio.timeout(STARTUP_TIMEOUT_SECONDS):
-            line = await self._reader.readline()
-        if not line:
-            return
-        startup = wire.parse_startup(line)
-        session = await self._service.open(startup.database, startup.key)
-        if isinstance(session, Failure):
-            is_key = session is Failure.UNAUTHORIZED
-            text = "the key is not known" if is_key else startup.database
-            self._writer.write(wire.format_error(session, text))
-            await self._writer.drain()
+        self._session = await self._open()
+        if self._session is None:
             return
-        self._session = session
         self._writer.write(wire.format_ready(SessionState.IDLE, None))
         try:
             await self._serve_statements()
@@ -156,6 +146,22 @@
             await self._service.abort(self._session, self._end_reason or "the caller left")
             await self._session.close()
 
+    async def _open(self) -> Session | None:
+        """Open the session; the key does not outlive this call."""
+        async with asyncio.timeout(STARTUP_TIMEOUT_SECONDS):
+            line = await self._reader.readline()
+        if not line:
+            return None
+        startup = wire.parse_startup(line)
+        session = await self._service.open(startup.database, startup.key)
+        if not isinstance(session, Failure):
+            return session
+        is_key = session is Failure.UNAUTHORIZED
+        text = "the key is not known" if is_key else startup.database
+        self._writer.write(wire.format_error(session, text))
+        await self._writer.drain()
+        return None
+
     def close_when_idle(self) -> None:
         """Close the connection as soon as it is idle outside a transaction."""
         self._is_leaving = True
--- a/tests/platform/test_revocation.py
+++ b/tests/platform/test_revocation.py
@@ -145,6 +145,20 @@
     assert organisations == []
 
 
+def test_refused_key_ends_the_session():
+    """Guards against a caller that goes on asking with a refused key on one connection."""
+
+    async def scenario():
+        async with serving() as (harness, _, send):
+            reader, writer = await _session(send)
+            harness.service.watch_revocations(lambda: 0)
+            harness.configure(3, lumen=["k2"])
+            writer.write(b"QUERY q1 BEGIN\r\n")
+            return await reader.read()
+
+    assert _run(scenario) == b"ERROR NOAUTH the key is not known\r\nREADY I -\r\n"
+
+
 def test_open_transaction_may_end_in_the_grace_time():
     """Guards against a transaction that a change of keys interrupts."""
 
