Add a fair order of waiting statements

Cause: where capacity is scarce, the order by priority and arrival serves late what should have been refused, and lets one organisation fill the queue of a class. Change: queue "fair": classes by priority with 5% guaranteed for each that waits, organisations of a class by start-time fair queueing over expected service time, earliest objective within one, first attempts before repeated ones; refusal by the expected wait under this order, and while waiting.

--- a/hibiscuspoint/core/scheduling/__init__.py
+++ b/hibiscuspoint/core/scheduling/__init__.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from hibiscuspoint.core.scheduling.fair import FairQueue
 from hibiscuspoint.core.scheduling.priority import PriorityQueue
 from hibiscuspoint.core.scheduling.queue import (
     ConnectionUse,
     Refusal,
+    RefusalReason,
     Waiter,
     WaitQueue,
     wait_queues,
@@ -13,8 +15,10 @@
 
 __all__ = [
     "ConnectionUse",
+    "FairQueue",
     "PriorityQueue",
     "Refusal",
+    "RefusalReason",
     "WaitQueue",
     "Waiter",
     "wait_queues",
--- a/hibiscuspoint/core/scheduling/queue.py
+++ b/hibiscuspoint/core/scheduling/queue.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum
 from typing import TYPE_CHECKING, Protocol
 
 from hibiscuspoint.registry import Registry
@@ -12,7 +13,7 @@
 
     from hibiscuspoint.core.sessions import ConnectionDemand
 
-__all__ = ["ConnectionUse", "Refusal", "WaitQueue", "Waiter", "wait_queues"]
+__all__ = ["ConnectionUse", "Refusal", "RefusalReason", "WaitQueue", "Waiter", "wait_queues"]
 
 
 @dataclass(eq=False)
@@ -21,13 +22,16 @@
 
     :param number: increases with each demand of a queue.
     :param pushed_at: monotonic time in seconds at which the wait began.
-    :param check_at: monotonic time in seconds at which ``expired`` is to be asked again.
+    :param check_at: monotonic time in seconds after which ``expired`` is to be asked again.
+    :param service_seconds: expected time of its use of a connection.
     """
 
     demand: ConnectionDemand
     number: int
     pushed_at: float
     check_at: float
+    service_seconds: float = 0.0
+    is_waiting: bool = True
 
 
 @dataclass(frozen=True)
@@ -49,6 +53,17 @@
         return len(self.held_seconds)
 
 
+class RefusalReason(Enum):
+    """Why a demand is refused."""
+
+    #: The wait would be longer than the time to the objective or deadline.
+    EXPECTED_WAIT = "expected_wait"
+    #: The objective cannot be met any more, and others that can be in time wait.
+    LATE = "late"
+    #: The time before the deadline is too short.
+    DEADLINE = "deadline"
+
+
 @dataclass(frozen=True)
 class Refusal:
     """Why a demand does not join a queue.
@@ -58,6 +73,7 @@
 
     text: str
     retry_after_seconds: float = 0.0
+    reason: RefusalReason = RefusalReason.EXPECTED_WAIT
 
 
 class WaitQueue(Protocol):
