Refuse at holders that have no connection to a full target

Change: the fair queue takes the time until a full target is asked again for its expected wait where no connection is in use, also for demands that wait already; entries leave out holders that reported a full group while others did not, and ask the one that expects capacity soonest last.

--- a/hibiscuspoint/components/sessions/borrowing.py
+++ b/hibiscuspoint/components/sessions/borrowing.py
@@ -54,6 +54,10 @@
 #: Longest time in seconds to wait for a connection at a holder while another one can be asked.
 HOLDER_WAIT_SECONDS = 0.06
 
+#: Twice the longest time in seconds to wait at a holder that expected a wait of at most
+#: ``HOLDER_WAIT_SECONDS``, while another one can be asked.
+FAIR_WAIT_SECONDS = 4 * HOLDER_WAIT_SECONDS
+
 #: Longest expected wait in seconds that is passed on; no statement has so much time.
 MAX_EXPECTED_WAIT_SECONDS = 60.0
 
@@ -133,13 +137,12 @@
         :raises ConnectError: none of them can.
         """
         now = self._clock.monotonic()
-        waits = {holder: self._full.wait(holder, target, demand, now) for holder in ranked}
-        usable = [holder for holder in ranked if not waits[holder]]
+        usable, wait = self._full.with_room(ranked, target, demand, now)
         if usable or not ranked:
             return usable
         message = f"all holders of connections to {target} are full"
         self._records.record_refusal(group, demand.priority, "holders_full", message, now)
-        raise ConnectError(ConnectFailure.LIMITED, message, min(waits.values()))
+        raise ConnectError(ConnectFailure.LIMITED, message, wait)
 
     async def _ask_for(
         self,
@@ -190,14 +193,14 @@
     ) -> tuple[float, float]:
         """Return how long to wait at a holder while another one can be asked.
 
-        A fair queue predicts its waits, so that a demand that it let in stays there for half of the
-        time that is left: at the next holder it would start at the end of the queue.
+        A fair queue predicts its waits, so that a demand that it let in stays there longer: at the
+        next holder it would start at the end of the queue.
         """
         patience = min(patience, HOLDER_WAIT_SECONDS)
         if not self._is_fair:
             return min(wait, HOLDER_WAIT_SECONDS), patience
         left = demand.objective_at - self._clock.monotonic()
-        return min(wait, max(HOLDER_WAIT_SECONDS, left / 2)), patience
+        return min(wait, max(HOLDER_WAIT_SECONDS, min(left, FAIR_WAIT_SECONDS) / 2)), patience
 
     async def _ask(
         self, holder: InstanceId, wanted: peer_pb2.ConnectionRequest, deadline: float, wait: float
--- a/hibiscuspoint/components/sessions/pool.py
+++ b/hibiscuspoint/components/sessions/pool.py
@@ -179,6 +179,16 @@
             future = self._futures.pop(waiter)
             future.set_exception(self._refuse_wait(waiter))
 
+    def _refuse_hopeless(self) -> None:
+        """Refuse waiters that a full target, of which others hold all connections, keeps too long.
+
+        A queue by priority lets them wait, as no connection is in use.
+        """
+        for waiter in list(self._futures):
+            if self._check(waiter.demand) is not None:
+                self._queue.remove(waiter)
+                self._futures.pop(waiter).set_exception(self._refuse_wait(waiter))
+
     def _refuse_wait(self, waiter: Waiter) -> ConnectError:
         """Return the refusal of a statement that has waited."""
         refusal = self._check(waiter.demand)
@@ -201,7 +211,8 @@
         is_full = self._retry_delay_seconds > FULL_RETRY_MIN_SECONDS
         may_open = self.size + self._opening < self.limit and not is_full
         held = tuple(now - pooled.taken_at for pooled in self._in_use)
-        use = ConnectionUse(held, self._use_times.average_seconds, may_open)
+        opens_in = max(0.0, self._retry_at - now)
+        use = ConnectionUse(held, self._use_times.average_seconds, may_open, opens_in)
         return self._queue.check(demand, use, now)
 
     def _take_idle(self, context: SessionContext) -> PooledConnection | None:
@@ -272,6 +283,8 @@
             self._retry_at = self._clock.monotonic() + self._retry_delay_seconds
             self._retry_later(self._retry_delay_seconds)
             self._retry_delay_seconds = min(2 * self._retry_delay_seconds, FULL_RETRY_MAX_SECONDS)
+            if not self._in_use:
+                self._refuse_hopeless()
             return
         if error.failure is ConnectFailure.REFUSED:
             self.refusals += 1
--- a/hibiscuspoint/core/scheduling/fair.py
+++ b/hibiscuspoint/core/scheduling/fair.py
@@ -127,7 +127,7 @@
         self._settle(now)
         is_late = now > _latest_start(demand, demand.objective_at)
         wait = 0.0
-        if connections.in_use and not connections.may_open:
+        if not connections.may_open:
             wait = self._expected_wait(demand, connections, now)
         retry_after = min(RETRY_MAX_SECONDS, max(RETRY_MIN_SECONDS, wait))
         if now > _latest_start(demand, demand.deadline):
@@ -154,6 +154,8 @@
         More urgent demands that arrive meanwhile go before it, so the work ahead is divided by the
         connections that they leave; the guarantee of its class bounds the wait.
         """
+        if not connections.in_use:
+            return connections.opens_in_seconds
         stuck = max(STUCK_SECONDS, STUCK_FACTOR * connections.average_seconds)
         active = sum(seconds <= stuck for seconds in connections.held_seconds)
         if not active:
--- a/hibiscuspoint/core/scheduling/full_holders.py
+++ b/hibiscuspoint/core/scheduling/full_holders.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from hibiscuspoint.core.sessions import ConnectionDemand
     from hibiscuspoint.ids import InstanceId, OrganisationId, TargetId
 
@@ -57,13 +59,30 @@
     def wait(
         self, holder: InstanceId, target: TargetId, demand: ConnectionDemand, now: float
     ) -> float:
-        """Return for how many seconds a holder cannot serve a demand in time; 0 when it may."""
+        """Return the seconds after which a holder may serve a demand; 0 when nothing is known."""
         key = (holder, target, demand.organisation, demand.priority)
         until, served_at = self._reports.get(key, (0.0, 0.0))
         if now >= until:
             self._reports.pop(key, None)
             return 0.0
-        return until - now if now + _slack(demand, now) < served_at else 0.0
+        return served_at - now
+
+    def with_room(
+        self, holders: Sequence[InstanceId], target: TargetId, demand: ConnectionDemand, now: float
+    ) -> tuple[list[InstanceId], float]:
+        """Return the holders to ask, and the seconds until one has room if there are none.
+
+        Holders that reported nothing go alone; otherwise those that may serve the demand in time,
+        the soonest last, as the last one that is asked is the one where the demand may wait.
+        """
+        waits = {holder: self.wait(holder, target, demand, now) for holder in holders}
+        unknown = [holder for holder in holders if not waits[holder]]
+        if unknown or not holders:
+            return unknown, 0.0
+        slack = _slack(demand, now)
+        possible = [holder for holder in holders if waits[holder] <= slack]
+        soonest = min(waits.values())
+        return sorted(possible, key=waits.__getitem__, reverse=True), min(soonest, MEMORY_SECONDS)
 
     def _drop(self, now: float) -> None:
         """Drop the reports that are over, or the oldest one."""
--- a/hibiscuspoint/core/scheduling/queue.py
+++ b/hibiscuspoint/core/scheduling/queue.py
@@ -41,11 +41,13 @@
     :param held_seconds: time since each connection in use was taken.
     :param average_seconds: moving average of the time of a use.
     :param may_open: whether another connection may be opened.
+    :param opens_in_seconds: time until a full target is asked for another connection.
     """
 
     held_seconds: tuple[float, ...]
     average_seconds: float
     may_open: bool
+    opens_in_seconds: float = 0.0
 
     @property
     def in_use(self) -> int:
--- a/tests/components/sessions/test_scheduling.py
+++ b/tests/components/sessions/test_scheduling.py
@@ -4,16 +4,23 @@
 
 import asyncio
 import logging
+import math
 
 import pytest
 
-from hibiscuspoint.components.sessions import ConnectionBorrowing, GroupAccess, WaitRecords
+from hibiscuspoint.components.sessions import (
+    ConnectionBorrowing,
+    ConnectionLending,
+    GroupAccess,
+    WaitRecords,
+)
 from hibiscuspoint.components.sessions.borrow_messages import refusal_message
 from hibiscuspoint.components.sessions.pool import TargetPool
 from hibiscuspoint.core.sessions import ConnectionDemand, EntryPlace, Failure, ReadMode
 from hibiscuspoint.drivers.errors import ConnectError, ConnectFailure
 from hibiscuspoint.ids import AvailabilityZone, InstanceId
 from hibiscuspoint.telemetry import Metrics
+from hibiscuspoint.wire import peer_pb2
 from tests.builders_failover import GROUP, PRIMARY
 from tests.components.sessions.fakes import FakeDriver, LoopClock, ScriptedTarget, refusal
 from tests.components.sessions.harness import SessionHarness
@@ -153,3 +160,38 @@
         await asyncio.gather(slow, slower, return_exceptions=True)
 
     asyncio.run(scenario())
+
+
+class _RecordingAccess:
+    """Takes the demands of other instances and has no connection for them."""
+
+    def __init__(self) -> None:
+        self.demands = []
+
+    async def acquire(self, group, target, demand):
+        self.demands.append(demand)
+        raise ConnectError(ConnectFailure.LIMITED, "full")
+
+
+def test_holder_takes_over_what_the_entry_states():
+    """Guards against a holder that orders statements without what their entry knows of them."""
+
+    async def scenario():
+        access = _RecordingAccess()
+        lending = ConnectionLending(access, LoopClock())
+        wanted = peer_pb2.ConnectionRequest(
+            group=GROUP, target=PRIMARY, organisation="o", objective_ms=150, expected_ms=5
+        )
+        wanted.retry = wanted.transaction = True
+        started = _now()
+        for objective_ms in (150, 0):
+            wanted.objective_ms = objective_ms
+            with pytest.raises(ConnectError):
+                await lending._acquire(peer_pb2.BorrowRequest(connection=wanted, remaining_ms=800))
+        demand, without_objective = access.demands
+        assert (demand.organisation, demand.expected_seconds) == ("o", 0.005)
+        assert demand.is_retry and demand.is_transaction
+        assert 0.15 <= demand.objective_at - started < 0.3
+        assert without_objective.objective_at == math.inf
+
+    asyncio.run(scenario())
--- a/tests/core/scheduling/test_memory.py
+++ b/tests/core/scheduling/test_memory.py
@@ -8,7 +8,7 @@
 from hibiscuspoint.ids import InstanceId, TargetId
 from tests.builders_failover import GROUP, PRIMARY
 
-HOLDER = InstanceId("10.0.0.1:7440")
+HOLDER, OTHER = InstanceId("10.0.0.1:7440"), InstanceId("10.0.0.2:7440")
 
 
 def test_full_holder_is_skipped_until_it_expects_capacity():
@@ -16,11 +16,17 @@
     full = FullHolders()
     refused = ConnectionDemand(1.0, 1, objective_at=0.1)
     full.record(HOLDER, PRIMARY, refused, 0.2, 0.0)
-    assert 0.1 < full.wait(HOLDER, PRIMARY, ConnectionDemand(1.05, 1, objective_at=0.15), 0.05)
+    urgent = ConnectionDemand(1.05, 1, objective_at=0.15)
+    usable, wait = full.with_room([HOLDER], PRIMARY, urgent, 0.05)
+    assert (usable, round(wait, 3)) == ([], 0.25)
+    assert full.with_room([HOLDER, OTHER], PRIMARY, urgent, 0.05) == ([OTHER], 0.0)
     # One with more time, of another class, or after the wait may be served.
-    assert not full.wait(HOLDER, PRIMARY, ConnectionDemand(1.05, 1, objective_at=0.5), 0.05)
-    assert not full.wait(HOLDER, PRIMARY, ConnectionDemand(1.05, 0, objective_at=0.15), 0.05)
-    assert not full.wait(HOLDER, PRIMARY, ConnectionDemand(1.05, 1, objective_at=0.25), 0.2)
+    for demand, now in (
+        (ConnectionDemand(1.05, 1, objective_at=0.5), 0.05),
+        (ConnectionDemand(1.05, 0, objective_at=0.15), 0.05),
+        (ConnectionDemand(1.05, 1, objective_at=0.25), 0.2),
+    ):
+        assert full.with_room([HOLDER], PRIMARY, demand, now)[0] == [HOLDER]
     assert len(full) == 0
 
 
@@ -31,7 +37,9 @@
     for number in range(2 * MAX_REPORTS):
         full.record(HOLDER, TargetId(f"t{number}"), demand, 60.0, 0.0)
     assert len(full) <= MAX_REPORTS
-    assert full.wait(HOLDER, TargetId(f"t{2 * MAX_REPORTS - 1}"), demand, 0.4) <= 0.1
+    last = TargetId(f"t{2 * MAX_REPORTS - 1}")
+    assert full.wait(HOLDER, last, demand, 0.4)
+    assert not full.wait(HOLDER, last, demand, 0.5)
 
 
 def test_slow_phase_does_not_make_each_statement_hopeless():
