--- a/hibiscuspoint/components/sessions/borrowing.py
+++ b/hibiscuspoint/components/sessions/borrowing.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, TypeVar
 
@@ -14,6 +15,8 @@
     reply_from,
     statement_message,
 )
+from hibiscuspoint.components.sessions.wait_records import WaitRecords
+from hibiscuspoint.core.scheduling import FullHolders
 from hibiscuspoint.core.sessions import HolderRanking
 from hibiscuspoint.drivers.errors import (
     AnswerTimeoutError,
@@ -59,6 +62,10 @@
 #: Longest time in seconds to wait for a connection at a holder while another one can be asked.
 HOLDER_WAIT_SECONDS = 0.06
 
+#: Twice the longest time in seconds to wait at a holder that expected a wait of at most
+#: ``HOLDER_WAIT_SECONDS``, while another one can be asked.
+FAIR_WAIT_SECONDS = 4 * HOLDER_WAIT_SECONDS
+
 #: Longest expected wait in seconds that is passed on; no statement has so much time.
 MAX_EXPECTED_WAIT_SECONDS = 60.0
 
@@ -139,9 +146,20 @@
     """Borrows connections from the holders of a group.
 
     :param zone: availability zone of this instance.
+    :param scheduling: registered name of the order in which waiting statements are served.
     """
 
-    def __init__(self, zone: AvailabilityZone, channels: PeerChannels, clock: Clock) -> None:
+    def __init__(
+        self,
+        zone: AvailabilityZone,
+        channels: PeerChannels,
+        clock: Clock,
+        scheduling: str = "priority",
+        records: WaitRecords | None = None,
+    ) -> None:
+        self._is_fair = scheduling == "fair"
+        self._records = records or WaitRecords()
+        self._full = FullHolders()
         self._channels = channels
         self._clock = clock
         self._ranking = HolderRanking(zone)
@@ -171,7 +189,7 @@
             ranked = self._ranking.rank(holders, target, now)
         else:
             ranked = self._ranking.rank_for(demand.organisation, group, holders, target, now)
-        return await self._ask_holders(ranked[:HOLDER_ATTEMPTS], group, target, demand, ask)
+        return await self._ask_holders(ranked, group, target, demand, ask)
 
     async def run_read(
         self,
@@ -203,7 +221,7 @@
 
         now = self._clock.monotonic()
         ranked = self._ranking.rank_for(demand.organisation, group, holders, target, now)
-        return await self._ask_holders(ranked[:HOLDER_ATTEMPTS], group, target, demand, ask)
+        return await self._ask_holders(ranked, group, target, demand, ask)
 
     async def _ask_holders(
         self,
@@ -214,6 +232,7 @@
         ask: Callable[[InstanceId, _Wanted], Awaitable[_T]],
     ) -> _T | None:
         """Return what the first holder with a connection returns; ``None`` when none answers."""
+        ranked = self._with_room(ranked[:HOLDER_ATTEMPTS], group, target, demand)
         refusal: ConnectError | None = None
         for number, holder in enumerate(ranked, 1):
             is_last = number == len(ranked)
@@ -242,6 +261,21 @@
             raise refusal
         return None
 
+    def _with_room(
+        self, ranked: list[InstanceId], group: GroupId, target: TargetId, demand: ConnectionDemand
+    ) -> list[InstanceId]:
+        """Return the holders that may serve a demand in time, as far as is known.
+
+        :raises ConnectError: none of them can.
+        """
+        now = self._clock.monotonic()
+        usable, wait = self._full.with_room(ranked, target, demand, now)
+        if usable or not ranked:
+            return usable
+        message = f"all holders of connections to {target} are full"
+        self._records.record_refusal(group, demand.priority, "holders_full", message, now)
+        raise ConnectError(ConnectFailure.LIMITED, message, wait)
+
     async def _ask_for(
         self,
         holder: InstanceId,
@@ -261,7 +295,7 @@
         wait = max(0.0, demand.deadline - started)
         patience = demand.max_expected_wait_seconds
         if not is_last:
-            wait, patience = min(wait, HOLDER_WAIT_SECONDS), min(patience, HOLDER_WAIT_SECONDS)
+            wait, patience = self._bound_wait(demand, wait, patience)
         organisation = demand.organisation
         wanted = peer_pb2.ConnectionRequest(
             group=group,
@@ -270,11 +304,18 @@
             values=demand.session.values,
             patience_ms=int(min(patience, MAX_EXPECTED_WAIT_SECONDS) * MILLISECONDS_PER_SECOND),
             organisation=organisation,
+            objective_ms=_objective_ms(demand, started),
+            expected_ms=math.ceil(demand.expected_seconds * MILLISECONDS_PER_SECOND),
+            retry=demand.is_retry,
+            transaction=demand.is_transaction,
         )
         try:
             limited = replace(demand, deadline=started + wait, max_expected_wait_seconds=patience)
             answer = await ask(holder, _Wanted(wanted, limited, wait))
-        except ConnectError:
+        except ConnectError as error:
+            now = self._clock.monotonic()
+            asked = replace(demand, max_expected_wait_seconds=patience)
+            self._full.record(holder, target, asked, error.retry_after_seconds, now)
             # A refusal comes at once, but a statement would have waited longer than it could.
             self._ranking.record_wait(holder, target, HOLDER_WAIT_SECONDS, started, organisation)
             raise
@@ -284,6 +325,20 @@
         self._ranking.record_wait(holder, target, waited, now, organisation)
         return answer
 
+    def _bound_wait(
+        self, demand: ConnectionDemand, wait: float, patience: float
+    ) -> tuple[float, float]:
+        """Return how long to wait at a holder while another one can be asked.
+
+        A fair queue predicts its waits, so that a demand that it let in stays there longer: at the
+        next holder it would start at the end of the queue.
+        """
+        patience = min(patience, HOLDER_WAIT_SECONDS)
+        if not self._is_fair:
+            return min(wait, HOLDER_WAIT_SECONDS), patience
+        left = demand.objective_at - self._clock.monotonic()
+        return min(wait, max(HOLDER_WAIT_SECONDS, min(left, FAIR_WAIT_SECONDS) / 2)), patience
+
     async def _run_read(self, holder: InstanceId, wanted: _Wanted, read: HeldRead) -> HeldReply:
         """Have one holder run a read."""
         remaining = max(0.0, read.answer_until - self._clock.monotonic())
@@ -303,7 +358,7 @@
             raise
         self._ranking.record_answer(holder)
         if reply.lost.connect_failure:
-            raise ConnectError(ConnectFailure(reply.lost.connect_failure), reply.lost.text)
+            raise _refusal_of(reply.lost)
         if reply.HasField("lost"):
             raise error_of(reply.lost)
         elapsed = reply.elapsed_us / MICROSECONDS_PER_SECOND
@@ -357,7 +412,7 @@
         self._ranking.record_answer(holder)
         if reply.HasField("lost"):
             call.cancel()
-            raise ConnectError(ConnectFailure(reply.lost.connect_failure), reply.lost.text)
+            raise _refusal_of(reply.lost)
         return HeldConnection(holder, call, self._ranking, self._clock, wanted.request)
 
 
@@ -440,6 +495,19 @@
         raise error_of(reply.lost)
 
 
+def _refusal_of(lost: peer_pb2.BorrowFailure) -> ConnectError:
+    """Return the error of a holder that has no connection in time."""
+    retry_after = lost.retry_after_ms / MILLISECONDS_PER_SECOND
+    return ConnectError(ConnectFailure(lost.connect_failure), lost.text, retry_after)
+
+
+def _objective_ms(demand: ConnectionDemand, now: float) -> int:
+    """Return the time to the objective, at least 1 ms; 0 when there is none."""
+    if demand.objective_at == math.inf:
+        return 0
+    return max(1, int((demand.objective_at - now) * MILLISECONDS_PER_SECOND))
+
+
 async def _failure_of(call: grpc.aio.Call) -> grpc.aio.AioRpcError:
     """Return the error with which a call ended before its holder answered."""
     return grpc.aio.AioRpcError(
--- a/hibiscuspoint/components/sessions/lending.py
+++ b/hibiscuspoint/components/sessions/lending.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import grpc
@@ -112,12 +113,19 @@
     async def _acquire(
         self, wanted: peer_pb2.ConnectionRequest, seconds: float
     ) -> PooledConnection:
+        objective_at = math.inf
+        if wanted.objective_ms:
+            objective_at = self._clock.monotonic() + wanted.objective_ms / MILLISECONDS_PER_SECOND
         demand = ConnectionDemand(
             self._clock.monotonic() + seconds,
             wanted.priority,
             wanted.patience_ms / MILLISECONDS_PER_SECOND,
             SessionContext(values=dict(wanted.values)),
             OrganisationId(wanted.organisation),
+            objective_at,
+            wanted.expected_ms / MILLISECONDS_PER_SECOND,
+            is_retry=wanted.retry,
+            is_transaction=wanted.transaction,
         )
         return await self._access.acquire(GroupId(wanted.group), TargetId(wanted.target), demand)
 
--- a/hibiscuspoint/components/sessions/pool.py
+++ b/hibiscuspoint/components/sessions/pool.py
@@ -8,7 +8,8 @@
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.components.sessions.connection import PooledConnection
-from hibiscuspoint.core.scheduling import ConnectionUse, Waiter, wait_queues
+from hibiscuspoint.components.sessions.wait_records import WaitRecords
+from hibiscuspoint.core.scheduling import ConnectionUse, RefusalReason, wait_queues
 from hibiscuspoint.core.sessions import ConnectionUseAverage
 from hibiscuspoint.drivers.errors import ConnectError, ConnectFailure
 from hibiscuspoint.telemetry import catalogue, log_event
@@ -16,6 +17,7 @@
 
 if TYPE_CHECKING:
     from hibiscuspoint.core.ports import Clock, SessionDriver
+    from hibiscuspoint.core.scheduling import Refusal, Waiter
     from hibiscuspoint.core.sessions import ConnectionDemand, OpeningRules
     from hibiscuspoint.ids import GroupId, OrganisationId, TargetId
 
@@ -41,6 +43,9 @@
 #: at a primary with 34 connections leave no room for connections that are idle for a second.
 SURPLUS_SECONDS = 0.25
 
+#: Seconds after the time at which a queue may refuse a waiter until it is asked.
+CHECK_MARGIN_SECONDS = 0.001
+
 #: Seconds after which an idle connection within the share is closed.
 IDLE_SECONDS = 30.0
 
@@ -66,6 +71,7 @@
         driver: SessionDriver,
         clock: Clock,
         scheduling: str = "priority",
+        records: WaitRecords | None = None,
     ) -> None:
         self._group = group
         self._target = target
@@ -74,6 +80,7 @@
         self._clock = clock
         self._idle: list[PooledConnection] = []
         self._queue = wait_queues.get(scheduling)()
+        self._records = records or WaitRecords()
         self._futures: dict[Waiter, asyncio.Future[PooledConnection]] = {}
         self._in_use: set[PooledConnection] = set()
         self._use_times = ConnectionUseAverage()
@@ -132,23 +139,24 @@
         if not self._waiting[demand.organisation]:
             pooled = self._take_idle(demand)
             if pooled is not None:
+                self._records.record_wait(self._group, demand.priority, 0.0, pooled.taken_at)
                 return pooled
-        self._check_expected_wait(demand)
+        refusal = self._check(demand)
+        if refusal is not None:
+            message = f"{refusal.text} to {self._target}"
+            raise self._refuse(demand, refusal.reason, message, refusal.retry_after_seconds)
         future: asyncio.Future[PooledConnection] = asyncio.get_running_loop().create_future()
         waiter = self._add_waiter(demand, future)
         self._serve_waiters()
         try:
-            await asyncio.wait(
-                {future}, timeout=max(0.0, demand.deadline - self._clock.monotonic())
-            )
+            await self._wait(waiter, future)
         except asyncio.CancelledError:
             self._cancel_wait(waiter, future)
             raise
         if future.done():
             return future.result()
         self._cancel_wait(waiter, future)
-        message = f"no connection to {self._target} in time"
-        raise ConnectError(ConnectFailure.LIMITED, message)
+        raise self._refuse_wait(waiter)
 
     def release(self, pooled: PooledConnection) -> None:
         """Take a connection back; one that is not usable is dropped."""
@@ -186,18 +194,54 @@
         self._idle.clear()
         self._fail_waiters(ConnectError(ConnectFailure.LEAVING, f"{self._target} is gone"))
 
-    def _check_expected_wait(self, demand: ConnectionDemand) -> None:
-        """Refuse a statement that would wait too long for one of the connections in use."""
+    async def _wait(self, waiter: Waiter, future: asyncio.Future[PooledConnection]) -> None:
+        """Wait for a connection until the deadline, and look when the queue may refuse it."""
+        deadline = waiter.demand.deadline
+        while not future.done() and (now := self._clock.monotonic()) < deadline:
+            until = min(deadline, max(now, waiter.check_at) + CHECK_MARGIN_SECONDS)
+            await asyncio.wait({future}, timeout=until - now)
+            if not future.done():
+                self._refuse_expired()
+
+    def _refuse_expired(self) -> None:
+        for waiter in self._queue.expired(self._clock.monotonic()):
+            self._forget(waiter).set_exception(self._refuse_wait(waiter))
+
+    def _refuse_hopeless(self) -> None:
+        """Refuse waiters that a full target, of which others hold all connections, keeps too long.
+
+        A queue by priority lets them wait, as no connection is in use.
+        """
+        for waiter in list(self._futures):
+            if self._check(waiter.demand) is not None:
+                self._queue.remove(waiter)
+                self._forget(waiter).set_exception(self._refuse_wait(waiter))
+
+    def _refuse_wait(self, waiter: Waiter) -> ConnectError:
+        """Return the refusal of a statement that has waited."""
+        refusal = self._check(waiter.demand)
+        reason = refusal.reason if refusal is not None else RefusalReason.DEADLINE
+        retry_after = refusal.retry_after_seconds if refusal is not None else 0.0
+        message = f"no connection to {self._target} in time"
+        return self._refuse(waiter.demand, reason, message, retry_after)
+
+    def _refuse(
+        self, demand: ConnectionDemand, reason: RefusalReason, message: str, retry_after: float
+    ) -> ConnectError:
+        now = self._clock.monotonic()
+        self._records.record_refusal(self._group, demand.priority, reason.value, message, now)
+        return ConnectError(ConnectFailure.LIMITED, message, retry_after)
+
+    def _check(self, demand: ConnectionDemand) -> Refusal | None:
+        """Return why a statement would wait too long for one of the connections in use."""
         now = self._clock.monotonic()
         # A target that had no connection left may be asked again, but probably has none yet.
         is_full = self._retry_delay_seconds > FULL_RETRY_MIN_SECONDS
         may_open = bool((self._has_room and not is_full) or self._idle)
         held = tuple(now - pooled.taken_at for pooled in self._in_use)
-        use = ConnectionUse(held, self._use_times.average_seconds, may_open)
-        refusal = self._queue.check(demand, use, now)
-        if refusal is not None:
-            message = f"{refusal.text} to {self._target}"
-            raise ConnectError(ConnectFailure.LIMITED, message)
+        opens_in = max(0.0, self._retry_at - now)
+        use = ConnectionUse(held, self._use_times.average_seconds, may_open, opens_in)
+        return self._queue.check(demand, use, now)
 
     @property
     def _has_room(self) -> bool:
@@ -224,9 +268,12 @@
         self._idle = [pooled for pooled in self._idle if pooled.connection.is_open]
 
     def _serve_waiters(self) -> None:
-        self._drop_closed()
         now = self._clock.monotonic()
+        self._refuse_expired()
+        self._drop_closed()
         while self._idle and (waiter := self._queue.pop(now, self._has_idle)) is not None:
+            waited, priority = now - waiter.pushed_at, waiter.demand.priority
+            self._records.record_wait(self._group, priority, waited, now)
             if self.rules is not None:
                 self.rules.record_progress(waiter.demand.organisation, now)
             self._forget(waiter).set_result(self._take_idle(waiter.demand))
@@ -370,6 +417,8 @@
             self._retry_at = self._clock.monotonic() + self._retry_delay_seconds
             self._retry_later(self._retry_delay_seconds)
             self._retry_delay_seconds = min(2 * self._retry_delay_seconds, FULL_RETRY_MAX_SECONDS)
+            if not self._in_use:
+                self._refuse_hopeless()
             return
         if error.failure is ConnectFailure.REFUSED:
             self.refusals += 1
--- a/hibiscuspoint/components/sessions/session.py
+++ b/hibiscuspoint/components/sessions/session.py
@@ -114,7 +114,7 @@
 
     async def execute(self, statement: Statement) -> Reply:
         """Serve a statement and return its whole answer."""
-        self._attempts.trace = Trace()
+        self._attempts.begin_statement(is_operation=self._transaction is None)
         try:
             reply = await self._execute(statement)
         except RefusedError as refusal:
--- a/hibiscuspoint/core/scheduling/__init__.py
+++ b/hibiscuspoint/core/scheduling/__init__.py
@@ -2,19 +2,27 @@
 
 from __future__ import annotations
 
+from hibiscuspoint.core.scheduling.fair import FairQueue
+from hibiscuspoint.core.scheduling.full_holders import FullHolders
 from hibiscuspoint.core.scheduling.priority import PriorityQueue
 from hibiscuspoint.core.scheduling.queue import (
     ConnectionUse,
     Refusal,
+    RefusalReason,
     Waiter,
     WaitQueue,
     wait_queues,
 )
+from hibiscuspoint.core.scheduling.uses import UseTimes
 
 __all__ = [
     "ConnectionUse",
+    "FairQueue",
+    "FullHolders",
     "PriorityQueue",
     "Refusal",
+    "RefusalReason",
+    "UseTimes",
     "WaitQueue",
     "Waiter",
     "wait_queues",
