--- a/hibiscuspoint/components/sessions/session.py
+++ b/hibiscuspoint/components/sessions/session.py
@@ -114,7 +114,9 @@
 
     async def execute(self, statement: Statement) -> Reply:
         """Serve a statement and return its whole answer."""
-        self._attempts.begin_statement(is_operation=self._transaction is None)
+        # The pause of a caller before the first statement of its transaction is not its wait.
+        is_bound = self._transaction is not None and self._transaction.connection is not None
+        self._attempts.begin_statement(is_operation=not is_bound)
         try:
             reply = await self._execute(statement)
         except RefusedError as refusal:
