Rank reads by measured times and by the health of targets

Cause: the decisions of core/balancing had no input and no effect.

Change: candidates ask the ranking in force; it is the fixed one unless the round trip to another zone is 4 ms or more, or the settings list the contract pressure. Entries measure the round trip when a holder takes a request and when a target accepts a connection. Holders report their load, whether a target fails for the statements of all entries, and which statement may try it. A read that gets a connection to such a target goes to the next one. Metrics read_zones and targets_avoided, events 430 to 432.

--- a/hibiscuspoint/components/sessions/__init__.py
+++ b/hibiscuspoint/components/sessions/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from hibiscuspoint.components.sessions.balancing import ReadBalancing
 from hibiscuspoint.components.sessions.borrowing import ConnectionBorrowing
 from hibiscuspoint.components.sessions.groups import GroupAccess
 from hibiscuspoint.components.sessions.lending import ConnectionLending
@@ -12,6 +13,7 @@
     "ConnectionBorrowing",
     "ConnectionLending",
     "GroupAccess",
+    "ReadBalancing",
     "Session",
     "SessionService",
 ]
--- a/hibiscuspoint/components/sessions/attempts.py
+++ b/hibiscuspoint/components/sessions/attempts.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from hibiscuspoint.core.balancing import ReadReason
 from hibiscuspoint.core.sessions import ConnectionDemand, Failure, SessionState
 from hibiscuspoint.drivers.errors import ConnectError, ConnectionLost
 
@@ -76,6 +77,8 @@
     :param term: term of the primary; ``None`` at a replica.
     :param connect_until: monotonic time until which a connection is waited for.
     :param answer_until: monotonic time until which the answer is waited for.
+    :param reason: why a read may go there.
+    :param may_skip: whether another target is tried first if the holder avoids this one.
     """
 
     member: RouteMember
@@ -83,6 +86,8 @@
     term: Term | None
     connect_until: float
     answer_until: float
+    reason: ReadReason = ReadReason.COST
+    may_skip: bool = False
 
     @property
     def target(self) -> TargetId:
@@ -169,12 +174,15 @@
         :raises ConnectionLost: there is no whole answer. The statement has not run if the error
             says that it was not sent.
         """
-        target = candidate.target
+        target, started = candidate.target, self._clock.monotonic()
         try:
             connection = await self.acquire(route, candidate)
         except ConnectError as error:
             self.record_failure(target, error)
+            self._record_read_error(target, error, started, is_write)
             raise ConnectionLost(str(error), sent=False) from error
+        if not is_write:
+            self.begin_read(route.group, candidate, connection)
         try:
             with self.watch_commit(target, is_write):
                 reply = await self.send(
@@ -186,12 +194,39 @@
                 )
         except ConnectionLost as error:
             self.record_failure(target, error)
+            self._record_read_error(target, error, started, is_write)
             raise
         finally:
             connection.give_back()
         self.record_answer(target, reply)
+        if not is_write:
+            now = self._clock.monotonic()
+            failure = reply.error.failure if reply.error is not None else None
+            times = (now - started, self._last_elapsed)
+            self._access.reads.record_answer(target, failure, times, connection.report, now)
         return reply
 
+    def begin_read(
+        self, group: GroupId, candidate: Candidate, connection: BorrowedConnection
+    ) -> None:
+        """Count a read, unless the holder of the connection avoids the target.
+
+        :raises ConnectionLost: the read goes to another target; it was not sent.
+        """
+        reads, now = self._access.reads, self._clock.monotonic()
+        if reads.must_skip(group, candidate, connection.report, now):
+            connection.give_back()
+            self.trace.reason = f"{candidate.target} is avoided by {connection.holder}"
+            raise ConnectionLost(self.trace.reason, sent=False)
+        reads.count(candidate)
+
+    def _record_read_error(
+        self, target: TargetId, error: Exception, started: float, is_write: bool
+    ) -> None:
+        if not is_write:
+            now = self._clock.monotonic()
+            self._access.reads.record_error(target, error, now - started, now)
+
     @contextmanager
     def watch_commit(self, target: TargetId, is_commit: bool) -> Iterator[None]:
         """Report a commit that has no answer for long, before its timeout."""
--- a/hibiscuspoint/components/sessions/borrow_messages.py
+++ b/hibiscuspoint/components/sessions/borrow_messages.py
@@ -75,6 +75,14 @@
     prepared_statement: PreparedStatement | None
     after: LogPosition | None
 
+    @property
+    def is_read(self) -> bool:
+        """Tell whether the statement only reads."""
+        kind, prepared = self.statement.kind, self.prepared_statement
+        if kind is StatementKind.EXECUTE:
+            return prepared is not None and not prepared.writes
+        return kind is StatementKind.READ
+
 
 def statement_from(message: peer_pb2.StatementRequest) -> BorrowedStatement:
     """Return the statement of a message.
--- a/hibiscuspoint/components/sessions/borrowing.py
+++ b/hibiscuspoint/components/sessions/borrowing.py
@@ -8,11 +8,13 @@
 
 import grpc
 
+from hibiscuspoint.components.sessions.balancing import HolderLost, holder_report
 from hibiscuspoint.components.sessions.borrow_messages import (
     error_of,
     reply_from,
     statement_message,
 )
+from hibiscuspoint.core.balancing import RoundTripSource
 from hibiscuspoint.core.sessions import HolderRanking
 from hibiscuspoint.drivers.errors import ConnectError, ConnectFailure, ConnectionLost
 from hibiscuspoint.telemetry import catalogue, log_event
@@ -24,6 +26,8 @@
     from collections.abc import Iterable
 
     from hibiscuspoint.components.peers import PeerChannels
+    from hibiscuspoint.components.sessions.balancing import ReadBalancing
+    from hibiscuspoint.core.balancing import HolderReport
     from hibiscuspoint.core.ports import Clock
     from hibiscuspoint.core.position import LogPosition
     from hibiscuspoint.core.sessions import (
@@ -62,11 +66,20 @@
     """Borrows connections from the holders of a group.
 
     :param zone: availability zone of this instance.
+    :param reads: is told how long the way to each holder takes.
     """
 
-    def __init__(self, zone: AvailabilityZone, channels: PeerChannels, clock: Clock) -> None:
+    def __init__(
+        self,
+        zone: AvailabilityZone,
+        channels: PeerChannels,
+        clock: Clock,
+        reads: ReadBalancing | None = None,
+    ) -> None:
         self._channels = channels
         self._clock = clock
+        self._reads = reads
+        self._zones: dict[InstanceId, AvailabilityZone] = {}
         self._ranking = HolderRanking(zone)
 
     async def acquire(
@@ -75,12 +88,18 @@
         group: GroupId,
         target: TargetId,
         demand: ConnectionDemand,
+        *,
+        target_zone: AvailabilityZone | None = None,
     ) -> HeldConnection | None:
         """Return a connection; ``None`` when no holder answers.
 
+        :param target_zone: zone of the target, where holders there are as near as those of this
+            zone.
         :raises ConnectError: a holder answers and has no connection in time.
         """
-        ranked = self._ranking.rank(holders, target, self._clock.monotonic())[:HOLDER_ATTEMPTS]
+        self._zones = {place.instance: place.zone for place in holders}
+        now = self._clock.monotonic()
+        ranked = self._ranking.rank(holders, target, now, target_zone)[:HOLDER_ATTEMPTS]
         refusal: ConnectError | None = None
         for number, holder in enumerate(ranked, 1):
             is_last = number == len(ranked)
@@ -160,9 +179,11 @@
             request = peer_pb2.BorrowRequest(
                 connection=wanted, remaining_ms=int(wait * MILLISECONDS_PER_SECOND)
             )
+            started = self._clock.monotonic()
             async with asyncio.timeout(min(HOLDER_TIMEOUT_SECONDS, remaining)):
                 await call.write(request)
                 await call.initial_metadata()
+            self._record_round_trip(holder, started)
             async with asyncio.timeout(wait + ANSWER_MARGIN_SECONDS):
                 reply = await call.read()
         except asyncio.InvalidStateError:
@@ -177,7 +198,15 @@
         if reply.HasField("lost"):
             call.cancel()
             raise ConnectError(ConnectFailure(reply.lost.connect_failure), reply.lost.text)
-        return HeldConnection(holder, call, self._ranking, self._clock)
+        report = holder_report(reply.load)
+        return HeldConnection(holder, call, self._ranking, self._clock, report)
+
+    def _record_round_trip(self, holder: InstanceId, started: float) -> None:
+        """Record the way to a holder, which takes a request at once."""
+        zone = self._zones.get(holder)
+        if self._reads is not None and zone is not None:
+            now = self._clock.monotonic()
+            self._reads.record_round_trip(zone, RoundTripSource.HOLDER, now - started, now)
 
 
 class HeldConnection:
@@ -189,12 +218,14 @@
         call: grpc.aio.StreamStreamCall,
         ranking: HolderRanking,
         clock: Clock,
+        report: HolderReport,
     ) -> None:
         self._call = call
         self._ranking = ranking
         self._clock = clock
         self._is_open = True
         self.holder = holder
+        self.report = report
         ranking.record_borrow(holder)
 
     async def run(
@@ -249,7 +280,7 @@
             self.close()
             self._ranking.record_failure(self.holder, self._clock.monotonic())
             message = f"holder {self.holder} did not answer: {_describe(error)}"
-            raise ConnectionLost(message, sent=True) from error
+            raise HolderLost(message, sent=True) from error
         except ValueError as error:
             self.close()
             raise ConnectionLost(f"holder {self.holder}: {error}", sent=True) from error
--- a/hibiscuspoint/components/sessions/candidates.py
+++ b/hibiscuspoint/components/sessions/candidates.py
@@ -5,8 +5,9 @@
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.components.sessions.attempts import Candidate, RefusedError
+from hibiscuspoint.core.balancing import ReadRequest
 from hibiscuspoint.core.position import ZERO_POSITION
-from hibiscuspoint.core.sessions import Failure, ReadMode, rank_targets
+from hibiscuspoint.core.sessions import Failure, ReadMode
 
 if TYPE_CHECKING:
     from hibiscuspoint.components.sessions.groups import GroupAccess
@@ -91,9 +92,13 @@
             if member.target == primary_target
             or (member.target != known.primary and not member.leaving)
         ]
-        ranked = rank_targets(usable, self._access.loads, primary_target, self._zone, now)
+        request = ReadRequest(
+            known.group, usable, self._access.loads, primary_target, self._zone, now
+        )
+        ranked = self._access.reads.rank(request)
         candidates = []
-        for number, member in enumerate(ranked, 1):
+        for number, choice in enumerate(ranked, 1):
+            member = choice.member
             is_primary = member.target == primary_target
             connect, answer = self._attempt_deadlines(
                 member, deadline, now, is_last=number == len(ranked)
@@ -105,6 +110,8 @@
                     primary.term if is_primary else None,
                     connect,
                     answer,
+                    choice.reason,
+                    choice.may_skip and number < len(ranked),
                 )
             )
         return candidates
--- a/hibiscuspoint/components/sessions/connection.py
+++ b/hibiscuspoint/components/sessions/connection.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
+from hibiscuspoint.core.balancing import HolderReport
 from hibiscuspoint.core.sessions import ConnectionContext, Failure
 from hibiscuspoint.drivers.errors import ConnectionLost
 
@@ -26,6 +27,8 @@
 
     #: Instance that keeps the connection open; empty for this one.
     holder: str
+    #: What the holder told about the target.
+    report: HolderReport
 
     async def run(
         self,
@@ -69,6 +72,7 @@
     idle_since: float = 0.0
     taken_at: float = 0.0
     holder: str = ""
+    report: HolderReport = field(default_factory=HolderReport)
 
     @property
     def is_open(self) -> bool:
@@ -108,6 +112,11 @@
         """Close the connection."""
         self.connection.close()
 
+    def take_round_trip(self) -> float | None:
+        """Return the seconds that the target took to accept the connection, only once."""
+        seconds, self.connection.round_trip_seconds = self.connection.round_trip_seconds, None
+        return seconds
+
     def give_back(self) -> None:
         """Return the connection to its pool."""
         self.release(self)
--- a/hibiscuspoint/components/sessions/groups.py
+++ b/hibiscuspoint/components/sessions/groups.py
@@ -8,7 +8,9 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from hibiscuspoint.components.sessions.balancing import ReadBalancing
 from hibiscuspoint.components.sessions.pool import TargetPool
+from hibiscuspoint.core.balancing import RoundTripSource
 from hibiscuspoint.core.position import ZERO_POSITION, LogPosition
 from hibiscuspoint.core.sessions import EntryPlace, TargetLoad, TipLog, choose_holders
 from hibiscuspoint.drivers.errors import ConnectError, ConnectFailure
@@ -72,6 +74,7 @@
     :param instance: this instance, as others know it.
     :param borrowing: borrows connections where there are fewer than instances; ``None`` where each
         instance opens its own.
+    :param reads: ranks the targets of reads; by their fixed cost if it is not given.
     """
 
     def __init__(
@@ -81,6 +84,7 @@
         clock: Clock,
         instance: InstanceId = _NO_INSTANCE,
         borrowing: ConnectionBorrowing | None = None,
+        reads: ReadBalancing | None = None,
     ) -> None:
         self._state = state
         self._instance = instance
@@ -96,6 +100,7 @@
         self._changed = asyncio.Event()
         self._logged: dict[GroupId, tuple[object, ...]] = {}
         self.loads: dict[TargetId, TargetLoad] = {}
+        self.reads = reads if reads is not None else ReadBalancing(AvailabilityZone(""))
         self.tips: dict[GroupId, TipLog] = {}
         self.entries = 1
         self._places: tuple[EntryPlace, ...] = ()
@@ -163,10 +168,13 @@
         """
         holders = self.holders(group)
         if holders and self._borrowing is not None:
-            connection = await self._borrowing.acquire(holders, group, member.target, demand)
+            target_zone = member.zone if self.reads.is_balanced else None
+            connection = await self._borrowing.acquire(
+                holders, group, member.target, demand, target_zone=target_zone
+            )
             if connection is not None:
                 return connection
-        return await self._pool(group, member).acquire(demand)
+        return await self._acquire_own(group, member, demand)
 
     async def acquire(
         self, group: GroupId, target: TargetId, demand: ConnectionDemand
@@ -178,9 +186,27 @@
         route = self._state.routes.route(group)
         for member in route.members if route is not None else ():
             if member.target == target:
-                return await self._pool(group, member).acquire(demand)
+                return await self._acquire_own(group, member, demand)
         raise ConnectError(ConnectFailure.LIMITED, f"{target} is not listed at {self._instance}")
 
+    async def _acquire_own(
+        self, group: GroupId, member: RouteMember, demand: ConnectionDemand
+    ) -> PooledConnection:
+        """Return a connection of this instance; a new one tells the round trip to its zone."""
+        pooled = await self._pool(group, member).acquire(demand)
+        seconds = pooled.take_round_trip()
+        if seconds is not None:
+            now = self._clock.monotonic()
+            self.reads.record_round_trip(member.zone, RoundTripSource.TARGET, seconds, now)
+        return pooled
+
+    def target_load(self, group: GroupId, target: TargetId) -> peer_pb2.TargetLoad:
+        """Return what this instance tells an entry to which it lends a connection."""
+        route, pool = self._state.routes.route(group), self._pools.get(target)
+        targets = [m.target for m in route.members if not m.leaving] if route is not None else []
+        use = pool.use if pool is not None else (0, 0, 0)
+        return self.reads.make_load(target, targets, use, self._clock.monotonic())
+
     def holders(self, group: GroupId) -> list[EntryPlace]:
         """Return the other instances that hold connections of a group.
 
@@ -393,3 +419,4 @@
         for target in set(self._pools) - listed:
             self._pools.pop(target).close()
             self.loads.pop(target, None)
+        self.reads.keep_only(listed)
--- a/hibiscuspoint/components/sessions/lending.py
+++ b/hibiscuspoint/components/sessions/lending.py
@@ -26,9 +26,11 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from hibiscuspoint.components.sessions.borrow_messages import BorrowedStatement
     from hibiscuspoint.components.sessions.connection import PooledConnection
     from hibiscuspoint.components.sessions.groups import GroupAccess
     from hibiscuspoint.core.ports import Clock
+    from hibiscuspoint.core.sessions import Failure, Reply
 
 __all__ = ["ConnectionLending"]
 
@@ -64,11 +66,13 @@
             await context.write(refusal_message(error))
             return
         is_idle = True
+        target = TargetId(request.connection.target)
+        load = self._access.target_load(GroupId(request.connection.group), target)
         try:
-            await context.write(peer_pb2.BorrowReply(state=SessionState.IDLE.value))
+            await context.write(peer_pb2.BorrowReply(state=SessionState.IDLE.value, load=load))
             while (request := await context.read()) is not grpc.aio.EOF:
                 is_idle = False
-                reply = await self._answer(pooled, request)
+                reply = await self._answer(target, pooled, request)
                 is_idle = reply.state == SessionState.IDLE.value
                 is_lost = reply.HasField("lost")
                 if is_lost:
@@ -93,7 +97,7 @@
         return await self._access.acquire(GroupId(wanted.group), TargetId(wanted.target), demand)
 
     async def _answer(
-        self, pooled: PooledConnection, request: peer_pb2.BorrowRequest
+        self, target: TargetId, pooled: PooledConnection, request: peer_pb2.BorrowRequest
     ) -> peer_pb2.BorrowReply:
         waited = self._suspension.longest_wait(self._clock.monotonic())
         if waited >= self._seconds(request):
@@ -105,16 +109,34 @@
             if request.WhichOneof("step") == "rollback":
                 return reply_message(await pooled.rollback(self._seconds(request)))
             asked = statement_from(request.statement)
+            reply = await self._run(target, pooled, asked, self._deadline(request))
+        except ConnectionLost as error:
+            return lost_message(error)
+        return reply_message(reply)
+
+    async def _run(
+        self, target: TargetId, pooled: PooledConnection, asked: BorrowedStatement, deadline: float
+    ) -> Reply:
+        """Run a statement of another instance; reads tell how the target works."""
+        started = self._clock.monotonic()
+        outcome: Failure | Exception | None = None
+        try:
             reply = await pooled.run(
                 asked.statement,
                 asked.session,
-                self._deadline(request),
+                deadline,
                 prepared_statement=asked.prepared_statement,
                 after=asked.after,
             )
+            outcome = reply.error.failure if reply.error is not None else None
         except ConnectionLost as error:
-            return lost_message(error)
-        return reply_message(reply)
+            outcome = error
+            raise
+        finally:
+            if asked.is_read:
+                now = self._clock.monotonic()
+                self._access.reads.record_lent(target, outcome, now - started, now)
+        return reply
 
     def _deadline(self, request: peer_pb2.BorrowRequest) -> float:
         return self._clock.monotonic() + self._seconds(request)
--- a/hibiscuspoint/components/sessions/pool.py
+++ b/hibiscuspoint/components/sessions/pool.py
@@ -100,6 +100,11 @@
         """Return the number of open connections."""
         return len(self._idle) + len(self._in_use)
 
+    @property
+    def use(self) -> tuple[int, int, int]:
+        """Return the connections in use, the statements that wait, and the limit."""
+        return len(self._in_use), len(self._waiters), self.limit
+
     async def acquire(self, demand: ConnectionDemand) -> PooledConnection:
         """Return a connection, preferably one whose values are those of the session.
 
--- a/hibiscuspoint/components/sessions/transactions.py
+++ b/hibiscuspoint/components/sessions/transactions.py
@@ -232,6 +232,11 @@
         except ConnectError as error:
             attempts.record_failure(target, error)
             return False
+        if transaction.is_read_only:
+            try:
+                attempts.begin_read(route.group, candidate, connection)
+            except ConnectionLost:
+                return False
         is_open = False
         try:
             reply = await attempts.send(
--- a/hibiscuspoint/core/balancing/balancer.py
+++ b/hibiscuspoint/core/balancing/balancer.py
@@ -113,6 +113,9 @@
     ) -> None:
         """Record the answer to a read that another entry sent over a connection of this one."""
         health = self._seen.health
+        if failure is Failure.TIMEOUT and health.is_busy(target, now):
+            # The queue of a full target outlasts the time of an attempt.
+            failure = Failure.OVERLOADED
         if failure is None:
             health.record_success(target, run_seconds, now, concurrent=concurrent)
         elif failure in _BUSY:
--- a/hibiscuspoint/core/balancing/health.py
+++ b/hibiscuspoint/core/balancing/health.py
@@ -127,6 +127,11 @@
         record.busy_at = now
         record.slow_streak = 0
 
+    def is_busy(self, target: TargetId, now: float) -> bool:
+        """Tell whether a target had no room a moment ago."""
+        record = self._records.get(target)
+        return record is not None and now - record.busy_at < BUSY_SECONDS
+
     def record_report(self, target: TargetId, now: float) -> None:
         """Record that a holder avoids a target."""
         self._record(target).reported_at = now
--- a/hibiscuspoint/core/ports.py
+++ b/hibiscuspoint/core/ports.py
@@ -73,6 +73,9 @@
     the reply does not arrive in time; either closes the connection.
     """
 
+    #: Time in seconds that the target took to accept the connection; ``None``: not known.
+    round_trip_seconds: float | None
+
     @property
     def is_open(self) -> bool:
         """Whether the connection is open and has no reply outstanding."""
--- a/hibiscuspoint/core/sessions/holders.py
+++ b/hibiscuspoint/core/sessions/holders.py
@@ -103,13 +103,23 @@
         self._uses = itertools.count()
         self._last_uses: dict[InstanceId, int] = {}
 
-    def rank(self, holders: Iterable[EntryPlace], target: TargetId, now: float) -> list[InstanceId]:
+    def rank(
+        self,
+        holders: Iterable[EntryPlace],
+        target: TargetId,
+        now: float,
+        target_zone: AvailabilityZone | None = None,
+    ) -> list[InstanceId]:
         """Return the holders, best first.
 
         Holders without a recent failure precede the others, then those at which statements wait
         less for a connection to the target, then those in the zone of this instance, then those
         from which it borrows the fewest connections, and last the one used least recently.
+
+        :param target_zone: zone of the target, if a holder there is as near as one of the own zone;
+            a statement crosses a border twice only at a holder of a third zone.
         """
+        near = (self._zone, target_zone)
 
         def cost(entry: EntryPlace) -> tuple[bool, int, bool, int, int]:
             holder = entry.instance
@@ -118,7 +128,7 @@
             return (
                 now - failed_at < FAILURE_PENALTY_SECONDS,
                 int(wait.seconds(now) / WAIT_STEP_SECONDS) if wait is not None else 0,
-                entry.zone != self._zone,
+                entry.zone not in near,
                 self._borrowed_counts.get(holder, 0),
                 self._last_uses.get(holder, -1),
             )
--- a/hibiscuspoint/daemon/session_node.py
+++ b/hibiscuspoint/daemon/session_node.py
@@ -28,6 +28,7 @@
     ConnectionBorrowing,
     ConnectionLending,
     GroupAccess,
+    ReadBalancing,
     SessionService,
 )
 from hibiscuspoint.core.entry.drain import DrainState
@@ -144,9 +145,11 @@
         self._failures = FailureMonitor(self._stopping.set).register(self._runtime)
         self._channels = PeerChannels(self._transport)
         self._state = EntryState("", self._ports.parse, CONTACT_SECONDS)
-        borrowing = ConnectionBorrowing(settings.availability_zone, self._channels, self._clock)
+        zone = settings.availability_zone
+        reads = ReadBalancing(zone, settings.ranking, self._metrics)
+        borrowing = ConnectionBorrowing(zone, self._channels, self._clock, reads)
         self._access = GroupAccess(
-            self._state, self._ports.driver, self._clock, settings.instance, borrowing
+            self._state, self._ports.driver, self._clock, settings.instance, borrowing, reads
         )
         self._lending = ConnectionLending(self._access, self._clock)
         self._service = SessionService(
--- a/hibiscuspoint/platform/database.py
+++ b/hibiscuspoint/platform/database.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import time
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.core.failover import TargetStatus
@@ -47,6 +48,7 @@
         self._reader = reader
         self._writer = writer
         self._is_open = True
+        self.round_trip_seconds: float | None = None
 
     @property
     def is_open(self) -> bool:
@@ -164,9 +166,15 @@
         host, port = parse_address(address)
         try:
             async with asyncio.timeout(timeout):
+                started = time.monotonic()
                 reader, writer = await asyncio.open_connection(host, port, limit=wire.LINE_BYTES)
+                round_trip_seconds = time.monotonic() - started
                 _set_socket_options(writer)
-                return await _start_up(reader, writer, group, target, organisation or CALLER_NAME)
+                connection = await _start_up(
+                    reader, writer, group, target, organisation or CALLER_NAME
+                )
+                connection.round_trip_seconds = round_trip_seconds
+                return connection
         except TimeoutError:
             raise ConnectError(ConnectFailure.TIMED_OUT, "no answer in time") from None
         except ConnectionRefusedError as error:
--- a/hibiscuspoint/platform/settings.py
+++ b/hibiscuspoint/platform/settings.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Any
 
+from hibiscuspoint.core.balancing import RankingMode
 from hibiscuspoint.errors import ConfigurationError
 from hibiscuspoint.ids import AvailabilityZone, InstanceId
 from hibiscuspoint.util.address import parse_address
@@ -16,6 +17,9 @@
 #: Environment variable that holds the path of the settings file.
 PATH_VARIABLE = "HIBISCUSPOINT_BOOT"
 
+#: Name in ``contracts`` of a deployment whose capacity is scarce.
+PRESSURE_CONTRACT = "pressure"
+
 
 @dataclass(frozen=True)
 class ProcessSettings:
@@ -33,6 +37,7 @@
     :param tolerated_losses: number of machines with a disk that may fail at the same time.
     :param grace_seconds: time from SIGTERM to SIGKILL.
     :param authority_address: address of the platform API for singleton duties.
+    :param ranking: when reads are ranked by measured times instead of fixed costs.
     """
 
     name: str
@@ -48,6 +53,7 @@
     tolerated_losses: int
     grace_seconds: float
     authority_address: str
+    ranking: RankingMode = RankingMode.MEASURED
 
     @classmethod
     def from_file(cls, path: Path) -> ProcessSettings:
@@ -81,9 +87,16 @@
             tolerated_losses=fields["fault_budget"]["machines"],
             grace_seconds=float(fields["bounds"]["grace_s"]),
             authority_address=fields["cloud_api"]["addr"],
+            ranking=_ranking(fields),
         )
 
 
+def _ranking(fields: dict[str, Any]) -> RankingMode:
+    """Return the ranking of reads; scarce capacity calls for the balance whatever the distance."""
+    is_scarce = PRESSURE_CONTRACT in fields.get("contracts", ())
+    return RankingMode.ALWAYS if is_scarce else RankingMode.MEASURED
+
+
 def _internal_address(control_address: str, port: int) -> str:
     """Return the address for other instances on the machine of a control address."""
     host, _ = parse_address(control_address)
--- a/hibiscuspoint/telemetry/catalogue.py
+++ b/hibiscuspoint/telemetry/catalogue.py
@@ -382,6 +382,27 @@
     "target",
 )
 
+TARGET_AVOIDED = define_event(
+    430,
+    "target-avoided",
+    WARNING,
+    "Reads avoid {target}: {reason}",
+    "target",
+    "reason",
+)
+TARGET_USED = define_event(
+    431, "target-used-again", INFO, "Reads use {target} again: {reason}", "target", "reason"
+)
+ZONE_FRACTION_CHANGED = define_event(
+    432,
+    "zone-fraction-changed",
+    INFO,
+    "{fraction} of the reads of {group} leave the zone {subject}, as it is slower than another.",
+    "group",
+    "subject",
+    "fraction",
+)
+
 # 500: requests
 REQUEST_REFUSED = define_event(
     501,
--- a/hibiscuspoint/telemetry/metrics.py
+++ b/hibiscuspoint/telemetry/metrics.py
@@ -103,6 +103,18 @@
             "met",
         )
 
+        self.read_zones = self._counter(
+            "read_zones",
+            "Attempts of reads of sessions, by the zone of the target (own or other) and why it "
+            "was chosen: cost (fixed ranking), near, balance, no_target, fallback, trial.",
+            "relation",
+            "reason",
+        )
+        self.targets_avoided = self._gauge(
+            "targets_avoided",
+            "Targets that reads of this instance avoid, as they fail or are slow.",
+        )
+
     def _define_resources(self) -> None:
         self.open_connections = self._gauge(
             "open_connections", "Open connections of this instance.", "target"
--- a/tests/components/sessions/fakes.py
+++ b/tests/components/sessions/fakes.py
@@ -50,6 +50,7 @@
     limit: int = 16
     is_refusing: bool = False
     connect_delay: float = 0.0
+    round_trip_seconds: float | None = None
     delay: float = 0.0
     script: deque[Reply | Exception] = field(default_factory=deque)
     log: list[tuple[str, LogPosition | None]] = field(default_factory=list)
@@ -80,6 +81,7 @@
 
     def __init__(self, target: ScriptedTarget) -> None:
         self._target = target
+        self.round_trip_seconds = target.round_trip_seconds
         self.is_open = True
         self.state = SessionState.IDLE
         self.values: dict[str, str] = {}
--- a/tests/components/sessions/test_borrowing.py
+++ b/tests/components/sessions/test_borrowing.py
@@ -101,6 +101,7 @@
     channels = PeerChannels(Transport(TlsMode.PLAIN_TEXT, None, 1_000_000))
     entry = BorrowingHarness([*addresses, f"127.0.0.1:{port}"], channels)
     holder.suspend = clock.suspend
+    holder.lending_access = holder.access
     holder.addresses = [_place(f"127.0.0.1:{port}")]
     try:
         yield entry, holder, server
--- a/tests/core/sessions/test_holder_load.py
+++ b/tests/core/sessions/test_holder_load.py
@@ -145,3 +145,16 @@
     ranking = HolderRanking(AvailabilityZone("a"))
     ranking.record_wait(near.instance, PRIMARY, 0.2, 0.0)
     assert ranking.rank([near, far], "another-target", 0.0)[0] == near.instance
+
+
+def test_holder_of_a_third_zone_comes_last():
+    """Guards against a statement that crosses a border on the way to its holder and after it."""
+    places = [
+        EntryPlace(InstanceId(f"10.0.{zone}.1:7440"), AvailabilityZone(zone)) for zone in "acb"
+    ]
+    ranking = HolderRanking(AvailabilityZone("a"))
+    for _ in range(2):
+        ranking.record_borrow(places[0].instance)
+    ranked = ranking.rank(places, PRIMARY, 0.0, AvailabilityZone("b"))
+    assert ranked == [place.instance for place in (places[2], places[0], places[1])]
+    assert ranking.rank(places, PRIMARY, 0.0)[0] == places[0].instance
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from hibiscuspoint.core.balancing import RankingMode
 from hibiscuspoint.errors import ConfigurationError
 from hibiscuspoint.platform.settings import ProcessSettings
 from tests.platform.builders import settings_fields
@@ -45,3 +46,10 @@
     """Guards against a process that starts with incomplete or malformed settings."""
     with pytest.raises(ConfigurationError):
         _read(tmp_path, **changes)
+
+
+def test_scarce_capacity_calls_for_the_balance(tmp_path):
+    """Guards against fixed costs where capacity is scarce, and against a change anywhere else."""
+    assert _read(tmp_path).ranking is RankingMode.MEASURED
+    assert _read(tmp_path, contracts=["audit"]).ranking is RankingMode.MEASURED
+    assert _read(tmp_path, contracts=["audit", "pressure"]).ranking is RankingMode.ALWAYS
