--- a/hibiscuspoint/components/sessions/balancing.py
+++ b/hibiscuspoint/components/sessions/balancing.py
@@ -19,7 +19,7 @@
 from hibiscuspoint.wire import peer_pb2
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
     from random import Random
 
     from hibiscuspoint.components.sessions.attempts import Candidate
@@ -69,7 +69,7 @@
         self._zone = zone
         self._balancer = ReadBalancer(zone, mode, chance)
         self._metrics = metrics
-        self._targets: dict[GroupId, list[TargetId]] = {}
+        self._targets: dict[GroupId, dict[TargetId, AvailabilityZone]] = {}
         self._avoided: set[TargetId] = set()
         self._logged_at: dict[str, float] = {}
         self._logged_fractions: dict[GroupId, float] = {}
@@ -81,7 +81,7 @@
 
     def rank(self, request: ReadRequest) -> list[ReadChoice]:
         """Return the targets that may serve a read, best first."""
-        self._targets[request.group] = [member.target for member in request.members]
+        self._targets[request.group] = {m.target: m.zone for m in request.members}
         choices = self._balancer.rank(request)
         self._report_changes(request.group, request.now)
         return choices
@@ -96,7 +96,7 @@
         self, group: GroupId, candidate: Candidate, report: HolderReport, now: float
     ) -> bool:
         """Take the report of a holder; tell whether a read should go to the next target."""
-        targets = self._targets.get(group, [])
+        targets = self._targets.get(group, {})
         is_refused = self._balancer.must_skip(candidate.target, targets, report, now)
         return is_refused and candidate.may_skip
 
@@ -138,10 +138,18 @@
         self._balancer.record_lent(target, outcome, seconds, now)
 
     def make_load(
-        self, target: TargetId, targets: Iterable[TargetId], use: tuple[int, int, int], now: float
+        self,
+        target: TargetId,
+        targets: Mapping[TargetId, AvailabilityZone],
+        use: tuple[int, int, int],
+        now: float,
     ) -> peer_pb2.TargetLoad:
-        """Return what this instance tells an entry to which it lends a connection."""
-        report = self._balancer.make_report(target, list(targets), use, now)
+        """Return what this instance tells an entry to which it lends a connection.
+
+        :param targets: targets of the group with their zones.
+        :param use: connections in use, waiting statements and limit.
+        """
+        report = self._balancer.make_report(target, targets, use, now)
         self._log_health(now)
         return peer_pb2.TargetLoad(
             in_use=report.in_use,
--- a/hibiscuspoint/components/sessions/groups.py
+++ b/hibiscuspoint/components/sessions/groups.py
@@ -203,7 +203,8 @@
     def target_load(self, group: GroupId, target: TargetId) -> peer_pb2.TargetLoad:
         """Return what this instance tells an entry to which it lends a connection."""
         route, pool = self._state.routes.route(group), self._pools.get(target)
-        targets = [m.target for m in route.members if not m.leaving] if route is not None else []
+        members = route.members if route is not None else ()
+        targets = {member.target: member.zone for member in members if not member.leaving}
         use = pool.use if pool is not None else (0, 0, 0)
         return self.reads.make_load(target, targets, use, self._clock.monotonic())
 
--- a/hibiscuspoint/core/balancing/balancer.py
+++ b/hibiscuspoint/core/balancing/balancer.py
@@ -16,12 +16,15 @@
 from hibiscuspoint.core.sessions.statements import Failure
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Mapping, Sequence
     from random import Random
 
     from hibiscuspoint.core.balancing.round_trips import RoundTrips
     from hibiscuspoint.ids import AvailabilityZone, GroupId, TargetId
 
+    #: Targets with their zones.
+    Zones = Mapping[TargetId, AvailabilityZone]
+
 __all__ = ["RankingMode", "ReadBalancer"]
 
 #: Weight of a refusal of a replica that has not applied the required position. Healthy replicas
@@ -125,9 +128,7 @@
         elif failure in _FAILED:
             health.record_failure(target, now)
 
-    def must_skip(
-        self, target: TargetId, targets: Sequence[TargetId], report: HolderReport, now: float
-    ) -> bool:
+    def must_skip(self, target: TargetId, targets: Zones, report: HolderReport, now: float) -> bool:
         """Take the report of a holder; tell whether the read should go to another target.
 
         :param targets: targets of the group that may serve the read.
@@ -139,7 +140,7 @@
         return target in self._seen.health.conditions(targets, now)
 
     def make_report(
-        self, target: TargetId, targets: Sequence[TargetId], use: tuple[int, int, int], now: float
+        self, target: TargetId, targets: Zones, use: tuple[int, int, int], now: float
     ) -> HolderReport:
         """Return what this instance tells an entry to which it lends a connection.
 
--- a/hibiscuspoint/core/balancing/health.py
+++ b/hibiscuspoint/core/balancing/health.py
@@ -9,9 +9,9 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Iterable, Mapping
 
-    from hibiscuspoint.ids import TargetId
+    from hibiscuspoint.ids import AvailabilityZone, TargetId
 
 __all__ = ["HealthChange", "TargetCondition", "TargetHealth"]
 
@@ -34,10 +34,13 @@
 #: statements fail and not the target.
 PEER_FAILURE_FACTOR = 2.0
 
-#: Multiple of the usual time of a target, and of the recent times of its group, from which an
-#: answer counts as slow, and the number of such answers in a row after which it is avoided.
+#: Multiple of the usual time of a target, and of the recent times of others, from which an answer
+#: counts as slow, and the number of such answers in a row after which it is avoided. A target is
+#: compared with those of its zone, which an overload of the zone reaches as well; one that is alone
+#: in its zone is compared with all others and needs more slow answers.
 SLOW_FACTOR = 3.0
-SLOW_STREAK = 3
+SLOW_STREAK = 2
+SLOW_STREAK_ALONE = 8
 
 #: Difference in seconds to the usual time that an answer needs to count as slow.
 SLOW_MINIMUM_SECONDS = 0.01
@@ -53,9 +56,11 @@
 PEER_MEMORY_SECONDS = 10.0
 
 #: Bounds of the seconds between two trials of an avoided target; the time doubles with each failed
-#: trial.
-TRIAL_MIN_SECONDS = 0.5
-TRIAL_MAX_SECONDS = 4.0
+#: trial, as thirty entries of a zone may try a target on their own. Good trials follow each other
+#: sooner.
+TRIAL_MIN_SECONDS = 1.0
+TRIAL_MAX_SECONDS = 8.0
+GOOD_TRIAL_SECONDS = 0.5
 
 #: Successful trials in a row after which a target is used again. It doubles, up to the maximum,
 #: when the target fails again soon, so that one that flaps stays avoided for longer.
@@ -63,6 +68,9 @@
 RECOVERY_TRIALS_MAX = 12
 RELAPSE_SECONDS = 15.0
 
+#: Seconds for which one late answer keeps a target behind the others of its zone.
+LATE_SECONDS = 2.0
+
 #: Seconds for which one failure, or the report of a holder, keeps a target behind the others.
 SUSPICION_SECONDS = 1.0
 
@@ -137,14 +145,22 @@
         self._record(target).reported_at = now
 
     def conditions(
-        self, targets: Sequence[TargetId], now: float
+        self, targets: Mapping[TargetId, AvailabilityZone], now: float
     ) -> dict[TargetId, TargetCondition]:
-        """Return the targets that are not good; at most half of the targets of a group."""
+        """Return the targets that are not good; at most half of the targets of a group.
+
+        :param targets: targets of the group with their zones.
+        """
         for target in targets:
             self._judge(target, targets, now)
         known = [target for target in targets if target in self._records]
         avoided = [t for t in known if self._records[t].avoided_since is not None]
-        suspected = [t for t in known if t not in avoided and self._records[t].is_suspected(now)]
+        suspected = [
+            target
+            for target in known
+            if target not in avoided
+            and (self._records[target].is_suspected(now) or self._is_late(target, targets, now))
+        ]
         # The longest avoided ones first, so that the choice does not change with each read.
         avoided.sort(key=lambda target: self._records[target].avoided_since)
         found = dict.fromkeys(avoided, TargetCondition.AVOIDED)
@@ -172,25 +188,53 @@
     def _record(self, target: TargetId) -> _Record:
         return self._records.setdefault(target, _Record())
 
-    def _judge(self, target: TargetId, targets: Sequence[TargetId], now: float) -> None:
+    def _judge(
+        self, target: TargetId, targets: Mapping[TargetId, AvailabilityZone], now: float
+    ) -> None:
         record = self._records.get(target)
         if record is None or record.avoided_since is not None:
             return
         reason = ""
-        others = [self._records.get(other) for other in targets if other != target]
         if record.is_failing(now):
+            others = (self._records.get(other) for other in targets if other != target)
             best = min((r.share(now) if r is not None else 0.0 for r in others), default=0.0)
             if record.share(now) > PEER_FAILURE_FACTOR * best:
                 reason = f"{record.share(now):.0%} of its statements fail"
-        elif record.is_slow(now):
-            peers = [r.recent_seconds for r in others if r is not None and r.has_recent_time(now)]
-            if not peers or record.recent_seconds > SLOW_FACTOR * median_low(peers):
-                reason = f"answers take {record.recent_seconds / record.usual_seconds:.0f} times"
-                reason += " as long as usual"
+        elif record.is_slow(now) and self._is_slower_than_peers(target, targets, now):
+            reason = f"answers take {record.recent_seconds / record.usual_seconds:.0f} times"
+            reason += " as long as usual"
         if reason:
             record.avoid(now)
             self._changes.append(HealthChange(target, True, reason))
 
+    def _is_late(
+        self, target: TargetId, targets: Mapping[TargetId, AvailabilityZone], now: float
+    ) -> bool:
+        """Tell whether the last answer was much later than those of the others in its zone."""
+        record = self._records[target]
+        return (
+            record.is_slow(now, streak=1, memory_seconds=LATE_SECONDS)
+            and any(o != target and zone == targets[target] for o, zone in targets.items())
+            and self._is_slower_than_peers(target, targets, now)
+        )
+
+    def _is_slower_than_peers(
+        self, target: TargetId, targets: Mapping[TargetId, AvailabilityZone], now: float
+    ) -> bool:
+        record = self._records[target]
+        recent = {
+            other: self._records[other].recent_seconds
+            for other in targets
+            if other != target
+            and other in self._records
+            and self._records[other].has_recent_time(now)
+        }
+        near = [s for other, s in recent.items() if targets[other] == targets[target]]
+        if not near and record.slow_streak < SLOW_STREAK_ALONE:
+            return False
+        peers = near or list(recent.values())
+        return not peers or record.recent_seconds > SLOW_FACTOR * median_low(peers)
+
     def _count_trial(self, target: TargetId, record: _Record, now: float) -> None:
         record.succeed_trial(now)
         if record.good_trials < record.required_trials:
@@ -238,10 +282,21 @@
         self._fade(now)
         return self._failures >= FAILURE_MINIMUM and self.share(now) > FAILURE_SHARE
 
-    def is_slow(self, now: float) -> bool:
-        """Tell whether the answers are slow without a queue."""
+    def is_slow(
+        self,
+        now: float,
+        *,
+        streak: int = SLOW_STREAK,
+        memory_seconds: float = PEER_MEMORY_SECONDS,
+    ) -> bool:
+        """Tell whether the answers are slow without a queue.
+
+        :param streak: slow answers in a row.
+        :param memory_seconds: age of the last answer from which nothing is known.
+        """
         is_queueing = now - self.busy_at < BUSY_SECONDS
-        return self.slow_streak >= SLOW_STREAK and not is_queueing and self.has_recent_time(now)
+        is_recent = now - self._timed_at < memory_seconds
+        return self.slow_streak >= streak and not is_queueing and is_recent
 
     def has_recent_time(self, now: float) -> bool:
         """Tell whether the recent time may be compared."""
@@ -289,7 +344,7 @@
         else:
             self.required_trials = RECOVERY_TRIALS
         self.avoided_since = now
-        self._trial_counts_at = now + TRIAL_MIN_SECONDS
+        self._trial_counts_at = now + GOOD_TRIAL_SECONDS
         self.good_trials = 0
         self.trial_seconds = TRIAL_MIN_SECONDS
         self.next_trial_at = now + TRIAL_MIN_SECONDS
@@ -307,10 +362,10 @@
         """
         if now < self._trial_counts_at:
             return
-        self._trial_counts_at = now + TRIAL_MIN_SECONDS / 2
+        self._trial_counts_at = now + GOOD_TRIAL_SECONDS / 2
         self.good_trials += 1
-        self.trial_seconds = TRIAL_MIN_SECONDS
-        self.next_trial_at = min(self.next_trial_at, now + TRIAL_MIN_SECONDS)
+        self.trial_seconds = GOOD_TRIAL_SECONDS
+        self.next_trial_at = min(self.next_trial_at, now + GOOD_TRIAL_SECONDS)
 
     def use_again(self, now: float) -> None:
         """End the avoidance."""
--- a/hibiscuspoint/core/balancing/rankings.py
+++ b/hibiscuspoint/core/balancing/rankings.py
@@ -139,7 +139,7 @@
     def rank(self, request: ReadRequest) -> list[ReadChoice]:
         """Return the targets, best first; avoided ones last, or first when a trial is due."""
         conditions = self._seen.health.conditions(
-            [member.target for member in request.members], request.now
+            {member.target: member.zone for member in request.members}, request.now
         )
         costs = self._costs(request)
         good = [member for member in request.members if member.target not in conditions]
--- a/tests/core/balancing/test_health.py
+++ b/tests/core/balancing/test_health.py
@@ -9,9 +9,10 @@
 from hypothesis import strategies as st
 
 from hibiscuspoint.core.balancing import TargetCondition, TargetHealth
-from hibiscuspoint.ids import TargetId
+from hibiscuspoint.ids import AvailabilityZone, TargetId
 
-A, B, C, D = TARGETS = tuple(TargetId(name) for name in "abcd")
+A, B, C, D = NAMES = tuple(TargetId(name) for name in "abcd")
+TARGETS = dict.fromkeys(NAMES, AvailabilityZone("here"))
 AVOIDED = TargetCondition.AVOIDED
 
 
@@ -20,7 +21,7 @@
     chance, uses, avoided_at, end = random.Random(seed), 0, None, now + seconds
     while now < end:
         now += 1 / (rate * len(TARGETS))
-        target = chance.choice(TARGETS)
+        target = chance.choice(NAMES)
         condition = health.conditions(TARGETS, now).get(target)
         if condition is AVOIDED and not health.take_trial(target, now):
             avoided_at = avoided_at or now
@@ -109,12 +110,12 @@
     assert AVOIDED not in health.conditions(TARGETS, 3.0).values()
 
 
-_EVENTS = st.lists(st.tuples(st.sampled_from(TARGETS), st.sampled_from("sfbr")), max_size=80)
+_EVENTS = st.lists(st.tuples(st.sampled_from(NAMES), st.sampled_from("sfbr")), max_size=80)
 
 
 @given(_EVENTS, st.integers(1, 4))
 def test_at_most_half_of_the_targets_are_avoided(events, count):
-    health, targets, now = TargetHealth(), TARGETS[:count], 0.0
+    health, targets, now = TargetHealth(), dict(list(TARGETS.items())[:count]), 0.0
     for target, event in events:
         now += 0.1
         if event == "s":
--- a/tests/core/balancing/test_rankings.py
+++ b/tests/core/balancing/test_rankings.py
@@ -25,6 +25,8 @@
     for target, zone in zip(TARGETS, (HERE, HERE, THERE, THERE), strict=True)
 ]
 
+ZONES = {member.target: member.zone for member in MEMBERS}
+
 _LOADS = st.dictionaries(
     st.sampled_from(TARGETS),
     st.builds(TargetLoad, st.integers(0, 9), st.floats(0.001, 1), st.floats(0, 100)),
@@ -46,7 +48,7 @@
     for target, failure, seconds in reads:
         balancer.record_read(target, failure, seconds, seconds, 99.0)
         report = HolderReport(3, 9, 4, is_avoided=True)
-        assert not balancer.must_skip(target, TARGETS, report, 99.0)
+        assert not balancer.must_skip(target, ZONES, report, 99.0)
     choices = balancer.rank(_request(loads, primary))
     expected = rank_targets(MEMBERS, loads, primary, HERE, 100.0)
     assert [choice.member for choice in choices] == expected
@@ -75,12 +77,12 @@
     """Failure: a lying target of which this entry has seen nothing yet."""
     balancer = ReadBalancer(HERE, RankingMode.ALWAYS)
     report = HolderReport(is_avoided=True)
-    assert balancer.must_skip(A, TARGETS, report, 100.0)
+    assert balancer.must_skip(A, ZONES, report, 100.0)
     assert balancer.rank(_request(now=100.2))[0].member.target == B
-    assert not balancer.must_skip(A, TARGETS, HolderReport(is_avoided=True, is_trial=True), 100.3)
+    assert not balancer.must_skip(A, ZONES, HolderReport(is_avoided=True, is_trial=True), 100.3)
     # Two others are avoided as well; the fourth target of the group is not.
-    assert balancer.must_skip(C, TARGETS, report, 100.3)
-    assert not balancer.must_skip(D, TARGETS, report, 100.3)
+    assert balancer.must_skip(C, ZONES, report, 100.3)
+    assert not balancer.must_skip(D, ZONES, report, 100.3)
 
 
 def test_trial_comes_first_and_is_rare():
@@ -100,6 +102,6 @@
     holder = ReadBalancer(HERE, RankingMode.ALWAYS)
     for at in (99.0, 99.1):
         holder.record_lent(A, Failure.FAILED, 0.02, at)
-    reports = [holder.make_report(A, TARGETS, (1, 0, 4), 99.2 + 0.1 * step) for step in range(30)]
+    reports = [holder.make_report(A, ZONES, (1, 0, 4), 99.2 + 0.1 * step) for step in range(30)]
     assert all(report.is_avoided for report in reports)
     assert 1 <= sum(report.is_trial for report in reports) <= 6
--- a/tests/core/balancing/test_zones.py
+++ b/tests/core/balancing/test_zones.py
@@ -73,6 +73,18 @@
     assert model.share(model.late) < 0.03
 
 
+def test_grey_target_loses_its_reads_to_entries_that_hear_of_no_holder():
+    """Failure: one of six targets answers 8 times as late, in calm hours."""
+    model = QueueModel(EVEN, is_balanced=True)
+    model.play(CALM, 20.0)
+    model.work["a0"] *= 8
+    for counts in (model.late, model.reads, model.uses):
+        counts.clear()
+    model.play(CALM, 40.0)
+    assert model.uses["a0"] < 0.03 * sum(model.reads.values())
+    assert model.share(model.late) < 0.02
+
+
 def test_one_late_answer_moves_no_read():
     """Guards against reads that leave the zone because of one lost packet."""
     balance = ZoneBalance()
