--- a/hibiscuspoint/components/sessions/borrowing.py
+++ b/hibiscuspoint/components/sessions/borrowing.py
@@ -10,12 +10,14 @@
 
 import grpc
 
+from hibiscuspoint.components.sessions.balancing import HolderLost, holder_report
 from hibiscuspoint.components.sessions.borrow_messages import (
     error_of,
     reply_from,
     statement_message,
 )
 from hibiscuspoint.components.sessions.wait_records import WaitRecords
+from hibiscuspoint.core.balancing import RoundTripSource
 from hibiscuspoint.core.scheduling import FullHolders
 from hibiscuspoint.core.sessions import HolderRanking
 from hibiscuspoint.drivers.errors import (
@@ -34,8 +36,10 @@
     from collections.abc import Awaitable, Callable, Iterable
 
     from hibiscuspoint.components.peers import PeerChannels
+    from hibiscuspoint.components.sessions.balancing import ReadBalancing
     from hibiscuspoint.components.sessions.connection import PooledConnection
     from hibiscuspoint.components.sessions.own_connections import OwnConnections
+    from hibiscuspoint.core.balancing import HolderReport
     from hibiscuspoint.core.ports import Clock
     from hibiscuspoint.core.position import LogPosition
     from hibiscuspoint.core.sessions import (
@@ -114,7 +118,8 @@
             )
         finally:
             pooled.give_back()
-        return HeldReply(InstanceId(pooled.holder), reply, clock.monotonic() - started)
+        elapsed = clock.monotonic() - started
+        return HeldReply(InstanceId(pooled.holder), reply, elapsed, pooled.report)
 
 
 @dataclass(frozen=True)
@@ -122,11 +127,13 @@
     """Reply of a target to a read that a holder ran.
 
     :param elapsed_seconds: time that the target took, as the holder saw it.
+    :param report: what the holder tells about the target.
     """
 
     holder: InstanceId
     reply: Reply
     elapsed_seconds: float
+    report: HolderReport
 
 
 @dataclass(frozen=True)
@@ -147,6 +154,7 @@
 
     :param zone: availability zone of this instance.
     :param scheduling: registered name of the order in which waiting statements are served.
+    :param reads: is told how long the way to each holder takes.
     """
 
     def __init__(
@@ -156,12 +164,15 @@
         clock: Clock,
         scheduling: str = "priority",
         records: WaitRecords | None = None,
+        reads: ReadBalancing | None = None,
     ) -> None:
         self._is_fair = scheduling == "fair"
         self._records = records or WaitRecords()
         self._full = FullHolders()
         self._channels = channels
         self._clock = clock
+        self._reads = reads
+        self._zones: dict[InstanceId, AvailabilityZone] = {}
         self._ranking = HolderRanking(zone)
 
     async def acquire(
@@ -171,11 +182,15 @@
         target: TargetId,
         demand: ConnectionDemand,
         own: OwnConnections | None = None,
+        *,
+        target_zone: AvailabilityZone | None = None,
     ) -> HeldConnection | PooledConnection | None:
         """Return a connection; ``None`` when no holder answers.
 
         :param own: connections of this instance, which may be a holder; ``None`` where there are no
             organisations, and holders serve their own callers alone.
+        :param target_zone: zone of the target, where holders there are as near as those of this
+            zone.
         :raises ConnectError: a holder answers and has no connection in time.
         """
 
@@ -184,9 +199,10 @@
                 return await own.acquire(wanted.demand)
             return await self._ask(holder, wanted, demand.deadline)
 
+        self._zones = {place.instance: place.zone for place in holders}
         now = self._clock.monotonic()
         if own is None:
-            ranked = self._ranking.rank(holders, target, now)
+            ranked = self._ranking.rank(holders, target, now, target_zone)
         else:
             ranked = self._ranking.rank_for(demand.organisation, group, holders, target, now)
         return await self._ask_holders(ranked, group, target, demand, ask)
@@ -219,6 +235,7 @@
             finally:
                 self._ranking.record_return(*use)
 
+        self._zones = {place.instance: place.zone for place in holders}
         now = self._clock.monotonic()
         ranked = self._ranking.rank_for(demand.organisation, group, holders, target, now)
         return await self._ask_holders(ranked, group, target, demand, ask)
@@ -350,8 +367,10 @@
         )
         call = peer_pb2_grpc.ConnectionsStub(self._channels.get(holder)).RunRead(request)
         try:
+            started = self._clock.monotonic()
             async with asyncio.timeout(min(HOLDER_TIMEOUT_SECONDS, remaining)):
                 await call.initial_metadata()
+            self._record_round_trip(holder, started)
             reply = await self._await_read(call, wanted.wait_seconds + remaining)
         except BaseException:
             call.cancel()
@@ -363,7 +382,7 @@
             raise error_of(reply.lost)
         elapsed = reply.elapsed_us / MICROSECONDS_PER_SECOND
         try:
-            return HeldReply(holder, reply_from(reply), elapsed)
+            return HeldReply(holder, reply_from(reply), elapsed, holder_report(reply.load))
         except ValueError as error:
             raise ConnectionLost(f"holder {holder}: {error}", sent=True) from error
 
@@ -396,9 +415,11 @@
             request = peer_pb2.BorrowRequest(
                 connection=wanted.request, remaining_ms=int(wait * MILLISECONDS_PER_SECOND)
             )
+            started = self._clock.monotonic()
             async with asyncio.timeout(min(HOLDER_TIMEOUT_SECONDS, remaining)):
                 await call.write(request)
                 await call.initial_metadata()
+            self._record_round_trip(holder, started)
             async with asyncio.timeout(wait + ANSWER_MARGIN_SECONDS):
                 reply = await call.read()
         except asyncio.InvalidStateError:
@@ -413,7 +434,15 @@
         if reply.HasField("lost"):
             call.cancel()
             raise _refusal_of(reply.lost)
-        return HeldConnection(holder, call, self._ranking, self._clock, wanted.request)
+        report = holder_report(reply.load)
+        return HeldConnection(holder, call, self._ranking, self._clock, wanted.request, report)
+
+    def _record_round_trip(self, holder: InstanceId, started: float) -> None:
+        """Record the way to a holder, which takes a request at once."""
+        zone = self._zones.get(holder)
+        if self._reads is not None and zone is not None:
+            now = self._clock.monotonic()
+            self._reads.record_round_trip(zone, RoundTripSource.HOLDER, now - started, now)
 
 
 class HeldConnection:
@@ -426,6 +455,7 @@
         ranking: HolderRanking,
         clock: Clock,
         wanted: peer_pb2.ConnectionRequest,
+        report: HolderReport,
     ) -> None:
         self._call = call
         self._ranking = ranking
@@ -434,6 +464,7 @@
         self.holder = holder
         self._use = (holder, wanted.target, wanted.organisation)
         ranking.record_borrow(*self._use)
+        self.report = report
 
     async def run(
         self,
@@ -487,7 +518,7 @@
             self.close()
             self._ranking.record_failure(self.holder, self._clock.monotonic())
             message = f"holder {self.holder} did not answer: {_describe(error)}"
-            raise ConnectionLost(message, sent=True) from error
+            raise HolderLost(message, sent=True) from error
         except ValueError as error:
             self.close()
             raise ConnectionLost(f"holder {self.holder}: {error}", sent=True) from error
--- a/hibiscuspoint/components/sessions/groups.py
+++ b/hibiscuspoint/components/sessions/groups.py
@@ -8,8 +8,10 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from hibiscuspoint.components.sessions.balancing import ReadBalancing
 from hibiscuspoint.components.sessions.own_connections import OwnConnections
 from hibiscuspoint.components.sessions.pool import TargetPool
+from hibiscuspoint.core.balancing import RoundTripSource
 from hibiscuspoint.core.entry.retry import RetryBudget
 from hibiscuspoint.core.position import ZERO_POSITION, LogPosition
 from hibiscuspoint.core.scheduling import UseTimes
@@ -84,6 +86,7 @@
         instance opens its own.
     :param metrics: counts the connections that are opened and replaced.
     :param scheduling: registered name of the order in which waiting statements are served.
+    :param reads: ranks the targets of reads; by their fixed cost if it is not given.
     """
 
     def __init__(
@@ -96,6 +99,7 @@
         metrics: Metrics | None = None,
         scheduling: str = "priority",
         records: WaitRecords | None = None,
+        reads: ReadBalancing | None = None,
     ) -> None:
         self._state = state
         self._instance = instance
@@ -116,6 +120,7 @@
         self._retries: dict[GroupId, RetryBudget] = {}
         self.use_times = UseTimes()
         self.loads: dict[TargetId, TargetLoad] = {}
+        self.reads = reads if reads is not None else ReadBalancing(AvailabilityZone(""))
         self.tips: dict[GroupId, TipLog] = {}
         self.entries = 1
         self._places: tuple[EntryPlace, ...] = ()
@@ -184,14 +189,17 @@
         own = None
         if self._has_organisations:
             holders = self._target_holders(group, member)
-            own = OwnConnections(self._instance, self._pool(group, member).acquire)
+            own = self._own_connections(group, member)
         else:
             holders = self.holders(group)
         if holders and self._borrowing is not None:
-            connection = await self._borrowing.acquire(holders, group, member.target, demand, own)
+            target_zone = member.zone if self.reads.is_balanced else None
+            connection = await self._borrowing.acquire(
+                holders, group, member.target, demand, own, target_zone=target_zone
+            )
             if connection is not None:
                 return connection
-        return await self._pool(group, member).acquire(demand)
+        return await self._acquire_own(group, member, demand)
 
     def runs_reads_at_holders(self, group: GroupId) -> bool:
         """Tell whether holders run reads, rather than lend a connection for each.
@@ -210,10 +218,16 @@
         :raises ConnectError: no holder has a connection in time.
         :raises ConnectionLost: there is no whole answer of the target.
         """
-        own = OwnConnections(self._instance, self._pool(group, member).acquire)
+        own = self._own_connections(group, member)
         holders = self._target_holders(group, member)
         return await self._borrowing.run_read(holders, group, member.target, demand, read, own)
 
+    def _own_connections(self, group: GroupId, member: RouteMember) -> OwnConnections:
+        async def acquire(demand: ConnectionDemand) -> PooledConnection:
+            return await self._acquire_own(group, member, demand)
+
+        return OwnConnections(self._instance, acquire)
+
     def _target_holders(self, group: GroupId, member: RouteMember) -> list[EntryPlace]:
         """Return the holders of one target where organisations are in force."""
         return target_holders(self._group_holders(group), member.zone)
@@ -227,9 +241,28 @@
         """
         member = self._member(group, target)
         if member is not None:
-            return await self._pool(group, member).acquire(demand)
+            return await self._acquire_own(group, member, demand)
         raise ConnectError(ConnectFailure.LIMITED, f"{target} is not listed at {self._instance}")
 
+    async def _acquire_own(
+        self, group: GroupId, member: RouteMember, demand: ConnectionDemand
+    ) -> PooledConnection:
+        """Return a connection of this instance; a new one tells the round trip to its zone."""
+        pooled = await self._pool(group, member).acquire(demand)
+        seconds = pooled.take_round_trip()
+        if seconds is not None:
+            now = self._clock.monotonic()
+            self.reads.record_round_trip(member.zone, RoundTripSource.TARGET, seconds, now)
+        return pooled
+
+    def target_load(self, group: GroupId, target: TargetId) -> peer_pb2.TargetLoad:
+        """Return what this instance tells an entry to which it lends a connection."""
+        route, pool = self._state.routes.route(group), self._pools.get(target)
+        members = route.members if route is not None else ()
+        targets = {member.target: member.zone for member in members if not member.leaving}
+        use = pool.use if pool is not None else (0, 0, 0)
+        return self.reads.make_load(target, targets, use, self._clock.monotonic())
+
     def holders(self, group: GroupId) -> list[EntryPlace]:
         """Return the other instances that hold connections of a group.
 
@@ -495,3 +528,4 @@
         for target in set(self._pools) - listed:
             self._pools.pop(target).close()
             self.loads.pop(target, None)
+        self.reads.keep_only(listed)
--- a/hibiscuspoint/components/sessions/pool.py
+++ b/hibiscuspoint/components/sessions/pool.py
@@ -134,6 +134,11 @@
         self._opened = self._replaced = 0
         return counts
 
+    @property
+    def use(self) -> tuple[int, int, int]:
+        """Return the connections in use, the statements that wait, and the limit."""
+        return len(self._in_use), len(self._queue), self.limit
+
     async def acquire(self, demand: ConnectionDemand) -> PooledConnection:
         """Return a connection, preferably one whose values are those of the session.
 
--- a/hibiscuspoint/components/sessions/transactions.py
+++ b/hibiscuspoint/components/sessions/transactions.py
@@ -237,6 +237,11 @@
             attempts.record_failure(target, error)
             return False
         taken_at = self._clock.monotonic()
+        if transaction.is_read_only:
+            try:
+                attempts.begin_read(route.group, candidate, connection)
+            except ConnectionLost:
+                return False
         is_open = False
         try:
             reply = await attempts.send(
--- a/hibiscuspoint/daemon/session_node.py
+++ b/hibiscuspoint/daemon/session_node.py
@@ -28,6 +28,7 @@
     ConnectionBorrowing,
     ConnectionLending,
     GroupAccess,
+    ReadBalancing,
     SessionService,
     WaitRecords,
 )
@@ -145,10 +146,11 @@
         self._failures = FailureMonitor(self._stopping.set).register(self._runtime)
         self._channels = PeerChannels(self._transport)
         self._state = EntryState("", self._ports.parse, CONTACT_SECONDS)
-        scheduling = settings.scheduling
+        zone, scheduling = settings.availability_zone, settings.scheduling
         records = WaitRecords(self._metrics, is_logging=scheduling == "fair")
+        reads = ReadBalancing(zone, settings.ranking, self._metrics)
         borrowing = ConnectionBorrowing(
-            settings.availability_zone, self._channels, self._clock, scheduling, records
+            zone, self._channels, self._clock, scheduling, records, reads
         )
         self._access = GroupAccess(
             self._state,
@@ -159,6 +161,7 @@
             self._metrics,
             scheduling,
             records,
+            reads,
         )
         self._lending = ConnectionLending(self._access, self._clock)
         self._service = SessionService(
--- a/hibiscuspoint/daemon/session_ports.py
+++ b/hibiscuspoint/daemon/session_ports.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
+from hibiscuspoint.core.balancing import RankingMode
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
     from pathlib import Path
@@ -30,6 +32,7 @@
     :param tolerated_losses: disks that may be lost at the same time.
     :param grace_seconds: time from the request to stop until the process is killed.
     :param scheduling: registered name of the order in which waiting statements are served.
+    :param ranking: when reads are ranked by measured times instead of fixed costs.
     """
 
     instance: InstanceId
@@ -41,6 +44,7 @@
     tolerated_losses: int
     grace_seconds: float
     scheduling: str = "priority"
+    ranking: RankingMode = RankingMode.MEASURED
 
     @property
     def required_voters(self) -> int:
--- a/hibiscuspoint/platform/main.py
+++ b/hibiscuspoint/platform/main.py
@@ -76,6 +76,7 @@
         tolerated_losses=settings.tolerated_losses,
         grace_seconds=settings.grace_seconds,
         scheduling=settings.scheduling,
+        ranking=settings.ranking,
     )
 
 
--- a/hibiscuspoint/telemetry/catalogue.py
+++ b/hibiscuspoint/telemetry/catalogue.py
@@ -399,6 +399,26 @@
     "group",
     "refused",
 )
+TARGET_AVOIDED = define_event(
+    432,
+    "target-avoided",
+    WARNING,
+    "Reads avoid {target}: {reason}",
+    "target",
+    "reason",
+)
+TARGET_USED = define_event(
+    433, "target-used-again", INFO, "Reads use {target} again: {reason}", "target", "reason"
+)
+ZONE_FRACTION_CHANGED = define_event(
+    434,
+    "zone-fraction-changed",
+    INFO,
+    "{fraction} of the reads of {group} leave the zone {subject}, as it is slower than another.",
+    "group",
+    "subject",
+    "fraction",
+)
 
 # 500: requests
 REQUEST_REFUSED = define_event(
--- a/tests/components/sessions/test_group_organisations.py
+++ b/tests/components/sessions/test_group_organisations.py
@@ -38,7 +38,7 @@
     def __init__(self) -> None:
         self.holders: list[EntryPlace] = []
 
-    async def acquire(self, holders, group, target, demand, own=None):
+    async def acquire(self, holders, group, target, demand, own=None, *, target_zone=None):
         """Return a connection of this instance."""
         self.holders = list(holders)
         ranked = HolderRanking(ZONE).rank_for(demand.organisation, group, holders, target, 0.0)
