--- a/hibiscuspoint/core/quotas/__init__.py
+++ b/hibiscuspoint/core/quotas/__init__.py
@@ -2,6 +2,15 @@
 
 from __future__ import annotations
 
-from hibiscuspoint.core.quotas.verdict import OperationLimiter, QuotaVerdict
+import lazy_loader
 
-__all__ = ["OperationLimiter", "QuotaVerdict"]
+# Instances that do not lead do not need the ledger, and deployments without organisations neither.
+__getattr__, __dir__, __all__ = lazy_loader.attach(
+    __name__,
+    submod_attrs={
+        "bounds": ["QuotaBounds"],
+        "ledger": ["LimitChange", "QuotaLedger"],
+        "meter": ["QuotaMeter"],
+        "verdict": ["OperationLimiter", "QuotaVerdict"],
+    },
+)
