Connect limits of organisations to reports, updates and settings

Cause: permits are divided by the control leader, so its reports, updates and document have to reach the ledger, and sessions need a limiter. The demand of an entry was measured too low after reports at once, and shares of a large organisation were given out until nothing was left for entries without one. Change: FailoverLeader holds a QuotaLedger once a document has limits, QuotaGate is the limiter of an instance; bounds from the settings, two log events, two metrics. Demand decays by elapsed time, a part of the permits is reserved for operations that find none, a changed limit makes entries ask at once.

--- a/hibiscuspoint/components/failover_control.py
+++ b/hibiscuspoint/components/failover_control.py
@@ -4,27 +4,32 @@
 
 import asyncio
 import logging
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.components.failover_effects import FailoverEffects
 from hibiscuspoint.components.leading import LeaderComponent
 from hibiscuspoint.core.consensus.repair import RepairPhase
 from hibiscuspoint.core.failover import FailoverLeader, choose_voter_change
-from hibiscuspoint.errors import HibiscusError
+from hibiscuspoint.errors import ConfigurationError, HibiscusError
 from hibiscuspoint.telemetry import catalogue, log_event
 from hibiscuspoint.util.tasks import spawn
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
     from hibiscuspoint.components.consensus import ReplicatedLog
     from hibiscuspoint.components.control_state import ControlStateMachine
     from hibiscuspoint.components.target_poller import TargetPoller
     from hibiscuspoint.core.failover import VoterChange
+    from hibiscuspoint.core.organisations import RateLimit
     from hibiscuspoint.core.ports import Clock, PromotionAuthority
-    from hibiscuspoint.ids import InstanceId
+    from hibiscuspoint.core.quotas import QuotaBounds
+    from hibiscuspoint.ids import InstanceId, OrganisationId
     from hibiscuspoint.telemetry.metrics import Metrics
     from hibiscuspoint.wire import record_pb2
 
-__all__ = ["FailoverControl"]
+__all__ = ["FailoverControl", "LimitSource"]
 
 logger = logging.getLogger(__name__)
 
@@ -35,10 +40,22 @@
 REPORTED_SECONDS = 1.0
 
 
+@dataclass(frozen=True)
+class LimitSource:
+    """How the leader learns the limits of organisations.
+
+    :param parse: returns the limits in the text of a document; raises ``ConfigurationError``.
+    """
+
+    parse: Callable[[str], Mapping[OrganisationId, RateLimit | None]]
+    bounds: QuotaBounds
+
+
 class FailoverControl(LeaderComponent[FailoverLeader]):
     """Runs the failover decisions, polls targets and keeps up the number of voters.
 
     :param required_voters: voters that the control group should have; fewer if disks are missing.
+    :param limits: how limits of organisations are read; ``None`` where there are none.
     """
 
     def __init__(
@@ -51,10 +68,13 @@
         clock: Clock,
         metrics: Metrics,
         required_voters: int,
+        limits: LimitSource | None = None,
     ) -> None:
         self._poller = poller
         self._authority = authority
         self._required_voters = required_voters
+        self._limits = limits
+        self._is_document_inherited = False
         self._change: VoterChange | None = None
         self._change_since = 0.0
         self._upkeep: asyncio.Task | None = None
@@ -85,8 +105,39 @@
         )
 
     def _make_leader(self, term: int, now: float) -> FailoverLeader:
+        self._is_document_inherited = True
         return FailoverLeader(self._instance, term, self._machine.state, now)
 
+    def _take_document(self) -> None:
+        """Pass the limits of organisations to the leader object."""
+        is_inherited, self._is_document_inherited = self._is_document_inherited, False
+        document = self.state.document
+        if self._limits is None or document is None or self._leader is None:
+            return
+        try:
+            limits = self._limits.parse(document.text)
+        except ConfigurationError as error:
+            # A document for a newer software version: entries refuse it and keep the former one.
+            logger.debug("the limits were not read: %s", error)
+            return
+        now = self._clock.monotonic()
+        self._leader.set_limits(limits, self._limits.bounds, now, is_inherited=is_inherited)
+
+    def _log_limits(self, leader: FailoverLeader) -> None:
+        """Log which organisations reached or left their limit."""
+        for change in leader.quotas.take_changes() if leader.quotas is not None else ():
+            event = catalogue.ORGANISATION_LIMITED if change.is_limiting else None
+            log_event(
+                logger,
+                event or catalogue.ORGANISATION_BELOW_LIMIT,
+                organisation=change.organisation,
+                rate_per_s=change.limit.rate_per_s,
+                burst=change.limit.burst,
+                demand=round(change.demand, 1),
+                entries=change.entries,
+                permits=round(change.permits, 1),
+            )
+
     def _registered(self, command: record_pb2.Command) -> None:
         """Log what a target announced, as later decisions depend on it."""
         target = command.register_target
@@ -113,6 +164,7 @@
                 self._poller.set_targets(leader.targets(), primaries, active)
                 leader.control_members = [voter.instance for voter in self._log.voter_contacts]
                 self._keep_voters(leader)
+                self._log_limits(leader)
             await asyncio.sleep(UPKEEP_SECONDS)
 
     def _keep_voters(self, leader: FailoverLeader) -> None:
--- a/hibiscuspoint/components/sessions/groups.py
+++ b/hibiscuspoint/components/sessions/groups.py
@@ -22,6 +22,7 @@
     from hibiscuspoint.components.entry_state import EntryState
     from hibiscuspoint.components.sessions.borrowing import ConnectionBorrowing
     from hibiscuspoint.components.sessions.connection import BorrowedConnection, PooledConnection
+    from hibiscuspoint.components.sessions.quotas import QuotaGate
     from hibiscuspoint.core.entry.routes import Route, RouteMember
     from hibiscuspoint.core.ports import Clock, SessionDriver
     from hibiscuspoint.core.sessions import ConnectionDemand
@@ -72,6 +73,7 @@
     :param instance: this instance, as others know it.
     :param borrowing: borrows connections where there are fewer than instances; ``None`` where each
         instance opens its own.
+    :param quotas: limiter that exchanges messages with control; ``None`` where there is none.
     """
 
     def __init__(
@@ -81,10 +83,12 @@
         clock: Clock,
         instance: InstanceId = _NO_INSTANCE,
         borrowing: ConnectionBorrowing | None = None,
+        quotas: QuotaGate | None = None,
     ) -> None:
         self._state = state
         self._instance = instance
         self._borrowing = borrowing
+        self._quotas = quotas
         self._driver = driver
         self._clock = clock
         self._pools: dict[TargetId, TargetPool] = {}
@@ -274,6 +278,8 @@
             self._released.pop(group, None)
             self._release_paused(group)
         self._record_tips(update)
+        if self._quotas is not None:
+            self._quotas.update(update)
         if update.routes:
             self._close_unlisted_pools()
         self._changed.set()
@@ -309,6 +315,8 @@
     def fill_report(self, report: peer_pb2.EntryReport, now: float) -> None:
         """Add what control needs to know about leases and primaries."""
         report.serving_version = self._places_version
+        if self._quotas is not None:
+            self._quotas.fill_report(report, now)
         for group, term in self._released.items():
             report.released.append(peer_pb2.RouteRelease(group=group, term=term))
         for group, position in self._acknowledged.items():
--- a/hibiscuspoint/components/sessions/service.py
+++ b/hibiscuspoint/components/sessions/service.py
@@ -19,6 +19,7 @@
     from hibiscuspoint.components.sessions.groups import GroupAccess
     from hibiscuspoint.core.entry.drain import DrainState
     from hibiscuspoint.core.ports import Clock
+    from hibiscuspoint.core.quotas import OperationLimiter
     from hibiscuspoint.core.sessions import DatabaseRoute, Reply, Statement
     from hibiscuspoint.ids import AvailabilityZone
     from hibiscuspoint.telemetry.metrics import Metrics
@@ -52,6 +53,7 @@
     """Serves callers whose session is a connection.
 
     :param zone: availability zone of this instance.
+    :param limiter: admits operations of organisations; ``None`` where there are no limits.
     """
 
     channel = "sessions"
@@ -64,6 +66,7 @@
         drain: DrainState,
         clock: Clock,
         metrics: Metrics,
+        limiter: OperationLimiter | None = None,
     ) -> None:
         super().__init__()
         self._state = state
@@ -72,6 +75,7 @@
         self._drain = drain
         self._clock = clock
         self._metrics = metrics
+        self._limiter = limiter
 
     @property
     def is_ready(self) -> bool:
--- a/hibiscuspoint/core/failover/leader.py
+++ b/hibiscuspoint/core/failover/leader.py
@@ -13,17 +13,19 @@
 from hibiscuspoint.core.failover.group import GroupFailover
 from hibiscuspoint.core.failover.updates import add_routes
 from hibiscuspoint.core.sessions import EntryPlace, serving_version
-from hibiscuspoint.ids import GroupId, Incarnation, InstanceId, TargetId, Term
+from hibiscuspoint.ids import GroupId, Incarnation, InstanceId, OrganisationId, TargetId, Term
 from hibiscuspoint.wire import peer_pb2, record_pb2
 from hibiscuspoint.wire.position import position_from
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from hibiscuspoint.core.control.delivery import DeliveredRoutes
     from hibiscuspoint.core.control.effects import Effect
     from hibiscuspoint.core.control.state import ControlState, GroupRecord
     from hibiscuspoint.core.failover.status import TargetStatus
+    from hibiscuspoint.core.organisations import RateLimit
+    from hibiscuspoint.core.quotas import QuotaBounds, QuotaLedger
 
 __all__ = ["FailoverLeader"]
 
@@ -66,6 +68,7 @@
         self._sequences: dict[TargetId, tuple[Incarnation, int]] = {}
         # Last reported disk of each instance, with the time of the report.
         self._disks: dict[InstanceId, tuple[str, float]] = {}
+        self._quotas: QuotaLedger | None = None
         self._leader_since = now
         self._last_tick = now
         self._serving: list[peer_pb2.ServingEntry] = []
@@ -86,6 +89,32 @@
         """Failover of each registered group."""
         return self._groups
 
+    @property
+    def quotas(self) -> QuotaLedger | None:
+        """Return the division of limits; ``None`` where the document has no organisations."""
+        return self._quotas
+
+    def set_limits(
+        self,
+        limits: Mapping[OrganisationId, RateLimit | None],
+        bounds: QuotaBounds,
+        now: float,
+        *,
+        is_inherited: bool,
+    ) -> None:
+        """Take over the limits of organisations in the document in force.
+
+        :param is_inherited: the document was in force before this leadership.
+        """
+        if self._quotas is None:
+            if not any(limits.values()):
+                return
+            # Imported here, as most deployments have no organisations.
+            from hibiscuspoint.core.quotas import QuotaLedger
+
+            self._quotas = QuotaLedger(bounds)
+        self._quotas.set_limits(limits, now, is_inherited=is_inherited)
+
     def recent_disks(self, now: float, seconds: float) -> dict[InstanceId, str]:
         """Return the disk of each instance that reported one in the last ``seconds``."""
         return {
@@ -141,6 +170,8 @@
         info = EntryInfo.from_message(message, now)
         if not self._entries.record_report(info):
             return []
+        if self._quotas is not None:
+            self._quotas.record_report(info.instance, message, now)
         if message.disk:
             self._disks[info.instance] = (message.disk, now)
         for item in message.acknowledged:
@@ -191,6 +222,8 @@
         self._last_tick = now
         self._entries.remove_silent(now)
         self._update_serving_list(now)
+        if self._quotas is not None:
+            self._quotas.tick(now)
         for group, record in self._state.groups.items():
             if group not in self._groups:
                 self._groups[group] = GroupFailover(record, self._ledger, self._control_term, now)
@@ -254,6 +287,8 @@
             delivered.control_members = list(self.control_members)
             update.control_members.extend(self.control_members)
         add_routes(update, self._groups, instance, self._ledger, delivered, LEASE_SECONDS, now)
+        if self._quotas is not None:
+            self._quotas.fill_update(instance, update, now)
         return update
 
     def _departure_command(
--- a/hibiscuspoint/core/quotas/account.py
+++ b/hibiscuspoint/core/quotas/account.py
@@ -40,7 +40,7 @@
 
 #: Operations per second from which an entry gets more than it needs at once, while permits are
 #: scarce. Less is served from the permits of the leader, at the cost of a round trip.
-LASTING_DEMAND = 0.5
+LASTING_DEMAND = 0.75
 
 #: Time without use after which a share is taken back while permits are scarce.
 SCARCE_IDLE_SECONDS = 0.5
@@ -119,8 +119,8 @@
         decay = math.exp((self.demanded_at - now) / DEMAND_DECAY_SECONDS)
         rate = operations / max(DEMAND_MIN_SECONDS, seconds)
         self.demand = max(rate, self.demand * decay)
-        usual_decay = math.exp(-seconds / USUAL_DEMAND_SECONDS)
-        self.usual_demand = self.usual_demand * usual_decay + rate * (1 - usual_decay)
+        period = max(seconds, USUAL_DEMAND_SECONDS)
+        self.usual_demand = self.usual_demand_now(now) + operations / period
         self.demanded_at = now
         if operations:
             self.used_at = now
@@ -253,11 +253,14 @@
         fair_rate, fair_burst = self._fair(holding, now)
         available = math.floor(self.permits)
         is_lasting = not self._is_scarce(holding) or holding.usual_demand >= LASTING_DEMAND
-        spare = math.ceil(holding.weight(now)) + SPARE_PERMITS if is_lasting else 0
-        goal = max(spare, holding.wanted)
+        stock = math.ceil(holding.weight(now)) + SPARE_PERMITS if is_lasting else 0
+        goal = max(stock, holding.wanted)
         goal = max(1, min(goal, fair_burst))
         added = max(holding.wanted, goal - holding.burst, goal // 2)
-        added = max(0, min(added, available, max(holding.wanted, -(-available // 2))))
+        # The last permits are for operations that find none, as those would be refused.
+        reserve = (1 - DIVIDED_PART) * self._bounds.regular_permits(self.limit)
+        spare = max(0, math.ceil((available - reserve) / 2))
+        added = max(0, min(added, available, max(holding.wanted, spare)))
         burst = max(holding.burst, min(goal, holding.burst_ceiling + added))
         added = min(added, burst)
         fair_rate = min(fair_rate, holding.usual_demand * RATE_FACTOR)
--- a/hibiscuspoint/core/quotas/bucket.py
+++ b/hibiscuspoint/core/quotas/bucket.py
@@ -76,8 +76,7 @@
         """Replace the share and add permits; those that exceed the burst are given back."""
         self.refill(now)
         if permits:
-            self.ask_interval = ASK_INTERVAL_SECONDS
-            self.asked_at = -math.inf
+            self.expect_permits()
         collected = self.permits + permits
         self.permits = min(collected, burst)
         self.returned += math.floor(collected - self.permits)
@@ -96,6 +95,11 @@
         self.admitted = self.refused = self.wanted = self.returned = 0
         self.is_changed = self.is_wanting = False
 
+    def expect_permits(self) -> None:
+        """Ask at once when a permit is missing, as there are some now."""
+        self.ask_interval = ASK_INTERVAL_SECONDS
+        self.asked_at = -math.inf
+
     def end_share(self) -> None:
         """Drop the share and all permits."""
         self.rate = self.permits = 0.0
--- a/hibiscuspoint/core/quotas/ledger.py
+++ b/hibiscuspoint/core/quotas/ledger.py
@@ -55,18 +55,14 @@
 
 
 class QuotaLedger:
-    """Soft state of one leadership.
+    """Soft state of one leadership."""
 
-    :param now: monotonic time in seconds at which the leadership began.
-    """
-
-    def __init__(self, now: float, bounds: QuotaBounds | None = None) -> None:
+    def __init__(self, bounds: QuotaBounds | None = None) -> None:
         self._bounds = bounds or QuotaBounds()
         self._accounts: dict[OrganisationId, QuotaAccount] = {}
         self._entries: dict[InstanceId, _Entry] = {}
         # Instances that have reported to this leader.
         self._known: set[InstanceId] = set()
-        self._has_limits = False
         self._sequence = 0
         self._changes: list[LimitChange] = []
 
@@ -85,10 +81,17 @@
         changes, self._changes = self._changes, []
         return changes
 
-    def set_limits(self, limits: Mapping[OrganisationId, RateLimit | None], now: float) -> None:
+    def set_limits(
+        self,
+        limits: Mapping[OrganisationId, RateLimit | None],
+        now: float,
+        *,
+        is_inherited: bool = False,
+    ) -> None:
         """Take over the limits of the document in force.
 
-        Shares that a predecessor gave may exist only for the limits of the first document.
+        :param is_inherited: the document was in force before this leadership, so that entries may
+            have shares of its predecessor.
         """
         for name in set(self._accounts) - {name for name, limit in limits.items() if limit}:
             del self._accounts[name]
@@ -100,11 +103,10 @@
                 continue
             if account is None:
                 self._accounts[name] = QuotaAccount(
-                    limit, self._bounds, now, is_successor=not self._has_limits
+                    limit, self._bounds, now, is_successor=is_inherited
                 )
             elif account.limit != limit:
                 account.set_limit(limit, now)
-        self._has_limits = True
 
     def record_report(self, instance: InstanceId, report: peer_pb2.EntryReport, now: float) -> None:
         """Take over the demand and the shares that an entry reports."""
@@ -191,7 +193,7 @@
             account.confirm(holding, use, now)
         holding.record_demand(use.admitted + use.refused, seconds, now)
         if use.wanting:
-            holding.wanting_at = now
+            holding.wanting_at = holding.used_at = now
             holding.is_due = True
             holding.wanted = use.wanted
         if use.refused:
--- a/hibiscuspoint/core/quotas/meter.py
+++ b/hibiscuspoint/core/quotas/meter.py
@@ -176,6 +176,7 @@
         """Take over a changed limit; a lower one reduces the share in proportion at once."""
         before = bucket.limit
         bucket.limit = limit
+        bucket.expect_permits()
         rate_factor = _ratio(self._bounds.rate(limit), self._bounds.rate(before))
         burst_factor = _ratio(self._bounds.total_permits(limit), self._bounds.total_permits(before))
         if min(rate_factor, burst_factor) < 1:
--- a/hibiscuspoint/core/sessions/routing.py
+++ b/hibiscuspoint/core/sessions/routing.py
@@ -7,10 +7,10 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from hibiscuspoint.core.organisations import OrganisationDirectory
-    from hibiscuspoint.ids import GroupId
+    from hibiscuspoint.core.organisations import OrganisationDirectory, RateLimit
+    from hibiscuspoint.ids import GroupId, OrganisationId
 
-__all__ = ["DatabaseRoute", "GroupLimits", "ReadMode", "RoutingTable"]
+__all__ = ["DatabaseRoute", "GroupLimits", "ReadMode", "RoutingTable", "table_limits"]
 
 
 class ReadMode(Enum):
@@ -81,3 +81,11 @@
     transaction_idle_seconds: float
     environment: str = ""
     organisations: OrganisationDirectory | None = None
+
+
+def table_limits(table: RoutingTable) -> dict[OrganisationId, RateLimit | None]:
+    """Return the limit of each organisation; nothing where callers are not authenticated."""
+    directory = table.organisations
+    if directory is None:
+        return {}
+    return {name: directory.get(name).limit for name in directory.names}
--- a/hibiscuspoint/daemon/session_node.py
+++ b/hibiscuspoint/daemon/session_node.py
@@ -17,6 +17,7 @@
 from hibiscuspoint.components.configuration import ConfigurationService
 from hibiscuspoint.components.control_service import ControlService
 from hibiscuspoint.components.entry_state import EntryState
+from hibiscuspoint.components.events import report_due
 from hibiscuspoint.components.introductions import Introductions
 from hibiscuspoint.components.leader_client import LeaderClient
 from hibiscuspoint.components.metrics_server import MetricsServer
@@ -30,6 +31,7 @@
     GroupAccess,
     SessionService,
 )
+from hibiscuspoint.components.sessions.quotas import QuotaGate
 from hibiscuspoint.core.entry.drain import DrainState
 from hibiscuspoint.daemon.failures import FailureMonitor
 from hibiscuspoint.errors import ConfigurationError
@@ -144,9 +146,16 @@
         self._failures = FailureMonitor(self._stopping.set).register(self._runtime)
         self._channels = PeerChannels(self._transport)
         self._state = EntryState("", self._ports.parse, CONTACT_SECONDS)
+        self._quotas = QuotaGate(
+            self._state,
+            settings.quota_bounds,
+            self._clock,
+            self._metrics,
+            lambda: self._runtime.dispatch(report_due()),
+        )
         borrowing = ConnectionBorrowing(settings.availability_zone, self._channels, self._clock)
         self._access = GroupAccess(
-            self._state, self._ports.driver, self._clock, settings.instance, borrowing
+            self._state, self._ports.driver, self._clock, settings.instance, borrowing, self._quotas
         )
         self._lending = ConnectionLending(self._access, self._clock)
         self._service = SessionService(
@@ -156,6 +165,7 @@
             self._drain,
             self._clock,
             self._metrics,
+            limiter=self._quotas,
         ).register(self._runtime)
         self._readiness = ReadinessLog(self._state, self._drain)
         self._build_control()
@@ -234,6 +244,7 @@
 
     def _on_detached(self) -> None:
         self._leader_client.record_detachment()
+        self._quotas.begin_stream()
         self._introductions.wake()
 
     def _on_refused(self, update: peer_pb2.ControlUpdate) -> None:
--- a/hibiscuspoint/daemon/session_ports.py
+++ b/hibiscuspoint/daemon/session_ports.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
+from hibiscuspoint.core.quotas.bounds import QuotaBounds
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
     from pathlib import Path
@@ -29,6 +31,7 @@
     :param data_directory: directory of the control log; ``None`` on an instance without a disk.
     :param tolerated_losses: disks that may be lost at the same time.
     :param grace_seconds: time from the request to stop until the process is killed.
+    :param quota_bounds: how far operations may exceed the limit of an organisation.
     """
 
     instance: InstanceId
@@ -39,6 +42,7 @@
     data_directory: Path | None
     tolerated_losses: int
     grace_seconds: float
+    quota_bounds: QuotaBounds = field(default_factory=QuotaBounds)
 
     @property
     def required_voters(self) -> int:
--- a/hibiscuspoint/platform/main.py
+++ b/hibiscuspoint/platform/main.py
@@ -75,6 +75,7 @@
         data_directory=settings.data_directory,
         tolerated_losses=settings.tolerated_losses,
         grace_seconds=settings.grace_seconds,
+        quota_bounds=settings.quota_bounds,
     )
 
 
--- a/hibiscuspoint/platform/settings.py
+++ b/hibiscuspoint/platform/settings.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import json
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
+from hibiscuspoint.core.quotas.bounds import QuotaBounds
 from hibiscuspoint.errors import ConfigurationError
 from hibiscuspoint.ids import AvailabilityZone, InstanceId
 from hibiscuspoint.util.address import parse_address
@@ -33,6 +34,7 @@
     :param tolerated_losses: number of machines with a disk that may fail at the same time.
     :param grace_seconds: time from SIGTERM to SIGKILL.
     :param authority_address: address of the platform API for singleton duties.
+    :param quota_bounds: how far operations may exceed the limit of an organisation.
     """
 
     name: str
@@ -48,6 +50,7 @@
     tolerated_losses: int
     grace_seconds: float
     authority_address: str
+    quota_bounds: QuotaBounds = field(default_factory=QuotaBounds)
 
     @classmethod
     def from_file(cls, path: Path) -> ProcessSettings:
@@ -81,9 +84,19 @@
             tolerated_losses=fields["fault_budget"]["machines"],
             grace_seconds=float(fields["bounds"]["grace_s"]),
             authority_address=fields["cloud_api"]["addr"],
+            quota_bounds=_quota_bounds(fields["bounds"]),
         )
 
 
+def _quota_bounds(bounds: dict[str, Any]) -> QuotaBounds:
+    usual = QuotaBounds()
+    return QuotaBounds(
+        float(bounds.get("quota_window_s", usual.window_seconds)),
+        float(bounds.get("quota_excess", usual.excess)),
+        int(bounds.get("quota_slack", usual.slack)),
+    )
+
+
 def _internal_address(control_address: str, port: int) -> str:
     """Return the address for other instances on the machine of a control address."""
     host, _ = parse_address(control_address)
--- a/hibiscuspoint/telemetry/catalogue.py
+++ b/hibiscuspoint/telemetry/catalogue.py
@@ -433,6 +433,30 @@
     "target",
     "reason",
 )
+ORGANISATION_LIMITED = define_event(
+    520,
+    "organisation-limited",
+    WARNING,
+    "Operations of {organisation} are refused: it reached its limit.",
+    "organisation",
+    "rate_per_s",
+    "burst",
+    "demand",
+    "entries",
+    "permits",
+)
+ORGANISATION_BELOW_LIMIT = define_event(
+    521,
+    "organisation-below-limit",
+    INFO,
+    "{organisation} is below its limit again.",
+    "organisation",
+    "rate_per_s",
+    "burst",
+    "demand",
+    "entries",
+    "permits",
+)
 LIMIT_REACHED = define_event(
     503, "limit-reached", WARNING, "A caller reached the limit {limit}.", "caller", "limit"
 )
--- a/hibiscuspoint/telemetry/metrics.py
+++ b/hibiscuspoint/telemetry/metrics.py
@@ -83,6 +83,15 @@
             "group",
             "kind",
         )
+        self.quota_refusals = self._counter(
+            "quota_refusals",
+            "Operations refused because of the limit of an organisation; at most 8 organisations "
+            "by name, the others as other.",
+            "organisation",
+        )
+        self.quota_shares = self._gauge(
+            "quota_shares", "Shares of limits of organisations that this instance has."
+        )
         self.log_lines_dropped = self._counter(
             "log_lines_dropped", "Log lines that were not written, as their reader was too slow."
         )
--- a/tests/builders_quotas.py
+++ b/tests/builders_quotas.py
@@ -78,8 +78,8 @@
 
     def elect(self) -> None:
         """Let a new leader take over, to which all entries attach."""
-        self.leader = QuotaLedger(self.now)
-        self.leader.set_limits({ORGANISATION: self.limit}, self.now)
+        self.leader = QuotaLedger()
+        self.leader.set_limits({ORGANISATION: self.limit}, self.now, is_inherited=True)
         self.leader_frozen_until = 0.0
         for index in range(len(self.meters)):
             self.reattach(index)
