--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from hibiscuspoint.core.quotas import QuotaBounds
 from hibiscuspoint.errors import ConfigurationError
 from hibiscuspoint.platform.settings import ProcessSettings
 from tests.platform.builders import settings_fields
@@ -45,3 +46,10 @@
     """Guards against a process that starts with incomplete or malformed settings."""
     with pytest.raises(ConfigurationError):
         _read(tmp_path, **changes)
+
+
+def test_bounds_of_limits_are_read_where_they_are_stated(tmp_path):
+    """Guards against bounds of the deployment that are ignored, and a start that needs them."""
+    assert _read(tmp_path).quota_bounds == QuotaBounds()
+    bounds = {"grace_s": 6, "quota_window_s": 4, "quota_excess": 0.2, "quota_slack": 7}
+    assert _read(tmp_path, bounds=bounds).quota_bounds == QuotaBounds(4.0, 0.2, 7)
