--- a/hibiscuspoint/components/sessions/groups.py
+++ b/hibiscuspoint/components/sessions/groups.py
@@ -36,6 +36,7 @@
     from hibiscuspoint.components.entry_state import EntryState
     from hibiscuspoint.components.sessions.borrowing import ConnectionBorrowing, HeldRead, HeldReply
     from hibiscuspoint.components.sessions.connection import BorrowedConnection, PooledConnection
+    from hibiscuspoint.components.sessions.quotas import QuotaGate
     from hibiscuspoint.components.sessions.wait_records import WaitRecords
     from hibiscuspoint.core.entry.routes import Route, RouteMember
     from hibiscuspoint.core.ports import Clock, SessionDriver
@@ -87,6 +88,7 @@
     :param metrics: counts the connections that are opened and replaced.
     :param scheduling: registered name of the order in which waiting statements are served.
     :param reads: ranks the targets of reads; by their fixed cost if it is not given.
+    :param quotas: limiter that exchanges messages with control; ``None`` where there is none.
     """
 
     def __init__(
@@ -100,11 +102,13 @@
         scheduling: str = "priority",
         records: WaitRecords | None = None,
         reads: ReadBalancing | None = None,
+        quotas: QuotaGate | None = None,
     ) -> None:
         self._state = state
         self._instance = instance
         self._borrowing = borrowing
         self._metrics = metrics
+        self._quotas = quotas
         self._driver = driver
         self._clock = clock
         self._pools: dict[TargetId, TargetPool] = {}
@@ -400,6 +404,8 @@
             self._released.pop(group, None)
             self._release_paused(group)
         self._record_tips(update)
+        if self._quotas is not None:
+            self._quotas.update(update)
         if update.routes:
             self._close_unlisted_pools()
         self._changed.set()
@@ -435,6 +441,8 @@
     def fill_report(self, report: peer_pb2.EntryReport, now: float) -> None:
         """Add what control needs to know about leases and primaries."""
         report.serving_version = self._places_version
+        if self._quotas is not None:
+            self._quotas.fill_report(report, now)
         for group, term in self._released.items():
             report.released.append(peer_pb2.RouteRelease(group=group, term=term))
         for group, position in self._acknowledged.items():
--- a/hibiscuspoint/components/sessions/service.py
+++ b/hibiscuspoint/components/sessions/service.py
@@ -67,7 +67,7 @@
     """Serves callers whose session is a connection.
 
     :param zone: availability zone of this instance.
-    :param limiter: admits the operations of organisations; ``None`` admits all.
+    :param limiter: admits operations of organisations; ``None`` where there are no limits.
     """
 
     channel = "sessions"
--- a/hibiscuspoint/components/sessions/session.py
+++ b/hibiscuspoint/components/sessions/session.py
@@ -155,7 +155,7 @@
             case StatementKind.DEALLOCATE:
                 self._context.prepared_statements.pop(statement.name, None)
             case StatementKind.BEGIN | StatementKind.BEGIN_READ_ONLY:
-                return self._begin(statement)
+                return await self._begin(statement)
             case StatementKind.COMMIT | StatementKind.ROLLBACK:
                 if self._transaction is None:
                     return self._malformed("no transaction is open")
@@ -164,10 +164,10 @@
                 return await self._run(statement)
         return Reply(state=self._state)
 
-    def _begin(self, statement: Statement) -> Reply:
+    async def _begin(self, statement: Statement) -> Reply:
         if self._transaction is not None:
             return self._malformed("a transaction is open")
-        self._transaction = Transaction(statement, self._admit().route)
+        self._transaction = Transaction(statement, (await self._admit()).route)
         return Reply(state=SessionState.IN_TRANSACTION)
 
     async def _run(self, statement: Statement) -> Reply:
@@ -182,12 +182,12 @@
             return await self._transactions.run(
                 self._transaction, statement, prepared_statement, writes=writes
             )
-        route = self._admit().route
+        route = (await self._admit()).route
         self.trace.group = route.group
         run = self._single.write if writes else self._single.read
         return await run(route, statement, prepared_statement)
 
-    def _admit(self) -> OperationGrant:
+    async def _admit(self) -> OperationGrant:
         """Begin an operation: look the key up in the configuration in force and count it.
 
         :raises RefusedError: the caller may not run the operation now.
@@ -200,18 +200,18 @@
                 self.trace.admission = Admission.UNAUTHORIZED
             raise RefusedError(outcome.failure, outcome.text)
         self._attempts.organisation = outcome.organisation.name
-        self._check_limit(outcome)
+        await self._check_limit(outcome)
         self.trace.admission = Admission.ADMITTED
         return outcome
 
-    def _check_limit(self, grant: OperationGrant) -> None:
+    async def _check_limit(self, grant: OperationGrant) -> None:
         """Count one operation of an organisation.
 
         :raises RefusedError: the organisation has used up its limit.
         """
         if self._limiter is None or not grant.organisation.name:
             return
-        verdict = self._limiter.admit(grant.organisation, self._clock.monotonic())
+        verdict = await self._limiter.admit_or_wait(grant.organisation)
         if verdict.is_admitted:
             return
         self.trace.admission = Admission.OVER_LIMIT
--- a/hibiscuspoint/core/quotas/verdict.py
+++ b/hibiscuspoint/core/quotas/verdict.py
@@ -25,8 +25,5 @@
 class OperationLimiter(Protocol):
     """Admits the operations of organisations up to their limits."""
 
-    def admit(self, organisation: Organisation, now: float) -> QuotaVerdict:
-        """Count one operation if it is within the limit.
-
-        :param now: monotonic time in seconds.
-        """
+    async def admit_or_wait(self, organisation: Organisation) -> QuotaVerdict:
+        """Count one operation if it is within the limit, after a short wait if that may help."""
--- a/hibiscuspoint/daemon/session_ports.py
+++ b/hibiscuspoint/daemon/session_ports.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
 from hibiscuspoint.core.balancing import RankingMode
+from hibiscuspoint.core.quotas.bounds import QuotaBounds
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -33,6 +34,7 @@
     :param grace_seconds: time from the request to stop until the process is killed.
     :param scheduling: registered name of the order in which waiting statements are served.
     :param ranking: when reads are ranked by measured times instead of fixed costs.
+    :param quota_bounds: how far operations may exceed the limit of an organisation.
     """
 
     instance: InstanceId
@@ -45,6 +47,7 @@
     grace_seconds: float
     scheduling: str = "priority"
     ranking: RankingMode = RankingMode.MEASURED
+    quota_bounds: QuotaBounds = field(default_factory=QuotaBounds)
 
     @property
     def required_voters(self) -> int:
--- a/hibiscuspoint/platform/main.py
+++ b/hibiscuspoint/platform/main.py
@@ -77,6 +77,7 @@
         grace_seconds=settings.grace_seconds,
         scheduling=settings.scheduling,
         ranking=settings.ranking,
+        quota_bounds=settings.quota_bounds,
     )
 
 
--- a/hibiscuspoint/platform/settings.py
+++ b/hibiscuspoint/platform/settings.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import json
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
 from hibiscuspoint.core.balancing import RankingMode
+from hibiscuspoint.core.quotas.bounds import QuotaBounds
 from hibiscuspoint.errors import ConfigurationError
 from hibiscuspoint.ids import AvailabilityZone, InstanceId
 from hibiscuspoint.util.address import parse_address
@@ -39,6 +40,7 @@
     :param authority_address: address of the platform API for singleton duties.
     :param scheduling: order of waiting statements: "fair" where capacity is known to be scarce.
     :param ranking: when reads are ranked by measured times instead of fixed costs.
+    :param quota_bounds: how far operations may exceed the limit of an organisation.
     """
 
     name: str
@@ -56,6 +58,7 @@
     authority_address: str
     scheduling: str = "priority"
     ranking: RankingMode = RankingMode.MEASURED
+    quota_bounds: QuotaBounds = field(default_factory=QuotaBounds)
 
     @classmethod
     def from_file(cls, path: Path) -> ProcessSettings:
@@ -91,6 +94,7 @@
             authority_address=fields["cloud_api"]["addr"],
             scheduling="fair" if "pressure" in (fields.get("contracts") or ()) else "priority",
             ranking=_ranking(fields),
+            quota_bounds=_quota_bounds(fields["bounds"]),
         )
 
 
@@ -100,6 +104,15 @@
     return RankingMode.ALWAYS if is_scarce else RankingMode.MEASURED
 
 
+def _quota_bounds(bounds: dict[str, Any]) -> QuotaBounds:
+    usual = QuotaBounds()
+    return QuotaBounds(
+        float(bounds.get("quota_window_s", usual.window_seconds)),
+        float(bounds.get("quota_excess", usual.excess)),
+        int(bounds.get("quota_slack", usual.slack)),
+    )
+
+
 def _internal_address(control_address: str, port: int) -> str:
     """Return the address for other instances on the machine of a control address."""
     host, _ = parse_address(control_address)
--- a/tests/components/sessions/identity.py
+++ b/tests/components/sessions/identity.py
@@ -78,7 +78,7 @@
         self.asked: list[str] = []
         self.verdict = QuotaVerdict(True)
 
-    def admit(self, organisation: Organisation, now: float) -> QuotaVerdict:
+    async def admit_or_wait(self, organisation: Organisation) -> QuotaVerdict:
         """Decide as it was told."""
         self.asked.append(organisation.name)
         return self.verdict
