Keep trials for reads and tell a queue from a slow target at a holder

Cause: a write that borrowed a connection used up the trial of an avoided target, so that its recovery could stay unnoticed; a burst at one target looked like a slow target to its holder; each entry asked a holder about an avoided target once a second.

Change: the trial is taken when a read is sent; answers are compared after division by the connections in use; repeated reports count for up to 4 s.

--- a/hibiscuspoint/components/sessions/balancing.py
+++ b/hibiscuspoint/components/sessions/balancing.py
@@ -127,15 +127,28 @@
             return
         self._balancer.record_read(target, failure, seconds, seconds, now)
 
+    def begin_lent(self, target: TargetId, now: float) -> None:
+        """Record that another instance sends a read over a connection of this one."""
+        self._balancer.begin_lent(target, now)
+
     def record_lent(
-        self, target: TargetId, outcome: Failure | Exception | None, seconds: float, now: float
+        self,
+        target: TargetId,
+        outcome: Failure | Exception | None,
+        seconds: float,
+        now: float,
+        *,
+        concurrent: int = 1,
     ) -> None:
-        """Record the answer to a read of another instance, or the error instead of one."""
+        """Record the answer to a read of another instance, or the error instead of one.
+
+        :param concurrent: connections of this instance to the target in use.
+        """
         if isinstance(outcome, Exception):
             if not _is_of_target(outcome):
                 return
             outcome = Failure.TIMEOUT
-        self._balancer.record_lent(target, outcome, seconds, now)
+        self._balancer.record_lent(target, outcome, seconds, now, concurrent=concurrent)
 
     def make_load(
         self,
--- a/hibiscuspoint/components/sessions/groups.py
+++ b/hibiscuspoint/components/sessions/groups.py
@@ -200,6 +200,11 @@
             self.reads.record_round_trip(member.zone, RoundTripSource.TARGET, seconds, now)
         return pooled
 
+    def in_use(self, target: TargetId) -> int:
+        """Return the connections of this instance to a target that are in use."""
+        pool = self._pools.get(target)
+        return pool.use[0] if pool is not None else 0
+
     def target_load(self, group: GroupId, target: TargetId) -> peer_pb2.TargetLoad:
         """Return what this instance tells an entry to which it lends a connection."""
         route, pool = self._state.routes.route(group), self._pools.get(target)
--- a/hibiscuspoint/components/sessions/lending.py
+++ b/hibiscuspoint/components/sessions/lending.py
@@ -119,6 +119,8 @@
     ) -> Reply:
         """Run a statement of another instance; reads tell how the target works."""
         started = self._clock.monotonic()
+        if asked.is_read:
+            self._access.reads.begin_lent(target, started)
         outcome: Failure | Exception | None = None
         try:
             reply = await pooled.run(
@@ -135,7 +137,9 @@
         finally:
             if asked.is_read:
                 now = self._clock.monotonic()
-                self._access.reads.record_lent(target, outcome, now - started, now)
+                self._access.reads.record_lent(
+                    target, outcome, now - started, now, concurrent=self._access.in_use(target)
+                )
         return reply
 
     def _deadline(self, request: peer_pb2.BorrowRequest) -> float:
--- a/hibiscuspoint/core/balancing/balancer.py
+++ b/hibiscuspoint/core/balancing/balancer.py
@@ -128,6 +128,10 @@
         elif failure in _FAILED:
             health.record_failure(target, now)
 
+    def begin_lent(self, target: TargetId, now: float) -> None:
+        """Record that another entry sends a read; at an avoided target this is the trial."""
+        self._seen.health.take_trial(target, now)
+
     def must_skip(self, target: TargetId, targets: Zones, report: HolderReport, now: float) -> bool:
         """Take the report of a holder; tell whether the read should go to another target.
 
@@ -151,7 +155,7 @@
         if self.is_balanced:
             condition = self._seen.health.conditions(targets, now).get(target)
             is_avoided = condition is TargetCondition.AVOIDED
-            is_trial = is_avoided and self._seen.health.take_trial(target, now)
+            is_trial = is_avoided and self._seen.health.is_trial_due(target, now)
         return HolderReport(*use, is_avoided, is_trial)
 
     def take_changes(self) -> list[HealthChange]:
--- a/hibiscuspoint/core/balancing/health.py
+++ b/hibiscuspoint/core/balancing/health.py
@@ -45,6 +45,10 @@
 #: Difference in seconds to the usual time that an answer needs to count as slow.
 SLOW_MINIMUM_SECONDS = 0.01
 
+#: Connections in use at one holder for which a target has about one slot. With more, statements
+#: queue at the target, which is no reason to avoid it.
+CONNECTIONS_PER_SLOT = 2
+
 #: Seconds after a refusal for lack of room in which slow answers are taken for a queue.
 BUSY_SECONDS = 1.0
 
@@ -74,6 +78,10 @@
 #: Seconds for which one failure, or the report of a holder, keeps a target behind the others.
 SUSPICION_SECONDS = 1.0
 
+#: Longest time in seconds for which reports that repeat each other do so. Each entry asks a holder
+#: again after it, and the question crosses the zones.
+REPORT_MAX_SECONDS = 4.0
+
 
 class TargetCondition(Enum):
     """How reads use a target."""
@@ -107,11 +115,11 @@
         """Record an answer.
 
         :param seconds: time from the statement to its answer at a connection.
-        :param concurrent: statements that ran at the target beside it, which explain a longer time.
+        :param concurrent: connections to the target in use, which may explain a longer time.
         """
         record = self._record(target)
         record.add_success(now)
-        is_slow = record.add_time(seconds / max(1, concurrent), now)
+        is_slow = record.add_time(seconds, concurrent, now)
         if record.avoided_since is None:
             return
         if is_slow:
@@ -142,7 +150,10 @@
 
     def record_report(self, target: TargetId, now: float) -> None:
         """Record that a holder avoids a target."""
-        self._record(target).reported_at = now
+        record = self._record(target)
+        record.add_report(now)
+        if record.avoided_since is not None:
+            record.fail_trial(now)
 
     def conditions(
         self, targets: Mapping[TargetId, AvailabilityZone], now: float
@@ -167,11 +178,17 @@
         found.update(dict.fromkeys(suspected, TargetCondition.SUSPECTED))
         return dict(list(found.items())[: len(targets) // 2])
 
-    def take_trial(self, target: TargetId, now: float) -> bool:
-        """Tell whether a read may try an avoided target now; at a bounded rate."""
+    def is_trial_due(self, target: TargetId, now: float) -> bool:
+        """Tell whether a read may try an avoided target now."""
         record = self._records.get(target)
-        if record is None or record.avoided_since is None or now < record.next_trial_at:
+        is_avoided = record is not None and record.avoided_since is not None
+        return is_avoided and now >= record.next_trial_at
+
+    def take_trial(self, target: TargetId, now: float) -> bool:
+        """Tell whether a read may try an avoided target now; the next one may do so later."""
+        if not self.is_trial_due(target, now):
             return False
+        record = self._records[target]
         record.next_trial_at = now + record.trial_seconds
         return True
 
@@ -261,7 +278,8 @@
         self.recent_seconds = 0.0
         self.usual_seconds = 0.0
         self.busy_at = -math.inf
-        self.reported_at = -math.inf
+        self._reported_at = -math.inf
+        self._report_seconds = SUSPICION_SECONDS
         self.avoided_since: float | None = None
         self.next_trial_at = 0.0
         self.trial_seconds = TRIAL_MIN_SECONDS
@@ -305,7 +323,16 @@
     def is_suspected(self, now: float) -> bool:
         """Tell whether a failure or a report of a holder is recent."""
         has_failed = self._streak > 0 and now - self._failed_at < SUSPICION_SECONDS
-        return has_failed or now - self.reported_at < SUSPICION_SECONDS
+        return has_failed or now - self._reported_at < self._report_seconds
+
+    def add_report(self, now: float) -> None:
+        """Take the report of a holder into account, for longer if it is the same as before."""
+        age = now - self._reported_at
+        if age >= self._report_seconds:
+            is_again = age < 2 * self._report_seconds + SUSPICION_SECONDS
+            longer = min(2 * self._report_seconds, REPORT_MAX_SECONDS)
+            self._report_seconds = longer if is_again else SUSPICION_SECONDS
+        self._reported_at = now
 
     def add_success(self, now: float) -> None:
         """Count an answer."""
@@ -323,10 +350,11 @@
         self._streak = self._streak + 1 if is_in_a_row else 1
         self._failed_at = now
 
-    def add_time(self, seconds: float, now: float) -> bool:
+    def add_time(self, seconds: float, concurrent: int, now: float) -> bool:
         """Take the time of an answer into account; returns whether it was slow."""
         limit = max(SLOW_FACTOR * self.usual_seconds, self.usual_seconds + SLOW_MINIMUM_SECONDS)
-        is_slow = self._time_count > 0 and seconds > limit
+        queue_factor = max(1.0, concurrent / CONNECTIONS_PER_SLOT)
+        is_slow = self._time_count > 0 and seconds / queue_factor > limit
         self._time_count += 1
         self._timed_at = now
         first_weight = 1.0 / self._time_count
@@ -374,7 +402,7 @@
         self._successes = self._failures = 0.0
         self._streak = self.slow_streak = 0
         self.recent_seconds = self.usual_seconds
-        self.reported_at = -math.inf
+        self._reported_at = -math.inf
 
     def _fade(self, now: float) -> None:
         if self._counted_at < now:
--- a/tests/core/balancing/test_health.py
+++ b/tests/core/balancing/test_health.py
@@ -124,3 +124,29 @@
             record = {"f": "record_failure", "b": "record_busy", "r": "record_report"}[event]
             getattr(health, record)(target, now)
         assert len(health.conditions(targets, now)) <= count // 2
+
+
+def test_queue_at_a_target_is_not_taken_for_a_slow_target():
+    """Load: one target has a burst, so that many connections are in use and answers take longer."""
+    health = TargetHealth()
+    for step in range(40):
+        for target in NAMES:
+            health.record_success(target, 0.02, step * 0.1)
+    for step in range(40, 60):
+        health.record_success(A, 0.1, step * 0.1, concurrent=6)
+        assert health.conditions(TARGETS, step * 0.1) == {}
+    for step in range(60, 63):
+        health.record_success(A, 0.16, step * 0.1, concurrent=2)
+    assert health.conditions(TARGETS, 6.3) == {A: AVOIDED}
+
+
+def test_repeated_reports_are_asked_for_less_often():
+    """Guards against each entry asking a holder about a failing target at every read."""
+    health, now, asked = TargetHealth(), 0.0, 0
+    while now < 30.0:
+        now += 0.1
+        if A not in health.conditions(TARGETS, now):
+            asked += 1
+            health.record_report(A, now)
+    assert asked <= 11
+    assert health.conditions(TARGETS, now + 4.1) == {}
--- a/tests/core/balancing/test_rankings.py
+++ b/tests/core/balancing/test_rankings.py
@@ -102,6 +102,13 @@
     holder = ReadBalancer(HERE, RankingMode.ALWAYS)
     for at in (99.0, 99.1):
         holder.record_lent(A, Failure.FAILED, 0.02, at)
-    reports = [holder.make_report(A, ZONES, (1, 0, 4), 99.2 + 0.1 * step) for step in range(30)]
+    reports = []
+    for step in range(30):
+        now = 99.2 + 0.1 * step
+        reports.append(holder.make_report(A, ZONES, (1, 0, 4), now))
+        # Writes borrow connections as well and must not use the trials up.
+        if reports[-1].is_trial and step % 2:
+            holder.begin_lent(A, now)
+            holder.record_lent(A, Failure.FAILED, 0.02, now)
     assert all(report.is_avoided for report in reports)
-    assert 1 <= sum(report.is_trial for report in reports) <= 6
+    assert 1 <= sum(report.is_trial for report in reports) <= 4
