Double the pauses at a target that rejects for lack of slots under the fair order

Cause: the existing session tests, run as a trial with the fair order, showed six attempts at a full target in 53 ms, as the pause stayed at 10 ms when the time until it has room is not known. Change: without a stated time the pause doubles as under the order by priority; it still is at most half of the time to the objective.

--- a/hibiscuspoint/components/sessions/attempts.py
+++ b/hibiscuspoint/components/sessions/attempts.py
@@ -108,7 +108,8 @@
         self._objective_at = math.inf
         self._is_retry = False
         self._is_counted = False
-        #: Seconds until a full target expects room; ``None`` after another failure.
+        #: Seconds until a full target expects room, 0 when they are not known; ``None`` after
+        #: another failure.
         self._full_seconds: float | None = None
         self.trace = Trace()
 
@@ -275,7 +276,7 @@
     def record_refusal(self, target: TargetId, reply: Reply) -> None:
         """Take an error of a target into account; it comes last for a moment."""
         is_full = reply.error is not None and reply.error.failure is Failure.OVERLOADED
-        self._full_seconds = BUSY_RETRY_MIN_SECONDS if is_full else None
+        self._full_seconds = 0.0 if is_full else None
         self.trace.reason = f"{reply.error.failure.value} at {target}" if reply.error else ""
         self._access.load(target).record_failure(self._clock.monotonic())
 
@@ -294,7 +295,7 @@
         :param failed: attempts or rounds of attempts that found no room so far.
         :param deadline: monotonic time in seconds.
         """
-        seconds = min(BUSY_RETRY_MAX_SECONDS, BUSY_RETRY_MIN_SECONDS * 2 ** (failed - 1))
+        seconds = _busy_pause(failed)
         if self._clock.monotonic() + seconds >= deadline:
             return False
         await asyncio.sleep(seconds)
@@ -326,10 +327,15 @@
         """
         now = self._clock.monotonic()
         left = (min(self._objective_at, deadline) - now) / 2
-        seconds = max(BUSY_RETRY_MIN_SECONDS, full_seconds)
+        seconds = max(BUSY_RETRY_MIN_SECONDS, full_seconds or _busy_pause(number))
         if number >= ATTEMPT_ROUNDS or seconds > left or not budget.take():
             raise self._give_up()
         await asyncio.sleep(seconds)
 
     def _give_up(self) -> RefusedError:
         return RefusedError(Failure.OVERLOADED, self.trace.reason or "no room in time")
+
+
+def _busy_pause(failed: int) -> float:
+    """Return the seconds before the next attempt after some that found no room."""
+    return min(BUSY_RETRY_MAX_SECONDS, BUSY_RETRY_MIN_SECONDS * 2 ** (failed - 1))
--- a/tests/components/sessions/test_scheduling.py
+++ b/tests/components/sessions/test_scheduling.py
@@ -127,7 +127,9 @@
         started = _now()
         (reply,) = await harness.run(harness.session(), "WRITE x 1")
         assert reply.error.failure is Failure.OVERLOADED
-        assert _now() - started < longest
+        assert 0.06 < _now() - started < longest
+        # The time between two attempts doubles, as each one keeps the full target busy.
+        assert harness.access.counts(PRIMARY).successes <= 6
 
     asyncio.run(scenario())
 
