Shorten the driver of the tests of the fair order

Change: request classes are in a module of builders; the driver has no act for the loss of connections.

--- a/tests/core/scheduling/driver.py
+++ b/tests/core/scheduling/driver.py
@@ -3,31 +3,14 @@
 from __future__ import annotations
 
 import heapq
-import math
 import random
 from collections import Counter
-from dataclasses import dataclass
 
 from hibiscuspoint.core.scheduling import ConnectionUse, wait_queues
 from hibiscuspoint.core.sessions import ConnectionDemand
 from hibiscuspoint.ids import OrganisationId
 
-__all__ = ["PROGRESS", "RANKING", "VERDICTS", "Driver", "RequestClass"]
-
-
-@dataclass(frozen=True)
-class RequestClass:
-    """A class of requests with times in seconds."""
-
-    priority: int
-    service: float
-    objective: float
-    timeout: float
-
-
-VERDICTS = RequestClass(0, 0.0045, 0.15, 0.8)
-PROGRESS = RequestClass(1, 0.014, 0.25, 0.8)
-RANKING = RequestClass(2, 0.022, 0.8, 1.5)
+__all__ = ["Driver"]
 
 
 class Driver:
@@ -36,10 +19,8 @@
     def __init__(self, connections: int, name: str = "fair") -> None:
         self.queue = wait_queues.get(name)()
         self.free, self._held, self._average, self._number = connections, {}, 0.0, 0
-        self._events: list = []
-        self.arrived, self.timely, self.refused, self.waited = (Counter() for _ in range(4))
-        self.service: Counter = Counter()
-        self.refusal_delays: list[float] = []
+        self.arrived, self.timely, self.refused, self.service = (Counter() for _ in range(4))
+        self._events, self.refusal_delays = [], []
 
     def at(self, time: float, action, *arguments) -> None:
         """Schedule a call with the time as its first argument."""
@@ -62,17 +43,14 @@
         held = tuple(now - taken for taken in self._held.values())
         use = ConnectionUse(held, self._average, self.free > 0)
         if self.free <= 0 and self.queue.check(demand, use, now) is not None:
-            self._refuse(cls, organisation, 0.0)
-            return
+            return self._refuse(cls, organisation, 0.0)
         waiter = self.queue.push(demand, now)
         waiter.request = (cls, organisation, service or cls.service)
         self._serve(now)
-        if waiter.check_at < math.inf:
-            self.at(waiter.check_at + 1e-6, self._serve)
+        self.at(waiter.check_at + 1e-6, self._serve)
 
     def _refuse(self, cls, organisation: str, delay: float) -> None:
-        self.refused[cls] += 1
-        self.refused[organisation] += 1
+        self.refused.update((cls, organisation))
         self.refusal_delays.append(delay / cls.objective)
 
     def _serve(self, now: float) -> None:
@@ -81,7 +59,6 @@
         while self.free > 0 and (waiter := self.queue.pop(now, lambda demand: True)) is not None:
             self.free -= 1
             self._held[waiter] = now
-            self.waited[waiter.request[1]] += now - waiter.pushed_at
             self.at(now + waiter.request[2], self._complete, waiter)
         assert self.free <= 0 or not len(self.queue)
 
@@ -90,15 +67,10 @@
         self._average += 0.05 * (now - self._held.pop(waiter) - self._average)
         self.free += 1
         if now <= waiter.demand.objective_at:
-            self.timely[cls] += 1
-            self.timely[organisation] += 1
+            self.timely.update((cls, organisation))
         self.service[organisation] += service
         self._serve(now)
 
-    def lose(self, now: float, count: int) -> None:
-        """Take connections away; those in use end first."""
-        self.free -= count
-
     def run(self) -> Driver:
         """Run until nothing is left to happen."""
         while self._events:
--- a/tests/core/scheduling/test_fair.py
+++ b/tests/core/scheduling/test_fair.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from tests.core.scheduling.driver import PROGRESS, RANKING, VERDICTS, Driver, RequestClass
+from tests.core.scheduling.builders import PROGRESS, RANKING, VERDICTS, RequestClass
+from tests.core.scheduling.driver import Driver
 
 CLASSES = (VERDICTS, PROGRESS, RANKING)
 SECONDS = 4.0
@@ -92,7 +93,12 @@
     """Load pattern: six connections become four under a load of 1.2 times what is left."""
     driver = Driver(6)
     _offer(driver, {VERDICTS: 0.1, PROGRESS: 0.2, RANKING: 0.5})
-    driver.at(1.0, driver.lose, 2)
+
+    def lose(now: float) -> None:
+        # Those in use end first.
+        driver.free -= 2
+
+    driver.at(1.0, lose)
     driver.run()
     assert driver.timely[VERDICTS] >= 0.99 * driver.arrived[VERDICTS]
     assert driver.timely[PROGRESS] >= 0.99 * driver.arrived[PROGRESS]
--- a/tests/core/scheduling/test_properties.py
+++ b/tests/core/scheduling/test_properties.py
@@ -8,7 +8,8 @@
 from hibiscuspoint.core.scheduling import FairQueue
 from hibiscuspoint.core.sessions import ConnectionDemand
 from hibiscuspoint.ids import OrganisationId
-from tests.core.scheduling.driver import PROGRESS, Driver
+from tests.core.scheduling.builders import PROGRESS
+from tests.core.scheduling.driver import Driver
 
 SERVICES = st.floats(0.001, 0.05)
 DEMANDS = st.builds(
