Leave a holder without connections at the first failed attempt

Cause: a demand of an entry that can ask another holder stayed for a second attempt at a full target. Change: four instead of three attempts are expected at a full target where no connection is in use.

--- a/hibiscuspoint/core/scheduling/fair.py
+++ b/hibiscuspoint/core/scheduling/fair.py
@@ -39,8 +39,9 @@
 
 #: Attempts that are expected until a full target, of which others hold all connections, accepts
 #: another one. With 1, statements waited 0.6 s in vain at a holder without a connection, as a later
-#: attempt is as likely to fail.
-OPEN_ATTEMPTS = 3
+#: attempt is as likely to fail; with 4, the first failure exceeds the patience of an entry that can
+#: ask another holder.
+OPEN_ATTEMPTS = 4
 
 #: Bounds of the seconds after which a refused demand is told to expect capacity.
 RETRY_MIN_SECONDS = 0.005
