--- a/hibiscuspoint/core/quotas/account.py
+++ b/hibiscuspoint/core/quotas/account.py
@@ -60,6 +60,12 @@
 #: Time without use after which a share is taken back.
 IDLE_SECONDS = 30.0
 
+#: Time without use after which an entry without a share is forgotten.
+UNUSED_SECONDS = 3.0
+
+#: Time for which the sum of the demand of all entries is used before it is computed again.
+WEIGHT_SECONDS = 0.05
+
 #: Thousandths in which rates are transmitted; shares are multiples, so that both sides agree.
 MILLI = 1000
 
@@ -168,6 +174,8 @@
         self._bound_rate = 0.0
         self._bound_burst = 0
         self._shortage_at = -math.inf
+        self._weighed_at = -math.inf
+        self._weight = 0.0
         self._refilled_at = now
         self._unknown_until = now
         self._unknown_rate = 0.0
@@ -221,7 +229,8 @@
             self._unknown_burst = max(0.0, self._unknown_burst - use.burst)
         holding = self.holdings[instance] = Holding(now, now)
         holding.confirm(rate, use.burst, use.sequence)
-        self._sum_up()
+        self._bound_rate += rate
+        self._bound_burst += use.burst
         return holding
 
     def confirm(self, holding: Holding, use: peer_pb2.QuotaUse, now: float) -> None:
@@ -229,8 +238,9 @@
         rate = use.rate_milli / MILLI
         self.refill(now)
         if not holding.has(rate, use.burst, use.sequence):
+            self._bound_rate += rate - holding.rate_ceiling
+            self._bound_burst += use.burst - holding.burst_ceiling
             holding.confirm(rate, use.burst, use.sequence)
-            self._sum_up()
         self.permits = max(0.0, min(self._room(), self.permits + use.returned))
 
     def remove(self, instance: InstanceId, now: float) -> None:
@@ -238,12 +248,13 @@
         if instance in self.holdings:
             self.refill(now)
             del self.holdings[instance]
-            self._sum_up()
+            self._bound_rate = sum(holding.rate_ceiling for holding in self.holdings.values())
+            self._bound_burst = sum(holding.burst_ceiling for holding in self.holdings.values())
 
     def remove_unused(self, now: float) -> None:
         """Forget the entries that have no share and did not need one for long."""
         for instance, holding in list(self.holdings.items()):
-            if not holding.is_bound and now - holding.used_at >= IDLE_SECONDS:
+            if not holding.is_bound and now - holding.used_at >= UNUSED_SECONDS:
                 self.remove(instance, now)
 
     def grant(self, instance: InstanceId, now: float, sequence: int) -> bool:
@@ -253,7 +264,7 @@
         fair_rate, fair_burst = self._fair(holding, now)
         available = math.floor(self.permits)
         is_lasting = not self._is_scarce(holding) or holding.usual_demand >= LASTING_DEMAND
-        stock = math.ceil(holding.weight(now)) + SPARE_PERMITS if is_lasting else 0
+        stock = math.ceil(holding.usual_demand_now(now)) + SPARE_PERMITS if is_lasting else 0
         goal = max(stock, holding.wanted)
         goal = max(1, min(goal, fair_burst))
         added = max(holding.wanted, goal - holding.burst, goal // 2)
@@ -273,8 +284,7 @@
         if not added and (rate, burst) == (holding.rate, holding.burst):
             return False
         self.permits -= added
-        holding.send(rate, burst, added, sequence)
-        self._sum_up()
+        self._send(holding, rate, burst, added, sequence)
         return True
 
     def reduce(self, instance: InstanceId, now: float, sequence: int) -> bool:
@@ -291,8 +301,7 @@
             rate = 0.0
         if (rate, burst) == (holding.rate, holding.burst):
             return False
-        holding.send(rate, burst, 0, sequence)
-        self._sum_up()
+        self._send(holding, rate, burst, 0, sequence)
         return True
 
     def has_shortage(self, now: float) -> bool:
@@ -311,7 +320,7 @@
 
     def take_back(self, instance: InstanceId, sequence: int) -> bool:
         """End the share of an entry."""
-        self.holdings[instance].send(0.0, 0, 0, sequence)
+        self._send(self.holdings[instance], 0.0, 0, 0, sequence)
         return True
 
     def _room(self) -> float:
@@ -322,15 +331,23 @@
             total = self._bounds.regular_permits(self.limit)
         return total - self._unknown_burst - self._bound_burst
 
-    def _sum_up(self) -> None:
-        holdings = self.holdings.values()
-        self._bound_rate = sum(holding.rate_ceiling for holding in holdings)
-        self._bound_burst = sum(holding.burst_ceiling for holding in holdings)
+    def _send(self, holding: Holding, rate: float, burst: int, permits: int, sequence: int) -> None:
+        self._bound_rate += max(0.0, rate - holding.rate_ceiling)
+        self._bound_burst += max(0, burst - holding.burst_ceiling)
+        holding.send(rate, burst, permits, sequence)
+
+    def _total_weight(self, now: float) -> float:
+        """Return the demand of all entries, which need not be exact."""
+        if now - self._weighed_at >= WEIGHT_SECONDS:
+            self._weighed_at = now
+            self._weight = sum(other.weight(now) for other in self.holdings.values())
+        return self._weight
 
     def _fair(self, holding: Holding, now: float) -> tuple[float, int]:
         """Return the share of an entry by its part of the demand."""
-        total = sum(other.weight(now) for other in self.holdings.values())
-        part = holding.weight(now) / total if total else 0.0
+        weight = holding.weight(now)
+        total = max(weight, self._total_weight(now))
+        part = weight / total if total else 0.0
         divided = 1.0 if part == 1.0 else DIVIDED_PART
         burst = self._bounds.regular_permits(self.limit) * divided * part
         return self._bounds.rate(self.limit) * part, math.floor(burst)
--- a/hibiscuspoint/core/quotas/bucket.py
+++ b/hibiscuspoint/core/quotas/bucket.py
@@ -106,11 +106,11 @@
         self.burst = 0
 
     def is_ask_due(self, now: float) -> bool:
-        """Tell whether to ask for permits now: fewer than half are left."""
+        """Tell whether to ask for permits now; the next report does while some are left."""
         if 2 * self.permits >= self.burst > 0 and self.permits >= 1:
             return False
         self.is_wanting = True
-        if now - self.asked_at < self.ask_interval:
+        if not self.wanted or now - self.asked_at < self.ask_interval:
             return False
         self.asked_at = now
         self.ask_interval = min(2 * self.ask_interval, ASK_INTERVAL_MAX_SECONDS)
--- a/hibiscuspoint/core/quotas/ledger.py
+++ b/hibiscuspoint/core/quotas/ledger.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -20,6 +21,9 @@
 
 __all__ = ["LimitChange", "QuotaLedger"]
 
+#: Seconds between two looks at silent entries and unused shares.
+TICK_SECONDS = 0.5
+
 #: Time without a refused operation after which an organisation counts as below its limit.
 BELOW_LIMIT_SECONDS = 2.0
 
@@ -64,6 +68,7 @@
         # Instances that have reported to this leader.
         self._known: set[InstanceId] = set()
         self._sequence = 0
+        self._ticked_at = -math.inf
         self._changes: list[LimitChange] = []
 
     @property
@@ -135,9 +140,10 @@
         if entry is None:
             return
         update.quota_stream = entry.stream
-        for name, account in entry.accounts.items():
+        for name, account in list(entry.accounts.items()):
             holding = account.holdings.get(instance)
             if holding is None:
+                del entry.accounts[name]
                 continue
             self._adjust(account, instance, holding, now)
             if not holding.is_confirmed:
@@ -152,6 +158,9 @@
 
     def tick(self, now: float) -> None:
         """End the shares of silent entries."""
+        if now - self._ticked_at < TICK_SECONDS:
+            return
+        self._ticked_at = now
         lease = SHARE_LEASE_SECONDS * (1 + CLOCK_DRIFT)
         for instance, entry in list(self._entries.items()):
             if now - entry.reported_at >= lease:
