Free an idle connection when a target is full

Change: the refused attempt closes the idle connection used least recently before the next one; the pool of an instance that only borrows is not created before it is needed.

--- a/hibiscuspoint/components/sessions/groups.py
+++ b/hibiscuspoint/components/sessions/groups.py
@@ -174,7 +174,9 @@
         own = None
         if self._has_organisations:
             holders = target_holders(self._group_holders(group), member.zone)
-            own = OwnConnections(self._instance, self._pool(group, member).acquire)
+            own = OwnConnections(
+                self._instance, lambda wanted: self._pool(group, member).acquire(wanted)
+            )
         else:
             holders = self.holders(group)
         if holders and self._borrowing is not None:
--- a/hibiscuspoint/components/sessions/pool.py
+++ b/hibiscuspoint/components/sessions/pool.py
@@ -373,8 +373,12 @@
 
     def _open_failed(self, error: ConnectError) -> None:
         if error.failure is ConnectFailure.LIMITED:
-            self._retry_at = self._clock.monotonic() + self._retry_delay_seconds
-            self._retry_later(self._retry_delay_seconds)
+            now = self._clock.monotonic()
+            self._retry_at = now + self._retry_delay_seconds
+            if self._waiting:
+                # The idle connections of others are the only ones that this pool can free.
+                self._make_room(now)
+            self._retry_later(self._retry_at - now)
             self._retry_delay_seconds = min(2 * self._retry_delay_seconds, FULL_RETRY_MAX_SECONDS)
             return
         if error.failure is ConnectFailure.REFUSED:
--- a/tests/components/sessions/test_pool_organisations.py
+++ b/tests/components/sessions/test_pool_organisations.py
@@ -98,6 +98,24 @@
     asyncio.run(scenario())
 
 
+def test_full_target_gets_room_from_an_idle_connection():
+    """Load pattern: a target counts connections of a lost machine, and a pool has an idle one.
+
+    Found by test_pool_states: the pool asked the full target again without closing its idle one.
+    """
+
+    async def scenario():
+        driver = FakeDriver()
+        driver.targets[PRIMARY] = ScriptedTarget(limit=1, connect_delay=0.005)
+        pool = _pool(driver, limit=2)
+        await _use(pool, A)
+        async with asyncio.timeout(0.2):
+            await _use(pool, B)
+        assert _open(driver) == [B]
+
+    asyncio.run(scenario())
+
+
 def test_all_organisations_at_once_are_served_within_the_rate():
     """Load pattern: all machines start again, and every organisation sends a statement at once."""
 
