Admit the even share of a limit while the control leader does not answer

Cause: an entry without a share refused every operation while the leader was lost, frozen or slow to answer within 50 ms.

--- a/hibiscuspoint/components/sessions/quotas.py
+++ b/hibiscuspoint/components/sessions/quotas.py
@@ -22,8 +22,9 @@
 __all__ = ["QuotaGate"]
 
 #: Longest time in seconds that an operation waits for permits from the leader. The answer takes 1
-#: to 7 ms, besides the time until the leader handles the report.
-WAIT_SECONDS = 0.05
+#: to 7 ms, besides the time until the leader handles the report, which is longer while many
+#: entries ask at once.
+WAIT_SECONDS = 0.12
 
 #: Organisations with a metric of their own.
 NAMED_ORGANISATIONS = 8
@@ -49,6 +50,7 @@
         self._meter = QuotaMeter(bounds, ask)
         self._changed = asyncio.Event()
         self._document_number = 0
+        self._entries = 1
         self._named: set[OrganisationId] = set()
 
     def admit(self, organisation: Organisation, now: float) -> QuotaVerdict:
@@ -61,7 +63,11 @@
         """Count one operation, after waiting for permits if the leader may have some."""
         deadline = self._clock.monotonic() + WAIT_SECONDS
         while not self._meter.try_admit(organisation, now := self._clock.monotonic()):
-            if now >= deadline or not self._meter.may_wait(organisation):
+            if not self._meter.may_wait(organisation):
+                return self._refuse(organisation, now)
+            if now >= deadline:
+                if self._meter.admit_unanswered(organisation, self._entries, now):
+                    return QuotaVerdict(is_admitted=True)
                 return self._refuse(organisation, now)
             try:
                 async with asyncio.timeout(deadline - now):
@@ -77,6 +83,7 @@
             self._document_number = self._state.document_number
             self._meter.update(table_limits(self._state.document), now)
         self._meter.apply(update, now)
+        self._entries = max(1, update.serving_entries or self._entries)
         if update.quota_shares:
             self._metrics.quota_shares.set(self._meter.share_count)
         self._changed.set()
--- a/hibiscuspoint/core/quotas/bounds.py
+++ b/hibiscuspoint/core/quotas/bounds.py
@@ -24,7 +24,7 @@
 
 #: Part of the permits beyond the burst that only a new leader gives out, while it does not know
 #: all shares of its predecessor.
-SUCCESSOR_PART = 0.6
+SUCCESSOR_PART = 0.3
 
 
 @dataclass(frozen=True, slots=True)
--- a/hibiscuspoint/core/quotas/bucket.py
+++ b/hibiscuspoint/core/quotas/bucket.py
@@ -45,6 +45,8 @@
     returned: int = 0
     is_wanting: bool = False
     is_changed: bool = False
+    even_permits: float = 1.0
+    even_refilled_at: float = -math.inf
     recent: deque[float] = field(default_factory=deque)
 
     @property
@@ -65,6 +67,21 @@
         self.recent.append(now)
         return True
 
+    def take_even(self, rate: float, now: float) -> bool:
+        """Use one permit of the even share, which an entry has without an answer of the leader.
+
+        :param rate: permits per second that arise in the even share; one is kept at most.
+        """
+        elapsed = max(0.0, now - self.even_refilled_at)
+        self.even_permits = min(1.0, self.even_permits + rate * elapsed)
+        self.even_refilled_at = now
+        if self.even_permits < 1:
+            return False
+        self.even_permits -= 1
+        self.admitted += 1
+        self.recent.append(now)
+        return True
+
     def refill(self, now: float) -> None:
         """Add the permits that arose since the last call."""
         if self.rate:
--- a/hibiscuspoint/core/quotas/meter.py
+++ b/hibiscuspoint/core/quotas/meter.py
@@ -70,6 +70,22 @@
             self._ask()
         return is_admitted
 
+    def admit_unanswered(self, organisation: Organisation, entries: int, now: float) -> bool:
+        """Admit an operation within the even share, as the leader does not answer.
+
+        The even shares of all entries together have the rate of the limit. An entry that has a
+        share already uses only that one.
+
+        :param entries: number of serving entries.
+        """
+        limit = organisation.limit
+        if limit is None or not limit.rate_per_s:
+            return limit is None
+        bucket = self._bucket(organisation, now)
+        if bucket.burst:
+            return False
+        return bucket.take_even(limit.rate_per_s / max(1, entries), now)
+
     def refuse(self, organisation: Organisation, now: float) -> QuotaVerdict:
         """Count a refused operation and return when to retry."""
         limit = organisation.limit
