Keep limits by feedback where many entries serve

Cause: with permits, an entry asks the control leader before most operations of small organisations. Change: in mode feedback the leader counts the reported operations in a token bucket and sends the fraction that entries admit; nothing is asked and nothing is sent below the limit. An entry without an answer for 0.8 s bounds operations by what it usually admits. What is given up: the bound holds for demand of up to 4.7 times the limit while reports and updates pass, not for any schedule. Mode permits stays for few entries; its tests name the mode.

--- a/hibiscuspoint/components/sessions/quotas.py
+++ b/hibiscuspoint/components/sessions/quotas.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from hibiscuspoint.core.quotas import QuotaMeter, QuotaVerdict
+from hibiscuspoint.core.quotas import QuotaVerdict, make_meter
 from hibiscuspoint.core.sessions.routing import table_limits
 
 if TYPE_CHECKING:
@@ -47,7 +47,7 @@
         self._state = state
         self._clock = clock
         self._metrics = metrics
-        self._meter = QuotaMeter(bounds, ask)
+        self._meter = make_meter(bounds, ask)
         self._changed = asyncio.Event()
         self._document_number = 0
         self._entries = 1
--- a/hibiscuspoint/core/failover/leader.py
+++ b/hibiscuspoint/core/failover/leader.py
@@ -25,7 +25,7 @@
     from hibiscuspoint.core.control.state import ControlState, GroupRecord
     from hibiscuspoint.core.failover.status import TargetStatus
     from hibiscuspoint.core.organisations import RateLimit
-    from hibiscuspoint.core.quotas import QuotaBounds, QuotaLedger
+    from hibiscuspoint.core.quotas import FeedbackLedger, QuotaBounds, QuotaLedger
 
 __all__ = ["FailoverLeader"]
 
@@ -68,7 +68,7 @@
         self._sequences: dict[TargetId, tuple[Incarnation, int]] = {}
         # Last reported disk of each instance, with the time of the report.
         self._disks: dict[InstanceId, tuple[str, float]] = {}
-        self._quotas: QuotaLedger | None = None
+        self._quotas: QuotaLedger | FeedbackLedger | None = None
         self._leader_since = now
         self._last_tick = now
         self._serving: list[peer_pb2.ServingEntry] = []
@@ -90,7 +90,7 @@
         return self._groups
 
     @property
-    def quotas(self) -> QuotaLedger | None:
+    def quotas(self) -> QuotaLedger | FeedbackLedger | None:
         """Return the division of limits; ``None`` where the document has no organisations."""
         return self._quotas
 
@@ -110,9 +110,9 @@
             if not any(limits.values()):
                 return
             # Imported here, as most deployments have no organisations.
-            from hibiscuspoint.core.quotas import QuotaLedger
+            from hibiscuspoint.core.quotas import make_ledger
 
-            self._quotas = QuotaLedger(bounds)
+            self._quotas = make_ledger(bounds)
         self._quotas.set_limits(limits, now, is_inherited=is_inherited)
 
     def recent_disks(self, now: float, seconds: float) -> dict[InstanceId, str]:
--- a/hibiscuspoint/core/quotas/__init__.py
+++ b/hibiscuspoint/core/quotas/__init__.py
@@ -8,9 +8,12 @@
 __getattr__, __dir__, __all__ = lazy_loader.attach(
     __name__,
     submod_attrs={
-        "bounds": ["QuotaBounds"],
-        "ledger": ["LimitChange", "QuotaLedger"],
+        "bounds": ["QuotaBounds", "QuotaMode"],
+        "changes": ["LimitChange"],
+        "feedback": ["FeedbackLedger", "FeedbackMeter"],
+        "ledger": ["QuotaLedger"],
         "meter": ["QuotaMeter"],
+        "modes": ["make_ledger", "make_meter"],
         "verdict": ["OperationLimiter", "QuotaVerdict"],
     },
 )
--- a/hibiscuspoint/core/quotas/bounds.py
+++ b/hibiscuspoint/core/quotas/bounds.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from hibiscuspoint.core.organisations import RateLimit
 
-__all__ = ["SHARE_LEASE_SECONDS", "QuotaBounds"]
+__all__ = ["SHARE_LEASE_SECONDS", "QuotaBounds", "QuotaMode"]
 
 DEFAULT_WINDOW_SECONDS = 5.0
 DEFAULT_EXCESS = 0.1
@@ -27,6 +28,16 @@
 SUCCESSOR_PART = 0.3
 
 
+class QuotaMode(Enum):
+    """How a limit is kept over all instances."""
+
+    #: Entries hold permits of the leader, so that the bound holds for any schedule of messages. An
+    #: entry asks the leader for most operations of small organisations, so few entries suit it.
+    PERMITS = "permits"
+    #: Entries admit the fraction that the leader computes from their reports.
+    FEEDBACK = "feedback"
+
+
 @dataclass(frozen=True, slots=True)
 class QuotaBounds:
     """How far the operations may exceed a limit in a window.
@@ -36,11 +47,13 @@
 
     :param excess: part by which rate and burst may be exceeded.
     :param slack: operations that are permitted in addition.
+    :param mode: how the limits are kept.
     """
 
     window_seconds: float = DEFAULT_WINDOW_SECONDS
     excess: float = DEFAULT_EXCESS
     slack: int = DEFAULT_SLACK
+    mode: QuotaMode = QuotaMode.FEEDBACK
 
     def rate(self, limit: RateLimit) -> float:
         """Return the permits per second that arise at the leader and all entries together."""
--- a/hibiscuspoint/core/quotas/ledger.py
+++ b/hibiscuspoint/core/quotas/ledger.py
@@ -8,6 +8,7 @@
 
 from hibiscuspoint.core.quotas.account import CLOCK_DRIFT, MILLI, QuotaAccount
 from hibiscuspoint.core.quotas.bounds import SHARE_LEASE_SECONDS, QuotaBounds
+from hibiscuspoint.core.quotas.changes import LimitChange
 from hibiscuspoint.ids import OrganisationId
 from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
 
@@ -19,7 +20,7 @@
     from hibiscuspoint.ids import InstanceId
     from hibiscuspoint.wire import peer_pb2
 
-__all__ = ["LimitChange", "QuotaLedger"]
+__all__ = ["QuotaLedger"]
 
 #: Seconds between two looks at silent entries and unused shares.
 TICK_SECONDS = 0.5
@@ -28,23 +29,6 @@
 BELOW_LIMIT_SECONDS = 2.0
 
 
-@dataclass(frozen=True, slots=True)
-class LimitChange:
-    """An organisation reached its limit or is below it again.
-
-    :param demand: operations per second that the entries reported.
-    :param entries: number of entries with a share.
-    :param permits: permits that were left at the leader.
-    """
-
-    organisation: OrganisationId
-    is_limiting: bool
-    limit: RateLimit
-    demand: float
-    entries: int
-    permits: float
-
-
 @dataclass
 class _Entry:
     """What the leader knows about the reports of one entry.
--- a/tests/components/sessions/test_quotas.py
+++ b/tests/components/sessions/test_quotas.py
@@ -7,7 +7,7 @@
 from hibiscuspoint.components.entry_state import EntryState
 from hibiscuspoint.components.sessions.quotas import WAIT_SECONDS, QuotaGate
 from hibiscuspoint.core.organisations import Organisation, OrganisationDirectory, RateLimit
-from hibiscuspoint.core.quotas import QuotaBounds, QuotaLedger
+from hibiscuspoint.core.quotas import QuotaBounds, QuotaLedger, QuotaMode
 from hibiscuspoint.core.sessions import RoutingTable
 from hibiscuspoint.ids import InstanceId, OrganisationId
 from hibiscuspoint.telemetry import Metrics
@@ -29,7 +29,9 @@
         self.is_silent = False
         self.reports: list[peer_pb2.EntryReport] = []
         self.clock = LoopClock()
-        self.gate = QuotaGate(self.state, QuotaBounds(), self.clock, self.metrics, self._ask)
+        self.gate = QuotaGate(
+            self.state, QuotaBounds(mode=QuotaMode.PERMITS), self.clock, self.metrics, self._ask
+        )
         self.set_organisation(1, ORGANISATION)
 
     def set_organisation(self, number: int, organisation: Organisation | None) -> None:
--- a/tests/core/failover/test_leader.py
+++ b/tests/core/failover/test_leader.py
@@ -7,7 +7,7 @@
 from hibiscuspoint.core.failover import FailoverLeader
 from hibiscuspoint.core.failover.leader import SERVING_LIST_DELAY_SECONDS
 from hibiscuspoint.core.organisations import RateLimit
-from hibiscuspoint.core.quotas import QuotaBounds
+from hibiscuspoint.core.quotas import QuotaBounds, QuotaMode
 from hibiscuspoint.ids import InstanceId, OrganisationId
 from hibiscuspoint.wire import peer_pb2
 from tests.builders_failover import GROUP, PRIMARY, REPLICA_A, announcement
@@ -124,10 +124,12 @@
 def test_limits_are_divided_only_where_the_document_has_some():
     """Guards against work and messages of limits on deployments without organisations."""
     leader = _leader(ControlState())
-    leader.set_limits({}, QuotaBounds(), NOW, is_inherited=True)
+    leader.set_limits({}, QuotaBounds(mode=QuotaMode.PERMITS), NOW, is_inherited=True)
     assert leader.quotas is None
     name = OrganisationId("marble-works")
-    leader.set_limits({name: RateLimit(10, 5)}, QuotaBounds(), NOW, is_inherited=False)
+    leader.set_limits(
+        {name: RateLimit(10, 5)}, QuotaBounds(mode=QuotaMode.PERMITS), NOW, is_inherited=False
+    )
     report = peer_pb2.EntryReport(
         instance="10.0.0.2:7440", sent_at_ns=1, quota_stream=1, quota_complete=True
     )
