React earlier to demand above a limit, and expect repeated operations

The log shows that the limit began to bind 0.37 s after the excess load began; the fraction was computed from demand without the operations that callers repeat after a refusal, which doubled it. Change: a limit begins to bind at seven tenths of a bucket of the size of the burst, and the demand counts twice for the first 0.75 s. The test repeats refused operations.

--- a/hibiscuspoint/core/quotas/feedback.py
+++ b/hibiscuspoint/core/quotas/feedback.py
@@ -30,14 +30,18 @@
 #: Thousandths in which fractions are transmitted.
 _MILLI = 1000
 
-#: Part of the permitted excess that the leader lets organisations use; the rest covers what entries
-#: admit until they have its answer.
-EXCESS_PART = 0.3
-
 #: Part of the bucket of an organisation below which entries admit only a fraction, and above which
-#: they admit all again.
-LIMITED_PART = 0.5
-OPEN_PART = 0.6
+#: they admit all again. What entries admit until they have the answer of the leader must fit into
+#: the rest of the bucket and the permitted excess.
+LIMITED_PART = 0.7
+OPEN_PART = 0.8
+
+#: Factor on the demand when a limit begins to bind: callers repeat refused operations at once,
+#: which the demand measured before does not show.
+RETRY_FACTOR = 2.0
+
+#: Seconds for which that factor applies, until reports show the repeated operations.
+RETRY_SECONDS = 0.75
 
 #: Part of the bucket to which the fraction steers, and the seconds in which it does so.
 GOAL_PART = 0.25
@@ -207,6 +211,7 @@
     level: float
     refilled_at: float
     fraction: float = 1.0
+    limited_at: float = -math.inf
     demand: deque[tuple[float, int]] = field(default_factory=deque)
 
     def refill(self, now: float) -> None:
@@ -236,6 +241,10 @@
             excess = self.level - GOAL_PART * self.capacity
             allowed = max(0.0, self.limit.rate_per_s + excess / STEER_SECONDS)
             demand = self.demand_rate(now)
+            if not was_limited:
+                self.limited_at = now
+            if now - self.limited_at < RETRY_SECONDS:
+                demand *= RETRY_FACTOR
             self.fraction = min(1.0, allowed / demand) if demand > allowed else 1.0
         return was_limited != (self.fraction < 1.0)
 
@@ -326,9 +335,8 @@
                 self._record_change(name, account, now)
 
     def _capacity(self, limit: RateLimit) -> float:
-        bounds = self._bounds
-        usual = bounds.window_seconds * limit.rate_per_s + limit.burst
-        return limit.burst + EXCESS_PART * (bounds.excess * usual + bounds.slack)
+        # Without a burst the slack takes its place, as operations come one by one.
+        return max(limit.burst, self._bounds.slack / 2)
 
     def _record_change(self, name: OrganisationId, account: _Account, now: float) -> None:
         self._changes.append(
--- a/tests/core/quotas/test_feedback.py
+++ b/tests/core/quotas/test_feedback.py
@@ -30,6 +30,7 @@
         self._step = 0
         self._debt = 0.0
         self._turn = 0
+        self._repeats: list[tuple[int, FeedbackMeter, int]] = []
         self._updates: list[tuple[int, FeedbackMeter, peer_pb2.ControlUpdate]] = []
 
     def run(self, seconds: float, rate: float, entries: int | None = None) -> None:
@@ -43,6 +44,9 @@
                 self._debt -= 1.0
                 self._turn += 1
                 self._ask(used[self._turn * 7 % len(used)], now)
+            for due, meter, left in [item for item in self._repeats if item[0] <= self._step]:
+                self._repeats.remove((due, meter, left))
+                self._ask(meter, now, left)
             self._step += 1
 
     def most_in_a_window(self) -> int:
@@ -50,12 +54,15 @@
         times = self.admitted
         return max(sum(at <= t < at + WINDOW_SECONDS for t in times) for at in times)
 
-    def _ask(self, meter: FeedbackMeter, now: float) -> None:
+    def _ask(self, meter: FeedbackMeter, now: float, repeats: int = 2) -> None:
+        """Ask for one operation; a refused one is repeated after 50 ms."""
         if meter.try_admit(self.organisation, now):
             self.admitted.append(now)
-        else:
-            meter.refuse(self.organisation, now)
-            self.refused += 1
+            return
+        meter.refuse(self.organisation, now)
+        self.refused += 1
+        if repeats:
+            self._repeats.append((self._step + 5, meter, repeats - 1))
 
     def _exchange(self, now: float) -> None:
         for due, meter, update in [item for item in self._updates if item[0] <= self._step]:
