--- a/hibiscuspoint/core/quotas/feedback.py
+++ b/hibiscuspoint/core/quotas/feedback.py
@@ -33,8 +33,8 @@
 #: Part of the bucket of an organisation below which entries admit only a fraction, and above which
 #: they admit all again. What entries admit until they have the answer of the leader must fit into
 #: the rest of the bucket and the permitted excess.
-LIMITED_PART = 0.7
-OPEN_PART = 0.8
+LIMITED_PART = 0.75
+OPEN_PART = 0.85
 
 #: Factor on the demand when a limit begins to bind: callers repeat refused operations at once,
 #: which the demand measured before does not show.
@@ -44,7 +44,7 @@
 RETRY_SECONDS = 0.75
 
 #: Part of the bucket to which the fraction steers, and the seconds in which it does so.
-GOAL_PART = 0.25
+GOAL_PART = 0.5
 STEER_SECONDS = 1.0
 
 #: Period in seconds over which the leader measures demand: two reports of each entry.
