Leave demand that varies within the limit alone

Cause: with the earlier limit, one entry whose reports hold two or three operations each was taken for demand above its limit; test_demand_within_the_limit_is_not_refused failed with 121 refusals. Change: demand within the rate, but for what operations vary in half a second, is admitted while the bucket is not empty.

--- a/hibiscuspoint/core/quotas/feedback.py
+++ b/hibiscuspoint/core/quotas/feedback.py
@@ -50,6 +50,11 @@
 #: Period in seconds over which the leader measures demand: two reports of each entry.
 DEMAND_SECONDS = 0.5
 
+#: By how much measured demand may exceed a limit that is kept: a part of the rate, and operations
+#: in one period of measurement. The bucket bounds what this lets pass.
+DEMAND_VARIATION = 0.15
+VARYING_OPERATIONS = 2
+
 #: Change of a fraction, as a part of it, from which it is sent again.
 SEND_PART = 0.05
 
@@ -227,7 +232,7 @@
 
     def demand_rate(self, now: float) -> float:
         """Return the operations per second that callers ask for."""
-        while self.demand and now - self.demand[0][0] > DEMAND_SECONDS:
+        while self.demand and now - self.demand[0][0] >= DEMAND_SECONDS:
             self.demand.popleft()
         return sum(count for _, count in self.demand) / DEMAND_SECONDS
 
@@ -235,19 +240,32 @@
         """Compute the fraction again; return whether it began or ceased to be less than 1."""
         self.refill(now)
         was_limited = self.fraction < 1.0
-        if self.level >= (OPEN_PART if was_limited else LIMITED_PART) * self.capacity:
+        demand = self.demand_rate(now)
+        is_open = self.level >= (OPEN_PART if was_limited else LIMITED_PART) * self.capacity
+        if is_open or (self.level >= 0 and self._is_usual(demand)):
             self.fraction = 1.0
         else:
-            excess = self.level - GOAL_PART * self.capacity
-            allowed = max(0.0, self.limit.rate_per_s + excess / STEER_SECONDS)
-            demand = self.demand_rate(now)
-            if not was_limited:
-                self.limited_at = now
-            if now - self.limited_at < RETRY_SECONDS:
-                demand *= RETRY_FACTOR
-            self.fraction = min(1.0, allowed / demand) if demand > allowed else 1.0
+            self.fraction = self._fraction(demand, now, is_new=not was_limited)
         return was_limited != (self.fraction < 1.0)
 
+    def _is_usual(self, demand: float) -> bool:
+        """Tell whether demand does not exceed the limit by more than operations vary."""
+        varying = DEMAND_VARIATION * self.limit.rate_per_s
+        return demand <= self.limit.rate_per_s + varying + VARYING_OPERATIONS / DEMAND_SECONDS
+
+    def _fraction(self, demand: float, now: float, *, is_new: bool) -> float:
+        """Return the fraction that brings the bucket to its goal.
+
+        :param is_new: the limit did not bind before.
+        """
+        if is_new:
+            self.limited_at = now
+        if now - self.limited_at < RETRY_SECONDS:
+            demand *= RETRY_FACTOR
+        excess = self.level - GOAL_PART * self.capacity
+        allowed = max(0.0, self.limit.rate_per_s + excess / STEER_SECONDS)
+        return min(1.0, allowed / demand) if demand > allowed else 1.0
+
 
 class FeedbackLedger:
     """Counts the operations of all entries at the control leader; soft state of one leadership."""
