Measure demand above a limit over one report of each entry

The demand of the last half second shows a sudden rise only in part, so that the first fraction was too high. Change: the greater demand of the last 0.25 and 0.5 s counts, three times as much when a limit begins to bind, as callers try up to three times.

--- a/hibiscuspoint/core/quotas/feedback.py
+++ b/hibiscuspoint/core/quotas/feedback.py
@@ -38,7 +38,7 @@
 
 #: Factor on the demand when a limit begins to bind: callers repeat refused operations at once,
 #: which the demand measured before does not show.
-RETRY_FACTOR = 2.0
+RETRY_FACTOR = 3.0
 
 #: Seconds for which that factor applies, until reports show the repeated operations.
 RETRY_SECONDS = 0.75
@@ -230,6 +230,15 @@
         self.level -= admitted
         self.demand.append((now, admitted + refused))
 
+    def rising_rate(self, now: float) -> float:
+        """Return the demand of one report of each entry, or of two if that is more.
+
+        The longer period shows a rise only in part.
+        """
+        period = DEMAND_SECONDS / 2
+        latest = sum(count for at, count in self.demand if now - at < period)
+        return max(latest / period, self.demand_rate(now))
+
     def demand_rate(self, now: float) -> float:
         """Return the operations per second that callers ask for."""
         while self.demand and now - self.demand[0][0] >= DEMAND_SECONDS:
@@ -245,7 +254,7 @@
         if is_open or (self.level >= 0 and self._is_usual(demand)):
             self.fraction = 1.0
         else:
-            self.fraction = self._fraction(demand, now, is_new=not was_limited)
+            self.fraction = self._fraction(now, is_new=not was_limited)
         return was_limited != (self.fraction < 1.0)
 
     def _is_usual(self, demand: float) -> bool:
@@ -253,13 +262,14 @@
         varying = DEMAND_VARIATION * self.limit.rate_per_s
         return demand <= self.limit.rate_per_s + varying + VARYING_OPERATIONS / DEMAND_SECONDS
 
-    def _fraction(self, demand: float, now: float, *, is_new: bool) -> float:
+    def _fraction(self, now: float, *, is_new: bool) -> float:
         """Return the fraction that brings the bucket to its goal.
 
         :param is_new: the limit did not bind before.
         """
         if is_new:
             self.limited_at = now
+        demand = self.rising_rate(now)
         if now - self.limited_at < RETRY_SECONDS:
             demand *= RETRY_FACTOR
         excess = self.level - GOAL_PART * self.capacity
