--- a/hibiscuspoint/core/quotas/feedback.py
+++ b/hibiscuspoint/core/quotas/feedback.py
@@ -36,6 +36,10 @@
 LIMITED_PART = 0.75
 OPEN_PART = 0.85
 
+#: Part of the burst that the bucket of the leader holds. The rest is for what entries admit until
+#: they have its answer, beside the permitted excess.
+BURST_PART = 0.5
+
 #: Factor on the demand when a limit begins to bind: callers repeat refused operations at once,
 #: which the demand measured before does not show.
 RETRY_FACTOR = 3.0
@@ -364,7 +368,7 @@
 
     def _capacity(self, limit: RateLimit) -> float:
         # Without a burst the slack takes its place, as operations come one by one.
-        return max(limit.burst, self._bounds.slack / 2)
+        return max(BURST_PART * limit.burst, self._bounds.slack / 2)
 
     def _record_change(self, name: OrganisationId, account: _Account, now: float) -> None:
         self._changes.append(
