Bound what the ledger of limits remembers

Cause, found on reading the change: the reports of an organisation that is never near its limit were kept for ever, as they were forgotten only when its fraction was computed; entries that left were never forgotten; and after a limit was removed and restored, an entry had dropped its fraction while the leader took it for known and sent none. Change: old reports are forgotten as new ones arrive, entries after 10 s without a report, fractions with their limit. A read that no holder may run does not compute its demand for a connection twice. Result: two tests; 41 tests of limits by feedback, the limiter and borrowing pass.

--- a/hibiscuspoint/components/sessions/attempts.py
+++ b/hibiscuspoint/components/sessions/attempts.py
@@ -298,9 +298,9 @@
 
         :raises ConnectionLost: there is no whole answer.
         """
-        demand = self._demand(route, candidate)
         if not self._access.runs_reads_at_holders(route.group):
             return None
+        demand = self._demand(route, candidate)
         read = HeldRead(
             statement, self._context, candidate.answer_until, prepared_statement, candidate.after
         )
--- a/hibiscuspoint/core/quotas/feedback.py
+++ b/hibiscuspoint/core/quotas/feedback.py
@@ -74,6 +74,10 @@
 #: Time constant in seconds of what an entry usually admits.
 USUAL_SECONDS = 5.0
 
+#: Seconds without a report after which the leader forgets what an entry was sent. Its stream has
+#: ended by then, so that its next report is the first of another one.
+SILENT_SECONDS = 10.0
+
 #: Longest time in seconds after which a caller is told to retry.
 RETRY_MAX_SECONDS = 1.0
 
@@ -233,6 +237,7 @@
         self.refill(now)
         self.level -= admitted
         self.demand.append((now, admitted + refused))
+        self._forget_demand(now)
 
     def rising_rate(self, now: float) -> float:
         """Return the demand of one report of each entry, or of two if that is more.
@@ -245,8 +250,7 @@
 
     def demand_rate(self, now: float) -> float:
         """Return the operations per second that callers ask for."""
-        while self.demand and now - self.demand[0][0] >= DEMAND_SECONDS:
-            self.demand.popleft()
+        self._forget_demand(now)
         return sum(count for _, count in self.demand) / DEMAND_SECONDS
 
     def steer(self, now: float) -> bool:
@@ -261,6 +265,11 @@
             self.fraction = self._fraction(now, is_new=not was_limited)
         return was_limited != (self.fraction < 1.0)
 
+    def _forget_demand(self, now: float) -> None:
+        """Forget old reports, also of organisations that are never near their limit."""
+        while self.demand and now - self.demand[0][0] >= DEMAND_SECONDS:
+            self.demand.popleft()
+
     def _is_usual(self, demand: float) -> bool:
         """Tell whether demand does not exceed the limit by more than operations vary."""
         varying = DEMAND_VARIATION * self.limit.rate_per_s
@@ -288,6 +297,7 @@
         self._bounds = bounds or QuotaBounds()
         self._accounts: dict[OrganisationId, _Account] = {}
         self._sent: dict[InstanceId, dict[OrganisationId, float]] = {}
+        self._reported_at: dict[InstanceId, float] = {}
         self._steered_at = -math.inf
         self._changes: list[LimitChange] = []
 
@@ -326,9 +336,14 @@
             account.level = min(account.level, capacity)
             accounts[name] = account
         self._accounts = accounts
+        # Entries drop the fraction of an organisation whose limit ends.
+        for sent in self._sent.values():
+            for name in sent.keys() - accounts.keys():
+                del sent[name]
 
     def record_report(self, instance: InstanceId, report: peer_pb2.EntryReport, now: float) -> None:
         """Take over what an entry admitted and refused."""
+        self._reported_at[instance] = now
         if report.quota_complete or instance not in self._sent:
             self._sent[instance] = {}
         for use in report.quota_uses:
@@ -360,12 +375,20 @@
         if now - self._steered_at < 1 / _MILLI:
             return
         self._steered_at = now
+        self._forget_silent(now)
         for name, account in self._accounts.items():
             if account.fraction == 1.0 and account.level >= LIMITED_PART * account.capacity:
                 continue
             if account.steer(now):
                 self._record_change(name, account, now)
 
+    def _forget_silent(self, now: float) -> None:
+        """Forget entries that have left; one that reports again states its fractions."""
+        for instance, reported_at in list(self._reported_at.items()):
+            if now - reported_at >= SILENT_SECONDS:
+                del self._reported_at[instance]
+                self._sent.pop(instance, None)
+
     def _capacity(self, limit: RateLimit) -> float:
         # Without a burst the slack takes its place, as operations come one by one.
         return max(BURST_PART * limit.burst, self._bounds.slack / 2)
--- a/tests/core/quotas/test_feedback.py
+++ b/tests/core/quotas/test_feedback.py
@@ -145,3 +145,26 @@
     fleet = _Fleet(RateLimit(0, 0), 2)
     fleet.run(1, 10)
     assert not fleet.admitted
+
+
+def test_ledger_forgets_old_reports_and_entries_that_left():
+    """Guards against memory that grows with the reports of organisations far from their limit."""
+    fleet = _Fleet(RateLimit(1_000, 1_000), 10)
+    fleet.run(20, 50)
+    assert len(fleet.ledger._accounts[NAME].demand) <= 30
+    fleet.ledger.tick(1_000.0)
+    assert not fleet.ledger._sent
+
+
+def test_fraction_is_sent_again_after_a_limit_was_removed():
+    """Guards against an entry that admits everything, as it dropped a fraction with the limit."""
+    limit = RateLimit(10, 10)
+    fleet = _Fleet(limit, 10)
+    fleet.run(5, 60)
+    assert any(meter.share_count for meter in fleet.meters)
+    for limits in ({}, {NAME: limit}):
+        fleet.ledger.set_limits(limits, 5.0)
+        for meter in fleet.meters:
+            meter.update(limits, 5.0)
+    fleet.run(3, 60)
+    assert all(meter.share_count for meter in fleet.meters)
