Take out an unneeded rule and an unused method of limits

QuotaGate.admit had no caller. A document whose limits the leader cannot read left no line at the level of the log in use. Change: the rule and the method are gone, the line is a warning. The test of a restored limit stays.

--- a/hibiscuspoint/components/failover_control.py
+++ b/hibiscuspoint/components/failover_control.py
@@ -118,7 +118,7 @@
             limits = self._limits.parse(document.text)
         except ConfigurationError as error:
             # A document for a newer software version: entries refuse it and keep the former one.
-            logger.debug("the limits were not read: %s", error)
+            logger.warning("the limits of the document were not read: %s", error)
             return
         now = self._clock.monotonic()
         self._leader.set_limits(limits, self._limits.bounds, now, is_inherited=is_inherited)
--- a/hibiscuspoint/components/sessions/quotas.py
+++ b/hibiscuspoint/components/sessions/quotas.py
@@ -21,7 +21,7 @@
 
 __all__ = ["QuotaGate"]
 
-#: Longest time in seconds that an operation waits for permits from the leader. The answer takes 1
+#: Longest time in seconds that an operation waits for permits in mode ``PERMITS``. The answer takes 1
 #: to 7 ms, besides the time until the leader handles the report, which is longer while many
 #: entries ask at once.
 WAIT_SECONDS = 0.12
@@ -53,12 +53,6 @@
         self._entries = 1
         self._named: set[OrganisationId] = set()
 
-    def admit(self, organisation: Organisation, now: float) -> QuotaVerdict:
-        """Count one operation if there is a permit for it at this moment."""
-        if self._meter.try_admit(organisation, now):
-            return QuotaVerdict(is_admitted=True)
-        return self._refuse(organisation, now)
-
     async def admit_or_wait(self, organisation: Organisation) -> QuotaVerdict:
         """Count one operation, after waiting for permits if the leader may have some."""
         deadline = self._clock.monotonic() + WAIT_SECONDS
--- a/hibiscuspoint/core/quotas/feedback.py
+++ b/hibiscuspoint/core/quotas/feedback.py
@@ -336,10 +336,6 @@
             account.level = min(account.level, capacity)
             accounts[name] = account
         self._accounts = accounts
-        # Entries drop the fraction of an organisation whose limit ends.
-        for sent in self._sent.values():
-            for name in sent.keys() - accounts.keys():
-                del sent[name]
 
     def record_report(self, instance: InstanceId, report: peer_pb2.EntryReport, now: float) -> None:
         """Take over what an entry admitted and refused."""
