--- a/hibiscuspoint/components/sessions/quotas.py
+++ b/hibiscuspoint/components/sessions/quotas.py
@@ -21,8 +21,8 @@
 
 __all__ = ["QuotaGate"]
 
-#: Longest time in seconds that an operation waits for permits in mode ``PERMITS``. The answer takes 1
-#: to 7 ms, besides the time until the leader handles the report, which is longer while many
+#: Longest time in seconds that an operation waits for permits in mode ``PERMITS``. The answer takes
+#: 1 to 7 ms, besides the time until the leader handles the report, which is longer while many
 #: entries ask at once.
 WAIT_SECONDS = 0.12
 
