--- a/review/standins/databases.py
+++ b/review/standins/databases.py
@@ -217,6 +217,8 @@
         commit = Commit(self.term, number, tuple(ids), tuple(items.items()))
         self.log.append(commit)
         while not self._is_received(commit):
+            if not self.is_running:
+                raise ConnectionError("the database has ended")
             self._ship()
             await asyncio.sleep(ONE_WAY_SECONDS)
 
--- a/review/standins/scenario.py
+++ b/review/standins/scenario.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import traceback
 from typing import TYPE_CHECKING
@@ -111,6 +112,8 @@
 def main(folder: Path, scenario: Callable[[Record], Awaitable[None]]) -> None:
     """Run a scenario and exit with 1 if a rule was broken, 0 if not, 2 if it could not run."""
     record = Record(folder)
+    # The end of the loop runs the clean-up of the scenario, which ends all processes.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         asyncio.run(_limit(scenario(record)))
     except Exception:  # whatever stopped the script, the case could not run
