Serve and roll back a session in one task

Callers saw statements of their transaction run at the primary outside of it half of the grace time after a SIGTERM; a WRITE took effect although COMMIT was never sent, and the caller had no answer.

Cause: abort_transactions rolled back from the task that stops the instance, while the task of the connection went on reading. A statement that arrived during the round trip of the rollback was sent behind it on the same connection. The idle limit had the same race, and a transaction with a statement in progress was skipped and stayed open until the process ended.

Change: only the task of a connection executes statements and rolls back. end_sessions ends its wait for the next line; a statement that had already arrived is answered with ABORTED, which is true as no commit is sent any more; the connection closes before the rollback, so that no caller waits for it.

--- a/hibiscuspoint/daemon/session_node.py
+++ b/hibiscuspoint/daemon/session_node.py
@@ -390,7 +390,7 @@
         await asyncio.sleep(NOTICE_SECONDS)
         self._callers.close_when_idle()
         await self._wait_until_empty(started + grace * TRANSACTION_SHARE)
-        await self._callers.abort_transactions()
+        self._callers.end_sessions()
         await self._wait_until_empty(started + grace - EXIT_MARGIN_SECONDS)
         self._access.release_all()
 
--- a/hibiscuspoint/daemon/session_ports.py
+++ b/hibiscuspoint/daemon/session_ports.py
@@ -71,8 +71,8 @@
     def close_idle(self) -> None:
         """Close the sessions that are idle outside a transaction, so that they go elsewhere."""
 
-    async def abort_transactions(self) -> None:
-        """Roll back the open transactions and close their sessions."""
+    def end_sessions(self) -> None:
+        """Close every session after its statement in progress, and roll back its transaction."""
 
     async def stop(self) -> None:
         """Close the port and all sessions."""
--- a/hibiscuspoint/platform/frontend.py
+++ b/hibiscuspoint/platform/frontend.py
@@ -87,11 +87,10 @@
             if connection in self._connections and connection.is_revoked:
                 connection.end("the key of the session was revoked")
 
-    async def abort_transactions(self) -> None:
-        """Roll back the open transactions and close their sessions."""
-        await asyncio.gather(
-            *(connection.abort("the instance stops") for connection in list(self._connections))
-        )
+    def end_sessions(self) -> None:
+        """Close every session after its statement in progress, and roll back its transaction."""
+        for connection in list(self._connections):
+            connection.end("the instance stops")
 
     async def stop(self) -> None:
         """Stop listening and close all connections."""
@@ -116,7 +115,12 @@
 
 
 class _CallerConnection:
-    """Connection of a caller, whose statements are served one after the other."""
+    """Connection of a caller, whose statements are served one after the other.
+
+    Only the task in ``run`` executes statements and rolls back, so that no statement reaches a
+    target between the rollback of its transaction and the end of the session. The other methods
+    tell that task what to do.
+    """
 
     def __init__(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, service: SessionService
@@ -128,6 +132,7 @@
         self._is_busy = False
         self._is_leaving = False
         self._end_reason = ""
+        self._wait_limit: asyncio.Timeout | None = None
 
     @property
     def is_revoked(self) -> bool:
@@ -143,6 +148,8 @@
         try:
             await self._serve_statements()
         finally:
+            # No statement is accepted that would wait for the rollback in vain.
+            self.close()
             await self._service.abort(self._session, self._end_reason or "the caller left")
             await self._session.close()
 
@@ -178,18 +185,15 @@
         if self._is_idle():
             self.close()
 
-    async def abort(self, reason: str) -> None:
-        """Roll back an open transaction and close the connection, unless a statement is running."""
-        if self._session is not None and not self._is_busy:
-            await self._service.abort(self._session, reason)
-            self.close()
-
     def end(self, reason: str) -> None:
         """Close the connection after the statement in progress, and roll back its transaction."""
+        if self._end_reason:
+            return
         self._end_reason = reason
-        if not self._is_busy:
-            # A caller that does not read its answers would delay the end of a closed connection.
-            self._writer.transport.abort()
+        if self._wait_limit is None:
+            self.close_when_idle()
+        elif not self._wait_limit.expired():
+            self._wait_limit.reschedule(asyncio.get_running_loop().time())
 
     def close(self) -> None:
         """Close the connection."""
@@ -198,7 +202,7 @@
     async def _serve_statements(self) -> None:
         while not self._is_finished():
             line = await self._read_line()
-            if not line or self._end_reason:
+            if not line:
                 return
             self._is_busy = True
             reply = await self._execute_line(line)
@@ -214,15 +218,39 @@
         return self._is_leaving and self._is_idle()
 
     async def _read_line(self) -> bytes:
-        session = self._session
-        if session.state is not SessionState.IN_TRANSACTION:
+        """Return the next line; empty at the end of the connection or of the session."""
+        state = self._session.state
+        if state is SessionState.IDLE:
             return await self._reader.readline()
+        is_open = state is SessionState.IN_TRANSACTION
+        line = await self._read_line_within(
+            self._service.transaction_idle_seconds if is_open else None
+        )
+        if line is not None or self._end_reason:
+            return line or b""
+        self._is_busy = True
+        await self._service.abort(self._session, "no statement within the idle limit")
+        self._is_busy = False
+        return b"" if self._end_reason else await self._read_line_within(None) or b""
+
+    async def _read_line_within(self, seconds: float | None) -> bytes | None:
+        """Return the next line, or ``None`` when the limit passes or the session ends before."""
         try:
-            async with asyncio.timeout(self._service.transaction_idle_seconds):
+            async with asyncio.timeout(seconds) as self._wait_limit:
                 return await self._reader.readline()
         except TimeoutError:
-            await self._service.abort(session, "no statement within the idle limit")
-            return await self._reader.readline()
+            pass
+        finally:
+            self._wait_limit = None
+        return await self._read_received_line()
+
+    async def _read_received_line(self) -> bytes | None:
+        """Return a line that has already arrived, if any."""
+        try:
+            async with asyncio.timeout(0):
+                return await self._reader.readline()
+        except TimeoutError:
+            return None
 
     async def _execute_line(self, line: bytes) -> Reply | None:
         try:
@@ -231,6 +259,9 @@
             return Reply.failed(Failure.MALFORMED, str(error), self._session.state)
         if statement is None:
             return None
+        if self._end_reason:
+            # No commit of the transaction is sent any more, so that nothing of it is kept.
+            return Reply.failed(Failure.ABORTED, self._end_reason, SessionState.IDLE)
         return await self._service.execute(self._session, statement)
 
     def _is_idle(self) -> bool:
