Remove targets from a group only with proof that nothing is lost

Cause: the replicated state deleted the member whose address another target announced, of any group and without a look at the logs; its later heartbeats were acknowledged and ignored.

Change: announcements for groups that the document in force does not name, or that move a target to another group, are ignored and logged. No announcement removes a member: WRONGNODE at its address or a departure does, through the logged removal that needs another replica at or above the position that the primary had after the end. Silence counts from the registration of an incarnation.

--- a/hibiscuspoint/components/failover_control.py
+++ b/hibiscuspoint/components/failover_control.py
@@ -11,25 +11,27 @@
 from hibiscuspoint.components.leading import LeaderComponent
 from hibiscuspoint.core.consensus.repair import RepairPhase
 from hibiscuspoint.core.failover import FailoverLeader, choose_voter_change
+from hibiscuspoint.core.sessions.routing import table_limits
 from hibiscuspoint.errors import ConfigurationError, HibiscusError
 from hibiscuspoint.telemetry import catalogue, log_event
+from hibiscuspoint.telemetry.bounds import LogPace
 from hibiscuspoint.util.tasks import spawn
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable
 
     from hibiscuspoint.components.consensus import ReplicatedLog
     from hibiscuspoint.components.control_state import ControlStateMachine
     from hibiscuspoint.components.target_poller import TargetPoller
     from hibiscuspoint.core.failover import VoterChange
-    from hibiscuspoint.core.organisations import RateLimit
     from hibiscuspoint.core.ports import Clock, PromotionAuthority
     from hibiscuspoint.core.quotas import QuotaBounds
-    from hibiscuspoint.ids import InstanceId, OrganisationId
+    from hibiscuspoint.core.sessions import RoutingTable
+    from hibiscuspoint.ids import InstanceId
     from hibiscuspoint.telemetry.metrics import Metrics
-    from hibiscuspoint.wire import record_pb2
+    from hibiscuspoint.wire import peer_pb2, record_pb2
 
-__all__ = ["FailoverControl", "LimitSource"]
+__all__ = ["DocumentReader", "FailoverControl"]
 
 logger = logging.getLogger(__name__)
 
@@ -41,13 +43,13 @@
 
 
 @dataclass(frozen=True)
-class LimitSource:
-    """How the leader learns the limits of organisations.
+class DocumentReader:
+    """How the leader learns the groups in use and the limits of organisations.
 
-    :param parse: returns the limits in the text of a document; raises ``ConfigurationError``.
+    :param parse: returns the content of the text of a document; raises ``ConfigurationError``.
     """
 
-    parse: Callable[[str], Mapping[OrganisationId, RateLimit | None]]
+    parse: Callable[[str], RoutingTable]
     bounds: QuotaBounds
 
 
@@ -55,7 +57,7 @@
     """Runs the failover decisions, polls targets and keeps up the number of voters.
 
     :param required_voters: voters that the control group should have; fewer if disks are missing.
-    :param limits: how limits of organisations are read; ``None`` where there are none.
+    :param reader: reads documents; ``None`` where any group is in use and there are no limits.
     """
 
     def __init__(
@@ -68,12 +70,13 @@
         clock: Clock,
         metrics: Metrics,
         required_voters: int,
-        limits: LimitSource | None = None,
+        reader: DocumentReader | None = None,
     ) -> None:
         self._poller = poller
         self._authority = authority
         self._required_voters = required_voters
-        self._limits = limits
+        self._reader = reader
+        self._pace = LogPace()
         self._is_document_inherited = False
         self._change: VoterChange | None = None
         self._change_since = 0.0
@@ -94,6 +97,18 @@
         self._poller.stop()
         await super().stop()
 
+    async def handle_announcement(self, announcement: peer_pb2.Announcement) -> bool:
+        """Handle an announcement; one that names no target to use is accepted and ignored."""
+        leader = self.leader
+        objection = leader.objection(announcement) if leader is not None else ""
+        if not objection:
+            return await super().handle_announcement(announcement)
+        if self._pace.allows("announcement", self._clock.monotonic()):
+            log_event(
+                logger, catalogue.TARGET_IGNORED, target=announcement.target, reason=objection
+            )
+        return True
+
     def _make_runner(self) -> FailoverEffects:
         return FailoverEffects(
             self._log,
@@ -109,19 +124,21 @@
         return FailoverLeader(self._instance, term, self._machine.state, now)
 
     def _take_document(self) -> None:
-        """Pass the limits of organisations to the leader object."""
+        """Pass the groups in use and the limits of organisations to the leader object."""
         is_inherited, self._is_document_inherited = self._is_document_inherited, False
         document = self.state.document
-        if self._limits is None or document is None or self._leader is None:
+        if self._reader is None or document is None or self._leader is None:
             return
         try:
-            limits = self._limits.parse(document.text)
+            table = self._reader.parse(document.text)
         except ConfigurationError as error:
             # A document for a newer software version: entries refuse it and keep the former one.
-            logger.warning("the limits of the document were not read: %s", error)
+            logger.warning("the document was not read: %s", error)
             return
+        self._leader.set_known_groups(table.groups.keys())
+        limits = table_limits(table)
         now = self._clock.monotonic()
-        self._leader.set_limits(limits, self._limits.bounds, now, is_inherited=is_inherited)
+        self._leader.set_limits(limits, self._reader.bounds, now, is_inherited=is_inherited)
 
     def _log_limits(self, leader: FailoverLeader) -> None:
         """Log which organisations reached or left their limit."""
@@ -160,8 +177,7 @@
                 self._log.update_peers(())
             else:
                 active = {group for group, c in leader.groups.items() if c.is_active}
-                primaries = {c.record.primary for c in leader.groups.values()}
-                self._poller.set_targets(leader.targets(), primaries, active)
+                self._poller.set_targets(leader.targets(), leader.urgent_targets(), active)
                 leader.control_members = [voter.instance for voter in self._log.voter_contacts]
                 self._keep_voters(leader)
                 self._log_limits(leader)
--- a/hibiscuspoint/components/target_poller.py
+++ b/hibiscuspoint/components/target_poller.py
@@ -55,11 +55,11 @@
         self._decide = decide
 
     def set_targets(
-        self, targets: list[TargetRecord], primaries: set[TargetId], active_groups: set[str]
+        self, targets: list[TargetRecord], urgent: set[TargetId], active_groups: set[str]
     ) -> None:
         """Poll these targets and no others.
 
-        :param primaries: targets whose failure must be noticed soon.
+        :param urgent: targets whose state must be known soon, such as primaries.
         :param active_groups: groups that change their primary.
         """
         wanted = {target.target: target for target in targets}
@@ -76,8 +76,8 @@
             if record.group in active_groups:
                 link.set_interval(ACTIVE_POLL_SECONDS)
             else:
-                is_primary = target in primaries
-                link.set_interval(PRIMARY_POLL_SECONDS if is_primary else REPLICA_POLL_SECONDS)
+                is_urgent = target in urgent
+                link.set_interval(PRIMARY_POLL_SECONDS if is_urgent else REPLICA_POLL_SECONDS)
 
     def stop(self) -> None:
         """Close all connections."""
@@ -148,6 +148,9 @@
                 if error.failure is ConnectFailure.REFUSED:
                     now = self._clock.monotonic()
                     self._tell(lambda c: c.record_connection_refusal(target, now), now)
+                elif error.failure is ConnectFailure.WRONG_TARGET:
+                    now = self._clock.monotonic()
+                    self._tell(lambda c: c.record_replacement(target, now), now)
                 elif error.failure is ConnectFailure.LIMITED:
                     now = self._clock.monotonic()
                     self._tell(lambda c: c.record_busy_reply(target, now), now)
--- a/hibiscuspoint/core/control/state.py
+++ b/hibiscuspoint/core/control/state.py
@@ -256,14 +256,6 @@
 
     def _register_target(self, body: record_pb2.RegisterTarget) -> None:
         registered = TargetRecord.from_message(body)
-        for record in self._groups.values():
-            for other in list(record.targets.values()):
-                if other.address != registered.address or other.target == registered.target:
-                    continue
-                if other.incarnation >= registered.incarnation:
-                    return
-                # Only one target uses an address at a time, so the earlier one has ended.
-                del record.targets[other.target]
         record = self._groups.setdefault(
             registered.group, GroupRecord(registered.group, members=(), ack_quorum=0)
         )
--- a/hibiscuspoint/core/failover/contacts.py
+++ b/hibiscuspoint/core/failover/contacts.py
@@ -10,7 +10,7 @@
     from hibiscuspoint.core.control.state import GroupRecord
     from hibiscuspoint.core.failover.status import TargetStatus
     from hibiscuspoint.core.position import LogPosition
-    from hibiscuspoint.ids import TargetId
+    from hibiscuspoint.ids import Incarnation, TargetId
 
 __all__ = ["STATUS_MAX_AGE_SECONDS", "TargetContacts"]
 
@@ -22,21 +22,30 @@
 #: restarts sends heartbeats again within this time.
 REMOVAL_SILENCE_SECONDS = 12.0
 
+#: Time in which a target that has announced its end may still confirm commits.
+DEPARTURE_SECONDS = 0.4
+
 
 @dataclass
 class _Contact:
     """Latest messages of one target; times in monotonic seconds.
 
+    :param incarnation: incarnation that sent them.
     :param contacted_at: when the last message of any kind arrived.
     :param polled_at: when the poll that returned ``status`` was sent.
     :param has_departed: whether the target has announced its end.
+    :param is_replaced: whether another target answers at its address.
+    :param ended_at: time by which a departed or replaced target confirms no more commits.
     """
 
+    incarnation: Incarnation | None
     contacted_at: float
     status: TargetStatus | None = None
     polled_at: float = -math.inf
     answered_at: float = -math.inf
     has_departed: bool = False
+    is_replaced: bool = False
+    ended_at: float = -math.inf
 
 
 class TargetContacts:
@@ -51,30 +60,48 @@
         self._leader_since = now
         self._contacts: dict[TargetId, _Contact] = {}
 
+    def observe_members(self, now: float) -> None:
+        """Begin the silence of targets, or incarnations of them, that were registered since."""
+        for target in self._record.targets:
+            self._contact(target, now)
+
     def record_contact(self, target: TargetId, now: float) -> None:
-        """Record a heartbeat or another message that carries no status."""
-        contact = self._contacts.setdefault(target, _Contact(now))
-        contact.contacted_at = now
-        contact.has_departed = False
+        """Record a heartbeat or another message that carries no status.
 
-    def record_departure(self, target: TargetId) -> None:
+        A heartbeat of a target whose address another one has taken over was sent before that.
+        """
+        contact = self._contact(target, now)
+        if not contact.is_replaced:
+            contact.contacted_at = now
+            contact.has_departed = False
+
+    def record_departure(self, target: TargetId, now: float) -> None:
         """Record that a target has announced its end."""
-        contact = self._contacts.get(target)
-        if contact is not None:
-            contact.has_departed = True
+        contact = self._contact(target, now)
+        contact.has_departed = True
+        contact.ended_at = now + DEPARTURE_SECONDS
+
+    def record_replacement(self, target: TargetId, now: float) -> None:
+        """Record that another target answers at the address of this one."""
+        contact = self._contact(target, now)
+        if not contact.is_replaced:
+            contact.is_replaced = True
+            contact.ended_at = now
 
     def record_order_reply(self, target: TargetId, now: float) -> None:
         """Record a reply to an order, such as a pause."""
-        contact = self._contacts.setdefault(target, _Contact(now))
+        contact = self._contact(target, now)
         contact.contacted_at = contact.answered_at = now
+        contact.is_replaced = False
 
     def record_status(
         self, target: TargetId, status: TargetStatus, polled_at: float, now: float
     ) -> None:
         """Record the reply to a poll that was sent at ``polled_at``."""
-        contact = self._contacts.setdefault(target, _Contact(now))
+        contact = self._contact(target, now)
         contact.status, contact.polled_at, contact.answered_at = status, polled_at, now
         contact.contacted_at = now
+        contact.is_replaced = False
 
     def primary_tip(self) -> tuple[LogPosition, float] | None:
         """Return the last position read at the primary and the time at which its poll was sent."""
@@ -134,20 +161,32 @@
         """
         contact = self._contacts.get(target)
         if contact is None:
-            return now - self._leader_since >= REMOVAL_SILENCE_SECONDS
+            return False
         silence_seconds = now - contact.contacted_at
         return silence_seconds >= REMOVAL_SILENCE_SECONDS or (
-            contact.has_departed and silence_seconds >= STATUS_MAX_AGE_SECONDS
+            self.has_ended(target) and silence_seconds >= STATUS_MAX_AGE_SECONDS
         )
 
+    def is_replaced(self, target: TargetId) -> bool:
+        """Tell whether another target answers at the address of this one."""
+        contact = self._contacts.get(target)
+        return contact is not None and contact.is_replaced
+
+    def has_ended(self, target: TargetId) -> bool:
+        """Tell whether a target has announced its end or lost its address to another one."""
+        contact = self._contacts.get(target)
+        return contact is not None and (contact.has_departed or contact.is_replaced)
+
     def is_log_held_elsewhere(self, lost: TargetId) -> bool:
         """Tell whether another replica holds every record that a lost one may have confirmed.
 
-        The position of the primary at a poll after the last message of the lost replica is at or
-        above all of them.
+        The position of the primary at a poll after the end of the lost replica, or after its last
+        message if its end is not known, is at or above all of them.
         """
         primary = self._contacts.get(self._record.primary)
         lost_at = self.contacted_at(lost)
+        if self.has_ended(lost):
+            lost_at = max(lost_at, self._contacts[lost].ended_at)
         if primary is None or primary.status is None or primary.polled_at <= lost_at:
             return False
         return any(
@@ -159,3 +198,12 @@
             and contact.status.received >= primary.status.received
             for target, contact in self._contacts.items()
         )
+
+    def _contact(self, target: TargetId, now: float) -> _Contact:
+        """Return the contact of the registered incarnation of a target."""
+        registered = self._record.targets.get(target)
+        incarnation = registered.incarnation if registered is not None else None
+        contact = self._contacts.get(target)
+        if contact is None or contact.incarnation != incarnation:
+            contact = self._contacts[target] = _Contact(incarnation, now)
+        return contact
--- a/hibiscuspoint/core/failover/group.py
+++ b/hibiscuspoint/core/failover/group.py
@@ -90,6 +90,11 @@
         """Whether a promotion or a switchover is in progress."""
         return self.route_state is not RouteState.GRANTED
 
+    @property
+    def has_ended_targets(self) -> bool:
+        """Whether targets that have ended still wait for their removal."""
+        return any(self._contacts.has_ended(target) for target in self._record.targets)
+
     @property
     def route_state(self) -> RouteState:
         """What entries may do with the primary."""
@@ -104,9 +109,14 @@
         """Record a heartbeat of a target."""
         self._contacts.record_contact(target, now)
 
-    def record_departure(self, target: TargetId) -> None:
+    def record_departure(self, target: TargetId, now: float) -> None:
         """Record that a target has announced its end."""
-        self._contacts.record_departure(target)
+        self._contacts.record_departure(target, now)
+
+    def record_replacement(self, target: TargetId, now: float) -> None:
+        """Record that another target answers at the address of this one."""
+        self._contacts.record_replacement(target, now)
+        self.record_connection_refusal(target, now)
 
     def record_status(
         self, target: TargetId, status: TargetStatus, polled_at: float, now: float
@@ -188,10 +198,12 @@
             for target in self._record.targets
             if target == self._record.primary
             or now - self._contacts.contacted_at(target) < LISTED_MAX_SILENCE_SECONDS
+            and not self._contacts.is_replaced(target)
         ]
 
     def tick(self, now: float) -> list[Effect]:
         """Advance the group and return the resulting effects."""
+        self._contacts.observe_members(now)
         return self._advance(now) + self._publish()
 
     def _advance(self, now: float) -> list[Effect]:
--- a/hibiscuspoint/core/failover/leader.py
+++ b/hibiscuspoint/core/failover/leader.py
@@ -18,7 +18,7 @@
 from hibiscuspoint.wire.position import position_from
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable, Collection, Iterator, Mapping
 
     from hibiscuspoint.core.control.delivery import DeliveredRoutes
     from hibiscuspoint.core.control.effects import Effect
@@ -69,6 +69,7 @@
         # Last reported disk of each instance, with the time of the report.
         self._disks: dict[InstanceId, tuple[str, float]] = {}
         self._quotas: QuotaLedger | FeedbackLedger | None = None
+        self._known_groups: frozenset[GroupId] | None = None
         self._leader_since = now
         self._last_tick = now
         self._serving: list[peer_pb2.ServingEntry] = []
@@ -123,20 +124,68 @@
             if now - seen_at < seconds
         }
 
+    def set_known_groups(self, groups: Collection[GroupId]) -> None:
+        """Take over the groups that the document in force names; all others are left alone."""
+        self._known_groups = frozenset(groups)
+        self._groups = {
+            group: failover for group, failover in self._groups.items() if group in groups
+        }
+
     def targets(self) -> list[TargetRecord]:
-        """Return all registered targets."""
-        return [t for record in self._state.groups.values() for t in record.targets.values()]
+        """Return all registered targets of the groups in use."""
+        return [target for record in self._records() for target in record.targets.values()]
+
+    def urgent_targets(self) -> set[TargetId]:
+        """Return the targets whose state must be known soon.
+
+        These are the primaries, all targets of a group from which one has to be removed, and those
+        whose address a later target has announced.
+        """
+        urgent: set[TargetId] = set()
+        latest: dict[str, TargetRecord] = {}
+        for target in sorted(self.targets(), key=lambda target: target.incarnation):
+            if target.address in latest:
+                urgent.add(latest[target.address].target)
+            latest[target.address] = target
+        for failover in self._groups.values():
+            if failover.has_ended_targets:
+                urgent |= failover.record.targets.keys()
+            if failover.record.primary is not None:
+                urgent.add(failover.record.primary)
+        return urgent
 
     def route_recipients(self, group: GroupId) -> list[InstanceId] | None:
         """Return the entries that need the routes of a group; ``None`` stands for all."""
         return None
 
+    def objection(self, message: peer_pb2.Announcement) -> str:
+        """Return why an announcement is ignored; empty if it is not.
+
+        Another writer may announce any group, id and address. It adds no target to a group that is
+        not in use or is not the target's own. It removes none either: whether a target has lost its
+        address to another one is asked at that address.
+        """
+        if message.gone:
+            return ""
+        announced = TargetRecord.from_message(message)
+        if not self._is_known_group(announced.group):
+            return f"the configuration names no group {announced.group}"
+        registered = self._target_record(announced.target)
+        if registered is None:
+            is_late = self._is_superseded(announced)
+            return "a later target uses its address" if is_late else ""
+        if announced.group != registered.group:
+            return f"the target belongs to the group {registered.group}"
+        return ""
+
     def registration_command(self, message: peer_pb2.Announcement) -> record_pb2.Command | None:
         """Return the command to commit before an announcement is accepted, if any."""
         announced = TargetRecord.from_message(message)
         registered = self._target_record(announced.target)
         if message.gone:
             return self._departure_command(registered, message)
+        if self.objection(message):
+            return None
         if registered is None:
             return record_pb2.Command(register_target=announced.to_message())
         if announced.incarnation < registered.incarnation:
@@ -155,11 +204,11 @@
         target = TargetId(message.target)
         registered = self._target_record(target)
         failover = self._groups.get(registered.group) if registered is not None else None
-        if failover is None:
+        if failover is None or self.objection(message):
             return []
         if message.gone:
             if message.incarnation in (0, registered.incarnation):
-                failover.record_departure(target)
+                failover.record_departure(target, now)
         elif message.incarnation >= registered.incarnation and not self._is_outdated(message):
             self._sequences[target] = (Incarnation(message.incarnation), message.sequence)
             failover.record_heartbeat(target, now)
@@ -224,9 +273,11 @@
         self._update_serving_list(now)
         if self._quotas is not None:
             self._quotas.tick(now)
-        for group, record in self._state.groups.items():
-            if group not in self._groups:
-                self._groups[group] = GroupFailover(record, self._ledger, self._control_term, now)
+        for record in self._records():
+            if record.group not in self._groups:
+                self._groups[record.group] = GroupFailover(
+                    record, self._ledger, self._control_term, now
+                )
         effects: list[Effect] = []
         for failover in self._groups.values():
             effects += failover.tick(now)
@@ -313,10 +364,25 @@
         return record.targets[target] if record is not None else None
 
     def _group_record(self, target: TargetId) -> GroupRecord | None:
-        for record in self._state.groups.values():
-            if target in record.targets:
-                return record
-        return None
+        return next((record for record in self._records() if target in record.targets), None)
+
+    def _records(self) -> Iterator[GroupRecord]:
+        """Yield the groups in use."""
+        return (r for r in self._state.groups.values() if self._is_known_group(r.group))
+
+    def _is_known_group(self, group: GroupId) -> bool:
+        """Tell whether the document in force names a group; without one, any group is in use."""
+        return self._known_groups is None or group in self._known_groups
+
+    def _is_superseded(self, announced: TargetRecord) -> bool:
+        """Tell whether a later target is registered at the address of an announced one.
+
+        Such an announcement was delayed, and its sender has ended.
+        """
+        return any(
+            target.address == announced.address and target.incarnation >= announced.incarnation
+            for target in self.targets()
+        )
 
     def _failover_of(self, target: TargetId) -> GroupFailover | None:
         record = self._group_record(target)
--- a/hibiscuspoint/daemon/control_role.py
+++ b/hibiscuspoint/daemon/control_role.py
@@ -6,10 +6,9 @@
 
 from hibiscuspoint.components.consensus import ReplicatedLog
 from hibiscuspoint.components.control_state import ControlStateMachine
-from hibiscuspoint.components.failover_control import FailoverControl, LimitSource
+from hibiscuspoint.components.failover_control import DocumentReader, FailoverControl
 from hibiscuspoint.components.target_poller import TargetPoller
 from hibiscuspoint.core.consensus.timing import Timing
-from hibiscuspoint.core.sessions.routing import table_limits
 from hibiscuspoint.wire import consensus_pb2_grpc
 
 if TYPE_CHECKING:
@@ -76,7 +75,7 @@
             clock,
             metrics,
             settings.required_voters,
-            LimitSource(lambda text: table_limits(ports.parse(text)), settings.quota_bounds),
+            DocumentReader(ports.parse, settings.quota_bounds),
         ).register(runtime)
 
     @property
--- a/hibiscuspoint/telemetry/catalogue.py
+++ b/hibiscuspoint/telemetry/catalogue.py
@@ -283,6 +283,14 @@
 TARGET_REGAINED = define_event(
     322, "target-regained", INFO, "{target} answers control again.", "target"
 )
+TARGET_IGNORED = define_event(
+    329,
+    "target-ignored",
+    WARNING,
+    "An announcement of {target} is ignored: {reason}",
+    "target",
+    "reason",
+)
 REPLICA_RESUMED = define_event(
     323, "replica-resumed", INFO, "{target} of group {group} receives again.", "group", "target"
 )
--- a/tests/core/failover/test_group.py
+++ b/tests/core/failover/test_group.py
@@ -27,6 +27,9 @@
     target,
 )
 
+#: A replica that joins the group in a test.
+NEW = TargetId("i-new")
+
 #: Time at which all leases of an earlier control leader have expired.
 LATER = 10.0
 
@@ -279,7 +282,7 @@
     simulation = GroupSimulation()
     simulation.poll({PRIMARY: primary_status(18)}, LATER)
     simulation.record_heartbeats(LATER)
-    simulation.group.record_departure(REPLICA_A)
+    simulation.group.record_departure(REPLICA_A, LATER)
     now = LATER
     while now < LATER + 1.0:
         now += 0.1
@@ -289,6 +292,47 @@
     assert (REPLICA_A not in simulation.record.targets) is is_removed
 
 
+def test_replica_that_has_just_registered_is_not_removed():
+    """Guards against a promotion that does not pause a replica that confirms commits.
+
+    The leader had no message of it before, for longer than a lost replica stays a member.
+    """
+    simulation = GroupSimulation()
+    now = LATER + 20.0
+    simulation.record_heartbeats(now)
+    simulation.poll({PRIMARY: primary_status(20), REPLICA_A: replica_status(20)}, now)
+    simulation.record.targets[NEW] = target(NEW)
+    simulation.tick(now + 0.1)
+    assert NEW in simulation.record.targets
+
+
+@pytest.mark.parametrize(("index", "is_removed"), [(19, False), (20, True)])
+def test_replica_whose_address_was_taken_over_is_removed_with_proof(index, is_removed):
+    """Guards against the removal of a log because of what a later heartbeat says of its address."""
+    simulation = GroupSimulation()
+    simulation.record_heartbeats(LATER)
+    simulation.record.targets[NEW] = target(NEW, incarnation=2)
+    simulation.group.record_replacement(REPLICA_A, LATER)
+    assert REPLICA_A not in simulation.group.listed_targets(LATER)
+    for step in range(1, 15):
+        now = LATER + step / 10
+        simulation.group.record_heartbeat(REPLICA_A, now)
+        simulation.poll({PRIMARY: primary_status(20), NEW: replica_status(index)}, now)
+        simulation.tick(now)
+    assert (REPLICA_A not in simulation.record.targets) is is_removed
+
+
+def test_replica_that_answers_keeps_its_place():
+    """Guards against the removal of a replica after one wrong answer on its address."""
+    simulation = GroupSimulation()
+    simulation.group.record_replacement(REPLICA_A, LATER)
+    for step in range(1, 15):
+        now = LATER + step / 10
+        simulation.poll({PRIMARY: primary_status(20), REPLICA_A: replica_status(20)}, now)
+        simulation.tick(now)
+    assert REPLICA_A in simulation.record.targets
+
+
 def test_running_primary_of_a_new_group_is_adopted():
     """Guards against an outage when the system is started in front of running targets."""
     record = started_group(term=Term(0), phase=GroupPhase.FORMED, primary=None, term_starts=[])
--- a/tests/core/failover/test_leader.py
+++ b/tests/core/failover/test_leader.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+import pytest
+
 from hibiscuspoint.core.control.delivery import DeliveredRoutes
 from hibiscuspoint.core.control.state import ControlState
 from hibiscuspoint.core.failover import FailoverLeader
 from hibiscuspoint.core.failover.leader import SERVING_LIST_DELAY_SECONDS
 from hibiscuspoint.core.organisations import RateLimit
 from hibiscuspoint.core.quotas import QuotaBounds, QuotaMode
-from hibiscuspoint.ids import InstanceId, OrganisationId
-from hibiscuspoint.wire import peer_pb2
+from hibiscuspoint.ids import GroupId, InstanceId, OrganisationId
+from hibiscuspoint.wire import peer_pb2, record_pb2
 from tests.builders_failover import GROUP, PRIMARY, REPLICA_A, announcement
 
 NOW = 50.0
@@ -66,10 +68,63 @@
     leader = _leader(state)
     _announce(leader, state, announcement(PRIMARY, incarnation=5))
     _announce(leader, state, announcement(REPLICA_A, incarnation=6))
+    removal = record_pb2.RemoveTarget(group=GROUP, target=PRIMARY, incarnation=5)
+    state.apply(1, record_pb2.Command(remove_target=removal))
     _announce(leader, state, announcement(PRIMARY, incarnation=5, sequence=2))
     assert set(state.groups[GROUP].targets) == {REPLICA_A}
 
 
+def test_announced_address_of_a_member_removes_no_member():
+    """Guards against a promotion that leaves out the log of a member that still runs."""
+    state = ControlState()
+    leader = _leader(state)
+    _announce(leader, state, announcement(PRIMARY, incarnation=5))
+    _announce(leader, state, announcement(REPLICA_A, incarnation=6))
+    assert set(state.groups[GROUP].targets) == {PRIMARY, REPLICA_A}
+    assert leader.urgent_targets() == {PRIMARY}
+
+
+@pytest.mark.parametrize("target", [PRIMARY, REPLICA_A])
+def test_announcement_for_a_group_of_no_document_changes_nothing(target):
+    """Guards against a heartbeat of another writer that hides those of a target from then on."""
+    state = ControlState()
+    leader = _leader(state)
+    leader.set_known_groups({GROUP})
+    _announce(leader, state, announcement(PRIMARY, incarnation=5))
+    message = announcement(target, incarnation=2**40)
+    message.group = "unlisted"
+    assert not _announce(leader, state, message)
+    assert _announce(leader, state, announcement(PRIMARY, incarnation=5, leaving=True))
+    assert list(state.groups) == [GROUP]
+    assert state.groups[GROUP].targets[PRIMARY].leaving
+
+
+def test_target_stays_in_its_group():
+    """Guards against a heartbeat that moves a member to another group of the document."""
+    state = ControlState()
+    leader = _leader(state)
+    leader.set_known_groups({GROUP, GroupId("other")})
+    _announce(leader, state, announcement(PRIMARY))
+    message = announcement(PRIMARY, incarnation=2)
+    message.group = "other"
+    assert not _announce(leader, state, message)
+    assert list(state.groups) == [GROUP]
+
+
+def test_groups_of_an_earlier_document_are_left_alone():
+    """Guards against polls and promotions for a group that a heartbeat made up."""
+    state = ControlState()
+    leader = _leader(state)
+    message = announcement(PRIMARY)
+    message.group = "unlisted"
+    _announce(leader, state, message)
+    leader.set_known_groups({GROUP})
+    _announce(leader, state, announcement(PRIMARY))
+    leader.tick(NOW)
+    assert [target.group for target in leader.targets()] == [GROUP]
+    assert list(leader.groups) == [GROUP]
+
+
 def test_departure_marks_the_target_as_leaving():
     """Guards against new work for a target that ends without having announced it before."""
     state = ControlState()
