Replace a leaving primary before it ends

Cause: a switchover paused writes for 2 s and served them for 1 s, without a limit. While transactions are longer than the pause, each resumption lets new ones begin that outlast the next pause.

Change: the switchover of a leaving primary has an end. After the first pause single statements run and no transaction begins, until 4 s; then all new work is paused, and at 5.5 s the term opens. Entries learn of it with the field transactions_paused of their route.

--- a/hibiscuspoint/components/entry_state.py
+++ b/hibiscuspoint/components/entry_state.py
@@ -210,4 +210,5 @@
         requested_at=requested_at,
         history=TermHistory([(Term(item.term), item.start) for item in message.history]),
         paused=message.paused,
+        transactions_paused=message.transactions_paused,
     )
--- a/hibiscuspoint/components/sessions/candidates.py
+++ b/hibiscuspoint/components/sessions/candidates.py
@@ -45,7 +45,9 @@
         """Record the position of a commit of the session."""
         self._written[group] = max(self._written.get(group, ZERO_POSITION), position)
 
-    async def for_write(self, route: DatabaseRoute, deadline: float) -> list[Candidate]:
+    async def for_write(
+        self, route: DatabaseRoute, deadline: float, *, is_transaction: bool = False
+    ) -> list[Candidate]:
         """Return the primary.
 
         A statement waits while a promotion may end within its time. Repeating it would cost the
@@ -55,13 +57,17 @@
         """
         if not self._access.may_have_primary(route.group):
             raise RefusedError(Failure.OVERLOADED, "this instance is cut off from control")
-        primary = await self._access.wait_for_primary(route.group, deadline)
+        primary = await self._access.wait_for_primary(
+            route.group, deadline, is_transaction=is_transaction
+        )
         if primary is None:
             raise RefusedError(Failure.OVERLOADED, "the group has no primary at present")
         member = _primary_member(primary)
         return [Candidate(member, None, primary.term, deadline, deadline)]
 
-    async def for_read(self, route: DatabaseRoute, deadline: float) -> list[Candidate]:
+    async def for_read(
+        self, route: DatabaseRoute, deadline: float, *, is_transaction: bool = False
+    ) -> list[Candidate]:
         """Return the targets whose data is fresh enough, best first.
 
         :raises RefusedError: only the primary could serve the read, and there is none.
@@ -72,10 +78,11 @@
         if known is not None and route.mode is not ReadMode.PRIMARY:
             required = self._access.tip(route.group).required(route.max_age_seconds, now)
         if required is None:
-            return await self.for_write(route, deadline)
+            return await self.for_write(route, deadline, is_transaction=is_transaction)
         if route.mode is ReadMode.READ_YOUR_WRITES:
             required = max(required, self._written.get(route.group, ZERO_POSITION))
-        return self._ranked(known, self._access.primary(route.group), required, deadline, now)
+        primary = self._access.primary(route.group, is_transaction=is_transaction)
+        return self._ranked(known, primary, required, deadline, now)
 
     def _ranked(
         self,
--- a/hibiscuspoint/components/sessions/groups.py
+++ b/hibiscuspoint/components/sessions/groups.py
@@ -141,18 +141,22 @@
         """Return the known route of a group without regard to its lease."""
         return self._state.routes.route(group)
 
-    def primary(self, group: GroupId) -> Route | None:
+    def primary(self, group: GroupId, *, is_transaction: bool = False) -> Route | None:
         """Return the route of a group if new work may start at its primary now."""
         route = self._state.routes.leased_route(group, self._clock.monotonic())
-        return route if route is not None and not route.paused else None
+        if route is None or route.paused or (is_transaction and route.transactions_paused):
+            return None
+        return route
 
-    async def wait_for_primary(self, group: GroupId, deadline: float) -> Route | None:
+    async def wait_for_primary(
+        self, group: GroupId, deadline: float, *, is_transaction: bool = False
+    ) -> Route | None:
         """Return the route once new work may start at the primary; ``None`` at the deadline.
 
         :param deadline: monotonic time in seconds.
         """
         while True:
-            route = self.primary(group)
+            route = self.primary(group, is_transaction=is_transaction)
             remaining = deadline - self._clock.monotonic()
             if route is not None or remaining <= 0:
                 return route
@@ -160,7 +164,7 @@
                 async with asyncio.timeout(remaining):
                     await self._changed.wait()
             except TimeoutError:
-                return self.primary(group)
+                return self.primary(group, is_transaction=is_transaction)
 
     def may_have_primary(self, group: GroupId) -> bool:
         """Tell whether the group may get a usable primary soon.
--- a/hibiscuspoint/components/sessions/transactions.py
+++ b/hibiscuspoint/components/sessions/transactions.py
@@ -203,7 +203,7 @@
         )
         try:
             for number in itertools.count(1):
-                for candidate in await choose(route, deadline):
+                for candidate in await choose(route, deadline, is_transaction=True):
                     if await self._begin(transaction, candidate):
                         return None
                 await self._attempts.next_round(number, deadline)
--- a/hibiscuspoint/core/entry/routes.py
+++ b/hibiscuspoint/core/entry/routes.py
@@ -51,6 +51,7 @@
     :param requested_at: monotonic time of this instance at which the lease was requested.
     :param history: start indexes of the terms in the log of the group.
     :param paused: whether requests to the primary are held back.
+    :param transactions_paused: whether transactions at the primary are held back.
     """
 
     group: GroupId
@@ -62,6 +63,7 @@
     requested_at: float
     history: TermHistory = field(default_factory=TermHistory)
     paused: bool = False
+    transactions_paused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +75,7 @@
         without a lease.
     :param history: start indexes of the terms in the log of the group.
     :param paused: whether requests to the primary are held back.
+    :param transactions_paused: whether transactions at the primary are held back.
     """
 
     group: GroupId
@@ -83,6 +86,7 @@
     lease_ends_at: float
     history: TermHistory
     paused: bool
+    transactions_paused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,6 +138,7 @@
             lease_ends_at=lease_ends_at,
             history=grant.history,
             paused=grant.paused,
+            transactions_paused=grant.transactions_paused,
         )
         self._requested_at[grant.group] = grant.requested_at
         if lease_ends_at > -math.inf:
--- a/hibiscuspoint/core/failover/group.py
+++ b/hibiscuspoint/core/failover/group.py
@@ -8,7 +8,11 @@
 from hibiscuspoint.core.control.effects import PrimarySuspected, Propose, PublishRoutes
 from hibiscuspoint.core.control.route_state import RouteState
 from hibiscuspoint.core.control.state import GroupPhase
-from hibiscuspoint.core.control.switchover import Switchover, SwitchoverState
+from hibiscuspoint.core.control.switchover import (
+    PAUSE_LIMIT_SECONDS,
+    Switchover,
+    SwitchoverState,
+)
 from hibiscuspoint.core.failover.contacts import STATUS_MAX_AGE_SECONDS, TargetContacts
 from hibiscuspoint.core.failover.effects import OverloadSwitchover
 from hibiscuspoint.core.failover.overload import OverloadDetector
@@ -38,6 +42,10 @@
 #: stepped down. It prevents a group from switching back and forth between primaries.
 COOLDOWN_SECONDS = 4.0
 
+#: Time from the first sight of a leaving primary to its replacement, whatever is in progress. It
+#: serves for 7 s after it has announced that it leaves, and a promotion takes up to 1 s.
+LEAVING_LIMIT_SECONDS = 5.5
+
 #: Silence up to which a replica may become primary in a switchover. Polls of replicas are 2.5 s
 #: apart, heartbeats 1.2 s.
 SUCCESSOR_MAX_SILENCE_SECONDS = 2.0
@@ -65,6 +73,8 @@
         self._round: PromotionRound | None = None
         self._switchover: Switchover | None = None
         self._overload_detector = OverloadDetector()
+        # Since when the primary is leaving; ``None`` if it is not.
+        self._leaving_since: float | None = None
         # Since when no entry has held a lease during the current switchover.
         self._unleased_since: float | None = None
         # Last term whose primary was found to have failed.
@@ -78,7 +88,7 @@
         self._required_position = ZERO_POSITION
         self._covered_until = -math.inf
         self._proposed_at: dict[str, float] = {}
-        self._published: tuple[int, RouteState, int] | None = None
+        self._published: tuple[int, RouteState, bool, int] | None = None
 
     @property
     def record(self) -> GroupRecord:
@@ -100,6 +110,11 @@
         """What entries may do with the primary."""
         return RouteState.of(self._record, self._suspected_term, self._switchover)
 
+    @property
+    def pauses_transactions(self) -> bool:
+        """Whether entries may begin only single statements at the primary."""
+        return self._switchover is not None and self._switchover.pauses_transactions
+
     @property
     def tip(self) -> tuple[LogPosition, float] | None:
         """Last position read at the primary and the time at which its poll was sent."""
@@ -262,6 +277,7 @@
             self._failure_detector = PrimaryFailureDetector(record.primary, now)
             self._overload_detector.reset_primary()
             self._switchover = None
+            self._leaving_since = None
             self._unleased_since = None
             self._request_resumption(now)
         if self._suspected_term == record.term:
@@ -297,11 +313,14 @@
     def _advance_switchover(self, now: float) -> list[Effect]:
         """Run the switchover away from a leaving or overloaded primary.
 
-        The new term opens only once no entry holds a lease, so that no transaction is interrupted.
+        The new term opens once no entry holds a lease, so that no transaction is interrupted, or
+        before a leaving primary ends.
         """
         record = self._record
         primary = record.targets.get(record.primary)
         successors = self._successors(now)
+        if primary is not None and primary.leaving and self._leaving_since is None:
+            self._leaving_since = now
         if primary is None or not successors:
             self._switchover = None
             return []
@@ -310,12 +329,18 @@
             is_overloaded = not primary.leaving and self._overload_detector.is_due(successors, now)
             if not self._ledger.is_complete(now) or not (primary.leaving or is_overloaded):
                 return []
-            self._switchover = Switchover(record.primary, None, now)
+            self._switchover = Switchover(record.primary, None, now, self._replace_by(now))
             if is_overloaded:
                 self._overload_detector.record_attempt(now)
                 effects.append(OverloadSwitchover(record.group, record.primary))
         return effects + self._continue_switchover(primary, successors, now)
 
+    def _replace_by(self, now: float) -> float:
+        """Return the time by which the primary has to be replaced."""
+        if self._leaving_since is None:
+            return math.inf
+        return max(self._leaving_since + LEAVING_LIMIT_SECONDS, now + PAUSE_LIMIT_SECONDS)
+
     def _continue_switchover(
         self, primary: TargetRecord, successors: list[TargetId], now: float
     ) -> list[Effect]:
@@ -424,7 +449,7 @@
     def _publish(self) -> list[Effect]:
         """Publish the routes if the term, the route state or the leaving targets have changed."""
         leaving = sum(target.leaving for target in self._record.targets.values())
-        current = (self._record.term, self.route_state, leaving)
+        current = (self._record.term, self.route_state, self.pauses_transactions, leaving)
         if current == self._published:
             return []
         self._published = current
--- a/hibiscuspoint/core/failover/updates.py
+++ b/hibiscuspoint/core/failover/updates.py
@@ -31,6 +31,7 @@
     term: Term
     primary: TargetId
     paused: bool
+    transactions_paused: bool
     has_lease: bool
     targets: tuple[TargetRecord, ...]
 
@@ -48,7 +49,14 @@
             is_paused and instance in ledger.leaseholders(record.group, now)
         )
         targets = tuple(record.targets[target] for target in failover.listed_targets(now))
-        return cls(record.term, record.primary, is_paused, has_lease, targets)
+        return cls(
+            record.term,
+            record.primary,
+            is_paused,
+            failover.pauses_transactions,
+            has_lease,
+            targets,
+        )
 
     def to_message(self, group: GroupId, lease_ms: int) -> peer_pb2.Route:
         """Return the message of the route, with its lease if it has one."""
@@ -57,6 +65,7 @@
             term=self.term,
             primary=self.primary,
             paused=self.paused,
+            transactions_paused=self.transactions_paused,
             lease_ms=lease_ms if self.has_lease else 0,
             members=map(_member_message, self.targets),
         )
--- a/tests/components/sessions/harness.py
+++ b/tests/components/sessions/harness.py
@@ -101,7 +101,14 @@
             echo_sent_at_ns=int(self.clock.monotonic() * NANOSECONDS_PER_SECOND),
         )
 
-    def route(self, *, lease_ms: int, paused: bool = False, tip: int = 10) -> None:
+    def route(
+        self,
+        *,
+        lease_ms: int,
+        paused: bool = False,
+        transactions_paused: bool = False,
+        tip: int = 10,
+    ) -> None:
         """Take an update of the control leader."""
         now = self.clock.monotonic()
         update = peer_pb2.ControlUpdate(
@@ -112,7 +119,12 @@
             serving_entries=3,
         )
         route = update.routes.add(
-            group=GROUP, term=self.term, primary=self.primary, lease_ms=lease_ms, paused=paused
+            group=GROUP,
+            term=self.term,
+            primary=self.primary,
+            lease_ms=lease_ms,
+            paused=paused,
+            transactions_paused=transactions_paused,
         )
         update.tips.add(group=GROUP, position=common_pb2.Position(term=1, index=tip))
         for port, name in enumerate(self.targets, 9000):
--- a/tests/components/sessions/test_session.py
+++ b/tests/components/sessions/test_session.py
@@ -11,7 +11,7 @@
 from hibiscuspoint.drivers.errors import AnswerTimeoutError, ConnectionLost
 from tests.builders_failover import GROUP, PRIMARY, REPLICA_A, REPLICA_B, position
 from tests.components.sessions.fakes import refusal
-from tests.components.sessions.harness import SessionHarness
+from tests.components.sessions.harness import SessionHarness, statement
 
 
 def _texts(harness: SessionHarness, name: str) -> list[str]:
@@ -225,6 +225,23 @@
     _run(scenario)
 
 
+@pytest.mark.parametrize("begin", ["BEGIN", "BEGIN READ"])
+def test_only_single_statements_begin_at_a_leaving_primary(begin):
+    """Guards against transactions that put off the replacement of a leaving primary."""
+
+    async def scenario():
+        harness = SessionHarness(ReadMode.PRIMARY)
+        harness.route(lease_ms=2500, transactions_paused=True)
+        single = await harness.session().execute(statement("WRITE a x"))
+        session = harness.session()
+        await session.execute(statement(begin))
+        return single, await session.execute(statement("READ a"))
+
+    single, bound = asyncio.run(scenario())
+    assert single.error is None
+    assert bound.error.failure is Failure.OVERLOADED
+
+
 def test_paused_route_is_handed_back_after_the_last_transaction():
     """Guards against a switchover that waits for its limit, or interrupts a transaction."""
 
--- a/tests/core/failover/test_group.py
+++ b/tests/core/failover/test_group.py
@@ -8,7 +8,7 @@
 from hibiscuspoint.core.control.route_state import RouteState
 from hibiscuspoint.core.control.state import GroupPhase
 from hibiscuspoint.core.failover import RequestPromotion, ResumeReplica, StepDown
-from hibiscuspoint.core.failover.group import COOLDOWN_SECONDS
+from hibiscuspoint.core.failover.group import COOLDOWN_SECONDS, LEAVING_LIMIT_SECONDS
 from hibiscuspoint.core.failover.watch import COMMIT_STALL_SECONDS, PRIMARY_SILENCE_SECONDS
 from hibiscuspoint.ids import TargetId, Term
 from hibiscuspoint.wire import peer_pb2
@@ -250,6 +250,29 @@
     assert simulation.group.route_state is RouteState.GRANTED
 
 
+def test_leaving_primary_is_replaced_although_transactions_never_end():
+    """Guards against new work for a leaving primary up to its end.
+
+    Transactions longer than the pause of a switchover overlap, so that it is never idle.
+    """
+    simulation = GroupSimulation()
+    simulation.record.targets[PRIMARY] = target(PRIMARY, leaving=True)
+    states, now = [], LATER
+    while (
+        now < LATER + LEAVING_LIMIT_SECONDS + 0.15 and simulation.record.phase is GroupPhase.STARTED
+    ):
+        now += 0.1
+        simulation.ledger.grant(GROUP, ENTRY, Term(1), now)
+        simulation.record_heartbeats(now)
+        statuses = {PRIMARY: primary_status(20), REPLICA_A: replica_status(20)}
+        simulation.poll({**statuses, REPLICA_B: replica_status(20)}, now)
+        simulation.tick(now)
+        states.append((simulation.group.route_state, simulation.group.pauses_transactions))
+    assert simulation.record.phase is GroupPhase.SEALING
+    assert (RouteState.GRANTED, True) in states
+    assert (RouteState.GRANTED, False) not in states
+
+
 def test_switchover_from_a_leaving_primary_waits_for_the_last_lease():
     """Guards against a switchover that interrupts transactions or loses commits."""
     simulation = GroupSimulation()
--- a/tests/core/failover/test_updates.py
+++ b/tests/core/failover/test_updates.py
@@ -51,6 +51,7 @@
     route_state: RouteState = RouteState.GRANTED
     listed: tuple[str, ...] = (PRIMARY, REPLICA_A)
     tip: tuple[LogPosition, float] | None = None
+    pauses_transactions: bool = False
 
     def listed_targets(self, now: float) -> tuple[str, ...]:
         """Return the targets of the route."""
