Bound what one odd entry of another writer can do

Operators of similar systems saw machines end again and again, or stop following a list, because of one entry that was deeply nested or had a number or port out of range. Looking at every reader here:

Cause: json.loads raises RecursionError, and conversions raise OverflowError, which the readers of heartbeats, departures, configurations and settings did not expect; the parser's limit depends on the stack, so that an accepted configuration could be unreadable at another instance; one seed that is no address refused the whole settings file; a far born or seq_no hid later heartbeats of a database; times above 32 bits and lone surrogates were accepted, although messages between instances cannot hold them; a status row or address that cannot be read ended the polls of a target.

--- a/hibiscuspoint/components/target_poller.py
+++ b/hibiscuspoint/components/target_poller.py
@@ -170,9 +170,13 @@
         while True:
             self._wake.clear()
             asked_at = self._clock.monotonic()
-            answer = await self.call(lambda c: c.status(ANSWER_SECONDS))
-            if answer is not None:
-                self._take(answer[0], asked_at)
+            try:
+                answer = await self.call(lambda c: c.status(ANSWER_SECONDS))
+                if answer is not None:
+                    self._take(answer[0], asked_at)
+            except Exception:
+                # A target that is not polled any more would never be replaced.
+                logger.exception("the poll of %s failed", self._record.target)
             try:
                 async with asyncio.timeout(self._interval):
                     await self._wake.wait()
--- a/hibiscuspoint/platform/configuration.py
+++ b/hibiscuspoint/platform/configuration.py
@@ -3,13 +3,19 @@
 from __future__ import annotations
 
 import hashlib
-import json
 from typing import Any
 
 from hibiscuspoint.core.sessions import DatabaseRoute, GroupLimits, ReadMode, RoutingTable
 from hibiscuspoint.errors import ConfigurationError
 from hibiscuspoint.ids import GroupId
-from hibiscuspoint.platform.fields import read_flag, read_text, read_whole
+from hibiscuspoint.platform.fields import (
+    FIELD_ERRORS,
+    parse_json,
+    read_bounded,
+    read_flag,
+    read_text,
+    read_whole,
+)
 from hibiscuspoint.platform.tenants import parse_tenants
 from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
 
@@ -24,6 +30,12 @@
 #: Attempts of a read when its route specifies no number.
 DEFAULT_MAX_ATTEMPTS = 1
 
+#: Longest time in milliseconds that is told apart; messages between instances hold it.
+MAX_MILLISECONDS = 24 * 3600 * 1000
+
+#: Largest number of connections, attempts and of a priority that is told apart.
+MAX_COUNT = 2**31 - 1
+
 
 def parse_routing_table(text: str) -> RoutingTable:
     """Parse a configuration.
@@ -32,11 +44,11 @@
     :raises ConfigurationError: the text is malformed, lacks a field or is inconsistent.
     """
     try:
-        fields = json.loads(text)
+        fields = parse_json(text)
         return _routing_table(fields, hashlib.sha256(text.encode()).hexdigest())
     except ConfigurationError:
         raise
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except FIELD_ERRORS as error:
         raise ConfigurationError(f"the configuration cannot be read: {error!r}") from error
 
 
@@ -44,7 +56,7 @@
     groups = {}
     for service in fields["services"]:
         group = GroupId(read_text(service["name"]))
-        groups[group] = GroupLimits(group, read_whole(service["max_conns"]))
+        groups[group] = GroupLimits(group, read_bounded(service["max_conns"], MAX_COUNT))
     database_paths: set[tuple[str, str]] = set()
     routes: dict[str, DatabaseRoute] = {}
     for item in fields["routes"]:
@@ -56,31 +68,35 @@
         if route.group not in groups:
             raise ConfigurationError(f"route {route.name!r} names an unknown service")
         routes.setdefault(route.database, route)
-    idle_ms = fields["limits"].get("txn_idle_ms", 3000)
+    idle_seconds = _read_seconds(fields["limits"].get("txn_idle_ms", 3000))
     return RoutingTable(
         number=read_whole(fields["version"]),
         digest=digest,
         routes=routes,
         groups=groups,
-        transaction_idle_seconds=read_whole(idle_ms) / MILLISECONDS_PER_SECOND,
+        transaction_idle_seconds=idle_seconds,
         organisations=parse_tenants(fields),
     )
 
 
 def _route(item: dict[str, Any]) -> DatabaseRoute:
     name = read_text(item["name"])
-    timeout_ms = read_whole(item["timeout_ms"])
-    if timeout_ms <= 0:
+    timeout_seconds = _read_seconds(item["timeout_ms"])
+    if timeout_seconds <= 0:
         raise ConfigurationError(f"route {name!r} has no timeout")
     return DatabaseRoute(
         name=name,
         database=read_text(item["host"]),
         group=GroupId(read_text(item["service"])),
         mode=_READ_MODES[item["kind"]],
-        timeout_seconds=timeout_ms / MILLISECONDS_PER_SECOND,
-        objective_seconds=read_whole(item["slo_ms"]) / MILLISECONDS_PER_SECOND,
-        priority=read_whole(item["priority"]),
-        max_attempts=read_whole(item.get("max_attempts", DEFAULT_MAX_ATTEMPTS)),
-        max_age_seconds=read_whole(item.get("max_staleness_ms", 0)) / MILLISECONDS_PER_SECOND,
+        timeout_seconds=timeout_seconds,
+        objective_seconds=_read_seconds(item["slo_ms"]),
+        priority=read_bounded(item["priority"], MAX_COUNT),
+        max_attempts=read_bounded(item.get("max_attempts", DEFAULT_MAX_ATTEMPTS), MAX_COUNT),
+        max_age_seconds=_read_seconds(item.get("max_staleness_ms", 0)),
         is_public=read_flag(item.get("public", False)),
     )
+
+
+def _read_seconds(value: object) -> float:
+    return read_bounded(value, MAX_MILLISECONDS) / MILLISECONDS_PER_SECOND
--- a/hibiscuspoint/platform/database.py
+++ b/hibiscuspoint/platform/database.py
@@ -121,7 +121,11 @@
         reply = await self._exchange(wire.format_internal_query(text), timeout)
         if reply.error is not None or not reply.rows:
             return None, reply.position
-        return _parse_status(reply.rows[0]), reply.position
+        try:
+            return _parse_status(reply.rows[0]), reply.position
+        except (ValueError, wire.ProtocolError) as error:
+            self.close()
+            raise ConnectionLost(f"malformed status: {error}", sent=True) from error
 
     async def _exchange(self, message: bytes, timeout: float) -> Reply:
         builder = wire.ReplyBuilder()
@@ -163,7 +167,10 @@
         :raises ConnectError: the connection failed, the database accepts no more connections, or
             another database serves the address.
         """
-        host, port = parse_address(address)
+        try:
+            host, port = parse_address(address)
+        except ValueError as error:
+            raise ConnectError(ConnectFailure.BROKEN, str(error)) from error
         try:
             async with asyncio.timeout(timeout):
                 started = time.monotonic()
@@ -222,6 +229,7 @@
     """Parse a status row: role, term, position, term of a pause, lag in ms, slots in use.
 
     :raises ProtocolError: the row has too few fields, or its position is malformed.
+    :raises ValueError: a field is no number.
     """
     fields = row.split()
     if len(fields) < 6:
@@ -231,9 +239,16 @@
         position = wire.parse_position("0.0")
     return TargetStatus(
         is_primary=fields[0] == "primary",
-        term=Term(int(fields[1])),
+        term=Term(_read_count(fields[1])),
         received=position,
-        paused_term=Term(int(fields[3])),
-        lag_seconds=int(fields[4]) / MILLISECONDS_PER_SECOND,
-        in_use=int(fields[5]),
+        paused_term=Term(_read_count(fields[3])),
+        lag_seconds=_read_count(fields[4]) / MILLISECONDS_PER_SECOND,
+        in_use=_read_count(fields[5]),
     )
+
+
+def _read_count(text: str) -> int:
+    number = int(text)
+    if not 0 <= number <= wire.MAX_NUMBER:
+        raise ValueError("a number is out of range")
+    return number
--- a/hibiscuspoint/platform/heartbeats.py
+++ b/hibiscuspoint/platform/heartbeats.py
@@ -2,17 +2,26 @@
 
 from __future__ import annotations
 
-import json
+import time
 from typing import Any
 
-from hibiscuspoint.platform.fields import read_text, read_whole
+from hibiscuspoint.platform.fields import FIELD_ERRORS, parse_json, read_text, read_whole
 from hibiscuspoint.util.address import parse_address
+from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
 from hibiscuspoint.wire import peer_pb2
 
 __all__ = ["HeartbeatError", "departure", "parse_heartbeat"]
 
 _IS_LEAVING_BY_STATE = {"ready": False, "draining": True}
 
+#: Largest number of slots and of a heartbeat that a database can have.
+MAX_SLOTS = 65_536
+MAX_SEQUENCE = 10**9
+
+#: Seconds by which the start of a database may lie ahead of the time of day here. A later one would
+#: hide all heartbeats of the database itself.
+START_TOLERANCE_SECONDS = 24 * 3600
+
 
 class HeartbeatError(Exception):
     """A heartbeat or departure that is malformed."""
@@ -26,9 +35,8 @@
     :raises HeartbeatError: a field is missing, malformed or of the wrong type.
     """
     try:
-        fields = json.loads(body)
-        return _announcement(target, fields)
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        return _announcement(read_text(target), parse_json(body))
+    except FIELD_ERRORS as error:
         raise HeartbeatError(f"heartbeat of {target[:64]!r}: {error!r}") from error
 
 
@@ -42,12 +50,12 @@
     :raises HeartbeatError: the id is not valid Unicode.
     """
     try:
-        message = peer_pb2.Announcement(target=target, gone=True)
-    except ValueError as error:
+        message = peer_pb2.Announcement(target=read_text(target), gone=True)
+    except FIELD_ERRORS as error:
         raise HeartbeatError(f"departure of {target[:64]!r}: {error!r}") from error
     try:
-        message.incarnation = read_whole(json.loads(body).get("born", 0))
-    except (ValueError, TypeError, AttributeError):
+        message.incarnation = _incarnation(parse_json(body))
+    except FIELD_ERRORS:
         # The body is optional: the path of the request identifies the database.
         message.incarnation = 0
     return message
@@ -59,15 +67,27 @@
         group=read_text(fields["service"]),
         availability_zone=read_text(fields["zone"]),
         address=_address(fields["addr"]),
-        slots=read_whole(fields["slots"]),
+        slots=_within(fields["slots"], 1, MAX_SLOTS),
         leaving=_IS_LEAVING_BY_STATE[fields["state"]],
         primary=fields.get("db_role") == "primary",
-        # The start time distinguishes successive incarnations with the same id.
-        incarnation=read_whole(fields.get("born", 0)),
-        sequence=read_whole(fields["seq_no"]),
+        incarnation=_incarnation(fields),
+        sequence=_within(fields["seq_no"], 0, MAX_SEQUENCE),
     )
 
 
+def _incarnation(fields: dict[str, Any]) -> int:
+    """Return the start time, which distinguishes successive incarnations with the same id."""
+    latest = int((time.time() + START_TOLERANCE_SECONDS) * MILLISECONDS_PER_SECOND)
+    return _within(fields.get("born", 0), 0, latest)
+
+
+def _within(value: object, least: int, most: int) -> int:
+    number = read_whole(value)
+    if not least <= number <= most:
+        raise ValueError(f"{number} is not within {least} to {most}")
+    return number
+
+
 def _address(value: object) -> str:
     address = read_text(value)
     parse_address(address)
--- a/hibiscuspoint/platform/settings.py
+++ b/hibiscuspoint/platform/settings.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import json
+import logging
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -11,10 +11,13 @@
 from hibiscuspoint.core.quotas.bounds import QuotaBounds
 from hibiscuspoint.errors import ConfigurationError
 from hibiscuspoint.ids import AvailabilityZone, InstanceId
+from hibiscuspoint.platform.fields import FIELD_ERRORS, parse_json, read_text
 from hibiscuspoint.util.address import parse_address
 
 __all__ = ["PATH_VARIABLE", "ProcessSettings"]
 
+logger = logging.getLogger(__name__)
+
 #: Environment variable that holds the path of the settings file.
 PATH_VARIABLE = "HIBISCUSPOINT_BOOT"
 
@@ -67,8 +70,8 @@
         :raises ConfigurationError: the file is unreadable, malformed or lacks a field.
         """
         try:
-            return cls._from_fields(json.loads(path.read_text()))
-        except (OSError, ValueError, KeyError, TypeError, IndexError) as error:
+            return cls._from_fields(parse_json(path.read_text()))
+        except (OSError, *FIELD_ERRORS) as error:
             raise ConfigurationError(f"settings file {path}: {error!r}") from error
 
     @classmethod
@@ -76,7 +79,7 @@
         listen = fields["listen"]
         ip = fields["ip"]
         port = fields["internal_ports"][0]
-        seeds = tuple(_internal_address(seed, port) for seed in fields["seeds"])
+        seeds = _seeds(fields["seeds"], port)
         data_directory = fields.get("data_dir")
         return cls(
             name=fields["node_name"],
@@ -113,6 +116,22 @@
     )
 
 
+def _seeds(items: list[object], port: int) -> tuple[str, ...]:
+    """Return the addresses of the seeds; an entry that is no address leaves the others in force.
+
+    :raises ValueError: none of the entries is an address.
+    """
+    seeds = []
+    for item in items:
+        try:
+            seeds.append(_internal_address(read_text(item), port))
+        except (TypeError, ValueError) as error:
+            logger.warning("a seed in the settings is ignored: %s", error)
+    if items and not seeds:
+        raise ValueError("no seed is an address")
+    return tuple(seeds)
+
+
 def _internal_address(control_address: str, port: int) -> str:
     """Return the address for other instances on the machine of a control address."""
     host, _ = parse_address(control_address)
--- a/hibiscuspoint/platform/tenants.py
+++ b/hibiscuspoint/platform/tenants.py
@@ -7,10 +7,14 @@
 from hibiscuspoint.core.organisations import Organisation, OrganisationDirectory, RateLimit
 from hibiscuspoint.errors import ConfigurationError
 from hibiscuspoint.ids import OrganisationId
-from hibiscuspoint.platform.fields import read_number, read_whole
+from hibiscuspoint.platform.fields import read_bounded, read_number
 
 __all__ = ["parse_tenants"]
 
+#: Largest priority, and largest rate and burst in operations, that are told apart.
+MAX_PRIORITY = 2**31 - 1
+MAX_RATE = 1e9
+
 
 def parse_tenants(fields: dict[str, Any]) -> OrganisationDirectory | None:
     """Return the organisations of a configuration; ``None`` where it has no tenants.
@@ -38,7 +42,7 @@
     if not isinstance(name, str) or name.split() != [name]:
         raise ConfigurationError("a tenant has no name, or one with blanks")
     name.encode()
-    priority = read_whole(item.get("priority", 0))
+    priority = read_bounded(item.get("priority", 0), MAX_PRIORITY)
     return Organisation(OrganisationId(name), priority, _limit(item, name))
 
 
@@ -53,7 +57,7 @@
     number = read_number(item.get(field, 0))
     if number < 0:
         raise ConfigurationError(f"{field} of tenant {name!r} is negative")
-    return number
+    return min(number, MAX_RATE)
 
 
 def _keys(item: dict[str, Any]) -> list[str]:
--- a/hibiscuspoint/platform/wire.py
+++ b/hibiscuspoint/platform/wire.py
@@ -41,6 +41,9 @@
 #: Maximum length of a message in bytes, as the protocol specifies it.
 LINE_BYTES = 1_048_576
 
+#: Largest term and number of a log position; messages between instances hold it.
+MAX_NUMBER = 2**63 - 1
+
 #: Request id of the statements that the proxy itself issues.
 INTERNAL_REQUEST_ID = "-"
 
@@ -214,9 +217,12 @@
         return None
     term, _, index = text.partition(".")
     try:
-        return LogPosition(Term(int(term)), int(index))
+        position = LogPosition(Term(int(term)), int(index))
     except ValueError:
-        raise ProtocolError(f"{text!r} is no log position") from None
+        raise ProtocolError(f"{text!r:.80} is no log position") from None
+    if not (0 <= position.term <= MAX_NUMBER and 0 <= position.index <= MAX_NUMBER):
+        raise ProtocolError("a log position is out of range")
+    return position
 
 
 class ReplyBuilder:
