Count only replies that prove what a promotion relies on

Cause: a promotion counted replies that prove nothing, in five ways that docs/incidents/ 2026-12-05-incomplete-promotion.md lists: ignored orders to pause, a chosen target taken for the former primary, a replica that starts again empty, a replica that confirms before it registers, a promotion that takes effect after it was given up.

GroupState has two more fields, requested and lost_logs.

--- a/hibiscuspoint/core/control/leases.py
+++ b/hibiscuspoint/core/control/leases.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -98,6 +99,11 @@
             if grant.term < term and grant.expires_at >= since
         }
 
+    def unreleased_until(self, group: GroupId, term: Term) -> float:
+        """Return when the last lease of a term lower than ``term`` ends that was not released."""
+        grants = self._grants.get(group, {}).values()
+        return max((g.expires_at for g in grants if g.term < term), default=-math.inf)
+
     def possible_leaseholders(self, group: GroupId, now: float) -> set[InstanceId]:
         """Return the entries that may have a valid lease, an inherited one included."""
         held = self.leaseholders(group, now)
--- a/hibiscuspoint/core/control/state.py
+++ b/hibiscuspoint/core/control/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -102,7 +103,10 @@
     :param primary: primary of the current term; ``None`` until it is chosen.
     :param term_starts: pairs of term and index of its first record, for the last started terms.
     :param holders: entries that may have connections to the targets or a route lease.
-    :param former_primary: primary of the last term before the current one that had a primary.
+    :param former_primary: primary of the last term before the current one that was started.
+    :param requested: targets chosen as primary since the last started term.
+    :param lost_logs: incarnation of targets that started again; the commits that only it may have
+        confirmed are not known to be held elsewhere.
     :param targets: targets that registered themselves; only in a group without a fixed member list.
     """
 
@@ -116,6 +120,8 @@
     holders: tuple[InstanceId, ...] = ()
     former_primary: TargetId | None = None
     targets: dict[TargetId, TargetRecord] = field(default_factory=dict)
+    requested: tuple[TargetId, ...] = ()
+    lost_logs: dict[TargetId, Incarnation] = field(default_factory=dict)
 
     @property
     def history(self) -> TermHistory:
@@ -230,7 +236,9 @@
         if record is None or body.term <= record.term:
             return
         record.term = Term(body.term)
-        record.former_primary = record.primary or record.former_primary
+        if record.phase is GroupPhase.STARTED:
+            # A primary that was only chosen may be the one that holds the last commits.
+            record.former_primary = record.primary or record.former_primary
         record.primary = None
         record.phase = GroupPhase.SEALING
 
@@ -240,12 +248,15 @@
             return
         record.primary = TargetId(body.primary)
         record.phase = GroupPhase.CHOSEN
+        if record.primary not in record.requested:
+            record.requested = (*record.requested, record.primary)
 
     def _start_term(self, body: record_pb2.StartTerm) -> None:
         record = self._groups.get(GroupId(body.group))
         if record is None or body.term != record.term or record.phase is not GroupPhase.CHOSEN:
             return
         record.phase = GroupPhase.STARTED
+        record.requested = ()
         record.term_starts.append((record.term, body.start))
         del record.term_starts[:-TERM_HISTORY_LIMIT]
 
@@ -260,14 +271,22 @@
             registered.group, GroupRecord(registered.group, members=(), ack_quorum=0)
         )
         known = record.targets.get(registered.target)
-        if known is None or known.incarnation <= registered.incarnation:
-            record.targets[registered.target] = registered
+        if known is not None and known.incarnation > registered.incarnation:
+            return
+        if known is not None and known.incarnation < registered.incarnation:
+            record.lost_logs[registered.target] = known.incarnation
+        record.targets[registered.target] = registered
 
     def _remove_target(self, body: record_pb2.RemoveTarget) -> None:
         record = self._groups.get(GroupId(body.group))
-        known = record.targets.get(TargetId(body.target)) if record is not None else None
+        if record is None:
+            return
+        target = TargetId(body.target)
+        known = record.targets.get(target)
         if known is not None and known.incarnation <= body.incarnation:
-            del record.targets[known.target]
+            del record.targets[target]
+        if record.lost_logs.get(target, math.inf) <= body.incarnation:
+            del record.lost_logs[target]
 
     def _drain_target(self, body: record_pb2.DrainTarget) -> None:
         target = TargetId(body.target)
@@ -298,6 +317,8 @@
         history_starts=[start for _, start in record.term_starts],
         holders=record.holders,
         former=record.former_primary or "",
+        requested=record.requested,
+        lost_logs=record.lost_logs,
     )
 
 
@@ -313,6 +334,8 @@
         term_starts=[(Term(term), start) for term, start in starts],
         holders=tuple(InstanceId(instance) for instance in message.holders),
         former_primary=TargetId(message.former) if message.former else None,
+        requested=tuple(TargetId(target) for target in message.requested),
+        lost_logs={TargetId(t): Incarnation(i) for t, i in message.lost_logs.items()},
     )
 
 
--- a/hibiscuspoint/core/failover/contacts.py
+++ b/hibiscuspoint/core/failover/contacts.py
@@ -32,6 +32,7 @@
 
     :param incarnation: incarnation that sent them.
     :param contacted_at: when the last message of any kind arrived.
+    :param known_since: when the incarnation became known.
     :param polled_at: when the poll that returned ``status`` was sent.
     :param has_departed: whether the target has announced its end.
     :param is_replaced: whether another target answers at its address.
@@ -40,6 +41,7 @@
 
     incarnation: Incarnation | None
     contacted_at: float
+    known_since: float
     status: TargetStatus | None = None
     polled_at: float = -math.inf
     answered_at: float = -math.inf
@@ -183,16 +185,29 @@
         The position of the primary at a poll after the end of the lost replica, or after its last
         message if its end is not known, is at or above all of them.
         """
-        primary = self._contacts.get(self._record.primary)
         lost_at = self.contacted_at(lost)
         if self.has_ended(lost):
             lost_at = max(lost_at, self._contacts[lost].ended_at)
+        return self._is_held_by_replica(lost_at, excluded=lost)
+
+    def is_former_log_held(self, target: TargetId) -> bool:
+        """Tell whether a replica holds what the former incarnation of a target may have confirmed.
+
+        It may be the present incarnation, once it has caught up.
+        """
+        contact = self._contacts.get(target)
+        return contact is not None and self._is_held_by_replica(contact.known_since)
+
+    def _is_held_by_replica(self, since: float, excluded: TargetId | None = None) -> bool:
+        """Tell whether a replica has the position of the primary at a poll after a given time."""
+        primary = self._contacts.get(self._record.primary)
+        lost_at = since
         if primary is None or primary.status is None or primary.polled_at <= lost_at:
             return False
         return any(
             contact.status is not None
             and target in self._record.targets
-            and target not in (lost, self._record.primary)
+            and target not in (excluded, self._record.primary)
             and contact.polled_at >= primary.polled_at - STATUS_MAX_AGE_SECONDS
             and contact.polled_at > lost_at
             and contact.status.received >= primary.status.received
@@ -205,5 +220,5 @@
         incarnation = registered.incarnation if registered is not None else None
         contact = self._contacts.get(target)
         if contact is None or contact.incarnation != incarnation:
-            contact = self._contacts[target] = _Contact(incarnation, now)
+            contact = self._contacts[target] = _Contact(incarnation, now, known_since=now)
         return contact
--- a/hibiscuspoint/core/failover/group.py
+++ b/hibiscuspoint/core/failover/group.py
@@ -16,7 +16,7 @@
 from hibiscuspoint.core.failover.contacts import STATUS_MAX_AGE_SECONDS, TargetContacts
 from hibiscuspoint.core.failover.effects import OverloadSwitchover
 from hibiscuspoint.core.failover.overload import OverloadDetector
-from hibiscuspoint.core.failover.promotion import PromotionRound
+from hibiscuspoint.core.failover.promotion import Acknowledgements, PromotionRound
 from hibiscuspoint.core.failover.watch import PrimaryFailure, PrimaryFailureDetector
 from hibiscuspoint.core.position import ZERO_POSITION
 from hibiscuspoint.wire import record_pb2
@@ -27,7 +27,7 @@
     from hibiscuspoint.core.control.state import GroupRecord, TargetRecord
     from hibiscuspoint.core.failover.status import TargetStatus
     from hibiscuspoint.core.position import LogPosition
-    from hibiscuspoint.ids import InstanceId, TargetId
+    from hibiscuspoint.ids import Incarnation, InstanceId, TargetId
     from hibiscuspoint.wire import peer_pb2
 
 __all__ = ["GroupFailover"]
@@ -87,6 +87,8 @@
         # every commit acknowledged before ``_covered_until``.
         self._required_position = ZERO_POSITION
         self._covered_until = -math.inf
+        # Highest position of a commit that an entry has acknowledged.
+        self._acknowledged_position = ZERO_POSITION
         self._proposed_at: dict[str, float] = {}
         self._published: tuple[int, RouteState, bool, int] | None = None
 
@@ -103,7 +105,8 @@
     @property
     def has_ended_targets(self) -> bool:
         """Whether targets that have ended still wait for their removal."""
-        return any(self._contacts.has_ended(target) for target in self._record.targets)
+        ended = any(self._contacts.has_ended(target) for target in self._record.targets)
+        return ended or bool(self._record.lost_logs)
 
     @property
     def route_state(self) -> RouteState:
@@ -192,6 +195,11 @@
         if self._round is not None and self._record.primary == target:
             self._round.record_refusal(now)
 
+    def record_promotion_loss(self, target: TargetId, now: float) -> None:
+        """Record that a request to promote the chosen target had no answer."""
+        if self._round is not None and self._record.primary == target:
+            self._round.record_lost_request(now)
+
     def record_observation(
         self, entry: InstanceId, observation: peer_pb2.TargetObservation, now: float
     ) -> None:
@@ -204,6 +212,7 @@
 
     def record_acknowledged_position(self, position: LogPosition) -> None:
         """Record the highest position of a commit that an entry has acknowledged."""
+        self._acknowledged_position = max(self._acknowledged_position, position)
         self._raise_required_position(position)
 
     def listed_targets(self, now: float) -> list[TargetId]:
@@ -246,9 +255,12 @@
             chosen = self._contacts.current_primary(now)
             return self._propose_primary(chosen, now) if chosen is not None else []
         status_of = self._contacts.recent_statuses(current_round.since, now)
-        chosen = current_round.choose_target(status_of, self._known_required_position(), now)
+        chosen = current_round.choose_target(status_of, self._known_acknowledgements(), now)
         if chosen is not None:
             return self._propose_primary(chosen, now)
+        if self._contacts.newest_term() >= record.term:
+            # A target in this term or a later one would not be paused by an order with this one.
+            return self._propose_term(now)
         return current_round.pause_replicas(status_of, now)
 
     def _advance_promotion(self, current_round: PromotionRound, now: float) -> list[Effect]:
@@ -261,9 +273,16 @@
         effects = current_round.promote(status_of, self._token, now)
         status = status_of.get(record.primary)
         is_leading = status is not None and status.is_primary
-        if is_leading and (
-            not record.term_starts
-            or self._ledger.has_no_lease_before(record.group, record.term, now)
+        if any(s.is_primary and is_leading and s.term > status.term for s in status_of.values()):
+            # A promotion that was given up has taken effect after this one.
+            return self._propose_term(now)
+        if (
+            is_leading
+            and current_round.has_settled(now)
+            and (
+                not record.term_starts
+                or self._ledger.has_no_lease_before(record.group, record.term, now)
+            )
         ):
             body = record_pb2.StartTerm(group=record.group, term=record.term, start=0)
             effects += self._propose("start_term", record_pb2.Command(start_term=body), now)
@@ -384,7 +403,13 @@
         ]
 
     def _remove_lost(self, now: float) -> list[Effect]:
-        """Remove a replica that has ended, once another one holds all it may have confirmed."""
+        """Remove a replica that has ended, once another one holds all it may have confirmed.
+
+        The same holds for the log of a former incarnation of a target.
+        """
+        for target, incarnation in self._record.lost_logs.items():
+            if self._contacts.is_former_log_held(target):
+                return self._propose_removal(target, incarnation, now)
         for target in self._record.targets.values():
             if target.target == self._record.primary or not self._contacts.is_lost(
                 target.target, now
@@ -392,13 +417,18 @@
                 continue
             if not self._contacts.is_log_held_elsewhere(target.target):
                 continue
-            body = record_pb2.RemoveTarget(
-                group=self._record.group, target=target.target, incarnation=target.incarnation
-            )
-            name = f"remove_target {target.target}"
-            return self._propose(name, record_pb2.Command(remove_target=body), now)
+            return self._propose_removal(target.target, target.incarnation, now)
         return []
 
+    def _propose_removal(
+        self, target: TargetId, incarnation: Incarnation, now: float
+    ) -> list[Effect]:
+        body = record_pb2.RemoveTarget(
+            group=self._record.group, target=target, incarnation=incarnation
+        )
+        name = f"remove_target {target} {incarnation}"
+        return self._propose(name, record_pb2.Command(remove_target=body), now)
+
     def _known_required_position(self) -> LogPosition | None:
         """Return a position at or above every acknowledged commit, or ``None``.
 
@@ -414,6 +444,14 @@
             return None
         return self._required_position
 
+    def _known_acknowledgements(self) -> Acknowledgements:
+        record = self._record
+        return Acknowledgements(
+            self._known_required_position(),
+            self._acknowledged_position,
+            self._ledger.unreleased_until(record.group, record.term),
+        )
+
     def _propose_term(self, now: float) -> list[Effect]:
         """Propose a term above all terms that the targets have reported."""
         record = self._record
--- a/hibiscuspoint/core/failover/promotion.py
+++ b/hibiscuspoint/core/failover/promotion.py
@@ -13,6 +13,7 @@
     ResumeReplica,
     StepDown,
 )
+from hibiscuspoint.core.position import ZERO_POSITION
 
 if TYPE_CHECKING:
     from hibiscuspoint.core.control.effects import Effect
@@ -21,7 +22,7 @@
     from hibiscuspoint.core.position import LogPosition
     from hibiscuspoint.ids import Incarnation, TargetId, Term
 
-__all__ = ["PromotionRound"]
+__all__ = ["Acknowledgements", "PromotionRound"]
 
 #: Interval between two orders of the same kind to a target.
 ORDER_INTERVAL_SECONDS = 0.2
@@ -32,6 +33,17 @@
 #: Interval between two requests to the platform to promote the chosen target.
 PROMOTION_REQUEST_INTERVAL_SECONDS = 1.0
 
+#: Time until a request without an answer is repeated.
+PROMOTION_REPEAT_SECONDS = 0.3
+
+#: Time in which a target that confirms commits registers itself. A heartbeat to an instance that
+#: is cut off is repeated at another one.
+REGISTRATION_SECONDS = 0.5
+
+#: Time from the end of the requests for one target's promotion until none of them can take effect
+#: any more: they are on their way for 0.25 s, and a promotion takes up to 1 s.
+SETTLEMENT_SECONDS = 2.0
+
 #: Silence of the chosen target after which another one is chosen.
 CHOSEN_SILENCE_SECONDS = 2.0
 
@@ -40,6 +52,21 @@
 CHOICE_GRACE_SECONDS = 0.1
 
 
+@dataclass(frozen=True)
+class Acknowledgements:
+    """What control knows of the commits that entries acknowledged in the former term.
+
+    :param limit: position at or above all of them; ``None`` if it is unknown.
+    :param seen: highest position that an entry reported.
+    :param possible_until: monotonic time in seconds at which the last lease ends that an entry has
+        not released; minus infinity if there is none.
+    """
+
+    limit: LogPosition | None = None
+    seen: LogPosition = ZERO_POSITION
+    possible_until: float = -math.inf
+
+
 @dataclass(frozen=True)
 class _PauseReply:
     """Reply of a replica that was paused, with the values that reveal a later restart.
@@ -78,9 +105,12 @@
     _sufficient_since: float = math.inf
 
     def record_pause(self, target: TargetId, status: TargetStatus, now: float) -> None:
-        """Record the reply of a replica that was paused at the term of this round."""
+        """Record the reply of a replica that was ordered to pause at the term of this round.
+
+        An order with a term that the replica already has, or a later one, is answered and ignored.
+        """
         known = self.record.targets.get(target)
-        if known is None:
+        if known is None or status.paused_term != self.term:
             return
         self.paused_positions[target] = status.received
         self._pause_replies[target] = _PauseReply(known.incarnation, status.paused_term, now)
@@ -128,29 +158,34 @@
     def choose_target(
         self,
         status_of: dict[TargetId, TargetStatus],
-        required_position: LogPosition | None,
+        acknowledgements: Acknowledgements,
         now: float,
     ) -> TargetId | None:
         """Return the target to promote; ``None`` until it certainly holds all acknowledged commits.
 
         A commit is acknowledged once the primary and one replica hold it. So the replica with the
         longest log holds all of them if every replica is paused and has replied, or if the position
-        of that replica is at or above ``required_position``.
+        of that replica is at or above all that entries acknowledged.
+
+        A replica that has just started may confirm commits before it is registered. So a reply of
+        every replica suffices only once no entry acknowledges such a commit any more, and such a
+        replica had time to register.
 
         :param status_of: replies to polls that were sent in this round.
-        :param required_position: position at or above every acknowledged commit; ``None`` if it is
-            unknown.
+        :param acknowledgements: what is known of the commits that entries acknowledged.
         """
         self._discard_restarted()
         record = self.record
-        former = status_of.get(record.former_primary) if record.former_primary else None
-        if former is not None and former.is_primary and self._may_keep_former():
-            return record.former_primary
+        acting = self._acting_primary(status_of)
+        if acting is not None:
+            return acting
         candidates = {
             t: position for t, position in self.paused_positions.items() if t in record.targets
         }
         replicas = record.targets.keys() - {record.former_primary}
-        has_every_reply = replicas <= self.paused_positions.keys()
+        # What a replica confirmed before it started again may be held by the former primary only.
+        has_every_log = not record.lost_logs.keys() - {record.former_primary}
+        has_every_reply = has_every_log and replicas <= self.paused_positions.keys()
         # Records that only the former primary holds were never acknowledged. So it is left out once
         # every replica has replied, as it may be partitioned from them.
         is_former_needed = not (has_every_reply and candidates)
@@ -159,10 +194,18 @@
         if not candidates:
             return None
         best = max(candidates, key=lambda target: (candidates[target], self._preference(target)))
+        if candidates[best] < acknowledgements.seen:
+            return None
+        required_position = acknowledgements.limit
         holds_required_position = (
             required_position is not None and candidates[best] >= required_position
         )
-        if not has_every_reply and not holds_required_position and self.former_position is None:
+        is_settled = now >= acknowledgements.possible_until + REGISTRATION_SECONDS
+        if (
+            not (has_every_reply and is_settled)
+            and not holds_required_position
+            and self.former_position is None
+        ):
             self._sufficient_since = math.inf
             return None
         self._sufficient_since = min(self._sufficient_since, now)
@@ -217,6 +260,12 @@
         """Record that the platform refused the promotion because the target is not running."""
         self.refused_at = now
 
+    def record_lost_request(self, now: float) -> None:
+        """Record that the request for the promotion had no answer; it is repeated soon."""
+        key = (RequestPromotion, self.record.primary)
+        repeat_at = now + PROMOTION_REPEAT_SECONDS
+        self._ordered_at[key] = repeat_at - PROMOTION_REQUEST_INTERVAL_SECONDS
+
     def is_chosen_lost(self, answered_at: float, now: float) -> bool:
         """Tell whether the chosen target is not running or silent.
 
@@ -237,6 +286,31 @@
         del self.paused_positions[target]
         self._pause_replies.pop(target, None)
 
+    def has_settled(self, now: float) -> bool:
+        """Tell whether no request for another target's promotion can take effect any more."""
+        others = set(self.record.requested) - {self.record.primary}
+        return not others or now - self.since >= SETTLEMENT_SECONDS
+
+    def _acting_primary(self, status_of: dict[TargetId, TargetStatus]) -> TargetId | None:
+        """Return the target that acts as primary if it holds all acknowledged commits.
+
+        The former primary does unless another target has a later term. Any other target, such as
+        the former primary under a new id, or one whose promotion was given up and took effect
+        later, does if every replica has replied and none has a later term: a commit of a later term
+        was confirmed by one of them.
+        """
+        record = self.record
+        newest_term = max((status.term for status in status_of.values()), default=0)
+        for target, status in status_of.items():
+            if not status.is_primary or status.term < newest_term:
+                continue
+            if target == record.former_primary:
+                if self._may_keep_former():
+                    return target
+            elif status_of.keys() >= record.targets.keys() - {record.former_primary}:
+                return target
+        return None
+
     def _may_keep_former(self) -> bool:
         """Tell whether a former primary that still acts as primary may stay primary."""
         former = self.record.targets.get(self.record.former_primary)
--- a/tests/builders_failover.py
+++ b/tests/builders_failover.py
@@ -138,6 +138,16 @@
         for name, status in statuses.items():
             self.group.record_status(name, status, now - 0.001, now)
 
+    def record_pause(self, name: TargetId, index: int, now: float) -> None:
+        """Record that a replica has paused at the term of the group."""
+        term = self.record.term
+        self.group.record_pause(name, replica_status(index, paused_term=term), term, now)
+
+    def register(self, name: TargetId, incarnation: int = 1) -> None:
+        """Register a target or a later incarnation of it."""
+        message = target(name, incarnation=incarnation).to_message()
+        self.state.apply(1, record_pb2.Command(register_target=message))
+
     def record_heartbeats(self, now: float) -> None:
         """Record a heartbeat of every target."""
         for name in self.record.targets:
--- a/tests/core/failover/test_group.py
+++ b/tests/core/failover/test_group.py
@@ -5,10 +5,16 @@
 import pytest
 
 from hibiscuspoint.core.control.effects import PrimarySuspected
+from hibiscuspoint.core.control.leases import LEASE_SECONDS
 from hibiscuspoint.core.control.route_state import RouteState
 from hibiscuspoint.core.control.state import GroupPhase
 from hibiscuspoint.core.failover import RequestPromotion, ResumeReplica, StepDown
 from hibiscuspoint.core.failover.group import COOLDOWN_SECONDS, LEAVING_LIMIT_SECONDS
+from hibiscuspoint.core.failover.promotion import (
+    CHOSEN_SILENCE_SECONDS,
+    REGISTRATION_SECONDS,
+    SETTLEMENT_SECONDS,
+)
 from hibiscuspoint.core.failover.watch import COMMIT_STALL_SECONDS, PRIMARY_SILENCE_SECONDS
 from hibiscuspoint.ids import TargetId, Term
 from hibiscuspoint.wire import peer_pb2
@@ -27,6 +33,10 @@
     target,
 )
 
+#: Seconds after which no commit is acknowledged any more under a lease of a lost primary, and a
+#: replica that confirmed one is registered.
+CERTAIN_SECONDS = LEASE_SECONDS + REGISTRATION_SECONDS
+
 #: A replica that joins the group in a test.
 NEW = TargetId("i-new")
 
@@ -51,11 +61,10 @@
     """Guards against the promotion of a replica that lacks an acknowledged commit."""
     simulation = GroupSimulation()
     now = _lose_primary(simulation, LATER)
-    term = simulation.record.term
-    simulation.group.record_pause(REPLICA_A, replica_status(19), term, now)
+    simulation.record_pause(REPLICA_A, 19, now)
     simulation.tick(now)
     assert simulation.record.phase is GroupPhase.SEALING
-    simulation.group.record_pause(REPLICA_B, replica_status(20), term, now)
+    simulation.record_pause(REPLICA_B, 20, now)
     simulation.tick(now)
     assert simulation.record.primary == REPLICA_B
     assert RequestPromotion(GROUP, REPLICA_B, TOKEN) in simulation.effects
@@ -71,11 +80,23 @@
     return simulation, now
 
 
+def _become_certain(simulation: GroupSimulation, now: float, **indexes: int) -> float:
+    """Let the time pass in which entries may acknowledge commits; paused replicas answer polls."""
+    now += CERTAIN_SECONDS
+    term = simulation.record.term
+    names = {"a": REPLICA_A, "b": REPLICA_B}
+    simulation.poll(
+        {names[n]: replica_status(i, paused_term=term) for n, i in indexes.items()}, now
+    )
+    simulation.tick(now)
+    return now
+
+
 def test_replica_that_was_replaced_after_its_pause_does_not_count_as_paused():
     """Guards against the promotion of a replica that lost its log in a restart."""
     simulation, now = _sealing_with_paused_replica()
     simulation.record.targets[REPLICA_A] = target(REPLICA_A, incarnation=2)
-    simulation.group.record_pause(REPLICA_B, replica_status(19), simulation.record.term, now)
+    simulation.record_pause(REPLICA_B, 19, now)
     simulation.tick(now)
     assert simulation.record.phase is GroupPhase.SEALING
 
@@ -85,7 +106,7 @@
     """Guards against commits that a restarted, no longer paused replica confirms meanwhile."""
     simulation, now = _sealing_with_paused_replica()
     simulation.poll({REPLICA_A: replica_status(**restarted)}, now + 0.3)
-    simulation.group.record_pause(REPLICA_B, replica_status(19), simulation.record.term, now + 0.3)
+    simulation.record_pause(REPLICA_B, 19, now + 0.3)
     simulation.effects.clear()
     simulation.tick(now + 0.3)
     assert simulation.record.phase is GroupPhase.SEALING
@@ -96,8 +117,8 @@
     """Guards against a choice that is delayed by poll replies sent before the pause."""
     simulation, now = _sealing_with_paused_replica()
     simulation.group.record_status(REPLICA_A, replica_status(20), now - 0.1, now + 0.01)
-    simulation.group.record_pause(REPLICA_B, replica_status(19), simulation.record.term, now + 0.01)
-    simulation.tick(now + 0.01)
+    simulation.record_pause(REPLICA_B, 19, now + 0.01)
+    _become_certain(simulation, now, a=20, b=19)
     assert simulation.record.primary == REPLICA_A
 
 
@@ -106,7 +127,7 @@
     simulation = GroupSimulation()
     simulation.ledger.grant(GROUP, ENTRY, Term(1), LATER)
     now = _lose_primary(simulation, LATER)
-    simulation.group.record_pause(REPLICA_A, replica_status(20), simulation.record.term, now)
+    simulation.record_pause(REPLICA_A, 20, now)
     simulation.tick(now + 1.0)
     assert simulation.record.phase is GroupPhase.SEALING
 
@@ -118,10 +139,10 @@
     now = _lose_primary(simulation, LATER)
     simulation.group.record_acknowledged_position(position(21))
     simulation.ledger.release(GROUP, ENTRY, Term(1))
-    simulation.group.record_pause(REPLICA_A, replica_status(20), simulation.record.term, now)
+    simulation.record_pause(REPLICA_A, 20, now)
     simulation.tick(now + 0.2)
     assert simulation.record.phase is GroupPhase.SEALING
-    simulation.group.record_pause(REPLICA_A, replica_status(21), simulation.record.term, now + 0.3)
+    simulation.record_pause(REPLICA_A, 21, now + 0.3)
     simulation.tick(now + 0.4)
     simulation.tick(now + 0.6)
     assert simulation.record.primary == REPLICA_A
@@ -139,8 +160,8 @@
     (trouble-1 of pluma-viva-grown).
     """
     simulation, now = _sealing_with_paused_replica()
-    simulation.group.record_pause(REPLICA_B, replica_status(19), simulation.record.term, now)
-    simulation.tick(now)
+    simulation.record_pause(REPLICA_B, 19, now)
+    now = _become_certain(simulation, now, a=20, b=19)
     chosen = simulation.record.primary
     simulation.ledger.release(GROUP, ENTRY, Term(1))
     orders = 0
@@ -159,14 +180,13 @@
 
 def test_term_starts_only_when_no_entry_can_use_the_former_primary():
     """Guards against stale reads at the former primary while the new one accepts commits."""
-    simulation = GroupSimulation()
-    simulation.ledger.grant(GROUP, ENTRY, Term(1), LATER + 1.0)
-    now = _lose_primary(simulation, LATER)
-    for name in (REPLICA_A, REPLICA_B):
-        simulation.group.record_pause(name, replica_status(20), simulation.record.term, now)
+    chosen, now = REPLICA_A, LATER
+    record = started_group(
+        phase=GroupPhase.CHOSEN, term=Term(2), primary=chosen, former_primary=PRIMARY
+    )
+    simulation = GroupSimulation(record)
+    simulation.ledger.grant(GROUP, ENTRY, Term(1), now)
     simulation.tick(now)
-    assert simulation.record.phase is GroupPhase.CHOSEN
-    chosen = simulation.record.primary
     simulation.poll({chosen: primary_status(20, term=2)}, now + 0.5)
     simulation.tick(now + 0.5)
     assert simulation.record.phase is GroupPhase.CHOSEN
@@ -292,9 +312,7 @@
     simulation.tick(LATER + 0.3)
     assert any(isinstance(effect, StepDown) for effect in simulation.effects)
     for name, index in ((REPLICA_A, 19), (REPLICA_B, 20)):
-        simulation.group.record_pause(
-            name, replica_status(index), simulation.record.term, LATER + 0.4
-        )
+        simulation.record_pause(name, index, LATER + 0.4)
     simulation.tick(LATER + 0.4)
     assert simulation.record.primary == REPLICA_B
 
@@ -356,6 +374,147 @@
     assert REPLICA_A in simulation.record.targets
 
 
+def test_order_to_pause_that_was_ignored_does_not_count():
+    """Guards against the promotion of a replica although another one went on confirming commits.
+
+    A database ignores an order to pause whose term it has already, and answers with its status.
+    """
+    simulation = GroupSimulation()
+    now = _lose_primary(simulation, LATER)
+    term = simulation.record.term
+    simulation.record_pause(REPLICA_A, 19, now)
+    simulation.group.record_pause(REPLICA_B, replica_status(19), term, now)
+    simulation.tick(now)
+    assert simulation.record.phase is GroupPhase.SEALING
+    simulation.poll({REPLICA_B: replica_status(20, term=term)}, now)
+    simulation.tick(now)
+    assert simulation.record.term > term
+
+
+@pytest.mark.parametrize(("restarted_first", "primary"), [(True, None), (False, REPLICA_B)])
+def test_log_of_a_replica_that_started_again_empty_is_not_left_out(restarted_first, primary):
+    """Guards against the promotion of a replica that received nothing (review, sixth fault).
+
+    What the other replica had confirmed was gone with its restart under its id.
+    """
+    simulation = GroupSimulation()
+    simulation.ledger.grant(GROUP, ENTRY, Term(1), LATER)
+    if restarted_first:
+        simulation.register(REPLICA_A, incarnation=2)
+    now = _lose_primary(simulation, LATER)
+    simulation.record_pause(REPLICA_A, 0, now)
+    simulation.record_pause(REPLICA_B, 15, now)
+    _become_certain(simulation, now, a=0, b=15)
+    assert simulation.record.primary == primary
+
+
+def test_lost_log_is_forgotten_once_a_replica_has_caught_up():
+    """Guards against promotions that wait for a log that is held elsewhere."""
+    simulation = GroupSimulation()
+    simulation.record_heartbeats(LATER)
+    simulation.register(REPLICA_A, incarnation=2)
+    statuses = {PRIMARY: primary_status(20), REPLICA_A: replica_status(0)}
+    for step, index in enumerate((19, 20), 1):
+        simulation.poll({**statuses, REPLICA_B: replica_status(index)}, LATER + step)
+        simulation.tick(LATER + step)
+        assert bool(simulation.record.lost_logs) is (index == 19)
+    assert REPLICA_A in simulation.record.targets
+
+
+def _give_up_chosen() -> tuple[GroupSimulation, float]:
+    """Return a group whose chosen replica was lost before its term started, and the time."""
+    simulation = GroupSimulation()
+    now = _lose_primary(simulation, LATER)
+    simulation.record_pause(REPLICA_A, 20, now)
+    simulation.record_pause(REPLICA_B, 19, now)
+    simulation.tick(now)
+    assert simulation.record.primary == REPLICA_A
+    now += CHOSEN_SILENCE_SECONDS
+    simulation.tick(now)
+    assert simulation.record.phase is GroupPhase.SEALING
+    return simulation, now
+
+
+def test_replica_that_was_only_chosen_still_counts():
+    """Guards against a promotion that leaves out the replica that was chosen for its log."""
+    simulation, now = _give_up_chosen()
+    assert simulation.record.former_primary == PRIMARY
+    simulation.record_pause(REPLICA_B, 19, now)
+    simulation.tick(now)
+    assert simulation.record.phase is GroupPhase.SEALING
+
+
+def test_term_starts_only_when_no_other_promotion_can_take_effect():
+    """Guards against a late promotion that takes acknowledged commits back."""
+    simulation, now = _give_up_chosen()
+    started_at = None
+    while started_at is None and now < LATER + 20.0:
+        simulation.poll({PRIMARY: primary_status(22)}, now)
+        simulation.tick(now)
+        if simulation.record.phase is GroupPhase.STARTED:
+            started_at = now
+        now += 0.1
+    assert simulation.record.primary == PRIMARY
+    assert started_at >= LATER + CHOSEN_SILENCE_SECONDS + SETTLEMENT_SECONDS
+
+
+@pytest.mark.parametrize(
+    ("replies", "primary"),
+    [
+        ({REPLICA_A: 1, REPLICA_B: 1}, NEW),
+        ({REPLICA_A: 1}, None),
+        ({REPLICA_A: 1, REPLICA_B: 2}, None),
+    ],
+)
+def test_former_primary_under_a_new_id_is_adopted(replies, primary):
+    """Guards against a group without a primary for good (review/3), and against a deposed one.
+
+    It acts as primary and is not paused. A replica with a later term may hold later commits.
+    """
+    simulation = GroupSimulation()
+    simulation.register(NEW, incarnation=2)
+    now = _lose_primary(simulation, LATER)
+    statuses = {name: replica_status(20, term=term) for name, term in replies.items()}
+    simulation.poll({NEW: primary_status(20), **statuses}, now + 0.1)
+    simulation.tick(now + 0.1)
+    assert simulation.record.primary == primary
+
+
+def test_replica_that_registers_late_is_paused_before_a_choice():
+    """Guards against a promotion without a replica that started at a cut-off primary (review/1).
+
+    An entry that is cut off as well acknowledges what it confirms, until its lease ends.
+    """
+    simulation = GroupSimulation()
+    now = _lose_primary(simulation, LATER)
+    simulation.ledger.grant(GROUP, ENTRY, Term(1), now - 1.0)
+    simulation.record_pause(REPLICA_A, 20, now)
+    simulation.record_pause(REPLICA_B, 20, now)
+    simulation.tick(now + 0.5)
+    assert simulation.record.phase is GroupPhase.SEALING
+    simulation.register(NEW)
+    simulation.tick(now + CERTAIN_SECONDS)
+    assert simulation.record.phase is GroupPhase.SEALING
+    simulation.record_pause(NEW, 25, now + CERTAIN_SECONDS)
+    simulation.tick(now + CERTAIN_SECONDS)
+    assert simulation.record.primary == NEW
+
+
+def test_choice_below_an_acknowledged_position_waits():
+    """Guards against a promotion before the replica that confirmed a commit is registered."""
+    simulation = GroupSimulation()
+    now = _lose_primary(simulation, LATER)
+    simulation.group.record_acknowledged_position(position(21))
+    simulation.record_pause(REPLICA_A, 20, now)
+    simulation.record_pause(REPLICA_B, 20, now)
+    simulation.tick(now)
+    assert simulation.record.phase is GroupPhase.SEALING
+    simulation.register(NEW)
+    simulation.record_pause(NEW, 21, now)
+    simulation.tick(now)
+    assert simulation.record.primary == NEW
+
+
 def test_running_primary_of_a_new_group_is_adopted():
     """Guards against an outage when the system is started in front of running targets."""
     record = started_group(term=Term(0), phase=GroupPhase.FORMED, primary=None, term_starts=[])
--- a/tests/core/failover/test_promotion.py
+++ b/tests/core/failover/test_promotion.py
@@ -9,7 +9,11 @@
 from hypothesis import strategies as st
 
 from hibiscuspoint.core.control.state import GroupPhase
-from hibiscuspoint.core.failover.promotion import CHOICE_GRACE_SECONDS, PromotionRound
+from hibiscuspoint.core.failover.promotion import (
+    CHOICE_GRACE_SECONDS,
+    Acknowledgements,
+    PromotionRound,
+)
 from hibiscuspoint.ids import TargetId, Term
 from tests.builders_failover import PRIMARY, position, primary_status, started_group, target
 
@@ -40,8 +44,9 @@
 
 def _chosen(current: PromotionRound, floor, statuses=None) -> TargetId | None:
     """Return the choice after the time for further answers."""
-    current.choose_target(statuses or {}, floor, 0.0)
-    return current.choose_target(statuses or {}, floor, CHOICE_GRACE_SECONDS)
+    known = Acknowledgements(floor)
+    current.choose_target(statuses or {}, known, 0.0)
+    return current.choose_target(statuses or {}, known, CHOICE_GRACE_SECONDS)
 
 
 @given(_groups(), st.booleans())
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -236,7 +236,9 @@
         return f"{row}\r\nCOMPLETE -\r\n"
 
     def _pause(self, request: str, rest: str) -> str:
-        self._database.paused_term = int(rest)
+        database, term = self._database, int(rest)
+        if not database.is_primary and term > max(database.term, database.paused_term):
+            database.paused_term = term
         return self._status(request, rest)
 
     def _resume(self, request: str, rest: str) -> str:
