Let no promotion outlive the lease of its leader

Cause: the lease was checked before the connection was opened; a request without an answer was closed instead of reset, so that its bytes were delivered when a cut healed; nothing bounded the delivery of what a stopped process had sent. Orders to databases had the same gap after a pause of the leader.

Change: the lease must last as long as the request may be on its way, asked right before it is sent; TCP_USER_TIMEOUT bounds that time; unanswered requests and statements reset their connection; orders check the lease right before they are sent. The fault proxy drops what it holds for a sender that resets, as a network does.

--- a/hibiscuspoint/components/consensus.py
+++ b/hibiscuspoint/components/consensus.py
@@ -139,6 +139,13 @@
         # Committed entries of earlier terms may still wait for the disk before they are applied.
         return self._runner.applied_index >= node.term_start_index
 
+    def is_leader_for(self, seconds: float) -> bool:
+        """Tell whether this instance holds the leadership lease for some time to come.
+
+        :param seconds: time from now; no other instance leads before its end.
+        """
+        return self.is_leader and self._node.is_leader(self._clock() + seconds)
+
     @property
     def control_term(self) -> int:
         """Current term of this member; 0 while the log is not running."""
--- a/hibiscuspoint/components/failover_control.py
+++ b/hibiscuspoint/components/failover_control.py
@@ -81,7 +81,7 @@
         self._change: VoterChange | None = None
         self._change_since = 0.0
         self._upkeep: asyncio.Task | None = None
-        poller.set_decision_runner(self.run_decision)
+        poller.set_decision_runner(self.run_decision, lambda: log.is_leader)
         super().__init__(instance, log, machine, clock, metrics)
 
     def start(self) -> None:
--- a/hibiscuspoint/components/failover_effects.py
+++ b/hibiscuspoint/components/failover_effects.py
@@ -121,9 +121,14 @@
             )
 
     async def _promote(self, group: GroupId, target: str, token: int) -> None:
+
+        def may_send(delivery_seconds: float) -> bool:
+            is_own = self._log.control_term == token
+            return is_own and self._log.is_leader_for(delivery_seconds)
+
         if not self._log.is_leader:
             return
-        outcome = await self._authority.promote(group, target, token, PROMOTION_SECONDS)
+        outcome = await self._authority.promote(group, target, token, PROMOTION_SECONDS, may_send)
         log_event(
             logger,
             catalogue.PROMOTION_REQUESTED,
@@ -136,6 +141,8 @@
             self._tell(
                 group, lambda controller, now: controller.record_promotion_refusal(target, now)
             )
+        elif outcome is PromotionOutcome.UNKNOWN:
+            self._tell(group, lambda controller, now: controller.record_promotion_loss(target, now))
 
     def _tell(self, group: GroupId, act: Callable[[GroupFailover, float], None]) -> None:
         now = self._clock.monotonic()
--- a/hibiscuspoint/components/target_poller.py
+++ b/hibiscuspoint/components/target_poller.py
@@ -48,11 +48,17 @@
         self._driver = driver
         self._clock = clock
         self._decide: Decide | None = None
+        self._may_order: Callable[[], bool] = lambda: True
         self._links: dict[TargetId, _Link] = {}
 
-    def set_decision_runner(self, decide: Decide) -> None:
-        """Set what runs decisions with the leader."""
-        self._decide = decide
+    def set_decision_runner(
+        self, decide: Decide, may_order: Callable[[], bool] = lambda: True
+    ) -> None:
+        """Set what runs decisions with the leader.
+
+        :param may_order: tells, right before an order is sent, whether this instance still leads.
+        """
+        self._decide, self._may_order = decide, may_order
 
     def set_targets(
         self, targets: list[TargetRecord], urgent: set[TargetId], active_groups: set[str]
@@ -99,7 +105,7 @@
         self, target: TargetId, call: Callable[[SessionConnection], Awaitable[T]]
     ) -> T | None:
         link = self._links.get(target)
-        return await link.call(call) if link is not None else None
+        return await link.call(call, self._may_order) if link is not None else None
 
 
 class _Link:
@@ -136,13 +142,17 @@
         if self._connection is not None:
             self._connection.close()
 
-    async def call(self, call: Callable[[SessionConnection], Awaitable[T]]) -> T | None:
+    async def call(
+        self,
+        call: Callable[[SessionConnection], Awaitable[T]],
+        may_send: Callable[[], bool] = lambda: True,
+    ) -> T | None:
         """Make a call over the connection; ``None`` when there was no answer."""
         target = self._record.target
         async with self._lock:
             try:
                 connection = await self._connected()
-                return await call(connection)
+                return await call(connection) if may_send() else None
             except ConnectError as error:
                 self._note_loss(str(error))
                 if error.failure is ConnectFailure.REFUSED:
--- a/hibiscuspoint/core/ports.py
+++ b/hibiscuspoint/core/ports.py
@@ -159,12 +159,20 @@
     """Service of the platform through which alone a target can become primary."""
 
     async def promote(
-        self, group: GroupId, target: TargetId, token: int, timeout: float
+        self,
+        group: GroupId,
+        target: TargetId,
+        token: int,
+        timeout: float,
+        may_send: Callable[[float], bool],
     ) -> PromotionOutcome:
         """Request that a target becomes the primary of its group.
 
         :param token: fencing token of the control leader.
         :param timeout: time limit in seconds.
+        :param may_send: asked right before the request is sent, with the longest time in seconds
+            that it is on its way; tells whether this instance leads until then. A request that is
+            not answered must not arrive after that time.
         """
 
 
--- a/hibiscuspoint/platform/authority.py
+++ b/hibiscuspoint/platform/authority.py
@@ -11,12 +11,17 @@
 from hibiscuspoint.core.ports import PromotionOutcome
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from hibiscuspoint.ids import GroupId, TargetId
 
 __all__ = ["PlatformAuthority"]
 
 logger = logging.getLogger(__name__)
 
+#: Longest time in seconds that a request is on its way. The lease of the leader outlives it.
+DELIVERY_SECONDS = 0.25
+
 
 class PlatformAuthority:
     """Requests promotions from the platform.
@@ -30,12 +35,17 @@
         self._holder = holder
 
     async def promote(
-        self, group: GroupId, target: TargetId, token: int, timeout: float
+        self,
+        group: GroupId,
+        target: TargetId,
+        token: int,
+        timeout: float,
+        may_send: Callable[[float], bool],
     ) -> PromotionOutcome:
         """Request the promotion of a database to primary of its service.
 
-        :param token: fencing token; never lower than that of an earlier request.
-        :param timeout: time limit in seconds for the whole request.
+        The platform may not check the token, so that a request must not arrive after one of a later
+        leader. See :class:`hibiscuspoint.core.ports.PromotionAuthority`.
         """
         headers = [
             ("Content-Type", "application/json"),
@@ -44,7 +54,15 @@
         ]
         body = json.dumps({"service": group, "id": target}).encode()
         try:
-            status = await post(self._address, "/promote", body, headers, timeout)
+            status = await post(
+                self._address,
+                "/promote",
+                body,
+                headers,
+                timeout,
+                may_send=lambda: may_send(DELIVERY_SECONDS),
+                delivery_seconds=DELIVERY_SECONDS,
+            )
         except (HttpClientError, OSError) as error:
             logger.warning("no answer to the promotion request: %r", error)
             return PromotionOutcome.UNKNOWN
--- a/hibiscuspoint/platform/database.py
+++ b/hibiscuspoint/platform/database.py
@@ -18,6 +18,7 @@
 from hibiscuspoint.ids import NO_ORGANISATION, Term
 from hibiscuspoint.platform import wire
 from hibiscuspoint.util.address import parse_address
+from hibiscuspoint.util.tcp import reset, set_unacknowledged_limit
 from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
 
 if TYPE_CHECKING:
@@ -115,6 +116,11 @@
         self._is_open = False
         self._writer.close()
 
+    def _reset(self) -> None:
+        """Close the connection so that a statement that is still on its way never arrives."""
+        self._is_open = False
+        reset(self._writer)
+
     async def _run_status_command(
         self, text: str, timeout: float
     ) -> tuple[TargetStatus | None, LogPosition | None]:
@@ -140,13 +146,13 @@
                     if reply is not None:
                         return reply
         except TimeoutError:
-            self.close()
+            self._reset()
             raise AnswerTimeoutError from None
         except (OSError, ValueError, wire.ProtocolError) as error:
-            self.close()
+            self._reset()
             raise ConnectionLost(str(error), sent=True) from error
         except (ConnectionLost, asyncio.CancelledError):
-            self.close()
+            self._reset()
             raise
 
 
@@ -221,8 +227,7 @@
 def _set_socket_options(writer: asyncio.StreamWriter) -> None:
     connection = writer.get_extra_info("socket")
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    milliseconds = int(UNACKNOWLEDGED_SECONDS * MILLISECONDS_PER_SECOND)
-    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
+    set_unacknowledged_limit(writer, UNACKNOWLEDGED_SECONDS)
 
 
 def _parse_status(row: str) -> TargetStatus:
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -107,6 +107,24 @@
         self._version = 7
         controls = [f"{self._ip(number)}:8782" for number in range(3)]
         self.platform = StandinPlatform(f"{self._ip(8)}:8783", SERVICE, controls)
+        #: Where instances reach the platform, if not at its own address.
+        self.platform_addresses: dict[int, str] = {}
+
+    @property
+    def platform_address(self) -> str:
+        """Return "ip:port" of the promotion call."""
+        return f"{self._ip(8)}:8783"
+
+    @property
+    def leader(self) -> int | None:
+        """Return the instance that gained the lead of control last."""
+        gained = [
+            (event["time"], number)
+            for number in range(3)
+            for event in self.events(number)
+            if event.get("event") == "leadership-gained"
+        ]
+        return max(gained)[1] if gained else None
 
     async def start(self, announce: Callable[[str], str] = lambda address: address) -> None:
         """Start databases and instances and wait until all instances are ready.
@@ -156,7 +174,7 @@
             bootstrap=bootstrap,
             data_dir=str(data) if number < self._disks else None,
             fault_budget={"machines": 1 if self._disks == 3 else 0},
-            cloud_api={"addr": f"{self._ip(8)}:8783"},
+            cloud_api={"addr": self.platform_addresses.get(number, self.platform_address)},
         )
         self._settings_path(number).write_text(json.dumps(fields))
 
--- a/tests/system/fault_proxy.py
+++ b/tests/system/fault_proxy.py
@@ -69,6 +69,10 @@
         while True:
             try:
                 chunk = await reader.read(CHUNK_BYTES)
+            except ConnectionResetError:
+                # Bytes that are held back are lost if their sender resets the connection.
+                self.close(reset=True)
+                return
             except OSError:
                 chunk = b""
             await queue.put((time.monotonic() + self._proxy.delay_s, chunk))
