--- a/hibiscuspoint/components/failover_effects.py
+++ b/hibiscuspoint/components/failover_effects.py
@@ -9,6 +9,7 @@
 from hibiscuspoint.core.failover import (
     OverloadSwitchover,
     PauseReplica,
+    PromotionWaiting,
     RequestPromotion,
     ResumeReplica,
     StepDown,
@@ -72,6 +73,15 @@
                     target=primary,
                     term=self._record(group).term,
                 )
+            case PromotionWaiting(group, term, missing, entries):
+                log_event(
+                    logger,
+                    catalogue.PROMOTION_WAITING,
+                    group=group,
+                    term=term,
+                    missing=list(missing),
+                    entries=list(entries),
+                )
             case RequestPromotion(group, target, token):
                 self._start(self._promote(group, target, token), "promotion")
 
--- a/hibiscuspoint/core/control/state.py
+++ b/hibiscuspoint/core/control/state.py
@@ -105,6 +105,7 @@
     :param holders: entries that may have connections to the targets or a route lease.
     :param former_primary: primary of the last term before the current one that was started.
     :param requested: targets chosen as primary since the last started term.
+    :param primary_term: term that the primary of the last started term reported; 0 if it was none.
     :param lost_logs: incarnation of targets that started again; the commits that only it may have
         confirmed are not known to be held elsewhere.
     :param targets: targets that registered themselves; only in a group without a fixed member list.
@@ -121,6 +122,7 @@
     former_primary: TargetId | None = None
     targets: dict[TargetId, TargetRecord] = field(default_factory=dict)
     requested: tuple[TargetId, ...] = ()
+    primary_term: Term = Term(0)
     lost_logs: dict[TargetId, Incarnation] = field(default_factory=dict)
 
     @property
@@ -257,6 +259,7 @@
             return
         record.phase = GroupPhase.STARTED
         record.requested = ()
+        record.primary_term = Term(body.target_term)
         record.term_starts.append((record.term, body.start))
         del record.term_starts[:-TERM_HISTORY_LIMIT]
 
@@ -318,6 +321,7 @@
         holders=record.holders,
         former=record.former_primary or "",
         requested=record.requested,
+        primary_term=record.primary_term,
         lost_logs=record.lost_logs,
     )
 
@@ -335,6 +339,7 @@
         holders=tuple(InstanceId(instance) for instance in message.holders),
         former_primary=TargetId(message.former) if message.former else None,
         requested=tuple(TargetId(target) for target in message.requested),
+        primary_term=Term(message.primary_term),
         lost_logs={TargetId(t): Incarnation(i) for t, i in message.lost_logs.items()},
     )
 
--- a/hibiscuspoint/core/failover/__init__.py
+++ b/hibiscuspoint/core/failover/__init__.py
@@ -11,6 +11,7 @@
         "effects": [
             "OverloadSwitchover",
             "PauseReplica",
+            "PromotionWaiting",
             "RequestPromotion",
             "ResumeReplica",
             "StepDown",
--- a/hibiscuspoint/core/failover/contacts.py
+++ b/hibiscuspoint/core/failover/contacts.py
@@ -199,17 +199,20 @@
         return contact is not None and self._is_held_by_replica(contact.known_since)
 
     def _is_held_by_replica(self, since: float, excluded: TargetId | None = None) -> bool:
-        """Tell whether a replica has the position of the primary at a poll after a given time."""
+        """Tell whether a replica has the position of the primary at a poll after a given time.
+
+        :param since: monotonic time in seconds.
+        :param excluded: replica that does not count.
+        """
         primary = self._contacts.get(self._record.primary)
-        lost_at = since
-        if primary is None or primary.status is None or primary.polled_at <= lost_at:
+        if primary is None or primary.status is None or primary.polled_at <= since:
             return False
         return any(
             contact.status is not None
             and target in self._record.targets
             and target not in (excluded, self._record.primary)
             and contact.polled_at >= primary.polled_at - STATUS_MAX_AGE_SECONDS
-            and contact.polled_at > lost_at
+            and contact.polled_at > since
             and contact.status.received >= primary.status.received
             for target, contact in self._contacts.items()
         )
--- a/hibiscuspoint/core/failover/effects.py
+++ b/hibiscuspoint/core/failover/effects.py
@@ -9,9 +9,16 @@
 
 if TYPE_CHECKING:
     from hibiscuspoint.core.control.effects import MemberAddress
-    from hibiscuspoint.ids import GroupId, TargetId, Term
+    from hibiscuspoint.ids import GroupId, InstanceId, TargetId, Term
 
-__all__ = ["OverloadSwitchover", "PauseReplica", "RequestPromotion", "ResumeReplica", "StepDown"]
+__all__ = [
+    "OverloadSwitchover",
+    "PauseReplica",
+    "PromotionWaiting",
+    "RequestPromotion",
+    "ResumeReplica",
+    "StepDown",
+]
 
 
 @dataclass(frozen=True)
@@ -61,3 +68,17 @@
 
     group: GroupId
     primary: TargetId
+
+
+@dataclass(frozen=True)
+class PromotionWaiting(Effect):
+    """Tell operators for what the choice of a primary waits.
+
+    :param missing: replicas that have not replied, or whose former log is lost.
+    :param entries: entries that have not reported what they acknowledged.
+    """
+
+    group: GroupId
+    term: Term
+    missing: tuple[TargetId, ...]
+    entries: tuple[InstanceId, ...]
--- a/hibiscuspoint/core/failover/group.py
+++ b/hibiscuspoint/core/failover/group.py
@@ -14,7 +14,7 @@
     SwitchoverState,
 )
 from hibiscuspoint.core.failover.contacts import STATUS_MAX_AGE_SECONDS, TargetContacts
-from hibiscuspoint.core.failover.effects import OverloadSwitchover
+from hibiscuspoint.core.failover.effects import OverloadSwitchover, PromotionWaiting
 from hibiscuspoint.core.failover.overload import OverloadDetector
 from hibiscuspoint.core.failover.promotion import Acknowledgements, PromotionRound
 from hibiscuspoint.core.failover.watch import PrimaryFailure, PrimaryFailureDetector
@@ -46,6 +46,9 @@
 #: serves for 7 s after it has announced that it leaves, and a promotion takes up to 1 s.
 LEAVING_LIMIT_SECONDS = 5.5
 
+#: Time after which a choice of a primary that is not made is reported, again and again.
+WAIT_REPORT_SECONDS = 5.0
+
 #: Silence up to which a replica may become primary in a switchover. Polls of replicas are 2.5 s
 #: apart, heartbeats 1.2 s.
 SUCCESSOR_MAX_SILENCE_SECONDS = 2.0
@@ -89,6 +92,7 @@
         self._covered_until = -math.inf
         # Highest position of a commit that an entry has acknowledged.
         self._acknowledged_position = ZERO_POSITION
+        self._wait_reported_at = -math.inf
         self._proposed_at: dict[str, float] = {}
         self._published: tuple[int, RouteState, bool, int] | None = None
 
@@ -261,7 +265,21 @@
         if self._contacts.newest_term() >= record.term:
             # A target in this term or a later one would not be paused by an order with this one.
             return self._propose_term(now)
-        return current_round.pause_replicas(status_of, now)
+        return self._report_wait(current_round, now) + current_round.pause_replicas(status_of, now)
+
+    def _report_wait(self, current_round: PromotionRound, now: float) -> list[Effect]:
+        """Report for what a choice waits that is not made in the usual time."""
+        if now - max(current_round.since, self._wait_reported_at) < WAIT_REPORT_SECONDS:
+            return []
+        self._wait_reported_at = now
+        record = self._record
+        entries = self._ledger.unreleased_leaseholders(
+            record.group, record.term, self._covered_until
+        )
+        waiting = PromotionWaiting(
+            record.group, record.term, current_round.missing_replies, tuple(sorted(entries))
+        )
+        return [waiting]
 
     def _advance_promotion(self, current_round: PromotionRound, now: float) -> list[Effect]:
         record = self._record
@@ -273,18 +291,16 @@
         effects = current_round.promote(status_of, self._token, now)
         status = status_of.get(record.primary)
         is_leading = status is not None and status.is_primary
-        if any(s.is_primary and is_leading and s.term > status.term for s in status_of.values()):
+        if is_leading and any(s.is_primary and s.term > status.term for s in status_of.values()):
             # A promotion that was given up has taken effect after this one.
             return self._propose_term(now)
-        if (
-            is_leading
-            and current_round.has_settled(now)
-            and (
-                not record.term_starts
-                or self._ledger.has_no_lease_before(record.group, record.term, now)
+        has_no_lease = not record.term_starts or self._ledger.has_no_lease_before(
+            record.group, record.term, now
+        )
+        if is_leading and has_no_lease and current_round.has_settled(now):
+            body = record_pb2.StartTerm(
+                group=record.group, term=record.term, start=0, target_term=status.term
             )
-        ):
-            body = record_pb2.StartTerm(group=record.group, term=record.term, start=0)
             effects += self._propose("start_term", record_pb2.Command(start_term=body), now)
         return effects
 
--- a/hibiscuspoint/core/failover/promotion.py
+++ b/hibiscuspoint/core/failover/promotion.py
@@ -286,6 +286,13 @@
         del self.paused_positions[target]
         self._pause_replies.pop(target, None)
 
+    @property
+    def missing_replies(self) -> tuple[TargetId, ...]:
+        """Replicas that have not replied, or whose former log is lost."""
+        replicas = self.record.targets.keys() - {self.record.former_primary}
+        lost = self.record.lost_logs.keys() - {self.record.former_primary}
+        return tuple(sorted((replicas - self.paused_positions.keys()) | lost))
+
     def has_settled(self, now: float) -> bool:
         """Tell whether no request for another target's promotion can take effect any more."""
         others = set(self.record.requested) - {self.record.primary}
@@ -294,20 +301,17 @@
     def _acting_primary(self, status_of: dict[TargetId, TargetStatus]) -> TargetId | None:
         """Return the target that acts as primary if it holds all acknowledged commits.
 
-        The former primary does unless another target has a later term. Any other target, such as
-        the former primary under a new id, or one whose promotion was given up and took effect
-        later, does if every replica has replied and none has a later term: a commit of a later term
-        was confirmed by one of them.
+        One database leads a term. So a target that leads the term of the last primary is that
+        primary, maybe under a new id, and one that leads a later term was chosen since: its
+        promotion was given up and took effect later.
         """
         record = self.record
         newest_term = max((status.term for status in status_of.values()), default=0)
+        newest_term = max(newest_term, record.primary_term)
         for target, status in status_of.items():
             if not status.is_primary or status.term < newest_term:
                 continue
-            if target == record.former_primary:
-                if self._may_keep_former():
-                    return target
-            elif status_of.keys() >= record.targets.keys() - {record.former_primary}:
+            if target != record.former_primary or self._may_keep_former():
                 return target
         return None
 
--- a/hibiscuspoint/telemetry/catalogue.py
+++ b/hibiscuspoint/telemetry/catalogue.py
@@ -283,6 +283,16 @@
 TARGET_REGAINED = define_event(
     322, "target-regained", INFO, "{target} answers control again.", "target"
 )
+PROMOTION_WAITING = define_event(
+    330,
+    "promotion-waiting",
+    WARNING,
+    "Group {group} has no primary: control waits for replicas {missing} and entries {entries}.",
+    "group",
+    "term",
+    "missing",
+    "entries",
+)
 TARGET_IGNORED = define_event(
     329,
     "target-ignored",
