--- a/hibiscuspoint/core/failover/promotion.py
+++ b/hibiscuspoint/core/failover/promotion.py
@@ -104,6 +104,16 @@
     _ordered_at: dict[tuple[type, TargetId], float] = field(default_factory=dict)
     _sufficient_since: float = math.inf
 
+    @property
+    def missing_replies(self) -> tuple[TargetId, ...]:
+        """Replicas that have not replied, or whose former log is lost.
+
+        What a replica confirmed before it started again may be held by the former primary only.
+        """
+        replicas = self.record.targets.keys() - {self.record.former_primary}
+        lost = self.record.lost_logs.keys() - {self.record.former_primary}
+        return tuple(sorted((replicas - self.paused_positions.keys()) | lost))
+
     def record_pause(self, target: TargetId, status: TargetStatus, now: float) -> None:
         """Record the reply of a replica that was ordered to pause at the term of this round.
 
@@ -182,10 +192,7 @@
         candidates = {
             t: position for t, position in self.paused_positions.items() if t in record.targets
         }
-        replicas = record.targets.keys() - {record.former_primary}
-        # What a replica confirmed before it started again may be held by the former primary only.
-        has_every_log = not record.lost_logs.keys() - {record.former_primary}
-        has_every_reply = has_every_log and replicas <= self.paused_positions.keys()
+        has_every_reply = not self.missing_replies
         # Records that only the former primary holds were never acknowledged. So it is left out once
         # every replica has replied, as it may be partitioned from them.
         is_former_needed = not (has_every_reply and candidates)
@@ -194,18 +201,10 @@
         if not candidates:
             return None
         best = max(candidates, key=lambda target: (candidates[target], self._preference(target)))
-        if candidates[best] < acknowledgements.seen:
-            return None
-        required_position = acknowledgements.limit
-        holds_required_position = (
-            required_position is not None and candidates[best] >= required_position
+        holds_all_commits = self._holds_all_commits(
+            candidates[best], acknowledgements, now, has_every_reply=has_every_reply
         )
-        is_settled = now >= acknowledgements.possible_until + REGISTRATION_SECONDS
-        if (
-            not (has_every_reply and is_settled)
-            and not holds_required_position
-            and self.former_position is None
-        ):
+        if not holds_all_commits:
             self._sufficient_since = math.inf
             return None
         self._sufficient_since = min(self._sufficient_since, now)
@@ -286,18 +285,32 @@
         del self.paused_positions[target]
         self._pause_replies.pop(target, None)
 
-    @property
-    def missing_replies(self) -> tuple[TargetId, ...]:
-        """Replicas that have not replied, or whose former log is lost."""
-        replicas = self.record.targets.keys() - {self.record.former_primary}
-        lost = self.record.lost_logs.keys() - {self.record.former_primary}
-        return tuple(sorted((replicas - self.paused_positions.keys()) | lost))
-
     def has_settled(self, now: float) -> bool:
         """Tell whether no request for another target's promotion can take effect any more."""
         others = set(self.record.requested) - {self.record.primary}
         return not others or now - self.since >= SETTLEMENT_SECONDS
 
+    def _holds_all_commits(
+        self,
+        position: LogPosition,
+        acknowledgements: Acknowledgements,
+        now: float,
+        *,
+        has_every_reply: bool,
+    ) -> bool:
+        """Tell whether the longest log that replied certainly holds all acknowledged commits.
+
+        :param position: end of that log.
+        :param has_every_reply: whether every replica has replied and none has lost a log.
+        """
+        if position < acknowledgements.seen:
+            return False
+        if acknowledgements.limit is not None and position >= acknowledgements.limit:
+            return True
+        if self.former_position is not None:
+            return True
+        return has_every_reply and now >= acknowledgements.possible_until + REGISTRATION_SECONDS
+
     def _acting_primary(self, status_of: dict[TargetId, TargetStatus]) -> TargetId | None:
         """Return the target that acts as primary if it holds all acknowledged commits.
 
