Stop the leader of a test between two of its requests

Trace: the test stopped the process 1.25 s after its first request at the latest; under load this was while a repeated request was on the way, whose bytes the fault proxy had acknowledged, so that the kernel could not give them up. That is the proxy, not the product.

The test now stops the process only while it has no open connection to the platform.

--- a/tests/platform/test_late_promotion.py
+++ b/tests/platform/test_late_promotion.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import signal
 
 import pytest
@@ -15,6 +14,31 @@
 #: Seconds for which the first leader is stopped; another one is elected and promotes meanwhile.
 STOP_SECONDS = 5.0
 
+#: Longest time in seconds to wait until a request without an answer is given up.
+GIVE_UP_SECONDS = 10.0
+
+#: Seconds after which the proxy has seen what a process sent before it was stopped.
+SETTLE_SECONDS = 0.2
+
+
+async def _stop_between_requests(running: Deployment, leader: int, path: FaultProxy) -> None:
+    """Stop an instance once it has given a request up and before it sends the next one.
+
+    The proxy has acknowledged the bytes that it holds back, so that the kernel of a stopped process
+    would not give them up as it does behind a real cut. A request that is never given up is not
+    waited for.
+    """
+    deadline = asyncio.get_running_loop().time() + GIVE_UP_SECONDS
+    while asyncio.get_running_loop().time() < deadline:
+        if not path.connections:
+            running.send_signal(leader, signal.SIGSTOP)
+            await asyncio.sleep(SETTLE_SECONDS)
+            if not path.connections:
+                return
+            running.send_signal(leader, signal.SIGCONT)
+        await asyncio.sleep(0.01)
+    running.send_signal(leader, signal.SIGSTOP)
+
 
 @pytest.mark.xdist_group("platform")
 def test_promotion_of_a_former_leader_does_not_arrive_late(tmp_path):
@@ -36,13 +60,7 @@
             await running.platform.primary.crash()
             while not proxies[leader].connections:  # noqa: ASYNC110
                 await asyncio.sleep(0.02)
-            # The request is given up before the process is stopped: the proxy has acknowledged its
-            # bytes, so that the kernel of a stopped process would not give them up.
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(1.25):
-                    while proxies[leader].connections:  # noqa: ASYNC110
-                        await asyncio.sleep(0.01)
-            running.send_signal(leader, signal.SIGSTOP)
+            await _stop_between_requests(running, leader, proxies[leader])
             await asyncio.sleep(STOP_SECONDS)
             proxies[leader].heal()
             running.send_signal(leader, signal.SIGCONT)
