Cover three mechanisms whose removal no test noticed

Tests now fail without three more: the end of a session after its statement in progress (the idle limit had ended it in place of the stop), the close of the connection before the rollback, and the new term when another promotion takes effect later. Not covered: the look at the lease before an order to a target, and polls that go on after an error.

--- a/tests/core/failover/test_group.py
+++ b/tests/core/failover/test_group.py
@@ -507,6 +507,18 @@
     assert simulation.record.primary == NEW
 
 
+def test_promotion_that_takes_effect_after_the_next_one_opens_a_term():
+    """Guards against a term that starts while another target leads a later one."""
+    record = started_group(phase=GroupPhase.CHOSEN, term=Term(3), primary=REPLICA_A)
+    simulation = GroupSimulation(record)
+    simulation.tick(LATER)
+    simulation.poll(
+        {REPLICA_A: primary_status(20, term=3), REPLICA_B: primary_status(20, term=4)}, LATER + 0.1
+    )
+    simulation.tick(LATER + 0.1)
+    assert simulation.record.phase is GroupPhase.SEALING
+
+
 def test_choice_that_waits_is_reported():
     """Guards against a group without a primary whose operator sees no cause."""
     simulation = GroupSimulation()
--- a/tests/platform/test_frontend.py
+++ b/tests/platform/test_frontend.py
@@ -198,6 +198,8 @@
 
     async def scenario():
         async with serving() as (port, service, reader, writer):
+            # The idle limit must not end the transaction in place of the stop.
+            service.transaction_idle_seconds = 30.0
             await _begin(reader, writer)
             writer.write(b"QUERY slow READ item\r\n")
             await _happened(service, "slow")
@@ -210,3 +212,19 @@
     answer, events = asyncio.run(scenario())
     assert answer.splitlines()[1].startswith(b"COMPLETE")
     assert events == ["q1", "slow", "answered", "rollback", "rolled back"]
+
+
+def test_caller_does_not_wait_for_the_rollback_of_a_stop():
+    """Guards against a statement that a caller sends into a session that has ended."""
+
+    async def scenario():
+        async with serving() as (port, service, reader, writer):
+            service.may_roll_back.clear()
+            await _begin(reader, writer)
+            port.end_sessions()
+            async with asyncio.timeout(5.0):
+                rest = await reader.read()
+            service.may_roll_back.set()
+            return rest
+
+    assert asyncio.run(scenario()) == b""
