--- a/hibiscuspoint/drivers/errors.py
+++ b/hibiscuspoint/drivers/errors.py
@@ -11,6 +11,7 @@
 __all__ = [
     "AdminError",
     "AnswerTimeoutError",
+    "AnswerUnclear",
     "ConnectError",
     "ConnectFailure",
     "ConnectionLost",
@@ -92,3 +93,10 @@
 
     def __init__(self) -> None:
         super().__init__("no answer in time", sent=True, is_silent=True)
+
+
+class AnswerUnclear(ConnectionLost):
+    """What arrived cannot be told from a repetition of an earlier answer; nothing is known."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, sent=True)
