Tie each answer of a database to its statement

Callers got the answer of another statement when a database answered twice, the second time 0 to 30 ms later: 10 or 11 of 12 statements on one connection.

Cause: an exchange took whatever arrived next. Nothing tied an answer to its question, and bytes that no statement waited for stayed in the buffer until the next one read them.

A connection now decides about each answer when it arrives, also while it is idle (core/sessions/answers.py). A signature is used once, so a new one belongs to the statement in progress; an answer without a signature is new if its bytes differ from all earlier ones of the connection. What repeats an earlier answer is skipped and the connection ends with its use; what cannot be told apart resets the connection, and the statement may have run. A transaction begins only after an answer that is certain. Polls of the control leader count the facts of a repeated answer as no newer than its first appearance, and an order needs an answer that is new. An answer whose messages are out of order is refused.

No exchange was added to the path of a statement. Log events and a metric count answers that were not accepted.

--- a/hibiscuspoint/components/http_client.py
+++ b/hibiscuspoint/components/http_client.py
@@ -63,7 +63,7 @@
             parts = [request, h11.Data(data=body), h11.EndOfMessage()]
             message = b"".join(protocol.send(part) for part in parts)
             if delivery_seconds is not None:
-                set_unacknowledged_limit(writer, delivery_seconds)
+                set_unacknowledged_limit(writer.transport, delivery_seconds)
             if not may_send():
                 raise HttpClientError("the request may not be sent any more")
             writer.write(message)
@@ -76,7 +76,7 @@
             if is_answered:
                 writer.close()
             else:
-                reset(writer)
+                reset(writer.transport)
 
 
 async def _read_status(protocol: h11.Connection, reader: asyncio.StreamReader) -> int:
--- a/hibiscuspoint/components/target_poller.py
+++ b/hibiscuspoint/components/target_poller.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from typing import TYPE_CHECKING, TypeVar
+from typing import TYPE_CHECKING
 
 from hibiscuspoint.drivers.errors import ConnectError, ConnectFailure, ConnectionLost
 from hibiscuspoint.telemetry import catalogue, log_event
@@ -15,7 +15,7 @@
 
     from hibiscuspoint.core.control import Effect
     from hibiscuspoint.core.control.state import TargetRecord
-    from hibiscuspoint.core.failover import FailoverLeader, TargetStatus
+    from hibiscuspoint.core.failover import FailoverLeader, StatusAnswer, TargetStatus
     from hibiscuspoint.core.ports import Clock, SessionConnection, SessionDriver
     from hibiscuspoint.ids import TargetId, Term
 
@@ -25,8 +25,6 @@
 
 logger = logging.getLogger(__name__)
 
-T = TypeVar("T")
-
 #: Seconds between two polls of a primary. Two of these and an answer fit into the silence after
 #: which it is taken for lost, and positions read so often serve reads with an age of 1.5 s.
 PRIMARY_POLL_SECONDS = 0.5
@@ -40,6 +38,10 @@
 #: Longest time in seconds to wait for an answer.
 ANSWER_SECONDS = 0.4
 
+#: Seconds without a new answer after which a connection is replaced: the first answer of a
+#: connection proves the position again.
+UNPROVEN_SECONDS = 5.0
+
 
 class TargetPoller:
     """Asks every registered target for its state while this instance leads."""
@@ -102,10 +104,10 @@
         return await self._order(target, lambda c: c.resume(ANSWER_SECONDS))
 
     async def _order(
-        self, target: TargetId, call: Callable[[SessionConnection], Awaitable[T]]
-    ) -> T | None:
+        self, target: TargetId, call: Callable[[SessionConnection], Awaitable[StatusAnswer]]
+    ) -> TargetStatus | None:
         link = self._links.get(target)
-        return await link.call(call, self._may_order) if link is not None else None
+        return await link.order(call, self._may_order) if link is not None else None
 
 
 class _Link:
@@ -123,6 +125,8 @@
         self._interval = ACTIVE_POLL_SECONDS
         self._wake = asyncio.Event()
         self._is_reachable = True
+        self._status: TargetStatus | None = None
+        self._read_at = 0.0
         self._task = spawn(self._poll_forever(), f"polls of {record.target}")
 
     def is_outdated(self, record: TargetRecord) -> bool:
@@ -142,11 +146,28 @@
         if self._connection is not None:
             self._connection.close()
 
-    async def call(
+    async def order(
+        self,
+        call: Callable[[SessionConnection], Awaitable[StatusAnswer]],
+        may_send: Callable[[], bool],
+    ) -> TargetStatus | None:
+        """Send an order and return the status after it; ``None`` when there was no answer."""
+        asked_at = self._clock.monotonic()
+        answer = await self._call(call, may_send)
+        if answer is None:
+            return None
+        if not answer.is_new:
+            # A repetition of an earlier answer does not prove that the order took effect.
+            self._connection.close()
+            return None
+        self._record_status(answer.status, asked_at)
+        return answer.status
+
+    async def _call(
         self,
-        call: Callable[[SessionConnection], Awaitable[T]],
+        call: Callable[[SessionConnection], Awaitable[StatusAnswer]],
         may_send: Callable[[], bool] = lambda: True,
-    ) -> T | None:
+    ) -> StatusAnswer | None:
         """Make a call over the connection; ``None`` when there was no answer."""
         target = self._record.target
         async with self._lock:
@@ -181,9 +202,9 @@
             self._wake.clear()
             asked_at = self._clock.monotonic()
             try:
-                answer = await self.call(lambda c: c.status(ANSWER_SECONDS))
+                answer = await self._call(lambda c: c.status(ANSWER_SECONDS))
                 if answer is not None:
-                    self._take(answer[0], asked_at)
+                    self._take(answer, asked_at)
             except Exception:
                 # A target that is not polled any more would never be replaced.
                 logger.exception("the poll of %s failed", self._record.target)
@@ -193,15 +214,34 @@
             except TimeoutError:
                 continue
 
-    def _take(self, status: TargetStatus | None, asked_at: float) -> None:
+    def _take(self, answer: StatusAnswer, asked_at: float) -> None:
+        """Take the answer to a poll.
+
+        One that equals an earlier answer may repeat it. It tells that the target answers; its facts
+        count only if they are those of the last new answer, and as old as that.
+        """
         target, now = self._record.target, self._clock.monotonic()
+        status = answer.status
         if not self._is_reachable:
             self._is_reachable = True
             log_event(logger, catalogue.TARGET_REGAINED, target=target)
         if status is None:
             self._tell(lambda c: c.record_busy_reply(target, now), now)
+        elif answer.is_new or status.states_same_facts(self._status):
+            if answer.is_new:
+                self._record_status(status, asked_at)
+            elif now - self._read_at > UNPROVEN_SECONDS:
+                self._connection.close()
+            read_at = self._read_at
+            self._decide(
+                lambda leader: leader.handle_status(target, status, asked_at, now, read_at)
+            )
         else:
-            self._decide(lambda leader: leader.handle_status(target, status, asked_at, now))
+            self._connection.close()
+
+    def _record_status(self, status: TargetStatus | None, read_at: float) -> None:
+        if status is not None:
+            self._status, self._read_at = status, read_at
 
     def _tell(self, act: Callable, now: float) -> None:
         self._decide(lambda leader: leader.update_group(self._record.group, act, now))
--- a/hibiscuspoint/core/failover/__init__.py
+++ b/hibiscuspoint/core/failover/__init__.py
@@ -18,7 +18,7 @@
         ],
         "group": ["GroupFailover"],
         "leader": ["FailoverLeader"],
-        "status": ["TargetStatus"],
+        "status": ["StatusAnswer", "TargetStatus"],
         "voters": ["VoterChange", "choose_voter_change"],
     },
 )
--- a/hibiscuspoint/core/failover/contacts.py
+++ b/hibiscuspoint/core/failover/contacts.py
@@ -34,6 +34,7 @@
     :param contacted_at: when the last message of any kind arrived.
     :param known_since: when the incarnation became known.
     :param polled_at: when the poll that returned ``status`` was sent.
+    :param read_at: when the target certainly had the position in ``status``.
     :param has_departed: whether the target has announced its end.
     :param is_replaced: whether another target answers at its address.
     :param ended_at: time by which a departed or replaced target confirms no more commits.
@@ -44,6 +45,7 @@
     known_since: float
     status: TargetStatus | None = None
     polled_at: float = -math.inf
+    read_at: float = -math.inf
     answered_at: float = -math.inf
     has_departed: bool = False
     is_replaced: bool = False
@@ -97,20 +99,29 @@
         contact.is_replaced = False
 
     def record_status(
-        self, target: TargetId, status: TargetStatus, polled_at: float, now: float
+        self,
+        target: TargetId,
+        status: TargetStatus,
+        polled_at: float,
+        now: float,
+        read_at: float | None = None,
     ) -> None:
-        """Record the reply to a poll that was sent at ``polled_at``."""
+        """Record the reply to a poll that was sent at ``polled_at``.
+
+        :param read_at: see ``GroupFailover.record_status``.
+        """
         contact = self._contact(target, now)
         contact.status, contact.polled_at, contact.answered_at = status, polled_at, now
+        contact.read_at = polled_at if read_at is None else read_at
         contact.contacted_at = now
         contact.is_replaced = False
 
     def primary_tip(self) -> tuple[LogPosition, float] | None:
-        """Return the last position read at the primary and the time at which its poll was sent."""
+        """Return the last position read at the primary and a time at which it was current."""
         contact = self._contacts.get(self._record.primary) if self._record.primary else None
         if contact is None or contact.status is None or not contact.status.is_primary:
             return None
-        return contact.status.received, contact.polled_at
+        return contact.status.received, contact.read_at
 
     def recent_statuses(self, since: float, now: float) -> dict[TargetId, TargetStatus]:
         """Return the statuses that are not outdated and whose polls were sent after ``since``."""
@@ -149,9 +160,9 @@
         return contact.answered_at if contact is not None else -math.inf
 
     def position_since(self, target: TargetId, since: float) -> LogPosition | None:
-        """Return the position of a target, if its poll was sent after ``since``."""
+        """Return the position of a target, if it was read after ``since``."""
         contact = self._contacts.get(target)
-        if contact is None or contact.status is None or contact.polled_at <= since:
+        if contact is None or contact.status is None or contact.read_at <= since:
             return None
         return contact.status.received
 
@@ -199,20 +210,20 @@
         return contact is not None and self._is_held_by_replica(contact.known_since)
 
     def _is_held_by_replica(self, since: float, excluded: TargetId | None = None) -> bool:
-        """Tell whether a replica has the position of the primary at a poll after a given time.
+        """Tell whether a replica has the position that the primary had after a given time.
 
         :param since: monotonic time in seconds.
         :param excluded: replica that does not count.
         """
         primary = self._contacts.get(self._record.primary)
-        if primary is None or primary.status is None or primary.polled_at <= since:
+        if primary is None or primary.status is None or primary.read_at <= since:
             return False
         return any(
             contact.status is not None
             and target in self._record.targets
             and target not in (excluded, self._record.primary)
-            and contact.polled_at >= primary.polled_at - STATUS_MAX_AGE_SECONDS
-            and contact.polled_at > since
+            and contact.read_at >= primary.read_at - STATUS_MAX_AGE_SECONDS
+            and contact.read_at > since
             and contact.status.received >= primary.status.received
             for target, contact in self._contacts.items()
         )
--- a/hibiscuspoint/core/failover/group.py
+++ b/hibiscuspoint/core/failover/group.py
@@ -141,10 +141,20 @@
         self.record_connection_refusal(target, now)
 
     def record_status(
-        self, target: TargetId, status: TargetStatus, polled_at: float, now: float
+        self,
+        target: TargetId,
+        status: TargetStatus,
+        polled_at: float,
+        now: float,
+        read_at: float | None = None,
     ) -> None:
-        """Record the reply of a target to a poll that was sent at ``polled_at``."""
-        self._contacts.record_status(target, status, polled_at, now)
+        """Record the reply of a target to a poll that was sent at ``polled_at``.
+
+        :param read_at: time at which the target certainly had the position, if it is earlier: a
+            reply that equals an earlier one may repeat it.
+        """
+        read_at = polled_at if read_at is None else read_at
+        self._contacts.record_status(target, status, polled_at, now, read_at)
         if self._round is not None and self._record.phase is GroupPhase.SEALING:
             self._round.record_status(target, status, polled_at)
         if target != self._record.primary:
@@ -157,8 +167,8 @@
             self._failure_detector.record_poll_reply(status.is_primary, now)
         if status.is_primary:
             self._raise_required_position(status.received)
-            if self._ledger.is_complete(polled_at):
-                self._covered_until = polled_at
+            if self._ledger.is_complete(read_at):
+                self._covered_until = max(self._covered_until, read_at)
 
     def record_busy_reply(self, target: TargetId, now: float) -> None:
         """Record that a target replied but had no free slot or connection to report its status."""
--- a/hibiscuspoint/core/failover/leader.py
+++ b/hibiscuspoint/core/failover/leader.py
@@ -255,13 +255,21 @@
         return failover.tick(now)
 
     def handle_status(
-        self, target: TargetId, status: TargetStatus, polled_at: float, now: float
+        self,
+        target: TargetId,
+        status: TargetStatus,
+        polled_at: float,
+        now: float,
+        read_at: float | None = None,
     ) -> list[Effect]:
-        """Record the reply of a target to a poll that was sent at ``polled_at``."""
+        """Record the reply of a target to a poll that was sent at ``polled_at``.
+
+        :param read_at: see ``GroupFailover.record_status``.
+        """
         failover = self._failover_of(target)
         if failover is None:
             return []
-        failover.record_status(target, status, polled_at, now)
+        failover.record_status(target, status, polled_at, now, read_at)
         return failover.tick(now) if failover.is_active else []
 
     def tick(self, now: float) -> list[Effect]:
--- a/hibiscuspoint/core/failover/status.py
+++ b/hibiscuspoint/core/failover/status.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from hibiscuspoint.core.position import LogPosition
 
-__all__ = ["TargetStatus"]
+__all__ = ["StatusAnswer", "TargetStatus"]
 
 
 @dataclass(frozen=True)
@@ -31,3 +31,22 @@
     paused_term: Term = Term(0)
     lag_seconds: float = 0.0
     in_use: int = 0
+
+    def states_same_facts(self, other: TargetStatus | None) -> bool:
+        """Tell whether another status has the same role, terms and position."""
+        return other is not None and (
+            (self.is_primary, self.term, self.received, self.paused_term)
+            == (other.is_primary, other.term, other.received, other.paused_term)
+        )
+
+
+@dataclass(frozen=True)
+class StatusAnswer:
+    """Answer of a target to a poll or an order.
+
+    :param status: ``None`` if the target refused or had no free slot to report it.
+    :param is_new: false if the answer equals an earlier one of its connection and may repeat it.
+    """
+
+    status: TargetStatus | None
+    is_new: bool = True
--- a/hibiscuspoint/core/ports.py
+++ b/hibiscuspoint/core/ports.py
@@ -10,10 +10,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from hibiscuspoint.core.failover.status import TargetStatus
+    from hibiscuspoint.core.failover.status import StatusAnswer
     from hibiscuspoint.core.position import LogPosition
     from hibiscuspoint.core.sessions import PreparedStatement, Reply, Statement
     from hibiscuspoint.drivers.answer import RunResult
+    from hibiscuspoint.drivers.answer_monitor import AnswerMonitor
     from hibiscuspoint.ids import GroupId, Incarnation, InstanceId, OrganisationId, TargetId
     from hibiscuspoint.wire import target_pb2
 
@@ -108,20 +109,17 @@
     async def rollback(self, timeout: float) -> Reply:
         """Roll back the open transaction."""
 
-    async def status(self, timeout: float) -> tuple[TargetStatus | None, LogPosition | None]:
-        """Return the status of the target and its log position.
+    async def status(self, timeout: float) -> StatusAnswer:
+        """Return the status of the target."""
 
-        The status is ``None`` if the target had no free slot to report it.
-        """
-
-    async def pause(self, term: int, timeout: float) -> TargetStatus | None:
-        """Stop a replica from receiving log records; ``None`` if the target refuses."""
+    async def pause(self, term: int, timeout: float) -> StatusAnswer:
+        """Stop a replica from receiving log records."""
 
-    async def step_down(self, term: int, timeout: float) -> TargetStatus | None:
-        """Demote a primary of a lower term to a replica; ``None`` if the target refuses."""
+    async def step_down(self, term: int, timeout: float) -> StatusAnswer:
+        """Demote a primary of a lower term to a replica."""
 
-    async def resume(self, timeout: float) -> TargetStatus | None:
-        """Let a paused replica receive log records again; ``None`` if the target refuses."""
+    async def resume(self, timeout: float) -> StatusAnswer:
+        """Let a paused replica receive log records again."""
 
     def close(self) -> None:
         """Close the connection; the target rolls back an open transaction."""
@@ -130,6 +128,9 @@
 class SessionDriver(Protocol):
     """Opens connections to targets that serve sessions."""
 
+    def set_answer_monitor(self, monitor: AnswerMonitor) -> None:
+        """Report answers that belong to no statement in progress."""
+
     async def connect(
         self,
         group: GroupId,
--- a/hibiscuspoint/core/sessions/__init__.py
+++ b/hibiscuspoint/core/sessions/__init__.py
@@ -2,6 +2,13 @@
 
 from __future__ import annotations
 
+from hibiscuspoint.core.sessions.answers import (
+    Answer,
+    AnswerHistory,
+    AnswerKind,
+    Match,
+    Question,
+)
 from hibiscuspoint.core.sessions.choice import TargetLoad, rank_targets
 from hibiscuspoint.core.sessions.connection_plan import (
     ConnectionPlan,
@@ -48,6 +55,9 @@
 
 __all__ = [
     "ANONYMOUS",
+    "Answer",
+    "AnswerHistory",
+    "AnswerKind",
     "Caller",
     "ConnectionContext",
     "ConnectionDemand",
@@ -58,11 +68,13 @@
     "Failure",
     "GroupLimits",
     "HolderRanking",
+    "Match",
     "OpeningRules",
     "OperationGrant",
     "OperationRefusal",
     "Preparation",
     "PreparedStatement",
+    "Question",
     "ReadMode",
     "Reply",
     "RoutingTable",
--- /dev/null
+++ b/hibiscuspoint/core/sessions/answers.py
@@ -0,0 +1,172 @@
+"""Decides to which statement of a connection an answer of its target belongs.
+
+The line protocol names no request in an answer, and a target may answer a statement twice, the
+second time any time later. See ``docs/design/answers.md``.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum, auto
+from typing import TYPE_CHECKING
+
+from hibiscuspoint.core.sessions.statements import SessionState, StatementKind
+
+if TYPE_CHECKING:
+    from hibiscuspoint.core.sessions.statements import Reply
+
+__all__ = ["Answer", "AnswerHistory", "AnswerKind", "Match", "Question"]
+
+#: Answers after which a connection ends between two uses, as it remembers a hash of each of them.
+MAX_ANSWERS = 2_000
+
+
+class AnswerKind(Enum):
+    """Form of an answer."""
+
+    #: Success with the signature of one execution.
+    SIGNED = auto()
+    #: Success without a signature.
+    UNSIGNED = auto()
+    ERROR = auto()
+    #: Only the state, as after the startup of a connection.
+    GREETING = auto()
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole answer.
+
+    :param digest: hash of the signature, or of all bytes where there is none.
+    """
+
+    kind: AnswerKind
+    reply: Reply
+    digest: int
+
+
+class Question(Enum):
+    """What was sent to a target, by the answers that it may have."""
+
+    #: Its success is signed.
+    SIGNED = auto()
+    #: Begins a transaction; what follows relies on it.
+    BEGIN = auto()
+    #: Ends a transaction without a signature.
+    ROLLBACK = auto()
+    #: Sets values or prepares a statement, which a target does not refuse.
+    CONTEXT = auto()
+    #: Asks for the status of the target or changes its role.
+    STATUS = auto()
+
+    @classmethod
+    def of(cls, kind: StatementKind) -> Question:
+        """Return the question that a statement of a caller is."""
+        return _QUESTIONS.get(kind, cls.SIGNED)
+
+
+_QUESTIONS = {
+    StatementKind.BEGIN: Question.BEGIN,
+    StatementKind.BEGIN_READ_ONLY: Question.BEGIN,
+    StatementKind.ROLLBACK: Question.ROLLBACK,
+    StatementKind.SET: Question.CONTEXT,
+    StatementKind.PREPARE: Question.CONTEXT,
+    StatementKind.DEALLOCATE: Question.CONTEXT,
+}
+
+
+class Match(Enum):
+    """Decision about an answer."""
+
+    #: It is the answer to the question in progress.
+    ACCEPTED = auto()
+    #: It repeats an earlier answer.
+    REPEATED = auto()
+    #: It may be either, or belongs to no question; the connection must be reset.
+    UNCLEAR = auto()
+
+
+class AnswerHistory:
+    """Answers of one connection.
+
+    As a target answers in order, an answer that is no repetition belongs to the question in
+    progress, of which there is at most one.
+    """
+
+    def __init__(self) -> None:
+        self._digests: set[int] = set()
+        self._has_repetition = False
+        self._is_unproven = False
+        self._must_end = False
+        self._state = SessionState.IDLE
+
+    @property
+    def has_repetition(self) -> bool:
+        """Tell whether the target has answered a question twice."""
+        return self._has_repetition
+
+    @property
+    def is_unproven(self) -> bool:
+        """Tell whether the last accepted answer equals an earlier one and may repeat it."""
+        return self._is_unproven
+
+    @property
+    def must_end(self) -> bool:
+        """Tell whether the connection has to be closed when it is not in use any more."""
+        return self._must_end or self._has_repetition or len(self._digests) >= MAX_ANSWERS
+
+    def record_greeting(self, answer: Answer) -> None:
+        """Record the answer to the startup of the connection."""
+        self._digests.add(answer.digest)
+
+    def match(self, question: Question | None, answer: Answer) -> Match:
+        """Decide about an answer.
+
+        :param question: question in progress, if any.
+        """
+        is_known = answer.digest in self._digests
+        match = self._match(question, answer, is_known)
+        if match is Match.REPEATED:
+            self._has_repetition = True
+        elif match is Match.ACCEPTED:
+            self._accept(answer, is_known)
+        return match
+
+    def _match(self, question: Question | None, answer: Answer, is_known: bool) -> Match:
+        if not self._fits(question, answer):
+            return Match.REPEATED if is_known else Match.UNCLEAR
+        if answer.kind is AnswerKind.SIGNED:
+            return Match.REPEATED if is_known else Match.ACCEPTED
+        if question is Question.STATUS:
+            return Match.ACCEPTED
+        if answer.kind is AnswerKind.ERROR:
+            is_certain = not is_known and not self._has_repetition
+            return Match.ACCEPTED if is_certain else Match.UNCLEAR
+        if question is Question.BEGIN and is_known:
+            return Match.UNCLEAR
+        return Match.ACCEPTED
+
+    def _fits(self, question: Question | None, answer: Answer) -> bool:
+        """Tell whether a question may have an answer of this form."""
+        if question is None or answer.kind is AnswerKind.GREETING:
+            return False
+        if answer.kind is AnswerKind.ERROR:
+            return True
+        if (answer.kind is AnswerKind.SIGNED) is not (question is Question.SIGNED):
+            return False
+        match question:
+            case Question.BEGIN:
+                return answer.reply.state is SessionState.IN_TRANSACTION
+            case Question.ROLLBACK:
+                return answer.reply.state is SessionState.IDLE
+            case Question.CONTEXT | Question.STATUS:
+                return answer.reply.state is self._state
+        return True
+
+    def _accept(self, answer: Answer, is_known: bool) -> None:
+        if answer.kind is AnswerKind.ERROR and self._is_unproven:
+            # The error may be that of the step before, whose place a repetition has taken.
+            self._must_end = True
+        self._is_unproven = is_known
+        self._digests.add(answer.digest)
+        self._state = answer.reply.state
--- a/hibiscuspoint/daemon/session_node.py
+++ b/hibiscuspoint/daemon/session_node.py
@@ -36,6 +36,7 @@
 from hibiscuspoint.components.sessions.quotas import QuotaGate
 from hibiscuspoint.core.entry.drain import DrainState
 from hibiscuspoint.daemon.failures import FailureMonitor
+from hibiscuspoint.drivers.answer_monitor import AnswerMonitor
 from hibiscuspoint.errors import ConfigurationError
 from hibiscuspoint.ids import Incarnation
 from hibiscuspoint.security import TlsMode, Transport
@@ -158,6 +159,7 @@
         zone, scheduling = settings.availability_zone, settings.scheduling
         records = WaitRecords(self._metrics, is_logging=scheduling == "fair")
         reads = ReadBalancing(zone, settings.ranking, self._metrics)
+        self._ports.driver.set_answer_monitor(AnswerMonitor(self._clock, self._metrics))
         borrowing = ConnectionBorrowing(
             zone, self._channels, self._clock, scheduling, records, reads
         )
--- a/hibiscuspoint/platform/database.py
+++ b/hibiscuspoint/platform/database.py
@@ -3,27 +3,23 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 import time
 from typing import TYPE_CHECKING
 
-from hibiscuspoint.core.failover import TargetStatus
-from hibiscuspoint.core.sessions import Failure
-from hibiscuspoint.drivers.errors import (
-    AnswerTimeoutError,
-    ConnectError,
-    ConnectFailure,
-    ConnectionLost,
-)
+from hibiscuspoint.core.failover import StatusAnswer, TargetStatus
+from hibiscuspoint.core.sessions import Failure, Question
+from hibiscuspoint.drivers.errors import ConnectError, ConnectFailure, ConnectionLost
 from hibiscuspoint.ids import NO_ORGANISATION, Term
 from hibiscuspoint.platform import wire
+from hibiscuspoint.platform.answer_stream import AnswerStream, ConnectionEnded, StartupRefused
 from hibiscuspoint.util.address import parse_address
-from hibiscuspoint.util.tcp import reset, set_unacknowledged_limit
+from hibiscuspoint.util.tcp import set_unacknowledged_limit
 from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
 
 if TYPE_CHECKING:
     from hibiscuspoint.core.position import LogPosition
-    from hibiscuspoint.core.sessions import PreparedStatement, Reply, Statement
+    from hibiscuspoint.core.sessions import Match, PreparedStatement, Reply, Statement
+    from hibiscuspoint.drivers.answer_monitor import AnswerMonitor
     from hibiscuspoint.ids import GroupId, OrganisationId, TargetId
 
 __all__ = ["DatabaseConnection", "DatabaseDriver"]
@@ -45,16 +41,14 @@
 class DatabaseConnection:
     """An open connection to a database, which runs one statement at a time."""
 
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self._reader = reader
-        self._writer = writer
-        self._is_open = True
+    def __init__(self, stream: AnswerStream) -> None:
+        self._stream = stream
         self.round_trip_seconds: float | None = None
 
     @property
     def is_open(self) -> bool:
         """Tell whether the connection is open; a failed or cancelled statement closes it."""
-        return self._is_open and not self._reader.at_eof() and not self._writer.is_closing()
+        return self._stream.is_open
 
     async def run(
         self,
@@ -71,94 +65,75 @@
         :param after: log position that the database must have applied before it runs the statement.
         :raises ConnectionLost: the connection closed before the answer was complete.
         :raises AnswerTimeoutError: the answer did not arrive in time; the connection is closed.
+        :raises AnswerUnclear: an answer cannot be told from a repetition; the connection is closed.
         """
-        return await self._exchange(wire.format_query(statement, name, after), timeout)
+        question = Question.of(statement.kind)
+        return await self._stream.ask(question, wire.format_query(statement, name, after), timeout)
 
     async def reset(self, timeout: float) -> Reply:
         """Clear the session values and prepared statements of the connection."""
-        return await self._exchange(wire.format_internal_query("RESET"), timeout)
+        return await self._ask_internal(Question.CONTEXT, "RESET", timeout)
 
     async def set_value(self, name: str, value: str, timeout: float) -> Reply:
         """Set a session value on the connection."""
-        return await self._exchange(wire.format_set(name, value), timeout)
+        return await self._stream.ask(Question.CONTEXT, wire.format_set(name, value), timeout)
 
     async def prepare(
         self, name: str, prepared_statement: PreparedStatement, timeout: float
     ) -> Reply:
         """Create a prepared statement on the connection."""
-        return await self._exchange(wire.format_prepare(name, prepared_statement), timeout)
+        message = wire.format_prepare(name, prepared_statement)
+        return await self._stream.ask(Question.CONTEXT, message, timeout)
 
     async def rollback(self, timeout: float) -> Reply:
         """Roll back the open transaction."""
-        return await self._exchange(wire.format_internal_query("ROLLBACK"), timeout)
+        return await self._ask_internal(Question.ROLLBACK, "ROLLBACK", timeout)
 
-    async def status(self, timeout: float) -> tuple[TargetStatus | None, LogPosition | None]:
-        """Return the status of the database and its log position.
-
-        The status is ``None`` when the database has no free slot to report it.
-        """
+    async def status(self, timeout: float) -> StatusAnswer:
+        """Return the status of the database."""
         return await self._run_status_command("STATUS", timeout)
 
-    async def pause(self, term: int, timeout: float) -> TargetStatus | None:
-        """Stop a replica from receiving the log; ``None`` when the database refuses."""
-        return (await self._run_status_command(f"PAUSE {term}", timeout))[0]
+    async def pause(self, term: int, timeout: float) -> StatusAnswer:
+        """Stop a replica from receiving the log."""
+        return await self._run_status_command(f"PAUSE {term}", timeout)
 
-    async def step_down(self, term: int, timeout: float) -> TargetStatus | None:
-        """Demote a primary of a lower term to replica; ``None`` when the database refuses."""
-        return (await self._run_status_command(f"STEPDOWN {term}", timeout))[0]
+    async def step_down(self, term: int, timeout: float) -> StatusAnswer:
+        """Demote a primary of a lower term to replica."""
+        return await self._run_status_command(f"STEPDOWN {term}", timeout)
 
-    async def resume(self, timeout: float) -> TargetStatus | None:
-        """Let a paused replica receive the log again; ``None`` when the database refuses."""
-        return (await self._run_status_command("RESUME", timeout))[0]
+    async def resume(self, timeout: float) -> StatusAnswer:
+        """Let a paused replica receive the log again."""
+        return await self._run_status_command("RESUME", timeout)
 
     def close(self) -> None:
         """Close the connection, on which the database rolls back an open transaction."""
-        self._is_open = False
-        self._writer.close()
-
-    def _reset(self) -> None:
-        """Close the connection so that a statement that is still on its way never arrives."""
-        self._is_open = False
-        reset(self._writer)
-
-    async def _run_status_command(
-        self, text: str, timeout: float
-    ) -> tuple[TargetStatus | None, LogPosition | None]:
-        reply = await self._exchange(wire.format_internal_query(text), timeout)
+        self._stream.close()
+
+    async def _run_status_command(self, text: str, timeout: float) -> StatusAnswer:
+        reply = await self._ask_internal(Question.STATUS, text, timeout)
+        is_new = not self._stream.is_repeatable
         if reply.error is not None or not reply.rows:
-            return None, reply.position
+            return StatusAnswer(None, is_new)
         try:
-            return _parse_status(reply.rows[0]), reply.position
+            return StatusAnswer(_parse_status(reply.rows[0]), is_new)
         except (ValueError, wire.ProtocolError) as error:
             self.close()
             raise ConnectionLost(f"malformed status: {error}", sent=True) from error
 
-    async def _exchange(self, message: bytes, timeout: float) -> Reply:
-        builder = wire.ReplyBuilder()
-        try:
-            async with asyncio.timeout(timeout):
-                self._writer.write(message)
-                while True:
-                    line = await self._reader.readline()
-                    if not line:
-                        raise ConnectionLost("the connection ended", sent=True)
-                    reply = builder.add(line)
-                    if reply is not None:
-                        return reply
-        except TimeoutError:
-            self._reset()
-            raise AnswerTimeoutError from None
-        except (OSError, ValueError, wire.ProtocolError) as error:
-            self._reset()
-            raise ConnectionLost(str(error), sent=True) from error
-        except (ConnectionLost, asyncio.CancelledError):
-            self._reset()
-            raise
+    async def _ask_internal(self, question: Question, text: str, timeout: float) -> Reply:
+        return await self._stream.ask(question, wire.format_internal_query(text), timeout)
 
 
 class DatabaseDriver:
     """Opens connections to databases."""
 
+    def __init__(self) -> None:
+        self._monitor: AnswerMonitor | None = None
+
+    def set_answer_monitor(self, monitor: AnswerMonitor) -> None:
+        """Report answers that belong to no statement in progress."""
+        self._monitor = monitor
+
     async def connect(
         self,
         group: GroupId,
@@ -177,57 +152,40 @@
             host, port = parse_address(address)
         except ValueError as error:
             raise ConnectError(ConnectFailure.BROKEN, str(error)) from error
+        message = wire.format_startup(group, organisation or CALLER_NAME, target)
         try:
             async with asyncio.timeout(timeout):
                 started = time.monotonic()
-                reader, writer = await asyncio.open_connection(host, port, limit=wire.LINE_BYTES)
+                stream = await self._open(target, host, port)
                 round_trip_seconds = time.monotonic() - started
-                _set_socket_options(writer)
-                connection = await _start_up(
-                    reader, writer, group, target, organisation or CALLER_NAME
-                )
-                connection.round_trip_seconds = round_trip_seconds
-                return connection
+                await stream.start_up(message)
         except TimeoutError:
             raise ConnectError(ConnectFailure.TIMED_OUT, "no answer in time") from None
         except ConnectionRefusedError as error:
             raise ConnectError(ConnectFailure.REFUSED, str(error)) from error
         except OSError as error:
             raise ConnectError(ConnectFailure.BROKEN, str(error)) from error
-
-
-async def _start_up(
-    reader: asyncio.StreamReader,
-    writer: asyncio.StreamWriter,
-    group: GroupId,
-    target: TargetId,
-    caller: str,
-) -> DatabaseConnection:
-    try:
-        writer.write(f"STARTUP {group} {caller} {target}\r\n".encode())
-        builder = wire.ReplyBuilder()
-        while True:
-            line = await reader.readline()
-            if not line:
-                raise ConnectError(ConnectFailure.REFUSED, "the connection ended")
-            word, _, rest = line.decode(errors="replace").strip().partition(" ")
-            if word == "ERROR":
-                failure = wire.parse_failure_code(rest.partition(" ")[0])
-                raise ConnectError(_CONNECT_FAILURES.get(failure, ConnectFailure.BROKEN), rest)
-            if builder.add(line) is not None:
-                return DatabaseConnection(reader, writer)
-    except (ValueError, wire.ProtocolError) as error:
-        writer.close()
-        raise ConnectError(ConnectFailure.BROKEN, str(error)) from error
-    except BaseException:
-        writer.close()
-        raise
-
-
-def _set_socket_options(writer: asyncio.StreamWriter) -> None:
-    connection = writer.get_extra_info("socket")
-    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    set_unacknowledged_limit(writer, UNACKNOWLEDGED_SECONDS)
+        except ConnectionEnded as error:
+            raise ConnectError(ConnectFailure.REFUSED, str(error)) from error
+        except ConnectionLost as error:
+            raise ConnectError(ConnectFailure.BROKEN, str(error)) from error
+        except StartupRefused as error:
+            failure = wire.parse_failure_code(error.code)
+            connect_failure = _CONNECT_FAILURES.get(failure, ConnectFailure.BROKEN)
+            raise ConnectError(connect_failure, str(error)) from error
+        connection = DatabaseConnection(stream)
+        connection.round_trip_seconds = round_trip_seconds
+        return connection
+
+    async def _open(self, target: TargetId, host: str, port: int) -> AnswerStream:
+        def report(match: Match, question: Question | None) -> None:
+            if self._monitor is not None:
+                self._monitor.record(target, match, question)
+
+        loop = asyncio.get_running_loop()
+        transport, stream = await loop.create_connection(lambda: AnswerStream(report), host, port)
+        set_unacknowledged_limit(transport, UNACKNOWLEDGED_SECONDS)
+        return stream
 
 
 def _parse_status(row: str) -> TargetStatus:
--- a/hibiscuspoint/platform/wire.py
+++ b/hibiscuspoint/platform/wire.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.core.position import LogPosition
 from hibiscuspoint.core.sessions import (
+    Answer,
+    AnswerKind,
     Failure,
     Reply,
     SessionState,
@@ -22,8 +24,9 @@
 __all__ = [
     "INTERNAL_REQUEST_ID",
     "LINE_BYTES",
+    "MESSAGE_END",
+    "AnswerBuilder",
     "ProtocolError",
-    "ReplyBuilder",
     "Startup",
     "format_error",
     "format_internal_query",
@@ -32,8 +35,10 @@
     "format_ready",
     "format_reply",
     "format_set",
+    "format_startup",
     "parse_failure_code",
     "parse_position",
+    "parse_refusal",
     "parse_startup",
     "parse_statement",
 ]
@@ -41,6 +46,9 @@
 #: Maximum length of a message in bytes, as the protocol specifies it.
 LINE_BYTES = 1_048_576
 
+#: End of each message.
+MESSAGE_END = b"\r\n"
+
 #: Largest term and number of a log position; messages between instances hold it.
 MAX_NUMBER = 2**63 - 1
 
@@ -163,6 +171,14 @@
     return f"QUERY {statement.request_id} {text}\r\n".encode()
 
 
+def format_startup(service: str, caller: str, target: str) -> bytes:
+    """Return the message that opens a connection to a database.
+
+    :param caller: name of the organisation or program that connects.
+    """
+    return f"STARTUP {service} {caller} {target}\r\n".encode()
+
+
 def format_internal_query(text: str) -> bytes:
     """Return the message of a statement that the proxy itself issues."""
     return f"QUERY {INTERNAL_REQUEST_ID} {text}\r\n".encode()
@@ -208,6 +224,16 @@
     return _FAILURES_BY_CODE.get(code, Failure.FAILED)
 
 
+def parse_refusal(line: bytes) -> tuple[str, str] | None:
+    """Return code and text of an error message; ``None`` if the message is another one.
+
+    :raises ProtocolError: the message is malformed.
+    """
+    word, _, rest = _decode_line(line).partition(" ")
+    code, _, text = rest.partition(" ")
+    return (code, text) if word == "ERROR" else None
+
+
 def parse_position(text: str) -> LogPosition | None:
     """Parse a log position; returns ``None`` when the field is empty or "-".
 
@@ -225,20 +251,28 @@
     return position
 
 
-class ReplyBuilder:
-    """Assembles a reply from the messages of one answer of a database."""
+class AnswerBuilder:
+    """Assembles answers of a database from their messages, in order."""
 
     def __init__(self) -> None:
-        self._rows: list[str] = []
-        self._signature: str | None = None
-        self._error: StatementError | None = None
+        self._clear()
 
-    def add(self, line: bytes) -> Reply | None:
-        """Add a message; returns the reply when the message completes the answer.
+    @property
+    def is_empty(self) -> bool:
+        """Tell whether no part of the next answer has arrived."""
+        return not self._lines
+
+    def add(self, line: bytes) -> Answer | None:
+        """Add a message; returns the answer when the message completes it.
 
         :raises ProtocolError: the message does not follow the protocol.
         """
         word, _, rest = _decode_line(line).partition(" ")
+        has_outcome = self._signature is not None or self._error is not None
+        if word == "READY":
+            return self._finish(line, rest)
+        if has_outcome:
+            raise ProtocolError(f"unexpected message {word[:16]!r} after the outcome")
         if word == "ROW":
             self._rows.append(rest)
         elif word == "COMPLETE":
@@ -246,23 +280,43 @@
         elif word == "ERROR":
             code, _, text = rest.partition(" ")
             self._error = StatementError(parse_failure_code(code), text)
-        elif word == "READY":
-            return self._finish(rest)
         else:
             raise ProtocolError(f"unexpected message {word[:16]!r}")
+        self._lines.append(line)
         return None
 
-    def _finish(self, rest: str) -> Reply:
+    def _finish(self, line: bytes, rest: str) -> Answer:
         letter, _, position = rest.partition(" ")
         if letter not in _STATES_BY_LETTER:
             raise ProtocolError("unknown session state")
         reply = Reply(
-            rows=tuple(self._rows),
+            rows=tuple(self._rows) if self._error is None else (),
             signature=self._signature,
+            error=self._error,
             state=_STATES_BY_LETTER[letter],
             position=parse_position(position),
         )
-        return replace(reply, signature=None, error=self._error) if self._error else reply
+        identity = self._signature or b"".join([*self._lines, line])
+        answer = Answer(self._kind(), reply, hash(identity))
+        self._clear()
+        return answer
+
+    def _kind(self) -> AnswerKind:
+        if self._error is not None:
+            return AnswerKind.ERROR
+        if self._signature:
+            return AnswerKind.SIGNED
+        if self._signature is not None:
+            return AnswerKind.UNSIGNED
+        if self._rows:
+            raise ProtocolError("an answer with rows and no outcome")
+        return AnswerKind.GREETING
+
+    def _clear(self) -> None:
+        self._lines: list[bytes] = []
+        self._rows: list[str] = []
+        self._signature: str | None = None
+        self._error: StatementError | None = None
 
 
 def _decode_line(line: bytes) -> str:
--- a/hibiscuspoint/telemetry/catalogue.py
+++ b/hibiscuspoint/telemetry/catalogue.py
@@ -399,6 +399,25 @@
     "Connections to {target} can be opened again.",
     "target",
 )
+ANSWER_REPEATED = define_event(
+    417,
+    "answer-repeated",
+    WARNING,
+    "{target} answered a statement twice; {count} times since the last report.",
+    "target",
+    "in_progress",
+    "count",
+)
+ANSWER_UNCLEAR = define_event(
+    418,
+    "answer-unclear",
+    INFO,
+    "{count} connections to {target} were reset, as it was not clear which statement an answer "
+    "belongs to.",
+    "target",
+    "in_progress",
+    "count",
+)
 
 GROUP_FULL = define_event(
     430,
--- a/hibiscuspoint/telemetry/metrics.py
+++ b/hibiscuspoint/telemetry/metrics.py
@@ -164,6 +164,12 @@
             "Connections that this instance closed for a statement of another organisation.",
             "group",
         )
+        self.answers_rejected = self._counter(
+            "answers_rejected",
+            "Answers of targets that were not taken for that of the statement in progress. reason "
+            "is repeated (an earlier answer came again) or unclear (the connection was reset).",
+            "reason",
+        )
         self.open_transactions = self._gauge(
             "open_transactions",
             "Open interactive transactions, at the entry that the caller reached.",
--- a/hibiscuspoint/util/tcp.py
+++ b/hibiscuspoint/util/tcp.py
@@ -17,16 +17,16 @@
 _LINGER_ZERO = struct.pack("ii", 1, 0)
 
 
-def set_unacknowledged_limit(writer: asyncio.StreamWriter, seconds: float) -> None:
+def set_unacknowledged_limit(transport: asyncio.WriteTransport, seconds: float) -> None:
     """Let the kernel give up bytes that are not acknowledged in time, even if the process stops."""
-    connection = writer.get_extra_info("socket")
+    connection = transport.get_extra_info("socket")
     milliseconds = int(seconds * MILLISECONDS_PER_SECOND)
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
 
 
-def reset(writer: asyncio.StreamWriter) -> None:
+def reset(transport: asyncio.WriteTransport) -> None:
     """Reset a connection, so that bytes that were not delivered yet never are."""
-    if not writer.transport.is_closing():
-        connection = writer.get_extra_info("socket")
+    if not transport.is_closing():
+        connection = transport.get_extra_info("socket")
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
-    writer.transport.abort()
+    transport.abort()
--- /dev/null
+++ b/tests/core/sessions/test_answers.py
@@ -0,0 +1,97 @@
+"""Tests of the match between answers and the questions of one connection."""
+
+from __future__ import annotations
+
+import pytest
+
+from hibiscuspoint.core.sessions import (
+    Answer,
+    AnswerHistory,
+    AnswerKind,
+    Failure,
+    Match,
+    Question,
+    Reply,
+    SessionState,
+)
+from hibiscuspoint.core.sessions.answers import MAX_ANSWERS
+
+IDLE, OPEN = SessionState.IDLE, SessionState.IN_TRANSACTION
+
+
+def _signed(number: int, state: SessionState = IDLE) -> Answer:
+    return Answer(AnswerKind.SIGNED, Reply(signature=f"s{number}", state=state), number)
+
+
+def _plain(number: int, state: SessionState = IDLE) -> Answer:
+    return Answer(AnswerKind.UNSIGNED, Reply(state=state), number)
+
+
+def _error(number: int, failure: Failure = Failure.OVERLOADED) -> Answer:
+    return Answer(AnswerKind.ERROR, Reply.failed(failure, "", IDLE), number)
+
+
+def _history(*steps: tuple[Question | None, Answer]) -> AnswerHistory:
+    history = AnswerHistory()
+    history.record_greeting(Answer(AnswerKind.GREETING, Reply(), -1))
+    for question, answer in steps:
+        history.match(question, answer)
+    return history
+
+
+@pytest.mark.parametrize(
+    ("earlier", "question", "answer", "expected"),
+    [
+        ([], Question.SIGNED, _signed(1), Match.ACCEPTED),
+        ([(Question.SIGNED, _signed(1))], Question.SIGNED, _signed(1), Match.REPEATED),
+        ([(Question.SIGNED, _signed(1))], None, _signed(1), Match.REPEATED),
+        ([(Question.SIGNED, _signed(1))], Question.BEGIN, _signed(1), Match.REPEATED),
+        ([], None, _signed(1), Match.UNCLEAR),
+        ([], Question.BEGIN, _signed(1), Match.UNCLEAR),
+        ([], Question.SIGNED, _plain(1), Match.UNCLEAR),
+        ([(Question.CONTEXT, _plain(1))], Question.SIGNED, _plain(1), Match.REPEATED),
+        ([], Question.SIGNED, _error(1), Match.ACCEPTED),
+        ([(Question.SIGNED, _error(1))], Question.SIGNED, _error(1), Match.UNCLEAR),
+        ([(Question.SIGNED, _error(1))], Question.SIGNED, _error(2), Match.ACCEPTED),
+        ([], Question.BEGIN, _plain(1, OPEN), Match.ACCEPTED),
+        ([], Question.BEGIN, _plain(1, IDLE), Match.UNCLEAR),
+        ([(Question.CONTEXT, _plain(1))], Question.BEGIN, _plain(1), Match.REPEATED),
+        ([(Question.CONTEXT, _plain(1))], Question.CONTEXT, _plain(1), Match.ACCEPTED),
+        ([], Question.CONTEXT, _plain(1, OPEN), Match.UNCLEAR),
+        ([(Question.BEGIN, _plain(1, OPEN))], Question.ROLLBACK, _plain(1, OPEN), Match.REPEATED),
+        ([(Question.STATUS, _error(1))], Question.STATUS, _error(1), Match.ACCEPTED),
+        ([], Question.STATUS, Answer(AnswerKind.GREETING, Reply(), -1), Match.REPEATED),
+        ([], None, Answer(AnswerKind.GREETING, Reply(), 1), Match.UNCLEAR),
+    ],
+)
+def test_answer_is_taken_only_for_its_own_question(earlier, question, answer, expected):
+    """Guards against a repeated or foreign answer that is taken for that of another statement."""
+    assert _history(*earlier).match(question, answer) is expected
+
+
+def test_begin_like_an_earlier_one_is_not_relied_on():
+    """Guards against a statement that runs outside its transaction, as ``BEGIN`` was refused."""
+    begun, ended = (Question.BEGIN, _plain(1, OPEN)), (Question.SIGNED, _signed(2))
+    assert _history(begun, ended).match(*begun) is Match.UNCLEAR
+    assert _history(begun, ended).match(Question.BEGIN, _plain(3, OPEN)) is Match.ACCEPTED
+
+
+def test_error_after_a_repetition_is_not_relied_on():
+    """Guards against "not run" for a statement that runs, as the error answers another one."""
+    history = _history((Question.SIGNED, _signed(1)), (Question.SIGNED, _signed(1)))
+    assert history.match(Question.SIGNED, _error(2)) is Match.UNCLEAR
+
+
+def test_connection_ends_after_a_repetition_or_an_error_behind_an_unproven_step():
+    """Guards against a connection that is used again while an answer may still arrive on it."""
+    step = (Question.CONTEXT, _plain(1))
+    assert not _history(step, (Question.SIGNED, _signed(2)), step).must_end
+    assert not _history(step, (Question.SIGNED, _error(2))).must_end
+    assert _history(step, step, (Question.SIGNED, _error(2))).must_end
+    assert _history((Question.SIGNED, _signed(1)), (None, _signed(1))).must_end
+
+
+def test_memory_of_a_connection_is_bounded():
+    """Guards against a connection that remembers answers without end."""
+    history = _history(*((Question.SIGNED, _signed(n)) for n in range(MAX_ANSWERS)))
+    assert history.must_end
--- a/tests/platform/test_fuzz.py
+++ b/tests/platform/test_fuzz.py
@@ -44,11 +44,11 @@
 @given(st.lists(_LINES, max_size=5))
 def test_databases_cannot_break_the_parser(lines):
     """Guards against an unexpected error on bad answers of a database."""
-    builder = wire.ReplyBuilder()
+    builder = wire.AnswerBuilder()
     with contextlib.suppress(wire.ProtocolError):
         for line in lines:
-            reply = builder.add(line)
-            assert reply is None or isinstance(reply, Reply)
+            answer = builder.add(line)
+            assert answer is None or isinstance(answer.reply, Reply)
 
 
 @given(st.sampled_from(sorted(heartbeat_fields())), _JSON)
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -16,10 +16,10 @@
 
 
 def _reply(*lines: bytes) -> Reply:
-    builder = wire.ReplyBuilder()
+    builder = wire.AnswerBuilder()
     for line in lines[:-1]:
         assert builder.add(line) is None
-    return builder.add(lines[-1])
+    return builder.add(lines[-1]).reply
 
 
 @pytest.mark.parametrize(
@@ -75,6 +75,35 @@
     assert reply == Reply(("a b", "c"), "sig.1", None, SessionState.IDLE, position(7, term=3))
 
 
+@pytest.mark.parametrize(
+    "lines",
+    [
+        (b"COMPLETE s\r\n", b"ROW a\r\n"),
+        (b"COMPLETE s\r\n", b"COMPLETE s\r\n"),
+        (b"COMPLETE s\r\n", b"ERROR BUSY x\r\n"),
+        (b"ROW a\r\n", b"READY I 3.7\r\n"),
+    ],
+)
+def test_messages_out_of_order_are_refused(lines):
+    """Guards against an answer that is put together from parts of two."""
+    with pytest.raises(wire.ProtocolError):
+        _reply(*lines)
+
+
+def test_answers_are_told_apart_by_signature_or_content():
+    """Guards against a repeated answer that looks new, and against the reverse."""
+
+    def digest(*lines: bytes) -> int:
+        builder = wire.AnswerBuilder()
+        return [builder.add(line) for line in lines][-1].digest
+
+    signed = digest(b"ROW a\r\n", b"COMPLETE s1\r\n", b"READY I 3.7\r\n")
+    assert signed == digest(b"COMPLETE s1\r\n", b"READY T 3.8\r\n")
+    plain = digest(b"COMPLETE -\r\n", b"READY I 3.7\r\n")
+    assert plain == digest(b"COMPLETE -\r\n", b"READY I 3.7\r\n")
+    assert plain != digest(b"COMPLETE -\r\n", b"READY I 3.8\r\n")
+
+
 def test_error_keeps_its_code_and_state():
     """Guards against a database error that is reported with another code or session state."""
     reply = _reply(b"ERROR READONLY i-7f\r\n", b"READY E 3.7\r\n")
