--- a/hibiscuspoint/platform/answer_stream.py
+++ b/hibiscuspoint/platform/answer_stream.py
@@ -62,7 +62,7 @@
         return self._is_open
 
     @property
-    def is_repeatable(self) -> bool:
+    def is_unproven(self) -> bool:
         """Tell whether the last accepted answer may repeat an earlier one."""
         return self._history.is_unproven
 
--- a/hibiscuspoint/platform/database.py
+++ b/hibiscuspoint/platform/database.py
@@ -111,7 +111,7 @@
 
     async def _run_status_command(self, text: str, timeout: float) -> StatusAnswer:
         reply = await self._ask_internal(Question.STATUS, text, timeout)
-        is_new = not self._stream.is_repeatable
+        is_new = not self._stream.is_unproven
         if reply.error is not None or not reply.rows:
             return StatusAnswer(None, is_new)
         try:
