Number the requests on a lent connection

Callers saw: a reply that comes twice on the stream of a lent connection was taken for the answer to the next statement, with its signature; a COMMIT was acknowledged by the reply to the WRITE before it.

Cause: the borrower took whatever reply came next on the stream.

Change: each request carries a number, which the holder repeats; another number ends the stream, and the statement counts as sent (the holder, not the target, is blamed). The request for the connection is numbered as well: its reply tells whether the holder is of an earlier version, whose replies carry no number for the whole stream. A second request while one is in progress is refused as not sent. A stream stays open only after a whole answer, whatever the error.

--- a/hibiscuspoint/components/sessions/borrowing.py
+++ b/hibiscuspoint/components/sessions/borrowing.py
@@ -78,6 +78,10 @@
 ANSWER_MARGIN_SECONDS = 0.1
 
 
+#: Number of the request for a connection, the first one on its stream.
+FIRST_NUMBER = 1
+
+
 _T = TypeVar("_T")
 
 
@@ -413,7 +417,9 @@
         call = stub.Borrow()
         try:
             request = peer_pb2.BorrowRequest(
-                connection=wanted.request, remaining_ms=int(wait * MILLISECONDS_PER_SECOND)
+                connection=wanted.request,
+                remaining_ms=int(wait * MILLISECONDS_PER_SECOND),
+                number=FIRST_NUMBER,
             )
             started = self._clock.monotonic()
             async with asyncio.timeout(min(HOLDER_TIMEOUT_SECONDS, remaining)):
@@ -434,8 +440,7 @@
         if reply.HasField("lost"):
             call.cancel()
             raise _refusal_of(reply.lost)
-        report = holder_report(reply.load)
-        return HeldConnection(holder, call, self._ranking, self._clock, wanted.request, report)
+        return HeldConnection(holder, call, self._ranking, self._clock, wanted.request, reply)
 
     def _record_round_trip(self, holder: InstanceId, started: float) -> None:
         """Record the way to a holder, which takes a request at once."""
@@ -446,7 +451,11 @@
 
 
 class HeldConnection:
-    """A connection that a holder lends to one session; see ``BorrowedConnection``."""
+    """A connection that a holder lends to one session; see ``BorrowedConnection``.
+
+    :param lent: reply with which the holder lends it. A holder of an earlier version, which runs
+        during an upgrade, does not number this one, nor any later one.
+    """
 
     def __init__(
         self,
@@ -455,16 +464,18 @@
         ranking: HolderRanking,
         clock: Clock,
         wanted: peer_pb2.ConnectionRequest,
-        report: HolderReport,
+        lent: peer_pb2.BorrowReply,
     ) -> None:
         self._call = call
         self._ranking = ranking
         self._clock = clock
         self._is_open = True
+        self._is_numbered = lent.number == FIRST_NUMBER
+        self._last_number = FIRST_NUMBER
         self.holder = holder
         self._use = (holder, wanted.target, wanted.organisation)
         ranking.record_borrow(*self._use)
-        self.report = report
+        self.report = holder_report(lent.load)
 
     async def run(
         self,
@@ -497,33 +508,46 @@
     def give_back(self) -> None:
         """End the use of the connection."""
         self._ranking.record_return(*self._use)
-        if self._is_open:
-            self._is_open = False
-            spawn(_finish(self._call), f"end of a connection held by {self.holder}")
+        if not self._is_open:
+            self._call.cancel()
+            return
+        self._is_open = False
+        spawn(_finish(self._call), f"end of a connection held by {self.holder}")
 
     async def _exchange(self, request: peer_pb2.BorrowRequest, timeout: float) -> Reply:
+        """Send a request and return its answer; the stream stays open only with a whole one."""
         request.remaining_ms = int(timeout * MILLISECONDS_PER_SECOND)
+        request.number = self._last_number = self._last_number + 1
+        if not self._is_open:
+            raise ConnectionLost("the lent connection is closed or in use", sent=False)
+        # It is open again with the answer, as another request would get that of this one.
+        self._is_open = False
         try:
             async with asyncio.timeout(timeout + ANSWER_MARGIN_SECONDS):
                 await self._call.write(request)
                 reply = await self._call.read()
             if reply is grpc.aio.EOF:
                 raise await _failure_of(self._call)
-            if not reply.HasField("lost"):
-                return reply_from(reply)
-        except asyncio.CancelledError:
-            self.close()
-            raise
+            # A message that cannot be decoded is read as ``None``.
+            if reply is None or reply.number != (request.number if self._is_numbered else 0):
+                raise self._lose("the reply belongs to no request")
+            if reply.HasField("lost"):
+                raise error_of(reply.lost)
+            answer = reply_from(reply)
+            self._is_open = True
         except (TimeoutError, grpc.aio.AioRpcError, asyncio.InvalidStateError) as error:
-            self.close()
-            self._ranking.record_failure(self.holder, self._clock.monotonic())
-            message = f"holder {self.holder} did not answer: {_describe(error)}"
-            raise HolderLost(message, sent=True) from error
+            raise self._lose(_describe(error)) from error
         except ValueError as error:
-            self.close()
-            raise ConnectionLost(f"holder {self.holder}: {error}", sent=True) from error
-        self.close()
-        raise error_of(reply.lost)
+            raise self._lose(str(error)) from error
+        finally:
+            if not self._is_open:
+                self.close()
+        return answer
+
+    def _lose(self, reason: str) -> HolderLost:
+        """Record that the holder does not answer and return the error."""
+        self._ranking.record_failure(self.holder, self._clock.monotonic())
+        return HolderLost(f"holder {self.holder} did not answer: {reason}", sent=True)
 
 
 def _refusal_of(lost: peer_pb2.BorrowFailure) -> ConnectError:
--- a/hibiscuspoint/components/sessions/lending.py
+++ b/hibiscuspoint/components/sessions/lending.py
@@ -67,13 +67,15 @@
             await context.write(refusal_message(error))
             return
         is_idle = True
-        target = TargetId(request.connection.target)
-        load = self._access.target_load(GroupId(request.connection.group), target)
         try:
-            await context.write(peer_pb2.BorrowReply(state=SessionState.IDLE.value, load=load))
+            target = TargetId(request.connection.target)
+            load = self._access.target_load(GroupId(request.connection.group), target)
+            idle = SessionState.IDLE.value
+            await context.write(peer_pb2.BorrowReply(state=idle, load=load, number=request.number))
             while (request := await context.read()) is not grpc.aio.EOF:
                 is_idle = False
                 reply = await self._answer(target, pooled, request)
+                reply.number = request.number
                 is_idle = reply.state == SessionState.IDLE.value
                 is_lost = reply.HasField("lost")
                 if is_lost:
--- a/tests/components/sessions/test_borrowing.py
+++ b/tests/components/sessions/test_borrowing.py
@@ -92,15 +92,16 @@
 
 
 @asynccontextmanager
-async def _borrowers(silent: int = 0):
+async def _borrowers(silent: int = 0, lend: type[ConnectionLending] = ConnectionLending):
     """Yield an entry, the holder behind it and the gRPC server of the holder.
 
     :param silent: holders before the one that answers that do not answer at all.
+    :param lend: lends the connections of the holder.
     """
     holder = SessionHarness()
     server = grpc.aio.server()
     clock = _SuspendedClock()
-    lending = ConnectionLending(holder.access, clock)
+    lending = lend(holder.access, clock)
     ticker = asyncio.create_task(_tick_forever(lending, clock))
     peer_pb2_grpc.add_ConnectionsServicer_to_server(lending, server)
     port = server.add_insecure_port("127.0.0.1:0")
--- /dev/null
+++ b/tests/components/sessions/test_lending.py
@@ -0,0 +1,107 @@
+"""What ties the answers of a lent connection to its statements."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from hibiscuspoint.core.sessions import ConnectionDemand, Failure, SessionContext
+from hibiscuspoint.drivers.errors import ConnectionLost
+from tests.builders_failover import GROUP, PRIMARY
+from tests.components.sessions.harness import statement
+from tests.components.sessions.lending import EarlierLending, RepeatingLending
+from tests.components.sessions.test_borrowing import _borrowers, _idle, _primary, _until
+
+TRANSACTION = ("BEGIN", "WRITE x 1", "WRITE y 1", "COMMIT")
+
+
+async def _borrow(entry):
+    demand = ConnectionDemand(entry.clock.monotonic() + 1)
+    return await entry.access.borrow(GROUP, _primary(entry), demand)
+
+
+async def _run(entry, connection, text: str):
+    deadline = entry.clock.monotonic() + 1
+    return await connection.run(statement(text), SessionContext(), deadline)
+
+
+def _failures(replies) -> list[Failure | None]:
+    return [reply.error.failure if reply.error is not None else None for reply in replies]
+
+
+def _log(holder) -> list[str]:
+    return [text for text, _ in holder.targets[PRIMARY].log]
+
+
+@pytest.mark.parametrize(
+    ("repeated", "last", "failure"),
+    [(2, 2, Failure.ABORTED), (3, 3, Failure.ABORTED), (4, 4, Failure.IN_DOUBT)],
+)
+def test_reply_that_comes_twice_is_not_taken_for_the_next_one(repeated, last, failure):
+    """Guards against a statement that gets the signature of the one before it."""
+
+    async def scenario():
+        lend = type("Lending", (RepeatingLending,), {"repeated": repeated})
+        async with _borrowers(lend=lend) as (entry, holder, _):
+            replies = await entry.run(entry.session(), *TRANSACTION[:last])
+            assert _failures(replies) == [None] * (last - 1) + [failure]
+            assert entry.access.counts(PRIMARY).timeouts == 0
+            (connection,) = holder.targets[PRIMARY].connections
+            await _until(lambda: _idle(holder) == connection.is_open == (last == len(TRANSACTION)))
+
+    asyncio.run(scenario())
+
+
+def test_holder_of_an_earlier_version_is_used():
+    """Guards against instances that cannot borrow from others while a deployment is upgraded."""
+
+    async def scenario():
+        async with _borrowers(lend=EarlierLending) as (entry, holder, _):
+            replies = await entry.run(entry.session(), *TRANSACTION, "WRITE z 1")
+            assert _failures(replies) == [None] * 5
+            assert _log(holder) == [*TRANSACTION, "WRITE z 1"]
+
+    asyncio.run(scenario())
+
+
+def test_one_request_is_in_progress_at_a_time():
+    """Guards against two requests on one stream, each of which could get the other's answer."""
+
+    async def scenario():
+        async with _borrowers() as (entry, holder, _):
+            holder.targets[PRIMARY].delay = 0.05
+            connection = await _borrow(entry)
+            first = asyncio.create_task(_run(entry, connection, "WRITE x 1"))
+            await asyncio.sleep(0.01)
+            with pytest.raises(ConnectionLost) as raised:
+                await _run(entry, connection, "WRITE y 1")
+            assert not raised.value.sent
+            assert (await first).error is None
+            assert _log(holder) == ["WRITE x 1"]
+            connection.give_back()
+            await _until(lambda: _idle(holder) == 1)
+
+    asyncio.run(scenario())
+
+
+def test_cancelled_request_ends_the_use():
+    """Guards against an answer to a cancelled statement that the next statement gets."""
+
+    async def scenario():
+        async with _borrowers() as (entry, holder, _):
+            holder.targets[PRIMARY].delay = 0.2
+            connection = await _borrow(entry)
+            task = asyncio.create_task(_run(entry, connection, "WRITE x 1"))
+            await asyncio.sleep(0.05)
+            task.cancel()
+            with pytest.raises(asyncio.CancelledError):
+                await task
+            with pytest.raises(ConnectionLost) as raised:
+                await _run(entry, connection, "WRITE y 1")
+            assert not raised.value.sent
+            connection.give_back()
+            await _until(lambda: not any(c.is_open for c in holder.targets[PRIMARY].connections))
+            assert _idle(holder) == 0
+
+    asyncio.run(scenario())
