Do not count statements as sent on connections that had ended

Callers saw: INDOUBT for a COMMIT or a single write whose connection, or the holder that lent it, had ended while the session was idle, although the statement never left the instance.

Cause: the driver learns of the end only by writing and then counts the statement as sent; a gRPC call that is done raises the same error as one that fails after the write.

Change: a connection that is known to have ended refuses the statement as not sent, at its own instance and at a holder; so does a stream that is done before the write. A commit is then ABORTED, which is true, as the target rolls back with the connection, and a single write is tried again.

Result: four cases of test_lending.py, which gave 'in doubt' or sent=True before; tests/components/ sessions pass.

--- a/hibiscuspoint/components/sessions/borrowing.py
+++ b/hibiscuspoint/components/sessions/borrowing.py
@@ -523,6 +523,8 @@
         # It is open again with the answer, as another request would get that of this one.
         self._is_open = False
         try:
+            if self._call.done():
+                raise self._lose("the stream had ended", sent=False)
             async with asyncio.timeout(timeout + ANSWER_MARGIN_SECONDS):
                 await self._call.write(request)
                 reply = await self._call.read()
@@ -530,24 +532,24 @@
                 raise await _failure_of(self._call)
             # A message that cannot be decoded is read as ``None``.
             if reply is None or reply.number != (request.number if self._is_numbered else 0):
-                raise self._lose("the reply belongs to no request")
+                raise self._lose("the reply belongs to no request", sent=True)
             if reply.HasField("lost"):
                 raise error_of(reply.lost)
             answer = reply_from(reply)
             self._is_open = True
         except (TimeoutError, grpc.aio.AioRpcError, asyncio.InvalidStateError) as error:
-            raise self._lose(_describe(error)) from error
+            raise self._lose(_describe(error), sent=True) from error
         except ValueError as error:
-            raise self._lose(str(error)) from error
+            raise self._lose(str(error), sent=True) from error
         finally:
             if not self._is_open:
                 self.close()
         return answer
 
-    def _lose(self, reason: str) -> HolderLost:
+    def _lose(self, reason: str, *, sent: bool) -> HolderLost:
         """Record that the holder does not answer and return the error."""
         self._ranking.record_failure(self.holder, self._clock.monotonic())
-        return HolderLost(f"holder {self.holder} did not answer: {reason}", sent=True)
+        return HolderLost(f"holder {self.holder} did not answer: {reason}", sent=sent)
 
 
 def _refusal_of(lost: peer_pb2.BorrowFailure) -> ConnectError:
--- a/hibiscuspoint/components/sessions/connection.py
+++ b/hibiscuspoint/components/sessions/connection.py
@@ -96,6 +96,7 @@
 
         :raises ConnectionLost: see ``BorrowedConnection``.
         """
+        self._require_open()
         try:
             await self._prepare(session, prepared_statement, deadline)
         except ConnectionLost as error:
@@ -110,6 +111,7 @@
 
     async def rollback(self, timeout: float) -> Reply:
         """Roll back the open transaction."""
+        self._require_open()
         return await self.connection.rollback(timeout)
 
     def close(self) -> None:
@@ -125,6 +127,14 @@
         """Return the connection to its pool."""
         self.release(self)
 
+    def _require_open(self) -> None:
+        """Refuse a statement whose connection ended while it was idle, also inside a transaction.
+
+        :raises ConnectionLost: the statement was not sent.
+        """
+        if not self.is_open:
+            raise ConnectionLost("the connection had ended", sent=False)
+
     async def _prepare(
         self, session: SessionContext, prepared_statement: PreparedStatement | None, deadline: float
     ) -> None:
--- a/tests/components/sessions/fakes.py
+++ b/tests/components/sessions/fakes.py
@@ -15,7 +15,7 @@
     StatementError,
     StatementKind,
 )
-from hibiscuspoint.drivers.errors import ConnectError, ConnectFailure
+from hibiscuspoint.drivers.errors import ConnectError, ConnectFailure, ConnectionLost
 from tests.builders_failover import position
 
 if TYPE_CHECKING:
@@ -93,6 +93,8 @@
 
     async def run(self, statement: Statement, *, timeout, name=None, after=None) -> Reply:
         """Run a statement of a caller."""
+        if not self.is_open:
+            raise ConnectionLost("the connection ended", sent=True)
         await asyncio.sleep(self._target.delay)
         if self._target.script:
             answer = self._target.script.popleft()
--- a/tests/components/sessions/test_lending.py
+++ b/tests/components/sessions/test_lending.py
@@ -85,6 +85,58 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("is_lent", [True, False])
+def test_commit_that_finds_its_connection_ended_is_aborted(is_lent):
+    """Guards against a commit that is in doubt, and so is not repeated, though it was not sent."""
+
+    async def scenario():
+        async with _borrowers() as (entry, holder, _):
+            user = entry if is_lent else holder
+            session = user.session()
+            await user.run(session, *TRANSACTION[:-1])
+            (connection,) = holder.targets[PRIMARY].connections
+            connection.is_open = False
+            replies = await user.run(session, "COMMIT", "BEGIN", "WRITE z 1", "COMMIT")
+            assert _failures(replies) == [Failure.ABORTED, None, None, None]
+            assert _log(holder) == [*TRANSACTION[:-1], "BEGIN", "WRITE z 1", "COMMIT"]
+
+    asyncio.run(scenario())
+
+
+def test_lent_connection_that_ends_before_its_use_runs_nothing():
+    """Guards against a statement that is in doubt though it was not sent."""
+
+    async def scenario():
+        async with _borrowers() as (entry, holder, _):
+            connection = await _borrow(entry)
+            holder.targets[PRIMARY].connections[0].is_open = False
+            with pytest.raises(ConnectionLost) as raised:
+                await _run(entry, connection, "WRITE x 1")
+            assert not raised.value.sent
+            connection.give_back()
+            await _until(lambda: holder.access.in_use(PRIMARY) == 0)
+            assert _idle(holder) == 0
+
+    asyncio.run(scenario())
+
+
+def test_commit_that_finds_its_holder_gone_is_aborted():
+    """Guards against a commit that is in doubt though its holder had ended before it."""
+
+    async def scenario():
+        async with _borrowers() as (entry, holder, server):
+            session = entry.session()
+            await entry.run(session, *TRANSACTION[:-1])
+            held = session._transaction.connection
+            await server.stop(0)
+            await _until(held._call.done)
+            (reply,) = await entry.run(session, "COMMIT")
+            assert reply.error.failure is Failure.ABORTED
+            assert _log(holder) == [*TRANSACTION[:-1]]
+
+    asyncio.run(scenario())
+
+
 def test_cancelled_request_ends_the_use():
     """Guards against an answer to a cancelled statement that the next statement gets."""
 
