Answer a statement whose channel is closed under it

Callers saw: a session that ended without an answer to its statement when this instance closed the channel to the holder, as it does 65 s after a renewal of certificates.

Cause: gRPC raises CancelledError from a call that was cancelled locally, though the task that waits was not cancelled; the statement and its session ended with it.

Change: without a cancellation of the task, the call counts as lost and the statement as sent.

Result: test_channel_that_is_closed_leaves_a_write_in_doubt, which ended with CancelledError before.

--- a/hibiscuspoint/components/sessions/borrowing.py
+++ b/hibiscuspoint/components/sessions/borrowing.py
@@ -523,28 +523,43 @@
         # It is open again with the answer, as another request would get that of this one.
         self._is_open = False
         try:
-            if self._call.done():
-                raise self._lose("the stream had ended", sent=False)
+            answer = self._read_answer(request.number, await self._send(request, timeout))
+            self._is_open = True
+        finally:
+            if not self._is_open:
+                self.close()
+        return answer
+
+    async def _send(
+        self, request: peer_pb2.BorrowRequest, timeout: float
+    ) -> peer_pb2.BorrowReply | None:
+        """Return the next reply; ``None`` for a message that cannot be decoded."""
+        if self._call.done():
+            raise self._lose("the stream had ended", sent=False)
+        try:
             async with asyncio.timeout(timeout + ANSWER_MARGIN_SECONDS):
                 await self._call.write(request)
                 reply = await self._call.read()
             if reply is grpc.aio.EOF:
                 raise await _failure_of(self._call)
-            # A message that cannot be decoded is read as ``None``.
-            if reply is None or reply.number != (request.number if self._is_numbered else 0):
-                raise self._lose("the reply belongs to no request", sent=True)
-            if reply.HasField("lost"):
-                raise error_of(reply.lost)
-            answer = reply_from(reply)
-            self._is_open = True
+        except asyncio.CancelledError as error:
+            if asyncio.current_task().cancelling():
+                raise
+            raise self._lose("the channel was closed", sent=True) from error
         except (TimeoutError, grpc.aio.AioRpcError, asyncio.InvalidStateError) as error:
             raise self._lose(_describe(error), sent=True) from error
+        return reply
+
+    def _read_answer(self, number: int, reply: peer_pb2.BorrowReply | None) -> Reply:
+        """Return the answer of a target that a reply contains."""
+        if reply is None or reply.number != (number if self._is_numbered else 0):
+            raise self._lose("the reply belongs to no request", sent=True)
+        if reply.HasField("lost"):
+            raise error_of(reply.lost)
+        try:
+            return reply_from(reply)
         except ValueError as error:
             raise self._lose(str(error), sent=True) from error
-        finally:
-            if not self._is_open:
-                self.close()
-        return answer
 
     def _lose(self, reason: str, *, sent: bool) -> HolderLost:
         """Record that the holder does not answer and return the error."""
--- a/tests/components/sessions/test_lending.py
+++ b/tests/components/sessions/test_lending.py
@@ -137,6 +137,26 @@
     asyncio.run(scenario())
 
 
+def test_channel_that_is_closed_leaves_a_write_in_doubt():
+    """Guards against a session that ends without an answer when certificates were renewed.
+
+    The channel with the earlier certificate is closed some time later, and cancels its calls.
+    """
+
+    async def scenario():
+        async with _borrowers() as (entry, holder, _):
+            session = entry.session()
+            await entry.run(session, *TRANSACTION[:-1])
+            holder.targets[PRIMARY].delay = 0.2
+            commit = asyncio.create_task(entry.run(session, "COMMIT"))
+            await asyncio.sleep(0.05)
+            await entry.access._borrowing._channels.close()
+            (reply,) = await commit
+            assert reply.error.failure is Failure.IN_DOUBT
+
+    asyncio.run(scenario())
+
+
 def test_cancelled_request_ends_the_use():
     """Guards against an answer to a cancelled statement that the next statement gets."""
 
