Pass unclear answers on to the borrower and blame no target for them

Callers would see: reads that avoid a healthy target, as each answer that its connection cannot tell from a repetition counts as a silent or failed one; through a holder it arrived as a lost connection.

Cause: AnswerUnclear is new; every lost connection with sent=True counted against its target.

Change: BorrowFailure.unclear carries it to the borrower; the balance of reads, also of those that run for other instances, and the load of a target do not count it. The decisions stay those of a sent statement without an answer: a read goes on to the next candidate and, after a pause, to the same ones, a transaction is aborted, a commit that wrote or a single write is in doubt, BEGIN is repeated.

--- a/hibiscuspoint/components/sessions/attempts.py
+++ b/hibiscuspoint/components/sessions/attempts.py
@@ -12,7 +12,7 @@
 from hibiscuspoint.components.sessions.borrowing import HeldRead
 from hibiscuspoint.core.balancing import ReadReason
 from hibiscuspoint.core.sessions import ConnectionDemand, Failure, SessionState
-from hibiscuspoint.drivers.errors import ConnectError, ConnectionLost
+from hibiscuspoint.drivers.errors import AnswerUnclear, ConnectError, ConnectionLost
 from hibiscuspoint.ids import NO_ORGANISATION
 
 if TYPE_CHECKING:
@@ -385,10 +385,15 @@
         self._access.load(target).record_failure(self._clock.monotonic())
 
     def record_failure(self, target: TargetId, error: Exception) -> None:
-        """Take a missing answer into account; the target comes last for a moment."""
+        """Take a missing answer into account; the target comes last for a moment.
+
+        An unclear answer says nothing about its target.
+        """
         self.trace.reason = str(error)
         seconds = error.retry_after_seconds if isinstance(error, ConnectError) else 0.0
         self._full_seconds = seconds or None
+        if isinstance(error, AnswerUnclear):
+            return
         if isinstance(error, ConnectionLost) and error.is_silent:
             self._access.counts(target).timeouts += 1
         self._access.load(target).record_failure(self._clock.monotonic())
--- a/hibiscuspoint/components/sessions/balancing.py
+++ b/hibiscuspoint/components/sessions/balancing.py
@@ -14,7 +14,7 @@
     RoundTripSource,
 )
 from hibiscuspoint.core.sessions import Failure
-from hibiscuspoint.drivers.errors import ConnectError, ConnectFailure, ConnectionLost
+from hibiscuspoint.drivers.errors import AnswerUnclear, ConnectError, ConnectFailure, ConnectionLost
 from hibiscuspoint.telemetry import catalogue, log_event
 from hibiscuspoint.wire import peer_pb2
 
@@ -222,6 +222,6 @@
 
 def _is_of_target(error: Exception) -> bool:
     """Tell whether a lost connection may be the fault of the target."""
-    if isinstance(error, HolderLost) or not isinstance(error, ConnectionLost):
+    if isinstance(error, HolderLost | AnswerUnclear) or not isinstance(error, ConnectionLost):
         return False
     return error.sent or error.is_silent
--- a/hibiscuspoint/components/sessions/borrow_messages.py
+++ b/hibiscuspoint/components/sessions/borrow_messages.py
@@ -16,7 +16,7 @@
     StatementError,
     StatementKind,
 )
-from hibiscuspoint.drivers.errors import AnswerTimeoutError, ConnectionLost
+from hibiscuspoint.drivers.errors import AnswerTimeoutError, AnswerUnclear, ConnectionLost
 from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
 from hibiscuspoint.wire import peer_pb2
 from hibiscuspoint.wire.position import position_from, position_message
@@ -139,7 +139,12 @@
 
 def lost_message(error: ConnectionLost) -> peer_pb2.BorrowReply:
     """Return the report that a connection was lost."""
-    lost = peer_pb2.BorrowFailure(text=str(error), sent=error.sent, silent=error.is_silent)
+    lost = peer_pb2.BorrowFailure(
+        text=str(error),
+        sent=error.sent,
+        silent=error.is_silent,
+        unclear=isinstance(error, AnswerUnclear),
+    )
     return peer_pb2.BorrowReply(lost=lost)
 
 
@@ -155,6 +160,8 @@
 
 def error_of(lost: peer_pb2.BorrowFailure) -> ConnectionLost:
     """Return the error with which a connection of this instance would have failed."""
+    if lost.unclear:
+        return AnswerUnclear(lost.text)
     if lost.sent and lost.silent:
         return AnswerTimeoutError()
     return ConnectionLost(lost.text, sent=lost.sent, is_silent=lost.silent)
