Count a message that cannot be decoded as a failed call

Callers saw: an instance that one malformed message from a control address detached for good: it stayed without routes until its restart. Introductions, watches of targets and the consensus stream to a peer ended the same way; an operator's call failed with an AttributeError.

Cause: gRPC for Python delivers None for a message that it cannot decode. The loops took that for a message, and the AttributeError ended their tasks.

Change: decoded() turns it into the error of a failed call, which all of them handle: the stream is opened again, an order may have run, an announcement is repeated.

Result: test_malformed_messages.py with a server whose answers cannot be decoded; before, the streams were not tried again within 5 s ('NoneType' object has no attribute 'redirect') and the operator's call returned None. tests/components and tests/drivers pass.

--- a/hibiscuspoint/components/attachment.py
+++ b/hibiscuspoint/components/attachment.py
@@ -12,6 +12,7 @@
 from hibiscuspoint.components.events import update_received
 from hibiscuspoint.core.leader_search import LeaderSearch
 from hibiscuspoint.telemetry import catalogue, log_event
+from hibiscuspoint.util.messages import decoded
 from hibiscuspoint.util.tasks import run_until_first, spawn
 from hibiscuspoint.wire import peer_pb2, peer_pb2_grpc
 
@@ -190,7 +191,7 @@
     async def _receive(self, call: grpc.aio.StreamStreamCall) -> None:
         loop = asyncio.get_running_loop()
         number = self._attempt_number
-        while (update := await call.read()) is not grpc.aio.EOF:
+        while (update := decoded(await call.read())) is not grpc.aio.EOF:
             if number != self._attempt_number:
                 # The stream was given up but did not end; its updates are those of another leader.
                 return
--- a/hibiscuspoint/components/consensus_link.py
+++ b/hibiscuspoint/components/consensus_link.py
@@ -8,6 +8,7 @@
 
 import grpc
 
+from hibiscuspoint.util.messages import decoded
 from hibiscuspoint.util.tasks import run_until_first
 from hibiscuspoint.wire.consensus_pb2_grpc import ConsensusStub
 from hibiscuspoint.wire.parts import split_envelope
@@ -129,7 +130,7 @@
         async for envelope in call:
             self._awaits_reply = False
             self._backoff_seconds = _BACKOFF_MIN_SECONDS
-            self._receive(envelope)
+            self._receive(decoded(envelope))
 
     async def _monitor_stream(self) -> None:
         silent_checks = 0
--- a/hibiscuspoint/components/forwarded.py
+++ b/hibiscuspoint/components/forwarded.py
@@ -9,6 +9,7 @@
 
 from hibiscuspoint.components.forwarding import forward_message, result_from_forward
 from hibiscuspoint.errors import HibiscusError, HolderLostError
+from hibiscuspoint.util.messages import decoded
 from hibiscuspoint.wire import caller_pb2, peer_pb2
 
 if TYPE_CHECKING:
@@ -87,7 +88,7 @@
             message.remaining_ms = opening.remaining_ms
         try:
             await self._call.write(message)
-            reply = await self._call.read()
+            reply = decoded(await self._call.read())
         except (grpc.aio.AioRpcError, asyncio.InvalidStateError):
             reply = grpc.aio.EOF
         if reply is grpc.aio.EOF:
--- a/hibiscuspoint/components/introductions.py
+++ b/hibiscuspoint/components/introductions.py
@@ -7,6 +7,7 @@
 
 import grpc
 
+from hibiscuspoint.util.messages import decoded
 from hibiscuspoint.util.tasks import spawn
 from hibiscuspoint.wire import peer_pb2_grpc
 
@@ -103,7 +104,8 @@
     async def _introduce(self, seed: str) -> None:
         stub = peer_pb2_grpc.ControlStub(self._channels.get(seed))
         try:
-            answer = await stub.Introduce(self._leader.introduction(), timeout=ANSWER_SECONDS)
+            known = self._leader.introduction()
+            answer = decoded(await stub.Introduce(known, timeout=ANSWER_SECONDS))
         except grpc.aio.AioRpcError:
             # The seed is down or cut off; it is asked again.
             return
--- a/hibiscuspoint/components/leader_client.py
+++ b/hibiscuspoint/components/leader_client.py
@@ -8,6 +8,7 @@
 import grpc
 
 from hibiscuspoint.errors import NotLeaderError
+from hibiscuspoint.util.messages import decoded
 from hibiscuspoint.verdict import Verdict
 from hibiscuspoint.wire import peer_pb2, peer_pb2_grpc
 
@@ -121,7 +122,7 @@
         for address in self._candidates():
             try:
                 stub = peer_pb2_grpc.ControlStub(self._channels.get(address))
-                reply = await stub.Announce(forwarded, timeout=ANNOUNCE_SECONDS)
+                reply = decoded(await stub.Announce(forwarded, timeout=ANNOUNCE_SECONDS))
             except grpc.aio.AioRpcError:
                 self._failed(address)
                 continue
@@ -146,7 +147,7 @@
                 continue
             try:
                 stub = peer_pb2_grpc.OperatorStub(self._channels.get(address))
-                return await getattr(stub, method)(forwarded, timeout=timeout)
+                return decoded(await getattr(stub, method)(forwarded, timeout=timeout))
             except grpc.aio.AioRpcError as error:
                 self._failed(address)
                 raise NotLeaderError(
--- a/hibiscuspoint/components/router.py
+++ b/hibiscuspoint/components/router.py
@@ -15,6 +15,7 @@
     HolderLostError,
     NoHolderError,
 )
+from hibiscuspoint.util.messages import decoded
 from hibiscuspoint.verdict import Verdict
 from hibiscuspoint.wire import peer_pb2_grpc
 
@@ -137,7 +138,7 @@
         stub = await self.connect(address, remaining)
         message = forward_message(request, self._clock.monotonic())
         try:
-            reply = await stub.Forward(message, timeout=remaining + REPLY_GRACE_SECONDS)
+            reply = decoded(await stub.Forward(message, timeout=remaining + REPLY_GRACE_SECONDS))
         except grpc.aio.AioRpcError as error:
             if error.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
                 raise DeadlineError("the holder did not answer before the deadline") from None
--- a/hibiscuspoint/components/sessions/borrowing.py
+++ b/hibiscuspoint/components/sessions/borrowing.py
@@ -28,6 +28,7 @@
 )
 from hibiscuspoint.ids import InstanceId
 from hibiscuspoint.telemetry import catalogue, log_event
+from hibiscuspoint.util.messages import decoded
 from hibiscuspoint.util.tasks import spawn
 from hibiscuspoint.util.units import MICROSECONDS_PER_SECOND, MILLISECONDS_PER_SECOND
 from hibiscuspoint.wire import peer_pb2, peer_pb2_grpc
@@ -399,7 +400,7 @@
         """
         try:
             async with asyncio.timeout(seconds + ANSWER_MARGIN_SECONDS):
-                reply = await call.read()
+                reply = decoded(await call.read())
         except TimeoutError:
             raise AnswerTimeoutError from None
         if reply is grpc.aio.EOF:
@@ -427,7 +428,7 @@
                 await call.initial_metadata()
             self._record_round_trip(holder, started)
             async with asyncio.timeout(wait + ANSWER_MARGIN_SECONDS):
-                reply = await call.read()
+                reply = decoded(await call.read())
         except asyncio.InvalidStateError:
             # The call ended before the request was written.
             raise await _failure_of(call) from None
@@ -530,16 +531,14 @@
                 self.close()
         return answer
 
-    async def _send(
-        self, request: peer_pb2.BorrowRequest, timeout: float
-    ) -> peer_pb2.BorrowReply | None:
-        """Return the next reply; ``None`` for a message that cannot be decoded."""
+    async def _send(self, request: peer_pb2.BorrowRequest, timeout: float) -> peer_pb2.BorrowReply:
+        """Send a request and return the next reply."""
         if self._call.done():
             raise self._lose("the stream had ended", sent=False)
         try:
             async with asyncio.timeout(timeout + ANSWER_MARGIN_SECONDS):
                 await self._call.write(request)
-                reply = await self._call.read()
+                reply = decoded(await self._call.read())
             if reply is grpc.aio.EOF:
                 raise await _failure_of(self._call)
         except asyncio.CancelledError as error:
@@ -550,9 +549,9 @@
             raise self._lose(_describe(error), sent=True) from error
         return reply
 
-    def _read_answer(self, number: int, reply: peer_pb2.BorrowReply | None) -> Reply:
+    def _read_answer(self, number: int, reply: peer_pb2.BorrowReply) -> Reply:
         """Return the answer of a target that a reply contains."""
-        if reply is None or reply.number != (number if self._is_numbered else 0):
+        if reply.number != (number if self._is_numbered else 0):
             raise self._lose("the reply belongs to no request", sent=True)
         if reply.HasField("lost"):
             raise error_of(reply.lost)
--- a/hibiscuspoint/drivers/admin.py
+++ b/hibiscuspoint/drivers/admin.py
@@ -9,6 +9,7 @@
 
 from hibiscuspoint.drivers.errors import AdminError
 from hibiscuspoint.security import open_secured_channel
+from hibiscuspoint.util.messages import decoded
 from hibiscuspoint.wire import target_pb2, target_pb2_grpc
 
 if TYPE_CHECKING:
@@ -100,7 +101,7 @@
         channel = self._channel(address)
         stub = target_pb2_grpc.TargetStub(channel)
         try:
-            return await getattr(stub, method)(request, timeout=timeout)
+            return decoded(await getattr(stub, method)(request, timeout=timeout))
         except grpc.aio.AioRpcError as error:
             self._discard_channel(address, channel)
             raise AdminError(
--- a/hibiscuspoint/drivers/connection.py
+++ b/hibiscuspoint/drivers/connection.py
@@ -10,6 +10,7 @@
 from hibiscuspoint.drivers.answer import AnswerError, AnswerParts
 from hibiscuspoint.drivers.errors import ConnectionLost, TargetFailure
 from hibiscuspoint.drivers.liveness import LivenessTimer
+from hibiscuspoint.util.messages import decoded
 from hibiscuspoint.wire import target_pb2
 
 if TYPE_CHECKING:
@@ -125,7 +126,7 @@
     async def _read(self) -> None:
         try:
             while True:
-                reply = await self._call.read()
+                reply = decoded(await self._call.read())
                 if reply is grpc.aio.EOF:
                     self._fail("the target closed the connection")
                     return
--- a/hibiscuspoint/drivers/watch.py
+++ b/hibiscuspoint/drivers/watch.py
@@ -10,6 +10,7 @@
 import grpc
 
 from hibiscuspoint.security import open_secured_channel
+from hibiscuspoint.util.messages import decoded
 from hibiscuspoint.util.tasks import run_until_first
 from hibiscuspoint.wire import target_pb2, target_pb2_grpc
 
@@ -109,7 +110,7 @@
 
     async def _receive(self, call: grpc.aio.StreamStreamCall) -> None:
         loop = asyncio.get_running_loop()
-        while (progress := await call.read()) is not grpc.aio.EOF:
+        while (progress := decoded(await call.read())) is not grpc.aio.EOF:
             self._last_message_at = loop.time()
             self._is_connected = True
             if progress.sample_id >= FIRST_KEEPALIVE_SAMPLE_ID:
