Take only success as the acceptance of a promotion

Callers saw: nothing yet; found by reading. A promotion that something answered with a redirect was waited for, and repeated after 1.0 s instead of 0.3 s.

Cause: every status below 400 counted as accepted.

Change: only 200 to 299 does.

Result: test_authority.py; the case with 307 returned ACCEPTED before. The cases with a cut-off answer and with an answer of another protocol passed as they were.

--- a/hibiscuspoint/platform/authority.py
+++ b/hibiscuspoint/platform/authority.py
@@ -68,7 +68,7 @@
             return PromotionOutcome.UNKNOWN
         if status == HTTPStatus.CONFLICT:
             return PromotionOutcome.REFUSED
-        if status < HTTPStatus.BAD_REQUEST:
+        if HTTPStatus.OK <= status < HTTPStatus.MULTIPLE_CHOICES:
             return PromotionOutcome.ACCEPTED
         logger.warning("promotion request failed with HTTP status %d", status)
         return PromotionOutcome.UNKNOWN
