End a message with its first CR LF alone

Callers saw that `WRITE item x\r` ran as `WRITE item x`, that a session with `v=ly\r` ran under `v=ly`, and that a text was cut at a bare LF.

Cause: messages were read up to LF, and every CR and LF at the end was removed as a set of characters. Now a message is read up to CR LF, and exactly these two bytes are removed; anything else that is no whole message is refused. The limit of the reader counts without the end, so that messages of 1 MiB pass and longer ones end the connection; one byte more passed before. A caller that leaves in the middle of a message gets no answer to it.

--- a/hibiscuspoint/platform/frontend.py
+++ b/hibiscuspoint/platform/frontend.py
@@ -55,7 +55,7 @@
         :raises OSError: the address is in use.
         """
         self._server = await asyncio.start_server(
-            self._serve, self._host, self._port, limit=wire.LINE_BYTES, backlog=LISTEN_BACKLOG
+            self._serve, self._host, self._port, limit=wire.TEXT_BYTES, backlog=LISTEN_BACKLOG
         )
 
     def close_when_idle(self) -> None:
@@ -107,7 +107,13 @@
             connection.close_when_idle()
         try:
             await connection.run()
-        except (OSError, ValueError, TimeoutError, wire.ProtocolError) as error:
+        except (
+            OSError,
+            ValueError,
+            TimeoutError,
+            asyncio.LimitOverrunError,
+            wire.ProtocolError,
+        ) as error:
             logger.debug("closing a caller connection after an error: %r", error)
         finally:
             self._connections.discard(connection)
@@ -156,7 +162,7 @@
     async def _open(self) -> Session | None:
         """Open the session; the key does not outlive this call."""
         async with asyncio.timeout(STARTUP_TIMEOUT_SECONDS):
-            line = await self._reader.readline()
+            line = await self._read_message()
         if not line:
             return None
         startup = wire.parse_startup(line)
@@ -201,7 +207,7 @@
 
     async def _serve_statements(self) -> None:
         while not self._is_finished():
-            line = await self._read_line()
+            line = await self._read_statement()
             if not line:
                 return
             self._is_busy = True
@@ -217,11 +223,21 @@
             return True
         return self._is_leaving and self._is_idle()
 
-    async def _read_line(self) -> bytes:
-        """Return the next line; empty at the end of the connection or of the session."""
+    async def _read_message(self) -> bytes:
+        """Return the next message; empty at the end of the connection, also in mid-message.
+
+        :raises asyncio.LimitOverrunError: the message is too long.
+        """
+        try:
+            return await self._reader.readuntil(wire.MESSAGE_END)
+        except asyncio.IncompleteReadError:
+            return b""
+
+    async def _read_statement(self) -> bytes:
+        """Return the next message; empty at the end of the connection or of the session."""
         state = self._session.state
         if state is SessionState.IDLE:
-            return await self._reader.readline()
+            return await self._read_message()
         is_open = state is SessionState.IN_TRANSACTION
         line = await self._read_line_within(
             self._service.transaction_idle_seconds if is_open else None
@@ -237,7 +253,7 @@
         """Return the next line, or ``None`` when the limit passes or the session ends before."""
         try:
             async with asyncio.timeout(seconds) as self._wait_limit:
-                return await self._reader.readline()
+                return await self._read_message()
         except TimeoutError:
             pass
         finally:
@@ -248,7 +264,7 @@
         """Return a line that has already arrived, if any."""
         try:
             async with asyncio.timeout(0):
-                return await self._reader.readline()
+                return await self._read_message()
         except TimeoutError:
             return None
 
--- a/hibiscuspoint/platform/wire.py
+++ b/hibiscuspoint/platform/wire.py
@@ -25,6 +25,7 @@
     "INTERNAL_REQUEST_ID",
     "LINE_BYTES",
     "MESSAGE_END",
+    "TEXT_BYTES",
     "AnswerBuilder",
     "ProtocolError",
     "Startup",
@@ -43,11 +44,14 @@
     "parse_statement",
 ]
 
+#: End of a message. A CR or an LF that is not part of it belongs to the text of the message.
+MESSAGE_END = b"\r\n"
+
 #: Maximum length of a message in bytes, as the protocol specifies it.
 LINE_BYTES = 1_048_576
 
-#: End of each message.
-MESSAGE_END = b"\r\n"
+#: Maximum length of a message without its end; the limit of a stream reader counts in this way.
+TEXT_BYTES = LINE_BYTES - len(MESSAGE_END)
 
 #: Largest term and number of a log position; messages between instances hold it.
 MAX_NUMBER = 2**63 - 1
@@ -320,9 +324,11 @@
 
 
 def _decode_line(line: bytes) -> str:
-    if not line.endswith(b"\n"):
-        raise ProtocolError("the message has no end")
+    """Return the text of a message, which ends with the first ``MESSAGE_END``."""
+    end = line.find(MESSAGE_END)
+    if end < 0 or end + len(MESSAGE_END) != len(line):
+        raise ProtocolError("the message has no end, or more than one")
     try:
-        return line.rstrip(b"\r\n").decode()
+        return line[:end].decode()
     except UnicodeDecodeError:
         raise ProtocolError("the message is not UTF-8") from None
--- a/tests/platform/test_frontend.py
+++ b/tests/platform/test_frontend.py
@@ -9,6 +9,7 @@
 
 from hibiscuspoint.core.sessions import Reply, SessionState, StatementKind
 from hibiscuspoint.load.ports import PortAllocator
+from hibiscuspoint.platform import wire
 from hibiscuspoint.platform.frontend import Frontend
 
 
@@ -29,6 +30,7 @@
     def __init__(self) -> None:
         self.transaction_idle_seconds = 3.0
         self.executed: list[str] = []
+        self.texts: list[str] = []
         #: What happened, in its order.
         self.events: list[str] = []
         self.may_answer = asyncio.Event()
@@ -45,6 +47,7 @@
     async def execute(self, session: _Session, statement) -> Reply:
         """Answer a statement."""
         self.executed.append(statement.request_id)
+        self.texts.append(statement.text)
         self.events.append(statement.request_id)
         if statement.kind is StatementKind.BEGIN:
             session.state = SessionState.IN_TRANSACTION
@@ -130,6 +133,42 @@
     assert asyncio.run(scenario()) == (b"", [])
 
 
+@pytest.mark.parametrize(
+    "text", ["WRITE item x\r", "WRITE item x\r\r", "WRITE item x\ny", "READ \n"]
+)
+def test_text_ends_with_cr_lf_alone(text):
+    """Guards against a statement that runs with its text cut short."""
+
+    async def scenario():
+        async with serving() as (_, service, reader, writer):
+            writer.write(f"QUERY q1 {text}\r\nQUERY q2 {text}\r\nTERMINATE\r\n".encode())
+            async with asyncio.timeout(5.0):
+                await reader.read()
+            return service.texts
+
+    assert asyncio.run(scenario()) == [text, text]
+
+
+@pytest.mark.parametrize(("excess", "runs"), [(0, 1), (1, 0)])
+def test_message_is_at_most_a_mebibyte(excess, runs):
+    """Guards against a message that is refused or cut though the protocol allows its length."""
+    start, end = b"QUERY q1 WRITE item ", wire.MESSAGE_END
+    message = start + b"x" * (wire.LINE_BYTES + excess - len(start + end)) + end
+
+    async def scenario():
+        async with serving() as (_, service, reader, writer):
+            # Sent in parts, so that the end arrives alone.
+            writer.write(message[:-1])
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            writer.write(message[-1:] + b"TERMINATE" + end)
+            async with asyncio.timeout(5.0):
+                await _read_to_end(reader)
+            return service.texts
+
+    assert asyncio.run(scenario()) == [message[9:-2].decode()] * runs
+
+
 async def _begin(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     """Open a transaction and read the whole answer."""
     writer.write(b"QUERY q1 BEGIN\r\n")
