Tell an empty last field from none

Databases got `EXECUTE s1` for `EXECUTE s1 ` and `SET v ` for `SET v`, and two sessions with these values were taken for equal. `PREPARE s READ ` was refused.

Cause: statements were rebuilt from their parsed fields. Now an EXECUTE gets the name at the connection in place, by slicing the text of the caller, a value without a field is None in sessions, connections and messages between instances (`bare_values`), and a prepared shape may be empty. The name in DEALLOC extends to the end of the message, as the last field of every message does.

Result: test_executed_statement_changes_only_its_name printed b'QUERY \r EXECUTE s9\r\n' == b'QUERY \r EXECUTE s9 \r\n' and "unknown statement" for an empty shape; test_value_is_set_as_the_caller_wrote_it printed b'QUERY - SET \t \r\n' == b'QUERY - SET \t\r\n'.

--- a/hibiscuspoint/components/sessions/borrow_messages.py
+++ b/hibiscuspoint/components/sessions/borrow_messages.py
@@ -34,9 +34,27 @@
     "reply_message",
     "statement_from",
     "statement_message",
+    "values_from",
+    "values_of",
 ]
 
 
+def values_of(session: SessionContext) -> dict[str, object]:
+    """Return the values of a session as fields of a message."""
+    values = session.values
+    return {
+        "values": {name: value for name, value in values.items() if value is not None},
+        "bare_values": [name for name, value in values.items() if value is None],
+    }
+
+
+def values_from(
+    message: peer_pb2.ConnectionRequest | peer_pb2.StatementRequest,
+) -> dict[str, str | None]:
+    """Return the values of the session in a message."""
+    return {**message.values, **dict.fromkeys(message.bare_values)}
+
+
 def statement_message(
     statement: Statement,
     session: SessionContext,
@@ -50,7 +68,7 @@
         text=statement.text,
         operand=statement.operand,
         writes=statement.writes,
-        values=session.values,
+        **values_of(session),
     )
     if prepared_statement is not None:
         message.prepared.CopyFrom(
@@ -101,7 +119,7 @@
     )
     return BorrowedStatement(
         statement,
-        SessionContext(values=dict(message.values)),
+        SessionContext(values=values_from(message)),
         PreparedStatement(prepared.writes, prepared.text) if message.HasField("prepared") else None,
         position_from(message.after) if message.HasField("after") else None,
     )
--- a/hibiscuspoint/components/sessions/borrowing.py
+++ b/hibiscuspoint/components/sessions/borrowing.py
@@ -15,6 +15,7 @@
     error_of,
     reply_from,
     statement_message,
+    values_of,
 )
 from hibiscuspoint.components.sessions.wait_records import WaitRecords
 from hibiscuspoint.core.balancing import RoundTripSource
@@ -323,7 +324,7 @@
             group=group,
             target=target,
             priority=demand.priority,
-            values=demand.session.values,
+            **values_of(demand.session),
             patience_ms=int(min(patience, MAX_EXPECTED_WAIT_SECONDS) * MILLISECONDS_PER_SECOND),
             organisation=organisation,
             objective_ms=_objective_ms(demand, started),
--- a/hibiscuspoint/components/sessions/lending.py
+++ b/hibiscuspoint/components/sessions/lending.py
@@ -12,6 +12,7 @@
     refusal_message,
     reply_message,
     statement_from,
+    values_from,
 )
 from hibiscuspoint.core.sessions import (
     ConnectionDemand,
@@ -129,7 +130,7 @@
             self._clock.monotonic() + seconds,
             wanted.priority,
             wanted.patience_ms / MILLISECONDS_PER_SECOND,
-            SessionContext(values=dict(wanted.values)),
+            SessionContext(values=values_from(wanted)),
             OrganisationId(wanted.organisation),
             objective_at,
             wanted.expected_ms / MILLISECONDS_PER_SECOND,
--- a/hibiscuspoint/core/ports.py
+++ b/hibiscuspoint/core/ports.py
@@ -98,8 +98,8 @@
     async def reset(self, timeout: float) -> Reply:
         """Clear session values and prepared statements."""
 
-    async def set_value(self, name: str, value: str, timeout: float) -> Reply:
-        """Set a session value."""
+    async def set_value(self, name: str, value: str | None, timeout: float) -> Reply:
+        """Set a session value; ``None`` for one without a field."""
 
     async def prepare(
         self, name: str, prepared_statement: PreparedStatement, timeout: float
--- a/hibiscuspoint/core/sessions/context.py
+++ b/hibiscuspoint/core/sessions/context.py
@@ -23,10 +23,11 @@
 class SessionContext:
     """Values and prepared statements that a caller has set in its session.
 
+    :param values: values by name; ``None`` for one that was set without a field.
     :param prepared_statements: prepared statements by the name that the caller chose.
     """
 
-    values: dict[str, str] = field(default_factory=dict)
+    values: dict[str, str | None] = field(default_factory=dict)
     prepared_statements: dict[str, PreparedStatement] = field(default_factory=dict)
 
 
@@ -40,7 +41,7 @@
     """
 
     needs_reset: bool = False
-    values: tuple[tuple[str, str], ...] = ()
+    values: tuple[tuple[str, str | None], ...] = ()
     prepared_statement: PreparedStatement | None = None
     name: str = ""
 
@@ -59,7 +60,7 @@
     """
 
     def __init__(self) -> None:
-        self._values: dict[str, str] = {}
+        self._values: dict[str, str | None] = {}
         self._names: dict[PreparedStatement, str] = {}
         self._created_count = 0
 
@@ -83,9 +84,7 @@
         needs_reset = bool(self._values.keys() - session.values.keys())
         current_values = {} if needs_reset else self._values
         values = tuple(
-            (name, value)
-            for name, value in session.values.items()
-            if current_values.get(name) != value
+            item for item in session.values.items() if item not in current_values.items()
         )
         is_ready = prepared_statement is None or (
             prepared_statement in self._names and not needs_reset
@@ -99,7 +98,7 @@
         self._values.clear()
         self._names.clear()
 
-    def record_value(self, name: str, value: str) -> None:
+    def record_value(self, name: str, value: str | None) -> None:
         """Record that a value was set."""
         self._values[name] = value
 
--- a/hibiscuspoint/core/sessions/statements.py
+++ b/hibiscuspoint/core/sessions/statements.py
@@ -92,7 +92,8 @@
     :param request_id: id of the request, as chosen by the caller.
     :param text: the statement as the caller wrote it; it is forwarded unchanged.
     :param name: name of the session value or prepared statement, for kinds that have one.
-    :param operand: text after the name: a value, the text of a prepared statement, or arguments.
+    :param operand: text after the name: a value, the text of a prepared statement, or arguments;
+        ``None`` for a value without a field, which is not the same as an empty one.
     :param writes: whether it is a write or the preparation of one.
     """
 
@@ -100,7 +101,7 @@
     kind: StatementKind
     text: str
     name: str = ""
-    operand: str = ""
+    operand: str | None = ""
     writes: bool = False
 
 
--- a/hibiscuspoint/platform/wire.py
+++ b/hibiscuspoint/platform/wire.py
@@ -145,15 +145,15 @@
         writes = verb == "WRITE"
         return Statement(request_id, _SIMPLE_KINDS[verb], text, operand=operand, writes=writes)
     else:
-        name, _, value = operand.partition(" ")
+        name, blank, value = operand.partition(" ")
         if verb == "SET" and name:
-            return Statement(request_id, StatementKind.SET, text, name, value)
+            return Statement(request_id, StatementKind.SET, text, name, value if blank else None)
         if verb == "EXECUTE" and name:
             return Statement(request_id, StatementKind.EXECUTE, text, name, value)
-        if verb == "DEALLOC" and name:
-            return Statement(request_id, StatementKind.DEALLOCATE, text, name)
-        mode, _, prepared_text = value.partition(" ")
-        if verb == "PREPARE" and mode in ("READ", "WRITE") and prepared_text:
+        if verb == "DEALLOC" and operand:
+            return Statement(request_id, StatementKind.DEALLOCATE, text, operand)
+        mode, blank, prepared_text = value.partition(" ")
+        if verb == "PREPARE" and name and mode in ("READ", "WRITE") and blank:
             writes = mode == "WRITE"
             return Statement(request_id, StatementKind.PREPARE, text, name, prepared_text, writes)
     raise ProtocolError("unknown statement")
@@ -169,7 +169,7 @@
     """
     text = statement.text
     if name is not None:
-        text = f"EXECUTE {name} {statement.operand}" if statement.operand else f"EXECUTE {name}"
+        text = _rename(text, name)
     if after is not None:
         text = f"AFTERLSN {after.term}.{after.index} {text}"
     return f"QUERY {statement.request_id} {text}\r\n".encode()
@@ -183,14 +183,21 @@
     return f"STARTUP {service} {caller} {target}\r\n".encode()
 
 
+def _rename(text: str, name: str) -> str:
+    """Return an ``EXECUTE`` statement with another name and the rest as it is."""
+    start = text.index(" ") + 1
+    end = text.find(" ", start)
+    return text[:start] + name + (text[end:] if end >= 0 else "")
+
+
 def format_internal_query(text: str) -> bytes:
     """Return the message of a statement that the proxy itself issues."""
     return f"QUERY {INTERNAL_REQUEST_ID} {text}\r\n".encode()
 
 
-def format_set(name: str, value: str) -> bytes:
-    """Return the message that sets a session value."""
-    return format_internal_query(f"SET {name} {value}")
+def format_set(name: str, value: str | None) -> bytes:
+    """Return the message that sets a session value; ``None`` stands for no field at all."""
+    return format_internal_query(f"SET {name}" if value is None else f"SET {name} {value}")
 
 
 def format_prepare(name: str, prepared: PreparedStatement) -> bytes:
--- a/tests/platform/test_texts.py
+++ b/tests/platform/test_texts.py
@@ -8,10 +8,15 @@
 from hypothesis import given
 
 from hibiscuspoint.components.sessions.borrow_messages import statement_from, statement_message
-from hibiscuspoint.core.sessions import PreparedStatement, SessionContext, Statement
+from hibiscuspoint.core.sessions import (
+    ConnectionContext,
+    PreparedStatement,
+    SessionContext,
+    Statement,
+)
 from hibiscuspoint.platform import wire
 from hibiscuspoint.wire import peer_pb2
-from tests.platform.texts import STATEMENTS, WORDS
+from tests.platform.texts import FIELDS, STATEMENTS, TEXTS, WORDS
 
 
 def _parse(request: str, text: str) -> Statement:
@@ -31,3 +36,39 @@
     message = f"QUERY {request} {text}\r\n".encode()
     assert wire.format_query(statement) == message
     assert wire.format_query(_borrowed(statement, SessionContext(), None).statement) == message
+
+
+@given(WORDS, WORDS, FIELDS, TEXTS)
+def test_executed_statement_changes_only_its_name(request, name, arguments, shape):
+    """Guards against a prepared statement that runs with another shape or other arguments."""
+    created = _parse(request, f"PREPARE {name} WRITE {shape}")
+    prepared = PreparedStatement(created.writes, created.operand)
+    executed = _parse(request, f"EXECUTE {name}{arguments}")
+    assert executed.name == created.name == name
+    borrowed = _borrowed(executed, SessionContext(), prepared)
+    for statement, its_shape in (
+        (executed, prepared),
+        (borrowed.statement, borrowed.prepared_statement),
+    ):
+        message = f"QUERY {request} EXECUTE s9{arguments}\r\n".encode()
+        assert wire.format_query(statement, name="s9") == message
+        assert (
+            wire.format_prepare("s9", its_shape) == f"QUERY - PREPARE s9 WRITE {shape}\r\n".encode()
+        )
+
+
+@given(WORDS, FIELDS, FIELDS)
+def test_value_is_set_as_the_caller_wrote_it(name, field, other_field):
+    """Guards against a statement that runs under another value than that of its session."""
+    statement, other = _parse("q", f"SET {name}{field}"), _parse("q", f"SET {name}{other_field}")
+    session = SessionContext(values={statement.name: statement.operand})
+    borrowed = _borrowed(_parse("q", "READ 1"), session, None).session
+    assert borrowed == session
+    context = ConnectionContext()
+    for values in (session.values, borrowed.values):
+        ((its_name, value),) = context.preparation(SessionContext(values=values), None).values
+        assert wire.format_set(its_name, value) == f"QUERY - SET {name}{field}\r\n".encode()
+    context.record_value(statement.name, statement.operand)
+    changed = SessionContext(values={other.name: other.operand})
+    steps = 0 if field == other_field else 1
+    assert context.distance(changed) == len(context.preparation(changed, None).values) == steps
