Forward the answer of a target as it wrote it

Callers got `ROW ` for `ROW`, `COMPLETE -` for `COMPLETE`, `ERROR READONLY a b` for `ERROR READONLY a b\t`, `ERROR BUSY -` for `ERROR BUSY` and `ERROR BUSY `, `ERROR FAILED x` for `ERROR OTHER x`, and no rows before an error.

Cause: answers were written anew from their parsed fields, and the text of each error was brought into one line. Decisions still use the parsed failure; a code that is not known counts as FAILED.

--- a/hibiscuspoint/components/sessions/borrow_messages.py
+++ b/hibiscuspoint/components/sessions/borrow_messages.py
@@ -128,7 +128,10 @@
 def reply_message(reply: Reply) -> peer_pb2.BorrowReply:
     """Return an answer of a target."""
     message = peer_pb2.BorrowReply(
-        rows=reply.rows, signature=reply.signature or "", state=reply.state.value
+        rows=reply.rows,
+        signature=reply.signature or "",
+        state=reply.state.value,
+        verbatim=dict(reply.verbatim),
     )
     if reply.error is not None:
         message.failure = reply.error.failure.value
@@ -152,6 +155,7 @@
         error=error,
         state=SessionState(message.state),
         position=position_from(message.position) if message.HasField("position") else None,
+        verbatim=tuple(sorted(message.verbatim.items())),
     )
 
 
--- a/hibiscuspoint/core/sessions/statements.py
+++ b/hibiscuspoint/core/sessions/statements.py
@@ -121,6 +121,8 @@
         itself, ``None`` with an error.
     :param state: state of the session after the statement.
     :param position: log position of the target that replied.
+    :param verbatim: messages of the target that would not be the same if they were written from
+        the fields above, by their number: the rows from 0, then the success or error.
     """
 
     rows: tuple[str, ...] = ()
@@ -128,6 +130,7 @@
     error: StatementError | None = None
     state: SessionState = SessionState.IDLE
     position: LogPosition | None = None
+    verbatim: tuple[tuple[int, str], ...] = ()
 
     @classmethod
     def failed(cls, failure: Failure, text: str, state: SessionState) -> Reply:
--- a/hibiscuspoint/platform/wire.py
+++ b/hibiscuspoint/platform/wire.py
@@ -215,21 +215,37 @@
 
 def format_error(failure: Failure, text: str) -> bytes:
     """Return an error message, with each run of whitespace in the text replaced by a space."""
-    words = " ".join(text.split())
-    return f"ERROR {_CODES_BY_FAILURE[failure]} {words or '-'}\r\n".encode()
+    return f"{_error(failure, text)}\r\n".encode()
 
 
 def format_reply(reply: Reply) -> bytes:
-    """Return all messages of an answer, concatenated."""
-    parts = [f"ROW {row}\r\n".encode() for row in reply.rows]
+    """Return all messages of an answer, concatenated; those of a target as it sent them."""
+    messages = [_row(row) for row in reply.rows]
     if reply.error is not None:
-        parts = [format_error(reply.error.failure, reply.error.text)]
+        messages.append(_error(reply.error.failure, reply.error.text))
     else:
-        parts.append(f"COMPLETE {reply.signature or '-'}\r\n".encode())
+        messages.append(_complete(reply.signature))
+    verbatim = dict(reply.verbatim)
+    parts = [
+        f"{verbatim.get(number, message)}\r\n".encode() for number, message in enumerate(messages)
+    ]
     parts.append(format_ready(reply.state, reply.position))
     return b"".join(parts)
 
 
+def _row(text: str) -> str:
+    return f"ROW {text}"
+
+
+def _complete(signature: str | None) -> str:
+    return f"COMPLETE {signature or '-'}"
+
+
+def _error(failure: Failure, text: str) -> str:
+    """Return an error of the proxy, whose text may come from a library and have several lines."""
+    return f"ERROR {_CODES_BY_FAILURE[failure]} {' '.join(text.split()) or '-'}"
+
+
 def parse_failure_code(code: str) -> Failure:
     """Return the failure of an error code; an unknown code counts as a failed statement."""
     return _FAILURES_BY_CODE.get(code, Failure.FAILED)
@@ -278,34 +294,44 @@
 
         :raises ProtocolError: the message does not follow the protocol.
         """
-        word, _, rest = _decode_line(line).partition(" ")
+        message = _decode_line(line)
+        word, _, rest = message.partition(" ")
         has_outcome = self._signature is not None or self._error is not None
         if word == "READY":
             return self._finish(line, rest)
         if has_outcome:
             raise ProtocolError(f"unexpected message {word[:16]!r} after the outcome")
         if word == "ROW":
+            self._keep(message, _row(rest))
             self._rows.append(rest)
         elif word == "COMPLETE":
             self._signature = "" if rest == "-" else rest
+            self._keep(message, _complete(self._signature))
         elif word == "ERROR":
             code, _, text = rest.partition(" ")
             self._error = StatementError(parse_failure_code(code), text)
+            self._keep(message, _error(self._error.failure, text))
         else:
             raise ProtocolError(f"unexpected message {word[:16]!r}")
         self._lines.append(line)
         return None
 
+    def _keep(self, message: str, written: str) -> None:
+        """Keep the next message of the answer if it would be written in another way."""
+        if message != written:
+            self._verbatim[len(self._rows)] = message
+
     def _finish(self, line: bytes, rest: str) -> Answer:
         letter, _, position = rest.partition(" ")
         if letter not in _STATES_BY_LETTER:
             raise ProtocolError("unknown session state")
         reply = Reply(
-            rows=tuple(self._rows) if self._error is None else (),
-            signature=self._signature,
+            rows=tuple(self._rows),
+            signature=self._signature if self._error is None else None,
             error=self._error,
             state=_STATES_BY_LETTER[letter],
             position=parse_position(position),
+            verbatim=tuple(self._verbatim.items()),
         )
         identity = self._signature or b"".join([*self._lines, line])
         answer = Answer(self._kind(), reply, hash(identity))
@@ -328,6 +354,7 @@
         self._rows: list[str] = []
         self._signature: str | None = None
         self._error: StatementError | None = None
+        self._verbatim: dict[int, str] = {}
 
 
 def _decode_line(line: bytes) -> str:
--- a/tests/platform/test_texts.py
+++ b/tests/platform/test_texts.py
@@ -7,16 +7,22 @@
 
 from hypothesis import given
 
-from hibiscuspoint.components.sessions.borrow_messages import statement_from, statement_message
+from hibiscuspoint.components.sessions.borrow_messages import (
+    reply_from,
+    reply_message,
+    statement_from,
+    statement_message,
+)
 from hibiscuspoint.core.sessions import (
     ConnectionContext,
     PreparedStatement,
+    Reply,
     SessionContext,
     Statement,
 )
 from hibiscuspoint.platform import wire
 from hibiscuspoint.wire import peer_pb2
-from tests.platform.texts import FIELDS, STATEMENTS, TEXTS, WORDS
+from tests.platform.texts import FIELDS, STATEMENTS, TEXTS, WORDS, answers
 
 
 def _parse(request: str, text: str) -> Statement:
@@ -72,3 +78,15 @@
     changed = SessionContext(values={other.name: other.operand})
     steps = 0 if field == other_field else 1
     assert context.distance(changed) == len(context.preparation(changed, None).values) == steps
+
+
+@given(answers())
+def test_answer_is_forwarded_as_the_database_wrote_it(messages):
+    """Guards against rows, signatures or errors that reach the caller with another text."""
+    builder = wire.ReplyBuilder()
+    *_, reply = [builder.add(message) for message in messages]
+    assert isinstance(reply, Reply)
+    assert wire.format_reply(reply) == b"".join(messages)
+    received = peer_pb2.BorrowReply.FromString(reply_message(reply).SerializeToString())
+    assert reply_from(received) == reply
+    assert wire.format_reply(reply_from(received)) == b"".join(messages)
--- a/tests/platform/texts.py
+++ b/tests/platform/texts.py
@@ -4,7 +4,7 @@
 
 from hypothesis import strategies as st
 
-__all__ = ["FIELDS", "STATEMENTS", "TEXTS", "WORDS"]
+__all__ = ["FIELDS", "STATEMENTS", "TEXTS", "WORDS", "answers"]
 
 _CHARACTERS = st.sampled_from("\r\n \0\t-a\x1c\x85\xa0é\u2028😀") | st.characters(codec="utf-8")
 _ENDS = st.sampled_from(["", " ", "\r", "\n", "\r\r", "\n\r", "\t"])
@@ -28,3 +28,15 @@
 STATEMENTS = st.sampled_from(["READ", "WRITE", "COMMIT", "ROLLBACK"]).flatmap(
     lambda verb: FIELDS.map(lambda field: verb + field)
 )
+
+
+@st.composite
+def answers(draw: st.DrawFn) -> list[bytes]:
+    """Return the messages of an answer of a database."""
+    texts = [f"ROW{row}" for row in draw(st.lists(FIELDS, max_size=3))]
+    word = draw(
+        st.sampled_from(["COMPLETE", "ERROR", "ERROR BUSY", "ERROR READONLY", "ERROR OTHER"])
+    )
+    texts.append(word + draw(FIELDS))
+    texts.append(draw(st.sampled_from(["READY I 3.7", "READY T -", "READY E 3.1207"])))
+    return [f"{text}\r\n".encode() for text in texts]
