Keep names in paths that are no UTF-8 apart

A heartbeat of `%FF` and one of `%FE` counted as heartbeats of one database.

Cause: bytes of a path that are no text were replaced by U+FFFD.

Result: test_names_in_paths_stay_different printed {'item': '\ufffd'} == {'item': '\udcff'} for the two names; it passes with the tests of the HTTP port.

--- a/hibiscuspoint/components/http_messages.py
+++ b/hibiscuspoint/components/http_messages.py
@@ -81,7 +81,8 @@
         arguments = {}
         for name, segment in zip(own, given, strict=True):
             if name.startswith("{") and segment:
-                arguments[name[1:-1]] = unquote(segment)
+                # Bytes that are no text must not turn one name into another.
+                arguments[name[1:-1]] = unquote(segment, errors="surrogateescape")
             elif name != segment:
                 return None
         return arguments
--- a/tests/components/test_http_port.py
+++ b/tests/components/test_http_port.py
@@ -17,6 +17,16 @@
 BODY_BYTES = 1_000
 
 
+@pytest.mark.parametrize(
+    ("segment", "name"),
+    [("a%20b%2Fc%0D", "a b/c\r"), ("%C3%A9", "é"), ("%FF", "\udcff"), ("%FE", "\udcfe")],
+)
+def test_names_in_paths_stay_different(segment, name):
+    """Guards against a name with bytes that are no text that is taken for another name."""
+    route = HttpRoute("POST", "/items/{item}", None)
+    assert route.match(f"/items/{segment}") == {"item": name}
+
+
 class Handlers:
     """Routes of the port under test."""
 
