Refuse names that would change the startup message of a database

A configuration with a service `a b` or a heartbeat of the id `i\r\nQUERY - RESET` was accepted. The startup message to the database would have had other fields, or another message behind it.

Cause: only the names of organisations were checked to be one word. Now a service name and a database id have neither a blank nor the end of a message: the configuration is invalid, the heartbeat or departure names no database. The startup message is written in one place, which refuses such fields as well.

--- a/hibiscuspoint/platform/configuration.py
+++ b/hibiscuspoint/platform/configuration.py
@@ -15,6 +15,7 @@
     read_flag,
     read_text,
     read_whole,
+    read_word,
 )
 from hibiscuspoint.platform.tenants import parse_tenants
 from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
@@ -55,7 +56,7 @@
 def _routing_table(fields: dict[str, Any], digest: str) -> RoutingTable:
     groups = {}
     for service in fields["services"]:
-        group = GroupId(read_text(service["name"]))
+        group = GroupId(read_word(service["name"]))
         groups[group] = GroupLimits(group, read_bounded(service["max_conns"], MAX_COUNT))
     database_paths: set[tuple[str, str]] = set()
     routes: dict[str, DatabaseRoute] = {}
--- a/hibiscuspoint/platform/database.py
+++ b/hibiscuspoint/platform/database.py
@@ -74,7 +74,7 @@
         """Clear the session values and prepared statements of the connection."""
         return await self._ask_internal(Question.CONTEXT, "RESET", timeout)
 
-    async def set_value(self, name: str, value: str, timeout: float) -> Reply:
+    async def set_value(self, name: str, value: str | None, timeout: float) -> Reply:
         """Set a session value on the connection."""
         return await self._stream.ask(Question.CONTEXT, wire.format_set(name, value), timeout)
 
@@ -150,9 +150,9 @@
         """
         try:
             host, port = parse_address(address)
-        except ValueError as error:
+            message = wire.format_startup(group, organisation or CALLER_NAME, target)
+        except (ValueError, wire.ProtocolError) as error:
             raise ConnectError(ConnectFailure.BROKEN, str(error)) from error
-        message = wire.format_startup(group, organisation or CALLER_NAME, target)
         try:
             async with asyncio.timeout(timeout):
                 started = time.monotonic()
--- a/hibiscuspoint/platform/fields.py
+++ b/hibiscuspoint/platform/fields.py
@@ -17,6 +17,7 @@
     "read_number",
     "read_text",
     "read_whole",
+    "read_word",
 ]
 
 #: What reading a malformed document raises.
@@ -90,6 +91,18 @@
     return value
 
 
+def read_word(value: object) -> str:
+    """Return the value, checked to be a text that can be any field of a message of the databases.
+
+    :raises TypeError: the value is not a string or is empty.
+    :raises ValueError: it is too long, no Unicode text, or has a blank or the end of a message.
+    """
+    text = read_text(value)
+    if " " in text or "\r\n" in text:
+        raise ValueError(f"{text!r:.80} is no single word")
+    return text
+
+
 def read_whole(value: object) -> int:
     """Return the value, checked to be an integer; a boolean is none.
 
--- a/hibiscuspoint/platform/heartbeats.py
+++ b/hibiscuspoint/platform/heartbeats.py
@@ -5,7 +5,7 @@
 import time
 from typing import Any
 
-from hibiscuspoint.platform.fields import FIELD_ERRORS, parse_json, read_text, read_whole
+from hibiscuspoint.platform.fields import FIELD_ERRORS, parse_json, read_text, read_whole, read_word
 from hibiscuspoint.util.address import parse_address
 from hibiscuspoint.util.units import MILLISECONDS_PER_SECOND
 from hibiscuspoint.wire import peer_pb2
@@ -35,7 +35,7 @@
     :raises HeartbeatError: a field is missing, malformed or of the wrong type.
     """
     try:
-        return _announcement(read_text(target), parse_json(body))
+        return _announcement(read_word(target), parse_json(body))
     except FIELD_ERRORS as error:
         raise HeartbeatError(f"heartbeat of {target[:64]!r}: {error!r}") from error
 
@@ -47,10 +47,10 @@
 
     :param target: id of the database.
     :param body: JSON body of the request; may be empty.
-    :raises HeartbeatError: the id is not valid Unicode.
+    :raises HeartbeatError: the id is not valid Unicode, or no single word.
     """
     try:
-        message = peer_pb2.Announcement(target=read_text(target), gone=True)
+        message = peer_pb2.Announcement(target=read_word(target), gone=True)
     except FIELD_ERRORS as error:
         raise HeartbeatError(f"departure of {target[:64]!r}: {error!r}") from error
     try:
@@ -64,7 +64,7 @@
 def _announcement(target: str, fields: dict[str, Any]) -> peer_pb2.Announcement:
     return peer_pb2.Announcement(
         target=target,
-        group=read_text(fields["service"]),
+        group=read_word(fields["service"]),
         availability_zone=read_text(fields["zone"]),
         address=_address(fields["addr"]),
         slots=_within(fields["slots"], 1, MAX_SLOTS),
--- a/hibiscuspoint/platform/wire.py
+++ b/hibiscuspoint/platform/wire.py
@@ -109,6 +109,17 @@
     key: str = field(repr=False)
 
 
+def format_startup(group: str, caller: str, target: str) -> bytes:
+    """Return the message that opens a connection to a database.
+
+    :raises ProtocolError: a field is empty or would change the others.
+    """
+    fields = (group, caller, target)
+    if any(not field or " " in field or "\r\n" in field for field in fields):
+        raise ProtocolError("a field of the startup message is no single word")
+    return f"STARTUP {' '.join(fields)}\r\n".encode()
+
+
 def parse_startup(line: bytes) -> Startup:
     """Parse a startup message.
 
@@ -175,14 +186,6 @@
     return f"QUERY {statement.request_id} {text}\r\n".encode()
 
 
-def format_startup(service: str, caller: str, target: str) -> bytes:
-    """Return the message that opens a connection to a database.
-
-    :param caller: name of the organisation or program that connects.
-    """
-    return f"STARTUP {service} {caller} {target}\r\n".encode()
-
-
 def _rename(text: str, name: str) -> str:
     """Return an ``EXECUTE`` statement with another name and the rest as it is."""
     start = text.index(" ") + 1
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -42,10 +42,20 @@
         {"routes": None},
         {"version": "7"},
         {"services": [{"name": "s"}]},
+        *(
+            {
+                "services": [{"name": name, "max_conns": 16}],
+                "routes": [route_fields(service=name)],
+            }
+            for name in ("a b", "a ", "a\r\nQUERY - RESET")
+        ),
     ],
 )
 def test_invalid_configurations_are_refused(changes):
-    """Guards against an inconsistent or incomplete configuration that takes effect."""
+    """Guards against an inconsistent or incomplete configuration that takes effect.
+
+    A service whose name is no single word would change the startup message to its databases.
+    """
     with pytest.raises(ConfigurationError):
         _parse(**changes)
 
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -35,6 +35,8 @@
         {"addr": 5},
         {"born": 1.5},
         {"service": None},
+        {"service": "a b"},
+        {"service": "a\r\nQUERY - RESET"},
     ],
 )
 def test_heartbeat_of_another_writer_is_refused(changes):
@@ -50,10 +52,16 @@
         parse_heartbeat("i-1", body)
 
 
-def test_departure_of_an_id_that_cannot_be_read_is_refused():
-    """Guards against an unhandled error in the HTTP call when the id is not valid Unicode."""
+@pytest.mark.parametrize("target", ["i-\udcff", "i 1", "i\r\nQUERY - RESET", ""])
+def test_id_that_cannot_be_read_or_sent_is_refused(target):
+    """Guards against an unhandled error in the HTTP call when the id is not valid Unicode.
+
+    An id of several words or messages would change what is sent to the database.
+    """
+    with pytest.raises(HeartbeatError):
+        departure(target, b"")
     with pytest.raises(HeartbeatError):
-        departure("i-\udcff", b"")
+        parse_heartbeat(target, json.dumps(heartbeat_fields()).encode())
 
 
 @pytest.mark.parametrize(
--- a/tests/platform/test_texts.py
+++ b/tests/platform/test_texts.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import pytest
 from hypothesis import given
 
 from hibiscuspoint.components.sessions.borrow_messages import (
@@ -35,6 +36,24 @@
     return statement_from(peer_pb2.StatementRequest.FromString(message))
 
 
+@given(WORDS, WORDS, WORDS)
+def test_startup_keeps_its_fields(group, caller, target):
+    """Guards against a connection to another database, or in the name of another organisation."""
+    message = wire.format_startup(group, caller, target)
+    assert message == f"STARTUP {group} {caller} {target}\r\n".encode()
+    for odd in ("", f"{group} {caller}", f"{group}\r\n{caller}"):
+        for fields in ((odd, caller, target), (group, odd, target), (group, caller, odd)):
+            with pytest.raises(wire.ProtocolError):
+                wire.format_startup(*fields)
+
+
+@given(WORDS, FIELDS)
+def test_key_is_what_the_caller_wrote(database, field):
+    """Guards against a key that is taken for another one."""
+    startup = wire.parse_startup(f"STARTUP {database}{field}\r\n".encode())
+    assert (startup.database, startup.key) == (database, field[1:])
+
+
 @given(WORDS, STATEMENTS)
 def test_statement_is_sent_as_the_caller_wrote_it(request, text):
     """Guards against a statement that runs with another text than that of its caller."""
