Refuse positions that are not written in digits

A position such as `3.1_0` was read as 3.10 and reached the caller in that form.

Cause: int() accepts underscores, signs, white space and digits of other scripts. Now an answer with such a position does not follow the protocol.

Result: test_position_is_read_as_written_or_not_at_all printed "DID NOT RAISE" for five of its eight texts; it passes with 175 tests of the platform package.

--- a/hibiscuspoint/platform/wire.py
+++ b/hibiscuspoint/platform/wire.py
@@ -273,6 +273,8 @@
         return None
     term, _, index = text.partition(".")
     try:
+        if not text.isascii() or not (term.isdecimal() and index.isdecimal()):
+            raise ValueError
         position = LogPosition(Term(int(term)), int(index))
     except ValueError:
         raise ProtocolError(f"{text!r:.80} is no log position") from None
--- a/tests/platform/test_texts.py
+++ b/tests/platform/test_texts.py
@@ -54,6 +54,13 @@
     assert (startup.database, startup.key) == (database, field[1:])
 
 
+@pytest.mark.parametrize("text", ["3.7\r", " 3.7", "+3.7", "3.1_0", "３.7", "3.-7", "3", "."])
+def test_position_is_read_as_written_or_not_at_all(text):
+    """Guards against a position that another reader takes for another number."""
+    with pytest.raises(wire.ProtocolError):
+        wire.parse_position(text)
+
+
 @given(WORDS, STATEMENTS)
 def test_statement_is_sent_as_the_caller_wrote_it(request, text):
     """Guards against a statement that runs with another text than that of its caller."""
