Join exact texts with answers that are tied to statements

Each part was written without the other. The test of answers takes the reply from the answer; status rows take only ASCII digits between single blanks.

--- a/hibiscuspoint/platform/answer_stream.py
+++ b/hibiscuspoint/platform/answer_stream.py
@@ -63,7 +63,7 @@
 
     @property
     def is_unproven(self) -> bool:
-        """Tell whether the last accepted answer may repeat an earlier one."""
+        """Tell whether the last accepted answer equals an earlier one and may repeat it."""
         return self._history.is_unproven
 
     def connection_made(self, transport: asyncio.Transport) -> None:
--- a/hibiscuspoint/platform/database.py
+++ b/hibiscuspoint/platform/database.py
@@ -194,7 +194,7 @@
     :raises ProtocolError: the row has too few fields, or its position is malformed.
     :raises ValueError: a field is no number.
     """
-    fields = row.split()
+    fields = row.split(" ")
     if len(fields) < 6:
         raise wire.ProtocolError("the state of a database is not complete")
     position = wire.parse_position(fields[2])
@@ -212,6 +212,6 @@
 
 def _read_count(text: str) -> int:
     number = int(text)
-    if not 0 <= number <= wire.MAX_NUMBER:
-        raise ValueError("a number is out of range")
+    if not (text.isascii() and text.isdecimal()) or number > wire.MAX_NUMBER:
+        raise ValueError("a number is malformed or out of range")
     return number
--- a/tests/platform/test_texts.py
+++ b/tests/platform/test_texts.py
@@ -109,8 +109,9 @@
 @given(answers())
 def test_answer_is_forwarded_as_the_database_wrote_it(messages):
     """Guards against rows, signatures or errors that reach the caller with another text."""
-    builder = wire.ReplyBuilder()
-    *_, reply = [builder.add(message) for message in messages]
+    builder = wire.AnswerBuilder()
+    *_, answer = [builder.add(message) for message in messages]
+    reply = answer.reply
     assert isinstance(reply, Reply)
     assert wire.format_reply(reply) == b"".join(messages)
     received = peer_pb2.BorrowReply.FromString(reply_message(reply).SerializeToString())
