Give up an order whose target has moved

An order that waited for the poll connection of a target went on after the link was stopped, as the target had been registered at another address: it connected to the former address, left that connection open and reported what it met there against the moved target.

A stopped link sends nothing, closes a connection that opens meanwhile and records nothing. Before, the two cases of test_order_does_not_reach_a_target_that_has_moved failed: the pause was sent and its connection stayed open; WRONG_TARGET was recorded as a replacement.

--- a/hibiscuspoint/components/target_poller.py
+++ b/hibiscuspoint/components/target_poller.py
@@ -125,6 +125,7 @@
         self._interval = ACTIVE_POLL_SECONDS
         self._wake = asyncio.Event()
         self._is_reachable = True
+        self._is_stopped = False
         self._status: TargetStatus | None = None
         self._read_at = 0.0
         self._task = spawn(self._poll_forever(), f"polls of {record.target}")
@@ -142,6 +143,7 @@
 
     def stop(self) -> None:
         """End the polls and close the connection."""
+        self._is_stopped = True
         self._task.cancel()
         if self._connection is not None:
             self._connection.close()
@@ -195,6 +197,10 @@
             self._connection = await self._driver.connect(
                 record.group, record.target, record.address, ANSWER_SECONDS
             )
+        if self._is_stopped:
+            # An order may have waited for the connection while the target moved.
+            self._connection.close()
+            raise ConnectionLost("the target has moved or is gone", sent=False)
         return self._connection
 
     async def _poll_forever(self) -> None:
@@ -244,10 +250,13 @@
             self._status, self._read_at = status, read_at
 
     def _tell(self, act: Callable, now: float) -> None:
+        if self._is_stopped:
+            # What answers at the former address says nothing about the target.
+            return
         self._decide(lambda leader: leader.update_group(self._record.group, act, now))
 
     def _note_loss(self, reason: str) -> None:
-        if self._is_reachable:
+        if self._is_reachable and not self._is_stopped:
             self._is_reachable = False
             target = self._record.target
             log_event(logger, catalogue.TARGET_LOST, target=target, reason=reason)
--- a/tests/components/test_target_poller.py
+++ b/tests/components/test_target_poller.py
@@ -5,11 +5,14 @@
 import asyncio
 from collections import deque
 
+import pytest
+
 from hibiscuspoint.components import target_poller
 from hibiscuspoint.components.runtime import SystemClock
 from hibiscuspoint.components.target_poller import TargetPoller
 from hibiscuspoint.core.control.state import TargetRecord
 from hibiscuspoint.core.failover import StatusAnswer, TargetStatus
+from hibiscuspoint.drivers.errors import ConnectError, ConnectFailure
 from hibiscuspoint.ids import AvailabilityZone, GroupId, Incarnation, TargetId, Term
 from tests.builders_failover import position
 
@@ -121,3 +124,31 @@
     assert first is None
     assert not was_open
     assert second.paused_term == 2
+
+
+@pytest.mark.parametrize("failure", [None, ConnectFailure.WRONG_TARGET])
+def test_order_does_not_reach_a_target_that_has_moved(failure):
+    """Guards against a moved target that is taken for replaced, and against a lost connection."""
+
+    async def scenario():
+        driver, seen = _Driver(StatusAnswer(_status(1))), []
+        may_connect = asyncio.Event()
+
+        async def connect(*args, **kwargs):
+            await may_connect.wait()
+            if failure is not None:
+                raise ConnectError(failure, "another target answers")
+            driver.is_open = True
+            return driver
+
+        driver.connect = connect
+        poller = TargetPoller(driver, SystemClock())
+        poller.set_decision_runner(seen.append)
+        poller.set_targets([RECORD], set(), set())
+        order = asyncio.create_task(poller.pause(TARGET, Term(2)))
+        await asyncio.sleep(0.01)
+        poller.stop()
+        may_connect.set()
+        return await order, driver.is_open, seen
+
+    assert asyncio.run(scenario()) == (None, False, [])
