Let the stand-in databases repeat answers, and pass texts as they are

Callers got answers of other statements and texts without their end. The stand-in could show neither: it answered once, and it and the client of the tests dropped CR and LF at the end of a message and took a lone LF for one. A message now is all bytes up to CR LF. A database with a `Stutter` sends answers a second time, seeded and from a task of its own. A read returns its id as a second row, and each database records what it ran under which values and shape.

--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -88,10 +88,11 @@
         messages: list[str] = []
         async with asyncio.timeout(PATIENCE_SECONDS):
             while not messages or not messages[-1].startswith("READY"):
-                line = await self._reader.readline()
-                if not line:
-                    raise ConnectionError(messages[-1] if messages else "closed")
-                messages.append(line.decode().rstrip("\r\n"))
+                try:
+                    message = await self._reader.readuntil(b"\r\n")
+                except asyncio.IncompleteReadError:
+                    raise ConnectionError(messages[-1] if messages else "closed") from None
+                messages.append(message[:-2].decode())
         return messages
 
 
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -1,6 +1,7 @@
 """A stand-in of the platform: databases that announce themselves, and the promotion call.
 
-``PAUSE`` with a term that is not above the newest one of a database is answered and ignored.
+``PAUSE`` with a term that is not above the newest one of a database is answered and ignored. A read
+is answered with the value of its item and, as a second row, with its id.
 """
 
 from __future__ import annotations
@@ -18,8 +19,13 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from tests.platform.standin_connection import Run, Stutter
+
 __all__ = ["StandinDatabase", "StandinPlatform"]
 
+#: Maximum length of a message in bytes.
+MESSAGE_BYTES = 1_048_576
+
 #: Seconds between two heartbeats of a database.
 HEARTBEAT_SECONDS = 0.3
 
@@ -45,6 +51,8 @@
     :param is_isolated: whether it is cut off from the databases that are not.
     :param writes: ids of the writes that took effect, in order.
     :param runs: callers that the startup messages named, with each statement of their connections.
+    :param executed: statements of callers that ran here.
+    :param stutter: which answers are sent a second time; none by default.
     """
 
     platform: StandinPlatform
@@ -66,6 +74,8 @@
     writes: list[str] = field(default_factory=list)
     statements: list[str] = field(default_factory=list)
     runs: list[tuple[str, str]] = field(default_factory=list)
+    executed: list[Run] = field(default_factory=list)
+    stutter: Stutter | None = None
     server: asyncio.Server | None = None
     connections: set[asyncio.StreamWriter] = field(default_factory=set)
 
@@ -92,7 +102,7 @@
     async def start(self) -> None:
         """Listen."""
         host, _, port = self.address.rpartition(":")
-        self.server = await asyncio.start_server(self._serve, host, int(port))
+        self.server = await asyncio.start_server(self._serve, host, int(port), limit=MESSAGE_BYTES)
         self.is_running = True
 
     async def restart(self) -> None:
@@ -148,15 +158,24 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections.add(writer)
         connection = StandinConnection(self)
+        repetitions: set[asyncio.Task] = set()
         try:
-            while line := await reader.readline():
-                answer = connection.answer(line.decode().rstrip("\r\n"))
-                if answer is not None:
-                    writer.write(answer.encode())
-                    await writer.drain()
-        except OSError:
+            while True:
+                message = await reader.readuntil(b"\r\n")
+                answer = connection.answer(message[:-2].decode())
+                if answer is None:
+                    continue
+                writer.write(answer.encode())
+                if self.stutter is not None:
+                    task = asyncio.create_task(self.stutter.repeat(answer.encode(), writer))
+                    repetitions.add(task)
+                    task.add_done_callback(repetitions.discard)
+                await writer.drain()
+        except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
+            for task in repetitions:
+                task.cancel()
             self.connections.discard(writer)
             writer.close()
 
--- a/tests/platform/standin_connection.py
+++ b/tests/platform/standin_connection.py
@@ -2,12 +2,71 @@
 
 from __future__ import annotations
 
+import asyncio
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    import random
+
     from tests.platform.standin import StandinDatabase
 
-__all__ = ["StandinConnection"]
+__all__ = ["Run", "StandinConnection", "Stutter", "without_name"]
+
+#: Verbs of the statements that callers send to databases.
+_CALLER_VERBS = ("READ", "WRITE", "EXECUTE", "COMMIT")
+
+
+def without_name(text: str) -> str:
+    """Return the text of a statement; of ``EXECUTE`` without the name, which the proxy replaces."""
+    verb, _, rest = text.partition(" ")
+    return f"{verb}{rest[len(rest.partition(' ')[0]):]}" if verb == "EXECUTE" else text
+
+
+@dataclass(frozen=True)
+class Run:
+    """A statement of a caller that a database ran, and what was in force then.
+
+    :param text: its text without a required position and without the name in ``EXECUTE``.
+    :param values: rest of the text of each ``SET`` by name.
+    :param shape: mode and shape of the prepared statement.
+    :param is_in_transaction: whether a transaction was open.
+    """
+
+    request: str
+    text: str
+    values: dict[str, str]
+    shape: str
+    is_in_transaction: bool
+
+
+@dataclass
+class Stutter:
+    """Repetition of answers.
+
+    :param source: decides which answers are repeated, and when.
+    :param share: share of the answers that are sent a second time.
+    :param delays: shortest and longest time in seconds until then.
+    :param cut_share: share of the repetitions that are cut off, which closes the connection.
+    """
+
+    source: random.Random
+    share: float = 1.0
+    delays: tuple[float, float] = (0.0, 0.03)
+    cut_share: float = 0.0
+
+    async def repeat(self, answer: bytes, writer: asyncio.StreamWriter) -> None:
+        """Send an answer a second time, if it is drawn."""
+        if self.source.random() >= self.share:
+            return
+        await asyncio.sleep(self.source.uniform(*self.delays))
+        if writer.is_closing():
+            return
+        if self.source.random() < self.cut_share:
+            writer.write(answer[: self.source.randrange(1, len(answer))])
+            writer.close()
+        else:
+            writer.write(answer)
 
 
 class StandinConnection:
@@ -43,6 +102,7 @@
         return f"READY {self._state} {self._database.term}.{self._database.index}\r\n"
 
     def _run(self, request: str, text: str) -> str | None:
+        shape, is_in_transaction = "", self._writes is not None
         verb, _, rest = text.partition(" ")
         if verb == "AFTERLSN":
             required, _, text = rest.partition(" ")
@@ -54,15 +114,20 @@
             name, _, rest = rest.partition(" ")
             if name not in self._prepared:
                 return "ERROR NOSTMT -\r\n"
-            verb = self._prepared[name][0]
-        return getattr(self, f"_{verb.lower()}")(request, rest)
+            verb, shape = self._prepared[name][0], " ".join(self._prepared[name])
+        answer = getattr(self, f"_{verb.lower()}")(request, rest)
+        is_refused = answer is not None and answer.startswith("ERROR")
+        if text.partition(" ")[0] in _CALLER_VERBS and not is_refused:
+            run = Run(request, without_name(text), dict(self._values), shape, is_in_transaction)
+            self._database.executed.append(run)
+        return answer
 
     def _read(self, request: str, rest: str) -> str:
         if self._writes is not None and not self._is_read_only and not self._leads():
             self._state = "E"
             return "ERROR READONLY -\r\n"
         value = (self._writes or {}).get(rest, self._database.items.get(rest, "none"))
-        return f"ROW {value}\r\nCOMPLETE {self._database.name}.{request}\r\n"
+        return f"ROW {value}\r\nROW {request}\r\nCOMPLETE {self._database.name}.{request}\r\n"
 
     def _write(self, request: str, rest: str) -> str | None:
         if not self._database.is_primary:
@@ -104,7 +169,8 @@
         return writes, ids
 
     def _set(self, request: str, rest: str) -> str:
-        name, _, self._values[name] = rest.partition(" ")
+        name = rest.partition(" ")[0]
+        self._values[name] = rest.removeprefix(name)
         return "COMPLETE -\r\n"
 
     def _prepare(self, request: str, rest: str) -> str:
