Check in the soak that answers and statements belong together

The soak looked at numbers that callers wrote, so it could not see a success with the signature or row of another statement (MIXED), a statement that ran with another text or shape (UNASKED), or under other values or outside its transaction (PINNED).

--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -132,6 +132,11 @@
         #: Where instances reach the platform, if not at its own address.
         self.platform_addresses: dict[int, str] = {}
 
+    @property
+    def instances(self) -> int:
+        """Return the number of instances."""
+        return 3
+
     @property
     def platform_address(self) -> str:
         """Return "ip:port" of the promotion call."""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -8,16 +8,10 @@
 from contextlib import suppress
 from pathlib import Path
 
-from tests.platform.deployment import (
-    DATABASE,
-    OTHER_DATABASE,
-    OTHER_SERVICE,
-    SERVICE,
-    Client,
-    Deployment,
-)
+from tests.platform.deployment import OTHER_DATABASE, Deployment
+from tests.soak.caller import Caller
 from tests.soak.faults import KINDS, Fault, Faults, draw_faults
-from tests.soak.history import PROMISES, History
+from tests.soak.history import History
 from tests.system.fault_proxy import FaultProxy
 
 __all__ = ["CONNECTIONS", "SCARCE_CONNECTIONS", "run_seed"]
@@ -35,9 +29,6 @@
 #: Longest time in seconds from the last fault until every fault has ended.
 RECOVERY_SECONDS = 30.0
 
-#: Longest time in seconds to wait for an answer before the connection is given up.
-ANSWER_SECONDS = 6.0
-
 
 def run_seed(
     seed: int,
@@ -122,7 +113,7 @@
     works = [_operate(deployment, history, stop)]
     for number in range(3 * CALLERS):
         service = deployment.platform.services[number % 2]
-        caller = _Caller(
+        caller = Caller(
             deployment, history, random.Random(source.random()), service, f"item{number}"
         )
         works.append(caller.run(stop))
@@ -152,93 +143,3 @@
             read = await deployment.read_configuration()
             history.configuration_read(read["version"], at_least)
         await asyncio.sleep(CONFIGURATION_SECONDS)
-
-
-class _Caller:
-    """Writes increasing numbers to an item of its own and reads items of all."""
-
-    def __init__(
-        self,
-        deployment: Deployment,
-        history: History,
-        source: random.Random,
-        service: str,
-        item: str,
-    ) -> None:
-        self._deployment = deployment
-        self._history = history
-        self._source = source
-        self._service = service
-        self._routes = [DATABASE, "strict"] if service == SERVICE else [OTHER_DATABASE]
-        self._item = item
-        self._number = 0
-        #: Highest number that the present session wrote.
-        self._session = 0
-
-    async def run(self, stop: asyncio.Event) -> None:
-        """Open sessions through any instance and use each until it breaks."""
-        while not stop.is_set():
-            instance = self._source.randrange(3)
-            route = self._source.choice(self._routes)
-            try:
-                async with asyncio.timeout(ANSWER_SECONDS):
-                    client = await Client.open(self._deployment.callers_address(instance), route)
-            except (OSError, TimeoutError):
-                await asyncio.sleep(0.05)
-                continue
-            self._session = 0
-            with suppress(OSError, TimeoutError):
-                while not stop.is_set():
-                    await self._operation(client, route)
-            client.close()
-
-    async def _operation(self, client: Client, route: str) -> None:
-        kind = self._source.random()
-        async with asyncio.timeout(ANSWER_SECONDS):
-            if kind < 0.3:
-                await self._write(client)
-            elif kind < 0.5:
-                await self._transact(client)
-            else:
-                await self._read(client, route)
-        await asyncio.sleep(self._source.uniform(0.0, 0.02))
-
-    async def _write(self, client: Client) -> None:
-        self._number += 1
-        number = self._number
-        answer = await client.run(f"WRITE {self._item} {number}")
-        self._judge(answer, number, [client.last_id])
-
-    async def _transact(self, client: Client) -> None:
-        self._number += 1
-        number = self._number
-        await client.run("BEGIN")
-        answer = await client.run(f"WRITE {self._item} {number}")
-        write = client.last_id
-        if answer[-2].startswith("ERROR"):
-            await client.run("ROLLBACK")
-            self._history.refused([write])
-            return
-        await asyncio.sleep(self._source.uniform(0.0, 0.05))
-        self._judge(await client.run("COMMIT"), number, [write])
-
-    def _judge(self, answer: list[str], number: int, ids: list[str]) -> None:
-        if answer[-2].startswith("COMPLETE"):
-            self._session = number
-            self._history.wrote(self._service, self._item, number, ids)
-        elif answer[-2].split()[1] in PROMISES:
-            self._history.refused(ids)
-
-    def _is_own(self, item: str) -> bool:
-        """Tell whether an item belongs to the service of this caller."""
-        return int(item.removeprefix("item")) % 2 == int(self._service == OTHER_SERVICE)
-
-    async def _read(self, client: Client, route: str) -> None:
-        is_strict = route != DATABASE
-        items = [item for item in self._history.acknowledged if self._is_own(item)]
-        item = self._source.choice(items) if items and is_strict else self._item
-        # Of other sessions, a read with a stated age need not see the latest writes.
-        at_least = self._history.acknowledged[item] if is_strict else self._session
-        answer = await client.run(f"READ {item}")
-        if answer[0].startswith("ROW "):
-            self._history.read(item, answer[0].removeprefix("ROW "), at_least, route)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import json
+from dataclasses import replace
 
 import pytest
 
 from tests.platform.deployment import OTHER_SERVICE, SERVICE
 from tests.platform.standin import StandinDatabase, StandinPlatform
+from tests.platform.standin_connection import Run
 from tests.soak.faults import FIRST_KINDS, KINDS
-from tests.soak.history import History
+from tests.soak.history import ODD_TEXTS, History
 from tests.soak.run import SCARCE_CONNECTIONS, run_seed
 
 #: Seconds of faults in a short run.
@@ -121,3 +123,53 @@
     history.read("item", "3", 4, "strict")
     history.configuration_read(7, 8)
     assert len(history.violations) == 2
+
+
+@pytest.mark.parametrize(
+    ("answer", "is_mixed"),
+    [
+        (["ROW x", "ROW r", "COMPLETE i-0.r", "READY I 1.1"], False),
+        (["ERROR BUSY -", "READY I 1.1"], False),
+        (["ROW x", "ROW q", "COMPLETE i-0.q", "READY I 1.1"], True),
+        (["ROW x", "ROW q", "COMPLETE i-0.r", "READY I 1.1"], True),
+        (["ROW x", "COMPLETE i-0.r", "READY I 1.1"], True),
+        (["COMPLETE -", "READY I 1.1"], True),
+    ],
+)
+def test_answers_of_other_statements_are_found(answer, is_mixed):
+    """Guards against a checker that finds nothing."""
+    history = History()
+    history.answered(Run("r", "READ item0", {}, "", False), answer)
+    assert bool(history.violations) is is_mixed
+
+
+@pytest.mark.parametrize(
+    ("changes", "expected"),
+    [
+        ({}, ""),
+        ({"text": "WRITE item0 1"}, "UNASKED"),
+        ({"shape": "WRITE q"}, "UNASKED"),
+        ({"request": "s"}, "UNASKED"),
+        ({"values": {"v": " 1"}}, "PINNED"),
+        ({"is_in_transaction": True}, "PINNED"),
+    ],
+)
+def test_statements_that_ran_otherwise_are_found(changes, expected):
+    """Guards against a checker that finds nothing."""
+    sent = Run("r", "WRITE item0 1\r", {"v": " 1\r"}, "", False)
+    history, database = History(), _primary([])
+    history.sent(sent)
+    database.executed.append(replace(sent, **changes))
+    history.check_runs(database)
+    assert [violation.partition(":")[0] for violation in history.violations] == (
+        [expected] if expected else []
+    )
+
+
+def test_rows_that_lost_characters_are_found():
+    """Guards against a checker that finds nothing."""
+    history = History(texts=ODD_TEXTS)
+    history.read("item0", history.data(1), 1, "strict")
+    assert not history.violations
+    history.read("item0", history.data(1).rstrip(), 1, "strict")
+    assert len(history.violations) == 1
