Let the soak draw databases that answer twice, and odd texts

The soak could not find mixed answers or changed texts: its databases answered once, and its callers wrote numbers. The new faults (ALL_KINDS, the default of python -m tests.soak) let all databases of a service repeat 10 or 100 % of their answers within 0, 30 or 500 ms, 5 % of them cut off; callers then write texts that end in CR, contain LF or have blanks at both ends, and set values without data.

--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -39,6 +39,9 @@
 OTHER_SERVICE = "kafi81c"
 OTHER_DATABASE = "fiti832"
 
+#: Number of the address of the platform and its databases; those of instances are lower.
+PLATFORM_NUMBER = 250
+
 #: Longest time in seconds to wait for a state that must come.
 PATIENCE_SECONDS = 40.0
 
@@ -103,12 +106,13 @@
 
 
 class Deployment:
-    """Three instances, two of which may have no disk, and services of three databases each.
+    """Instances, of which at most the first three have a disk, and services of three databases.
 
     :param network: second and third octet of the loopback addresses, unique to the test.
     :param connections: connections that a database accepts, as the configuration states it; with
         four, two of the instances hold them and lend them to the third one.
     :param has_other: whether there is a second service.
+    :param instances: number of instances, at least three.
     """
 
     def __init__(
@@ -119,35 +123,34 @@
         connections: int = 16,
         *,
         has_other: bool = False,
+        instances: int = 3,
     ) -> None:
         self._directory = directory
         self._network = network
         self._disks = disks
         self._connections = connections
+        self.instances = instances
         self._processes: dict[int, subprocess.Popen] = {}
         self._version = 7
         controls = [f"{self._ip(number)}:8782" for number in range(3)]
         others = (OTHER_SERVICE,) if has_other else ()
-        self.platform = StandinPlatform(f"{self._ip(8)}:8783", SERVICE, controls, others)
+        self.platform = StandinPlatform(
+            f"{self._ip(PLATFORM_NUMBER)}:8783", SERVICE, controls, others
+        )
         #: Where instances reach the platform, if not at its own address.
         self.platform_addresses: dict[int, str] = {}
 
-    @property
-    def instances(self) -> int:
-        """Return the number of instances."""
-        return 3
-
     @property
     def platform_address(self) -> str:
         """Return "ip:port" of the promotion call."""
-        return f"{self._ip(8)}:8783"
+        return f"{self._ip(PLATFORM_NUMBER)}:8783"
 
     @property
     def leader(self) -> int | None:
         """Return the instance that gained the lead of control last."""
         gained = [
             (event["time"], number)
-            for number in range(3)
+            for number in range(self.instances)
             for event in self.events(number)
             if event.get("event") == "leadership-gained"
         ]
@@ -159,9 +162,9 @@
         :param announce: returns the address that the heartbeats of a database state.
         """
         count = 3 * len(self.platform.services)
-        addresses = [f"{self._ip(8)}:{9000 + number}" for number in range(count)]
+        addresses = [f"{self._ip(PLATFORM_NUMBER)}:{9000 + number}" for number in range(count)]
         await self.platform.start(addresses, announce)
-        for number in range(3):
+        for number in range(self.instances):
             self.start_instance(number, bootstrap=True, seeds=tuple(range(self._disks)))
         await self.configure()
         await self.wait_until_ready()
@@ -260,9 +263,9 @@
                             return await response.json()
         raise ConnectionError("no instance returned the configuration")
 
-    async def wait_until_ready(self, numbers: tuple[int, ...] = (0, 1, 2)) -> None:
-        """Wait until instances are ready and serve a write."""
-        for number in numbers:
+    async def wait_until_ready(self) -> None:
+        """Wait until all instances are ready and serve a write."""
+        for number in range(self.instances):
             await self._until(lambda session, number=number: self._is_ready(session, number))
             await self.serve(number)
 
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -7,7 +7,7 @@
 import tempfile
 from pathlib import Path
 
-from tests.soak.run import CONNECTIONS, run_seed
+from tests.soak.run import CALLERS, CONNECTIONS, run_seed
 
 
 def main() -> int:
@@ -20,13 +20,25 @@
     parser.add_argument(
         "--connections", type=int, default=CONNECTIONS, help="connections that a database accepts"
     )
+    parser.add_argument("--instances", type=int, default=3, help="number of instances")
+    parser.add_argument("--callers", type=int, default=CALLERS, help="callers at each instance")
     options = parser.parse_args()
     failed = []
     for seed in range(options.first, options.first + options.seeds):
         directory = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        history = run_seed(seed, options.seconds, options.network, directory, options.connections)
+        history = run_seed(
+            seed,
+            options.seconds,
+            options.network,
+            directory,
+            options.connections,
+            instances=options.instances,
+            callers=options.callers,
+        )
         outcome = "; ".join(history.violations[:5]) or "ok"
         print(f"seed {seed}: {history.writes} writes, {history.reads} reads: {outcome}")
+        singles = history.singles
+        print(f"  {singles['succeeded']} of {singles['sent']} reads and writes succeeded")
         sys.stdout.flush()
         if history.violations:
             failed.append(seed)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -4,20 +4,21 @@
 
 import asyncio
 import itertools
+import random
 import signal
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
+from tests.platform.standin_connection import Stutter
 from tests.system.fault_proxy import Direction, FaultProxy
 
 if TYPE_CHECKING:
-    import random
     from collections.abc import Awaitable, Callable
 
     from tests.platform.deployment import Deployment
     from tests.platform.standin import StandinDatabase
 
-__all__ = ["FIRST_KINDS", "KINDS", "Fault", "Faults", "draw_faults"]
+__all__ = ["ALL_KINDS", "FIRST_KINDS", "KINDS", "Fault", "Faults", "draw_faults"]
 
 #: Faults of the first version of the soak. Its seeds that failed are drawn from these alone, so
 #: that they still give the same faults.
@@ -46,6 +47,19 @@
     "lose_primary_and_leader",
 )
 
+#: With databases that answer twice, about once in four faults.
+ALL_KINDS = (*KINDS, *["stutter"] * 6)
+
+#: Faults of an instance.
+INSTANCE_KINDS = ("kill", "stop", "pause", "hang_up", "cut_platform")
+
+#: Longest time in seconds until a repeated answer, and share of the answers that are repeated.
+STUTTER_SECONDS = (0.0, 0.03, 0.5)
+STUTTER_SHARES = (0.1, 1.0)
+
+#: Share of the repetitions that are cut off.
+STUTTER_CUTS = 0.05
+
 #: Seconds between two faults, at most; they overlap when a fault lasts longer.
 GAP_SECONDS = 2.0
 
@@ -80,7 +94,7 @@
     while at < seconds:
         lasts = source.uniform(SHORTEST_SECONDS, LONGEST_SECONDS)
         kind, subject = source.choice(kinds), source.randrange(3)
-        service = source.randrange(2) if kinds is KINDS else 0
+        service = 0 if kinds is FIRST_KINDS else source.randrange(2)
         faults.append(Fault(at, kind, lasts, subject, service))
         at += source.uniform(0.1, GAP_SECONDS)
     return faults
@@ -105,6 +119,10 @@
 
     def start(self, fault: Fault) -> None:
         """Start a fault; it ends by itself."""
+        if fault.kind in INSTANCE_KINDS:
+            # Any of more than three instances, by what the seed has drawn already.
+            number = fault.subject + 3 * round(fault.at * 1000)
+            fault = replace(fault, subject=number % self._deployment.instances)
         act: Callable[[Fault], Awaitable[None]] = getattr(self, f"_{fault.kind}")
         self._tasks.append(asyncio.create_task(act(fault)))
 
@@ -213,6 +231,22 @@
             database.is_isolated = False
         self._release(f"isolation {primary.service}")
 
+    async def _stutter(self, fault: Fault) -> None:
+        """Let all databases of a service answer twice for a while."""
+        service = self._deployment.platform.services[fault.service]
+        if not self._occupy(f"stutter {service}"):
+            return
+        source = random.Random(fault.at)
+        delays = (0.0, source.choice(STUTTER_SECONDS))
+        stutter = Stutter(source, source.choice(STUTTER_SHARES), delays, STUTTER_CUTS)
+        databases = [d for d in self._deployment.platform.databases if d.service == service]
+        for database in databases:
+            database.stutter = stutter
+        await asyncio.sleep(fault.lasts)
+        for database in databases:
+            database.stutter = None
+        self._release(f"stutter {service}")
+
     async def _cut_platform(self, fault: Fault) -> None:
         await self._cut_path(fault.subject, fault.lasts)
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -3,18 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import tempfile
-from contextlib import suppress
 from pathlib import Path
 
 from tests.platform.deployment import OTHER_DATABASE, Deployment
 from tests.soak.caller import Caller
-from tests.soak.faults import KINDS, Fault, Faults, draw_faults
-from tests.soak.history import History
+from tests.soak.faults import ALL_KINDS, Fault, Faults, draw_faults
+from tests.soak.history import ODD_TEXTS, PLAIN_TEXTS, History
 from tests.system.fault_proxy import FaultProxy
 
-__all__ = ["CONNECTIONS", "SCARCE_CONNECTIONS", "run_seed"]
+__all__ = ["CALLERS", "CONNECTIONS", "SCARCE_CONNECTIONS", "run_seed"]
 
 #: Callers at each instance.
 CALLERS = 2
@@ -36,35 +36,35 @@
     network: str,
     directory: Path | None = None,
     connections: int = CONNECTIONS,
-    kinds: tuple[str, ...] = KINDS,
+    kinds: tuple[str, ...] = ALL_KINDS,
+    instances: int = 3,
+    callers: int = CALLERS,
 ) -> History:
     """Run one seed and return what was seen, with the violations.
 
     :param network: second and third octet of the loopback addresses.
     :param connections: connections that a database accepts; see ``Deployment``.
     :param directory: where logs are kept; a temporary one by default.
-    :param kinds: faults from which the seed draws.
+    :param kinds: faults from which the seed draws; with all of them, callers write odd texts.
+    :param callers: callers at each instance.
     """
-    if directory is not None:
+    with contextlib.ExitStack() as stack:
+        if directory is None:
+            directory = Path(stack.enter_context(tempfile.TemporaryDirectory()))
         directory.mkdir(parents=True, exist_ok=True)
-        return asyncio.run(_run(seed, seconds, network, directory, connections, kinds))
-    with tempfile.TemporaryDirectory() as temporary:
-        return asyncio.run(_run(seed, seconds, network, Path(temporary), connections, kinds))
+        deployment = Deployment(
+            directory, network, connections=connections, has_other=True, instances=instances
+        )
+        return asyncio.run(_run(seed, seconds, deployment, kinds, callers))
 
 
 async def _run(
-    seed: int,
-    seconds: float,
-    network: str,
-    directory: Path,
-    connections: int,
-    kinds: tuple[str, ...],
+    seed: int, seconds: float, deployment: Deployment, kinds: tuple[str, ...], callers: int
 ) -> History:
     source = random.Random(seed)
     # Drawn first, so that the faults of a seed do not depend on the number of callers.
     drawn = draw_faults(source, seconds, kinds)
-    deployment = Deployment(directory, network, connections=connections, has_other=True)
-    history = History()
+    history = History(texts=ODD_TEXTS if kinds is ALL_KINDS else PLAIN_TEXTS)
     deployment.platform.on_request = history.promotion_requested
     deployment.platform.on_lead = history.check_promoted
     proxies: list[FaultProxy] = []
@@ -77,13 +77,13 @@
         return proxy.address
 
     try:
-        for number in range(3):
+        for number in range(deployment.instances):
             path = FaultProxy(deployment.platform_address)
             path.start()
             paths.append(path)
             deployment.platform_addresses[number] = path.address
         await deployment.start(announce)
-        await _play(deployment, Faults(deployment, proxies, paths), source, drawn, history)
+        await _play(deployment, Faults(deployment, proxies, paths), source, drawn, history, callers)
         try:
             await deployment.wait_until_ready()
             await deployment.serve(0, database=OTHER_DATABASE)
@@ -108,10 +108,13 @@
     source: random.Random,
     drawn: list[Fault],
     history: History,
+    callers: int,
 ) -> None:
     stop = asyncio.Event()
+    for database in deployment.platform.databases:
+        database.executed.clear()
     works = [_operate(deployment, history, stop)]
-    for number in range(3 * CALLERS):
+    for number in range(deployment.instances * callers):
         service = deployment.platform.services[number % 2]
         caller = Caller(
             deployment, history, random.Random(source.random()), service, f"item{number}"
@@ -130,6 +133,8 @@
         history.violations.append("a database has no primary to copy the log of")
     stop.set()
     await asyncio.gather(*tasks)
+    for database in deployment.platform.databases:
+        history.check_runs(database)
 
 
 async def _operate(deployment: Deployment, history: History, stop: asyncio.Event) -> None:
@@ -139,7 +144,7 @@
         if version is not None:
             history.configured(version)
         at_least = history.configuration
-        with suppress(ConnectionError):
+        with contextlib.suppress(ConnectionError):
             read = await deployment.read_configuration()
             history.configuration_read(read["version"], at_least)
         await asyncio.sleep(CONFIGURATION_SECONDS)
