Let repeated answers of the stand-in meet statements that run

The stand-in answered at once, so that a repeated answer came while nothing was in progress or just before an answer.

--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -52,6 +52,7 @@
     :param writes: ids of the writes that took effect, in order.
     :param runs: callers that the startup messages named, with each statement of their connections.
     :param executed: statements of callers that ran here.
+    :param work_seconds: time until a message is answered.
     :param stutter: which answers are sent a second time; none by default.
     """
 
@@ -75,6 +76,7 @@
     statements: list[str] = field(default_factory=list)
     runs: list[tuple[str, str]] = field(default_factory=list)
     executed: list[Run] = field(default_factory=list)
+    work_seconds: float = 0.0
     stutter: Stutter | None = None
     server: asyncio.Server | None = None
     connections: set[asyncio.StreamWriter] = field(default_factory=set)
@@ -162,6 +164,7 @@
         try:
             while True:
                 message = await reader.readuntil(b"\r\n")
+                await asyncio.sleep(self.work_seconds)
                 answer = connection.answer(message[:-2].decode())
                 if answer is None:
                     continue
