Let a primary that stepped down prove a choice only up to its end

Cause: once the former primary had stepped down, any choice counted as certain, also the longest log of the registered replicas below the end of that primary. A replica that started at it and is not yet registered may have confirmed what lies between.

Change: the end of the former primary is a position like any other that a choice has to reach; without it the answers of all replicas suffice only after the leases and the time for registrations.

Result: the new test failed before (the phase was CHOSEN with i-replica-a at 20, while 22 was confirmed).

--- a/hibiscuspoint/core/failover/promotion.py
+++ b/hibiscuspoint/core/failover/promotion.py
@@ -307,7 +307,7 @@
             return False
         if acknowledgements.limit is not None and position >= acknowledgements.limit:
             return True
-        if self.former_position is not None:
+        if self.former_position is not None and position >= self.former_position:
             return True
         return has_every_reply and now >= acknowledgements.possible_until + REGISTRATION_SECONDS
 
--- a/tests/core/failover/test_group.py
+++ b/tests/core/failover/test_group.py
@@ -322,6 +322,31 @@
     assert simulation.record.primary == REPLICA_B
 
 
+def test_primary_that_stepped_down_proves_commits_only_up_to_its_end():
+    """Guards against a switchover that leaves out what an unregistered replica confirmed.
+
+    It started at the leaving primary after the other replicas were paused.
+    """
+    simulation = GroupSimulation()
+    simulation.record.targets[PRIMARY] = target(PRIMARY, leaving=True)
+    now = LATER
+    while simulation.record.phase is GroupPhase.STARTED:
+        now += 0.1
+        simulation.ledger.grant(GROUP, ENTRY, Term(1), now)
+        simulation.record_heartbeats(now)
+        simulation.tick(now)
+    simulation.record_pause(REPLICA_A, 20, now)
+    simulation.record_pause(REPLICA_B, 20, now)
+    simulation.poll({PRIMARY: primary_status(21)}, now + 0.1)
+    simulation.group.record_step_down(PRIMARY, replica_status(22), simulation.record.term, now + 0.2)
+    simulation.tick(now + 0.3)
+    assert simulation.record.phase is GroupPhase.SEALING
+    simulation.register(NEW)
+    simulation.record_pause(NEW, 22, now + 0.5)
+    simulation.tick(now + 0.5)
+    assert simulation.record.primary == NEW
+
+
 @pytest.mark.parametrize(("index", "is_removed"), [(19, False), (20, True)])
 def test_lost_replica_is_removed_only_when_another_one_has_the_whole_log(index, is_removed):
     """Guards against the removal of the only replica that holds an acknowledged commit."""
