Keep the end of a primary that stepped down in the control log

Cause: what a primary that stepped down proves was soft state of one round, and came from the reply to the order only. After a change of the leader, after a second round, or once that database was back under a new id, the group waited for a replica that was lost for good.

Change: the command RecordFormerEnd keeps that position until the next term starts; any log that reaches it may be chosen. A poll that shows a record of the last started term counts like the reply. A reply below what the primary showed before is ignored, as its database may have started again empty. A former primary is promoted again only after the leases of its term, so that its end stays above all acknowledged commits; its term could not start before that anyway.

The new tests fail without their part of the change (trials: the reply below, the record of the term, the end at a database that leads again, a later end in the same term, the started term of the command, the leases).

--- a/hibiscuspoint/core/control/state.py
+++ b/hibiscuspoint/core/control/state.py
@@ -7,7 +7,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from hibiscuspoint.core.position import TermHistory
+from hibiscuspoint.core.position import ZERO_POSITION, TermHistory
 from hibiscuspoint.ids import (
     AvailabilityZone,
     GroupId,
@@ -17,8 +17,10 @@
     Term,
 )
 from hibiscuspoint.wire import record_pb2
+from hibiscuspoint.wire.position import position_from, position_message
 
 if TYPE_CHECKING:
+    from hibiscuspoint.core.position import LogPosition
     from hibiscuspoint.wire import peer_pb2
 
 __all__ = ["AcceptedDocument", "ControlState", "GroupPhase", "GroupRecord", "TargetRecord"]
@@ -108,6 +110,8 @@
     :param primary_term: term that the primary of the last started term reported; 0 if it was none.
     :param lost_logs: incarnation of targets that started again; the commits that only it may have
         confirmed are not known to be held elsewhere.
+    :param former_end: end of the log of the former primary, once it has stepped down; ``None`` if
+        that is not known to have happened.
     :param targets: targets that registered themselves; only in a group without a fixed member list.
     """
 
@@ -124,6 +128,12 @@
     requested: tuple[TargetId, ...] = ()
     primary_term: Term = Term(0)
     lost_logs: dict[TargetId, Incarnation] = field(default_factory=dict)
+    former_end: LogPosition | None = None
+
+    @property
+    def started_term(self) -> Term:
+        """Last started term; 0 before the first one."""
+        return self.term_starts[-1][0] if self.term_starts else Term(0)
 
     @property
     def history(self) -> TermHistory:
@@ -167,6 +177,7 @@
             "drain_target": self._drain_target,
             "register_target": self._register_target,
             "remove_target": self._remove_target,
+            "record_former_end": self._record_former_end,
         }
 
     @property
@@ -259,6 +270,7 @@
             return
         record.phase = GroupPhase.STARTED
         record.requested = ()
+        record.former_end = None
         record.primary_term = Term(body.target_term)
         record.term_starts.append((record.term, body.start))
         del record.term_starts[:-TERM_HISTORY_LIMIT]
@@ -291,6 +303,11 @@
         if record.lost_logs.get(target, math.inf) <= body.incarnation:
             del record.lost_logs[target]
 
+    def _record_former_end(self, body: record_pb2.RecordFormerEnd) -> None:
+        record = self._groups.get(GroupId(body.group))
+        if record is not None and body.started_term == record.started_term:
+            record.former_end = max(record.former_end or ZERO_POSITION, position_from(body.end))
+
     def _drain_target(self, body: record_pb2.DrainTarget) -> None:
         target = TargetId(body.target)
         self._drains.pop(target, None)
@@ -323,6 +340,7 @@
         requested=record.requested,
         primary_term=record.primary_term,
         lost_logs=record.lost_logs,
+        former_end=position_message(record.former_end) if record.former_end else None,
     )
 
 
@@ -341,6 +359,7 @@
         requested=tuple(TargetId(target) for target in message.requested),
         primary_term=Term(message.primary_term),
         lost_logs={TargetId(t): Incarnation(i) for t, i in message.lost_logs.items()},
+        former_end=position_from(message.former_end) if message.HasField("former_end") else None,
     )
 
 
--- a/hibiscuspoint/core/failover/group.py
+++ b/hibiscuspoint/core/failover/group.py
@@ -20,6 +20,7 @@
 from hibiscuspoint.core.failover.watch import PrimaryFailure, PrimaryFailureDetector
 from hibiscuspoint.core.position import ZERO_POSITION
 from hibiscuspoint.wire import record_pb2
+from hibiscuspoint.wire.position import position_message
 
 if TYPE_CHECKING:
     from hibiscuspoint.core.control.effects import Effect
@@ -197,11 +198,16 @@
     def record_step_down(
         self, target: TargetId, status: TargetStatus, term: int, now: float
     ) -> None:
-        """Record the reply of a primary that was ordered to step down."""
+        """Record the reply of a primary that was ordered to step down.
+
+        A database that started again with nothing of before is behind what it showed as primary.
+        """
+        shown = self._contacts.primary_position(target)
         self._contacts.record_status(target, status, now, now)
         current_round = self._round
         is_former = current_round is not None and target == self._record.former_primary
-        if is_former and current_round.term == term and not status.is_primary:
+        has_log = shown is not None and status.received >= shown
+        if is_former and has_log and current_round.term == term and not status.is_primary:
             current_round.former_position = status.received
 
     def record_promotion_refusal(self, target: TargetId, now: float) -> None:
@@ -275,7 +281,11 @@
         if self._contacts.newest_term() >= record.term:
             # A target in this term or a later one would not be paused by an order with this one.
             return self._propose_term(now)
-        return self._report_wait(current_round, now) + current_round.pause_replicas(status_of, now)
+        effects = self._report_wait(current_round, now)
+        former_end = current_round.new_former_end(status_of)
+        if former_end is not None:
+            effects += self._propose_former_end(former_end, now)
+        return effects + current_round.pause_replicas(status_of, now)
 
     def _report_wait(self, current_round: PromotionRound, now: float) -> list[Effect]:
         """Report for what a choice waits that is not made in the usual time."""
@@ -298,15 +308,19 @@
             self._keeps_former = True
             return self._propose_term(now)
         status_of = self._contacts.recent_statuses(current_round.since, now)
-        effects = current_round.promote(status_of, self._token, now)
         status = status_of.get(record.primary)
         is_leading = status is not None and status.is_primary
-        if is_leading and any(s.is_primary and s.term > status.term for s in status_of.values()):
-            # A promotion that was given up has taken effect after this one.
-            return self._propose_term(now)
         has_no_lease = not record.term_starts or self._ledger.has_no_lease_before(
             record.group, record.term, now
         )
+        effects: list[Effect] = []
+        # Under a lease of its former term, an entry could go on writing at a former primary that
+        # leads again, so that its end would no longer cover all acknowledged commits.
+        if is_leading or has_no_lease or record.primary != record.former_primary:
+            effects += current_round.promote(status_of, self._token, now)
+        if is_leading and any(s.is_primary and s.term > status.term for s in status_of.values()):
+            # A promotion that was given up has taken effect after this one.
+            return self._propose_term(now)
         if is_leading and has_no_lease and current_round.has_settled(now):
             body = record_pb2.StartTerm(
                 group=record.group, term=record.term, start=0, target_term=status.term
@@ -493,6 +507,14 @@
         body = record_pb2.ChoosePrimary(group=record.group, term=record.term, primary=chosen)
         return self._propose("choose_primary", record_pb2.Command(choose_primary=body), now)
 
+    def _propose_former_end(self, end: LogPosition, now: float) -> list[Effect]:
+        """Propose the end of the former primary's log, so that a later leader knows it as well."""
+        record = self._record
+        body = record_pb2.RecordFormerEnd(
+            group=record.group, started_term=record.started_term, end=position_message(end)
+        )
+        return self._propose("record_former_end", record_pb2.Command(record_former_end=body), now)
+
     def _propose(self, name: str, command: record_pb2.Command, now: float) -> list[Effect]:
         """Propose a command, unless it was proposed in this term a short time ago."""
         key = f"{name} {self._record.term}"
--- a/hibiscuspoint/core/failover/promotion.py
+++ b/hibiscuspoint/core/failover/promotion.py
@@ -89,7 +89,8 @@
     :param since: monotonic time in seconds at which this leadership began to handle the term.
     :param keeps_former: whether the former primary is kept if it still acts as primary.
     :param paused_positions: position of each replica that is paused.
-    :param former_position: last position of the former primary, once it has stepped down.
+    :param former_position: last position of the former primary, where its reply to the order to
+        step down proves that.
     :param refused_at: when the platform last refused the promotion.
     """
 
@@ -156,7 +157,7 @@
             member = _member_address(target)
             if target.target == record.former_primary:
                 is_primary = target.target in status_of and status_of[target.target].is_primary
-                is_needed = is_primary and not self.keeps_former and self.former_position is None
+                is_needed = is_primary and not self.keeps_former
                 if is_needed and self._may_send_order(StepDown, target.target, now):
                     effects.append(StepDown(record.group, member, self.term))
             elif target.target not in self.paused_positions and self._may_send_order(
@@ -195,14 +196,21 @@
         has_every_reply = not self.missing_replies
         # Records that only the former primary holds were never acknowledged. So it is left out once
         # every replica has replied, as it may be partitioned from them.
+        former = status_of.get(record.former_primary)
         is_former_needed = not (has_every_reply and candidates)
-        if is_former_needed and self.former_position and record.former_primary in record.targets:
-            candidates[record.former_primary] = self.former_position
+        has_stepped_down = former is not None and not former.is_primary
+        if is_former_needed and has_stepped_down and record.former_end is not None:
+            candidates[record.former_primary] = former.received
         if not candidates:
             return None
         best = max(candidates, key=lambda target: (candidates[target], self._preference(target)))
         holds_all_commits = self._holds_all_commits(
-            candidates[best], acknowledgements, now, has_every_reply=has_every_reply
+            candidates[best],
+            # A former primary that acts as primary again may have acknowledged more.
+            record.former_end if former is None or has_stepped_down else None,
+            acknowledgements,
+            now,
+            has_every_reply=has_every_reply,
         )
         if not holds_all_commits:
             self._sufficient_since = math.inf
@@ -255,6 +263,25 @@
         if target in self.paused_positions:
             self._discard_pause(target)
 
+    def new_former_end(self, status_of: dict[TargetId, TargetStatus]) -> LogPosition | None:
+        """Return the end of the log of the former primary, if it is to be recorded.
+
+        It is known once that primary has stepped down, and later if it led on in the same term.
+
+        A database that started again with nothing of before holds no record of the last started
+        term, as no other one leads this term.
+
+        :param status_of: replies to polls that were sent in this round.
+        """
+        status = status_of.get(self.record.former_primary)
+        if status is None or status.is_primary:
+            return None
+        holds_term = 0 < self.record.primary_term <= status.received.term
+        end = status.received if holds_term else self.former_position
+        known = self.record.former_end
+        is_new = end is not None and (known is None or known.term == end.term and known < end)
+        return end if is_new else None
+
     def record_refusal(self, now: float) -> None:
         """Record that the platform refused the promotion because the target is not running."""
         self.refused_at = now
@@ -293,6 +320,7 @@
     def _holds_all_commits(
         self,
         position: LogPosition,
+        former_end: LogPosition | None,
         acknowledgements: Acknowledgements,
         now: float,
         *,
@@ -301,13 +329,14 @@
         """Tell whether the longest log that replied certainly holds all acknowledged commits.
 
         :param position: end of that log.
+        :param former_end: end of the log of the former primary, if it has stepped down.
         :param has_every_reply: whether every replica has replied and none has lost a log.
         """
         if position < acknowledgements.seen:
             return False
         if acknowledgements.limit is not None and position >= acknowledgements.limit:
             return True
-        if self.former_position is not None and position >= self.former_position:
+        if former_end is not None and position >= former_end:
             return True
         return has_every_reply and now >= acknowledgements.possible_until + REGISTRATION_SECONDS
 
--- a/tests/builders_failover.py
+++ b/tests/builders_failover.py
@@ -116,6 +116,11 @@
         self.group = GroupFailover(self.record, self.ledger, TOKEN, since)
         self.effects: list[object] = []
 
+    def lead_again(self, since: float) -> None:
+        """Let another control leader take over, which knows only the replicated state."""
+        self.ledger = LeaseLedger(since)
+        self.group = GroupFailover(self.record, self.ledger, TOKEN + 1, since)
+
     def tick(self, now: float) -> list[object]:
         """Advance the group and return the effects that are not proposals."""
         effects = []
--- a/tests/core/failover/test_group.py
+++ b/tests/core/failover/test_group.py
@@ -7,12 +7,13 @@
 from hibiscuspoint.core.control.effects import PrimarySuspected
 from hibiscuspoint.core.control.leases import LEASE_SECONDS
 from hibiscuspoint.core.control.route_state import RouteState
-from hibiscuspoint.core.control.state import GroupPhase
+from hibiscuspoint.core.control.state import ControlState, GroupPhase
 from hibiscuspoint.core.failover import (
     PromotionWaiting,
     RequestPromotion,
     ResumeReplica,
     StepDown,
+    TargetStatus,
 )
 from hibiscuspoint.core.failover.group import COOLDOWN_SECONDS, LEAVING_LIMIT_SECONDS
 from hibiscuspoint.core.failover.promotion import (
@@ -22,7 +23,7 @@
 )
 from hibiscuspoint.core.failover.watch import COMMIT_STALL_SECONDS, PRIMARY_SILENCE_SECONDS
 from hibiscuspoint.ids import TargetId, Term
-from hibiscuspoint.wire import peer_pb2
+from hibiscuspoint.wire import peer_pb2, record_pb2
 from tests.builders_failover import (
     ENTRY,
     GROUP,
@@ -338,7 +339,9 @@
     simulation.record_pause(REPLICA_A, 20, now)
     simulation.record_pause(REPLICA_B, 20, now)
     simulation.poll({PRIMARY: primary_status(21)}, now + 0.1)
-    simulation.group.record_step_down(PRIMARY, replica_status(22), simulation.record.term, now + 0.2)
+    simulation.group.record_step_down(
+        PRIMARY, replica_status(22), simulation.record.term, now + 0.2
+    )
     simulation.tick(now + 0.3)
     assert simulation.record.phase is GroupPhase.SEALING
     simulation.register(NEW)
@@ -347,6 +350,115 @@
     assert simulation.record.primary == NEW
 
 
+def _step_down(reply: TargetStatus) -> tuple[GroupSimulation, float]:
+    """Return a group whose leaving primary answers the order to step down, and the time.
+
+    One replica is paused with a shorter log, and the other one is lost.
+    """
+    simulation = GroupSimulation(started_group(primary_term=Term(1)))
+    simulation.record.targets[PRIMARY] = target(PRIMARY, leaving=True)
+    now = LATER
+    while simulation.record.phase is GroupPhase.STARTED:
+        now += 0.1
+        simulation.ledger.grant(GROUP, ENTRY, Term(1), now)
+        simulation.record_heartbeats(now)
+        simulation.poll({PRIMARY: primary_status(20)}, now)
+        simulation.tick(now)
+    simulation.poll({PRIMARY: primary_status(21)}, now + 0.1)
+    simulation.record_pause(REPLICA_A, 20, now + 0.1)
+    simulation.group.record_step_down(PRIMARY, reply, simulation.record.term, now + 0.2)
+    simulation.tick(now + 0.2)
+    return simulation, now + 0.2
+
+
+@pytest.mark.parametrize(("name", "is_recorded"), [(PRIMARY, True), (PRIMARY, False), (NEW, True)])
+def test_former_primary_that_stepped_down_counts_after_a_change_of_the_leader(name, is_recorded):
+    """Guards against a service without a primary for good while the former one runs as a replica.
+
+    A later leader waited for the lost replica. The former primary may come back under a new id.
+    """
+    simulation, now = _step_down(replica_status(22))
+    if not is_recorded:
+        simulation.record.former_end = None
+    simulation.lead_again(now)
+    simulation.tick(now + 0.1)
+    simulation.record_pause(REPLICA_A, 20, now + 0.1)
+    if name == NEW:
+        simulation.register(NEW)
+        simulation.record_pause(NEW, 22, now + 0.1)
+    for step in range(2, 6):
+        simulation.poll({name: replica_status(22, paused_term=2)}, now + step / 10)
+        simulation.tick(now + step / 10)
+    assert simulation.record.primary == name
+
+
+@pytest.mark.parametrize(
+    ("reply", "later"),
+    [
+        (replica_status(0, term=0), replica_status(0, term=0)),
+        (replica_status(22), replica_status(0, term=0)),
+        (replica_status(22), primary_status(23)),
+    ],
+)
+def test_former_primary_without_its_end_proves_nothing(reply, later):
+    """Guards against a choice that rests on a log that was lost, or that goes on.
+
+    The former primary starts again empty under its id, or acts as primary again.
+    """
+    simulation, now = _step_down(reply)
+    simulation.lead_again(now)
+    simulation.group.record_acknowledged_position(position(20))
+    for step in range(1, 6):
+        time = now + step / 10
+        simulation.record_pause(REPLICA_A, 22 if later.is_primary else 20, time)
+        simulation.poll({PRIMARY: later}, time)
+        simulation.tick(time)
+    assert simulation.record.phase is GroupPhase.SEALING
+    if later.is_primary:
+        assert simulation.record.former_end == position(22)
+        simulation.poll({PRIMARY: replica_status(24)}, time + 0.1)
+        simulation.tick(time + 0.1)
+        assert simulation.record.former_end == position(24)
+
+
+def test_former_primary_that_stepped_down_leads_again_only_after_its_leases():
+    """Guards against commits beyond the end of a former primary that is promoted again."""
+    simulation, now = _step_down(replica_status(22))
+    lease_end = now + LEASE_SECONDS
+    promoted_at = None
+    while promoted_at is None and now < lease_end + 1.0:
+        now += 0.1
+        simulation.poll({PRIMARY: replica_status(22)}, now)
+        if any(isinstance(effect, RequestPromotion) for effect in simulation.tick(now)):
+            promoted_at = now
+    assert simulation.record.primary == PRIMARY
+    assert promoted_at >= lease_end - 0.3
+
+
+def test_end_of_a_former_primary_counts_for_its_term_only():
+    """Guards against a choice that rests on the end of a primary before the last one."""
+    simulation, _ = _step_down(replica_status(22))
+    state, record = simulation.state, simulation.record
+    restored = ControlState()
+    restored.restore(state.snapshot())
+    assert restored.groups[GROUP].former_end == position(22)
+    record_end = record_pb2.RecordFormerEnd(group=GROUP, started_term=1)
+    choice = record_pb2.ChoosePrimary(group=GROUP, term=record.term, primary=REPLICA_A)
+    start = record_pb2.StartTerm(group=GROUP, term=record.term, target_term=2)
+    late = record_pb2.Command(record_former_end=record_end)
+    opening = record_pb2.OpenTerm(group=GROUP, term=record.term + 1)
+    for command in (
+        record_pb2.Command(choose_primary=choice),
+        record_pb2.Command(start_term=start),
+        late,
+        record_pb2.Command(open_term=opening),
+        late,
+    ):
+        state.apply(1, command)
+    assert record.phase is GroupPhase.SEALING
+    assert record.former_end is None
+
+
 @pytest.mark.parametrize(("index", "is_removed"), [(19, False), (20, True)])
 def test_lost_replica_is_removed_only_when_another_one_has_the_whole_log(index, is_removed):
     """Guards against the removal of the only replica that holds an acknowledged commit."""
--- a/tests/core/failover/test_promotion.py
+++ b/tests/core/failover/test_promotion.py
@@ -15,7 +15,14 @@
     PromotionRound,
 )
 from hibiscuspoint.ids import TargetId, Term
-from tests.builders_failover import PRIMARY, position, primary_status, started_group, target
+from tests.builders_failover import (
+    PRIMARY,
+    position,
+    primary_status,
+    replica_status,
+    started_group,
+    target,
+)
 
 _INDEXES = st.integers(1, 5)
 
@@ -63,8 +70,8 @@
     """Guards against a choice below what the former primary acknowledged."""
     current = _round(group, keeps_former=False)
     last = max(group["replicas"].values()) + ahead
-    current.former_position = position(last)
-    chosen = _chosen(current, None)
+    current.record.former_end = position(last)
+    chosen = _chosen(current, None, {PRIMARY: replica_status(last)})
     held = {**group["replicas"], PRIMARY: last}
     if chosen is not None:
         assert held[chosen] >= group["acknowledged"]
