Order a returned primary of an ended term to step down

A group whose former primary acts under a new id has no primary for good, when another target was promoted meanwhile and is lost before its term starts (model of the group; not seen by users).

Cause: only the former id was ordered to step down. A target that acts as primary ignores an order to pause, and is not adopted once a member knows a later term, so that the round waited for its pause.

Change: a target that acts as primary in a term below a known one is ordered to step down. If it led the last started term it was the last primary, and its end is recorded.

Result: the new test failed before (no order to step down); its case of the last started term fails without the record of the end (trial).

--- a/hibiscuspoint/core/failover/contacts.py
+++ b/hibiscuspoint/core/failover/contacts.py
@@ -123,12 +123,12 @@
             return None
         return contact.status.received, contact.read_at
 
-    def primary_position(self, target: TargetId) -> LogPosition | None:
-        """Return the last position of a target, if it acted as primary then."""
+    def primary_status(self, target: TargetId) -> TargetStatus | None:
+        """Return the last status of a target, if it acted as primary then."""
         contact = self._contacts.get(target)
         if contact is None or contact.status is None or not contact.status.is_primary:
             return None
-        return contact.status.received
+        return contact.status
 
     def recent_statuses(self, since: float, now: float) -> dict[TargetId, TargetStatus]:
         """Return the statuses that are not outdated and whose polls were sent after ``since``."""
--- a/hibiscuspoint/core/failover/group.py
+++ b/hibiscuspoint/core/failover/group.py
@@ -202,12 +202,15 @@
 
         A database that started again with nothing of before is behind what it showed as primary.
         """
-        shown = self._contacts.primary_position(target)
+        shown = self._contacts.primary_status(target)
         self._contacts.record_status(target, status, now, now)
-        current_round = self._round
-        is_former = current_round is not None and target == self._record.former_primary
-        has_log = shown is not None and status.received >= shown
-        if is_former and has_log and current_round.term == term and not status.is_primary:
+        current_round, record = self._round, self._record
+        if current_round is None or current_round.term != term or status.is_primary:
+            return
+        if shown is None or status.received < shown.received:
+            return
+        # One database leads a term, so that the last primary is known by its term as well.
+        if target == record.former_primary or 0 < record.primary_term == shown.term:
             current_round.former_position = status.received
 
     def record_promotion_refusal(self, target: TargetId, now: float) -> None:
--- a/hibiscuspoint/core/failover/promotion.py
+++ b/hibiscuspoint/core/failover/promotion.py
@@ -89,8 +89,8 @@
     :param since: monotonic time in seconds at which this leadership began to handle the term.
     :param keeps_former: whether the former primary is kept if it still acts as primary.
     :param paused_positions: position of each replica that is paused.
-    :param former_position: last position of the former primary, where its reply to the order to
-        step down proves that.
+    :param former_position: last position of the former primary, under its own or a new id, where
+        its reply to the order to step down proves that.
     :param refused_at: when the platform last refused the promotion.
     """
 
@@ -146,20 +146,27 @@
     def pause_replicas(self, status_of: dict[TargetId, TargetStatus], now: float) -> list[Effect]:
         """Return the orders that pause the replicas.
 
-        Unless the former primary is kept, it is ordered to step down as well.
+        Unless the former primary is kept, it is ordered to step down as well. So is a primary of a
+        term that a later one has ended: it ignores an order to pause.
 
         :param status_of: replies to polls that were sent in this round.
         """
         self._discard_restarted()
         record = self.record
+        newest_term = self._newest_term(status_of)
         effects: list[Effect] = []
         for target in record.targets.values():
             member = _member_address(target)
+            status = status_of.get(target.target)
             if target.target == record.former_primary:
-                is_primary = target.target in status_of and status_of[target.target].is_primary
+                is_primary = status is not None and status.is_primary
                 is_needed = is_primary and not self.keeps_former
                 if is_needed and self._may_send_order(StepDown, target.target, now):
                     effects.append(StepDown(record.group, member, self.term))
+            elif status is not None and status.is_primary:
+                is_deposed = status.term < newest_term
+                if is_deposed and self._may_send_order(StepDown, target.target, now):
+                    effects.append(StepDown(record.group, member, self.term))
             elif target.target not in self.paused_positions and self._may_send_order(
                 PauseReplica, target.target, now
             ):
@@ -273,11 +280,13 @@
 
         :param status_of: replies to polls that were sent in this round.
         """
+        end = self.former_position
         status = status_of.get(self.record.former_primary)
-        if status is None or status.is_primary:
-            return None
-        holds_term = 0 < self.record.primary_term <= status.received.term
-        end = status.received if holds_term else self.former_position
+        if status is not None:
+            if status.is_primary:
+                return None
+            if 0 < self.record.primary_term <= status.received.term:
+                end = status.received
         known = self.record.former_end
         is_new = end is not None and (known is None or known.term == end.term and known < end)
         return end if is_new else None
@@ -348,8 +357,7 @@
         promotion was given up and took effect later.
         """
         record = self.record
-        newest_term = max((status.term for status in status_of.values()), default=0)
-        newest_term = max(newest_term, record.primary_term)
+        newest_term = self._newest_term(status_of)
         for target, status in status_of.items():
             if not status.is_primary or status.term < newest_term:
                 continue
@@ -357,6 +365,10 @@
                 return target
         return None
 
+    def _newest_term(self, status_of: dict[TargetId, TargetStatus]) -> int:
+        """Return the newest term that the last primary or any target has reported."""
+        return max([self.record.primary_term, *(status.term for status in status_of.values())])
+
     def _may_keep_former(self) -> bool:
         """Tell whether a former primary that still acts as primary may stay primary."""
         former = self.record.targets.get(self.record.former_primary)
--- a/tests/core/failover/test_group.py
+++ b/tests/core/failover/test_group.py
@@ -435,6 +435,29 @@
     assert promoted_at >= lease_end - 0.3
 
 
+@pytest.mark.parametrize("known_term", [1, 2])
+def test_returned_primary_of_an_ended_term_steps_down(known_term):
+    """Guards against a round that waits for the pause of a target that acts as primary.
+
+    It is the last primary under a new id, or an earlier one; the leader of the next term is lost.
+    """
+    simulation = GroupSimulation(started_group(primary_term=Term(known_term)))
+    simulation.register(NEW, incarnation=2)
+    now = _lose_primary(simulation, LATER)
+    follower = TargetStatus(False, Term(2), position(20))
+    for _ in range(2):
+        # The first round opens a term above those that the targets report.
+        now += 0.1
+        simulation.poll({NEW: primary_status(21), REPLICA_A: follower}, now)
+        simulation.tick(now)
+    ordered = [e.member.target for e in simulation.effects if isinstance(e, StepDown)]
+    assert ordered == [NEW]
+    term = simulation.record.term
+    simulation.group.record_step_down(NEW, replica_status(22), term, now + 0.1)
+    simulation.tick(now + 0.1)
+    assert simulation.record.former_end == (position(22) if known_term == 1 else None)
+
+
 def test_end_of_a_former_primary_counts_for_its_term_only():
     """Guards against a choice that rests on the end of a primary before the last one."""
     simulation, _ = _step_down(replica_status(22))
