Leave a primary that is back under a new id in the lead

Cause: in phase STARTED control ordered every target that acted as primary, other than the recorded one, to step down, also the recorded one under its new id. Nothing proved afterwards that it has the whole log, and a leader without a floor waited for the replica that was lost.

Change: a target is ordered to step down only if its term is below that of the primary. One that leads this term is adopted once the old id is suspected.

--- a/hibiscuspoint/core/failover/promotion.py
+++ b/hibiscuspoint/core/failover/promotion.py
@@ -245,15 +245,24 @@
     def resume_replication(
         self, status_of: dict[TargetId, TargetStatus], now: float
     ) -> list[Effect]:
-        """Demote every other primary to a replica and resume the paused replicas."""
+        """Demote every primary of an earlier term to a replica and resume the paused replicas.
+
+        A target that leads the term of the primary or a later one is left alone. It may be the
+        primary under a new id, and only that it leads this term proves that it has the whole log.
+        """
         record = self.record
+        primary_status = status_of.get(record.primary)
+        primary_term = record.primary_term
+        if primary_status is not None and primary_status.is_primary:
+            primary_term = max(primary_term, primary_status.term)
         effects: list[Effect] = []
         for target in record.targets.values():
             if target.target == record.primary:
                 continue
             status = status_of.get(target.target)
             if status is not None and status.is_primary:
-                if self._may_send_order(StepDown, target.target, now):
+                is_deposed = status.term < primary_term
+                if is_deposed and self._may_send_order(StepDown, target.target, now):
                     effects.append(StepDown(record.group, _member_address(target), self.term))
                 continue
             # The order is repeated: a replica without a free slot may reject it, and the reply may
--- a/tests/core/failover/test_group.py
+++ b/tests/core/failover/test_group.py
@@ -647,6 +647,32 @@
     assert simulation.record.primary == primary
 
 
+def test_primary_that_returned_under_a_new_id_leads_until_it_is_adopted():
+    """Guards against a service without a primary for good after a change of the leader (soak, 3).
+
+    Control made the returned primary step down before its old id was suspected. A later leader
+    could not tell that it has the whole log, and waited for a replica that was replaced.
+    """
+    simulation = GroupSimulation(started_group(term=Term(2), primary_term=Term(1)))
+    simulation.register(NEW, incarnation=2)
+    statuses = {NEW: primary_status(20), REPLICA_A: replica_status(20)}
+    simulation.poll(statuses, LATER)
+    simulation.tick(LATER)
+    assert "StepDown" not in simulation.effect_names()
+    simulation.lead_again(LATER + 0.1)
+    now = LATER + 0.1
+    while simulation.record.term == 2 and now < LATER + 5.0:
+        now += 0.1
+        simulation.group.record_replacement(PRIMARY, now)
+        simulation.group.record_replacement(REPLICA_B, now)
+        simulation.poll(statuses, now)
+        simulation.tick(now)
+    simulation.poll(statuses, now + 0.1)
+    simulation.tick(now + 0.1)
+    assert "StepDown" not in simulation.effect_names()
+    assert simulation.record.primary == NEW
+
+
 def test_replica_that_registers_late_is_paused_before_a_choice():
     """Guards against a promotion without a replica that started at a cut-off primary (review/1).
 
