Keep connections whose target repeats its greeting

What callers saw: a target that sends the answer to the startup twice at once served nothing; 10 of 10 reads were refused (BUSY) with 59 connections opened. Cause: the repeated greeting counted as a repetition, after which the idle connection is closed. Change: a known greeting is skipped and has no other effect, as no question has such an answer. Result: 10 of 10 reads are answered over one connection.

--- a/hibiscuspoint/core/sessions/answers.py
+++ b/hibiscuspoint/core/sessions/answers.py
@@ -126,7 +126,8 @@
         """
         is_known = answer.digest in self._digests
         match = self._match(question, answer, is_known)
-        if match is Match.REPEATED:
+        if match is Match.REPEATED and answer.kind is not AnswerKind.GREETING:
+            # No question is answered with a greeting, so that it is never taken for an answer.
             self._has_repetition = True
         elif match is Match.ACCEPTED:
             self._accept(answer, is_known)
