End connections after errors and lost proofs

A connection now ends with its use after an error, so that the retry has another one. - The answer to a poll that came after a repetition counted as new for the next question. A connection stays unproven until a new signature arrives; the poller replaces it after 0.75 s (5 s before, too long for reads with an age of 1.5 s), when facts change, and before an order. - The position in an answer that may be a repetition was used as a sample of the log; a ROLLBACK like an earlier one left a connection in use on which an answer with an open transaction could still come.

--- a/hibiscuspoint/components/sessions/transactions.py
+++ b/hibiscuspoint/components/sessions/transactions.py
@@ -8,7 +8,12 @@
 
 from hibiscuspoint.components.sessions.attempts import RefusedError
 from hibiscuspoint.core.sessions import Failure, Reply, SessionState, StatementKind
-from hibiscuspoint.drivers.errors import AnswerTimeoutError, ConnectError, ConnectionLost
+from hibiscuspoint.drivers.errors import (
+    AnswerTimeoutError,
+    AnswerUnclear,
+    ConnectError,
+    ConnectionLost,
+)
 
 if TYPE_CHECKING:
     from hibiscuspoint.components.sessions.attempts import Attempts, Candidate
@@ -216,7 +221,7 @@
         """Open the transaction at one target; returns whether it is open."""
         group = transaction.route.group
         with self._attempts.use(group, candidate):
-            if not await self._begin_once(transaction, candidate):
+            if not await self._begin_certainly(transaction, candidate):
                 return False
             if candidate.term is None:
                 return True
@@ -229,7 +234,24 @@
         self.release(transaction, is_clean=False)
         return False
 
+    async def _begin_certainly(self, transaction: Transaction, candidate: Candidate) -> bool:
+        """Open the transaction at one target, at once over the next connection if it is unclear.
+
+        In a group without commits, the answer looks like that to an earlier ``BEGIN`` of the same
+        connection. Each attempt ends such a connection, so that a new one comes at last.
+        """
+        while True:
+            try:
+                return await self._begin_once(transaction, candidate)
+            except AnswerUnclear:
+                if self._clock.monotonic() >= candidate.answer_until:
+                    return False
+
     async def _begin_once(self, transaction: Transaction, candidate: Candidate) -> bool:
+        """Open the transaction at one target; returns whether it is open.
+
+        :raises AnswerUnclear: the answer may be that to an earlier one.
+        """
         attempts, route, target = self._attempts, transaction.route, candidate.target
         try:
             connection = await attempts.acquire(route, candidate, is_transaction=True)
@@ -248,6 +270,8 @@
                 connection, transaction.begin, candidate.answer_until, after=candidate.after
             )
             is_open = reply.error is None and reply.state is SessionState.IN_TRANSACTION
+        except AnswerUnclear:
+            raise
         except ConnectionLost as error:
             attempts.record_failure(target, error)
             return False
--- a/hibiscuspoint/components/target_poller.py
+++ b/hibiscuspoint/components/target_poller.py
@@ -39,8 +39,9 @@
 ANSWER_SECONDS = 0.4
 
 #: Seconds without a new answer after which a connection is replaced: the first answer of a
-#: connection proves the position again.
-UNPROVEN_SECONDS = 5.0
+#: connection proves the position again. With the next poll of an idle primary it is proven often
+#: enough for reads with an age of 1.5 s.
+UNPROVEN_SECONDS = 0.75
 
 
 class TargetPoller:
@@ -126,6 +127,7 @@
         self._wake = asyncio.Event()
         self._is_reachable = True
         self._is_stopped = False
+        self._is_proven = True
         self._status: TargetStatus | None = None
         self._read_at = 0.0
         self._task = spawn(self._poll_forever(), f"polls of {record.target}")
@@ -155,7 +157,7 @@
     ) -> TargetStatus | None:
         """Send an order and return the status after it; ``None`` when there was no answer."""
         asked_at = self._clock.monotonic()
-        answer = await self._call(call, may_send)
+        answer = await self._call(call, may_send, needs_proof=True)
         if answer is None:
             return None
         if not answer.is_new:
@@ -169,11 +171,18 @@
         self,
         call: Callable[[SessionConnection], Awaitable[StatusAnswer]],
         may_send: Callable[[], bool] = lambda: True,
+        *,
+        needs_proof: bool = False,
     ) -> StatusAnswer | None:
-        """Make a call over the connection; ``None`` when there was no answer."""
+        """Make a call over the connection; ``None`` when there was no answer.
+
+        :param needs_proof: whether to replace a connection whose answers prove nothing any more.
+        """
         target = self._record.target
         async with self._lock:
             try:
+                if needs_proof and not self._is_proven and self._connection is not None:
+                    self._connection.close()
                 connection = await self._connected()
                 return await call(connection) if may_send() else None
             except ConnectError as error:
@@ -197,6 +206,7 @@
             self._connection = await self._driver.connect(
                 record.group, record.target, record.address, ANSWER_SECONDS
             )
+            self._is_proven = True
         if self._is_stopped:
             # An order may have waited for the connection while the target moved.
             self._connection.close()
@@ -228,6 +238,7 @@
         """
         target, now = self._record.target, self._clock.monotonic()
         status = answer.status
+        self._is_proven = answer.is_new
         if not self._is_reachable:
             self._is_reachable = True
             log_event(logger, catalogue.TARGET_REGAINED, target=target)
--- a/hibiscuspoint/core/sessions/answers.py
+++ b/hibiscuspoint/core/sessions/answers.py
@@ -18,7 +18,7 @@
 __all__ = ["Answer", "AnswerHistory", "AnswerKind", "Match", "Question"]
 
 #: Answers after which a connection ends between two uses, as it remembers a hash of each of them.
-MAX_ANSWERS = 2_000
+MAX_ANSWERS = 1_000
 
 
 class AnswerKind(Enum):
@@ -90,30 +90,36 @@
     """Answers of one connection.
 
     As a target answers in order, an answer that is no repetition belongs to the question in
-    progress, of which there is at most one.
+    progress, of which there is at most one. Example: if ``SET`` is answered by a repetition of an
+    earlier ``SET``, the connection is unproven, as the own answer is still to come. That arrives
+    while the next statement runs, which is signed, and counts as a repetition there; the connection
+    must end with its use.
     """
 
     def __init__(self) -> None:
         self._digests: set[int] = set()
         self._has_repetition = False
+        self._is_spent = False
         self._is_unproven = False
-        self._must_end = False
         self._state = SessionState.IDLE
 
-    @property
-    def has_repetition(self) -> bool:
-        """Tell whether the target has answered a question twice."""
-        return self._has_repetition
-
     @property
     def is_unproven(self) -> bool:
-        """Tell whether the last accepted answer equals an earlier one and may repeat it."""
+        """Tell whether an answer without a signature may be that to an earlier question.
+
+        That is so from one that equals an earlier answer until a new signature arrives, as its own
+        answer may still come.
+        """
         return self._is_unproven
 
     @property
     def must_end(self) -> bool:
-        """Tell whether the connection has to be closed when it is not in use any more."""
-        return self._must_end or self._has_repetition or len(self._digests) >= MAX_ANSWERS
+        """Tell whether the connection has to be closed when it is not in use any more.
+
+        After an error, the same one to the next statement could not be told from a repetition.
+        """
+        is_full = len(self._digests) >= MAX_ANSWERS
+        return self._is_spent or self._has_repetition or is_full
 
     def record_greeting(self, answer: Answer) -> None:
         """Record the answer to the startup of the connection."""
@@ -130,7 +136,7 @@
             # No question is answered with a greeting, so that it is never taken for an answer.
             self._has_repetition = True
         elif match is Match.ACCEPTED:
-            self._accept(answer, is_known)
+            self._accept(question, answer, is_known)
         return match
 
     def _match(self, question: Question | None, answer: Answer, is_known: bool) -> Match:
@@ -148,7 +154,10 @@
         return Match.ACCEPTED
 
     def _fits(self, question: Question | None, answer: Answer) -> bool:
-        """Tell whether a question may have an answer of this form."""
+        """Tell whether a question may have an answer of this form.
+
+        Setting a value or asking for the status leaves the state of the session as it was.
+        """
         if question is None or answer.kind is AnswerKind.GREETING:
             return False
         if answer.kind is AnswerKind.ERROR:
@@ -164,10 +173,15 @@
                 return answer.reply.state is self._state
         return True
 
-    def _accept(self, answer: Answer, is_known: bool) -> None:
-        if answer.kind is AnswerKind.ERROR and self._is_unproven:
-            # The error may be that of the step before, whose place a repetition has taken.
-            self._must_end = True
-        self._is_unproven = is_known
+    def _accept(self, question: Question, answer: Answer, is_known: bool) -> None:
+        if answer.kind is AnswerKind.SIGNED:
+            self._is_unproven = False
+        elif is_known:
+            self._is_unproven = True
+        if answer.kind is AnswerKind.ERROR:
+            self._is_spent = True
+        elif question is Question.ROLLBACK and self._is_unproven:
+            # An answer from inside the transaction that is still to come looks like that to BEGIN.
+            self._is_spent = True
         self._digests.add(answer.digest)
         self._state = answer.reply.state
--- a/hibiscuspoint/platform/answer_stream.py
+++ b/hibiscuspoint/platform/answer_stream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.core.sessions import AnswerHistory, AnswerKind, Match, SessionState
@@ -63,7 +64,7 @@
 
     @property
     def is_unproven(self) -> bool:
-        """Tell whether the last accepted answer equals an earlier one and may repeat it."""
+        """Tell whether the last answer may be that to an earlier question."""
         return self._history.is_unproven
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -121,7 +122,7 @@
         self._transport.write(message)
         try:
             async with asyncio.timeout(timeout):
-                return (await self._waiter).reply
+                reply = (await self._waiter).reply
         except TimeoutError:
             self.reset()
             raise AnswerTimeoutError from None
@@ -130,6 +131,8 @@
             raise
         finally:
             self._question = self._waiter = None
+        # A position from before the question must not be taken for the present one.
+        return replace(reply, position=None) if self.is_unproven else reply
 
     def close(self) -> None:
         """Close the connection."""
