Log orders to step down

The logs of a service without a primary did not show that its leader had made the returned primary a replica; only a model and the fix did. The event step-down-ordered names target, term and outcome.

--- a/hibiscuspoint/components/failover_effects.py
+++ b/hibiscuspoint/components/failover_effects.py
@@ -124,6 +124,18 @@
 
     async def _step_down(self, group: GroupId, target: str, term: Term) -> None:
         status = await self._poller.step_down(target, term)
+        if status is None:
+            outcome = "no answer"
+        else:
+            outcome = "still a primary" if status.is_primary else "a replica"
+        log_event(
+            logger,
+            catalogue.STEP_DOWN_ORDERED,
+            group=group,
+            target=target,
+            term=term,
+            outcome=outcome,
+        )
         if status is not None:
             self._tell(
                 group,
--- a/hibiscuspoint/telemetry/catalogue.py
+++ b/hibiscuspoint/telemetry/catalogue.py
@@ -304,6 +304,16 @@
 REPLICA_RESUMED = define_event(
     323, "replica-resumed", INFO, "{target} of group {group} receives again.", "group", "target"
 )
+STEP_DOWN_ORDERED = define_event(
+    325,
+    "step-down-ordered",
+    INFO,
+    "{target} of group {group} was ordered to step down for term {term}: {outcome}.",
+    "group",
+    "target",
+    "term",
+    "outcome",
+)
 
 # 400: leases, holders, shares, connections
 LEASE_EXPIRED = define_event(
