Let stuttering databases refuse reads and writes as busy

A refusal that is repeated may be taken for that of a later write, which then was said not to have run. The databases of test_repeated_answers.py refuse a tenth of the reads and writes outside transactions, those of the soak a twentieth while they stutter; transactions may also consist of one read.

--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import itertools
+import random
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -53,6 +54,7 @@
     :param runs: callers that the startup messages named, with each statement of their connections.
     :param executed: statements of callers that ran here.
     :param work_seconds: time until a message is answered.
+    :param busy_share: share of the reads and writes outside transactions that are refused.
     :param stutter: which answers are sent a second time; none by default.
     """
 
@@ -77,10 +79,17 @@
     runs: list[tuple[str, str]] = field(default_factory=list)
     executed: list[Run] = field(default_factory=list)
     work_seconds: float = 0.0
+    busy_share: float = 0.0
     stutter: Stutter | None = None
+    source: random.Random = field(default_factory=lambda: random.Random(1))
     server: asyncio.Server | None = None
     connections: set[asyncio.StreamWriter] = field(default_factory=set)
 
+    @property
+    def is_busy(self) -> bool:
+        """Draw whether a read or write outside a transaction is refused."""
+        return self.source.random() < self.busy_share
+
     @property
     def members(self) -> list[StandinDatabase]:
         """Return the databases of the same service."""
--- a/tests/platform/standin_connection.py
+++ b/tests/platform/standin_connection.py
@@ -115,6 +115,8 @@
             if name not in self._prepared:
                 return "ERROR NOSTMT -\r\n"
             verb, shape = self._prepared[name][0], " ".join(self._prepared[name])
+        if verb in ("READ", "WRITE") and not is_in_transaction and self._database.is_busy:
+            return "ERROR BUSY -\r\n"
         answer = getattr(self, f"_{verb.lower()}")(request, rest)
         is_refused = answer is not None and answer.startswith("ERROR")
         if text.partition(" ")[0] in _CALLER_VERBS and not is_refused:
--- a/tests/platform/test_repeated_answers.py
+++ b/tests/platform/test_repeated_answers.py
@@ -21,6 +21,9 @@
 #: Time of a database for a statement, so that repeated answers also arrive while one runs.
 WORK_SECONDS = 0.004
 
+#: Share of the reads and writes that are refused, so that refusals are repeated as well.
+BUSY_SHARE = 0.1
+
 CALLERS = 6
 
 
@@ -35,6 +38,7 @@
             database.executed.clear()
             database.work_seconds = WORK_SECONDS
             if stutters:
+                database.busy_share = BUSY_SHARE
                 database.stutter = Stutter(random.Random(number), cut_share=0.02)
         callers = [
             Caller(deployment, history, random.Random(number), SERVICE, f"item{2 * number}")
@@ -64,8 +68,9 @@
 def test_repeated_answers_are_told_from_those_of_later_statements(network, connections, tmp_path):
     """Guards against a caller who is told the answer of another statement.
 
-    Each database sends each answer twice, the second time up to 30 ms later. Callers must still be
-    served: at least half of the reads and writes outside transactions succeed.
+    Each database sends each answer twice, the second time up to 30 ms later. What it refused as
+    busy must not be kept. Callers must still be served: at least half of the reads and writes
+    outside transactions succeed.
     """
     history = asyncio.run(_call(tmp_path, network, connections, stutters=True))
     assert _found(history) == ""
--- a/tests/soak/caller.py
+++ b/tests/soak/caller.py
@@ -168,18 +168,19 @@
         is_committed = False
         try:
             answer = await session.run("BEGIN")
-            for _ in range(self._source.randint(1, 3)):
+            for _ in range(self._source.randint(0, 3)):
                 if not answer[-2].startswith("ERROR"):
                     answer = await self._send_next(session)
                     ids.append(session.last_id)
                     await asyncio.sleep(self._source.uniform(0.0, 0.03))
             if not answer[-2].startswith("ERROR"):
-                answer = await self._read_item(session, self._item, self._number, "transaction")
+                at_least = self._number if ids else self._history.acknowledged[self._item]
+                answer = await self._read_item(session, self._item, at_least, "transaction")
             if answer[-2].startswith("ERROR") or self._source.random() < ROLLBACKS:
                 await session.run("ROLLBACK")
                 return
             is_committed = True
-            self._judge(await session.run("COMMIT"), ids, self._number)
+            self._judge(await session.run("COMMIT"), ids, self._number if ids else 0)
         finally:
             if not is_committed:
                 self._history.refused([*ids, session.last_id])
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -57,8 +57,9 @@
 STUTTER_SECONDS = (0.0, 0.03, 0.5)
 STUTTER_SHARES = (0.1, 1.0)
 
-#: Share of the repetitions that are cut off.
+#: Share of the repetitions that are cut off, and of the reads and writes refused meanwhile.
 STUTTER_CUTS = 0.05
+STUTTER_BUSY = 0.05
 
 #: Seconds between two faults, at most; they overlap when a fault lasts longer.
 GAP_SECONDS = 2.0
@@ -241,10 +242,10 @@
         stutter = Stutter(source, source.choice(STUTTER_SHARES), delays, STUTTER_CUTS)
         databases = [d for d in self._deployment.platform.databases if d.service == service]
         for database in databases:
-            database.stutter = stutter
+            database.stutter, database.busy_share = stutter, STUTTER_BUSY
         await asyncio.sleep(fault.lasts)
         for database in databases:
-            database.stutter = None
+            database.stutter, database.busy_share = None, 0.0
         self._release(f"stutter {service}")
 
     async def _cut_platform(self, fault: Fault) -> None:
