Bound the connections of a BEGIN, and keep the poll connection of a busy target

A BEGIN whose answers were always unclear opened connections without pause until its deadline; it now tries eight in a round.

--- a/hibiscuspoint/components/sessions/transactions.py
+++ b/hibiscuspoint/components/sessions/transactions.py
@@ -31,6 +31,10 @@
 #: Longest time in seconds to wait for the answer to a rollback before the connection is closed.
 ROLLBACK_SECONDS = 0.5
 
+#: Connections over which a transaction is begun in one round while the answers are unclear. It is
+#: about the number that one instance keeps to a target.
+UNCLEAR_ATTEMPTS = 8
+
 
 @dataclass
 class Transaction:
@@ -240,12 +244,12 @@
         In a group without commits, the answer looks like that to an earlier ``BEGIN`` of the same
         connection. Each attempt ends such a connection, so that a new one comes at last.
         """
-        while True:
+        for _ in range(UNCLEAR_ATTEMPTS):
             try:
                 return await self._begin_once(transaction, candidate)
-            except AnswerUnclear:
-                if self._clock.monotonic() >= candidate.answer_until:
-                    return False
+            except AnswerUnclear as error:
+                self._attempts.record_failure(candidate.target, error)
+        return False
 
     async def _begin_once(self, transaction: Transaction, candidate: Candidate) -> bool:
         """Open the transaction at one target; returns whether it is open.
--- a/hibiscuspoint/core/sessions/answers.py
+++ b/hibiscuspoint/core/sessions/answers.py
@@ -117,6 +117,7 @@
         """Tell whether the connection has to be closed when it is not in use any more.
 
         After an error, the same one to the next statement could not be told from a repetition.
+        Polls rely on no error, and a busy target must not open a connection for each of them.
         """
         is_full = len(self._digests) >= MAX_ANSWERS
         return self._is_spent or self._has_repetition or is_full
@@ -178,7 +179,7 @@
             self._is_unproven = False
         elif is_known:
             self._is_unproven = True
-        if answer.kind is AnswerKind.ERROR:
+        if answer.kind is AnswerKind.ERROR and question is not Question.STATUS:
             self._is_spent = True
         elif question is Question.ROLLBACK and self._is_unproven:
             # An answer from inside the transaction that is still to come looks like that to BEGIN.
--- a/tests/components/sessions/test_lending.py
+++ b/tests/components/sessions/test_lending.py
@@ -7,8 +7,9 @@
 
 import pytest
 
-from hibiscuspoint.components.sessions.attempts import Attempts, Candidate
+from hibiscuspoint.components.sessions.attempts import ATTEMPT_ROUNDS, Attempts, Candidate
 from hibiscuspoint.components.sessions.borrowing import HeldRead
+from hibiscuspoint.components.sessions.transactions import UNCLEAR_ATTEMPTS
 from hibiscuspoint.core.sessions import ConnectionDemand, Failure, SessionContext
 from hibiscuspoint.drivers.errors import AnswerUnclear, ConnectionLost
 from tests.builders_failover import GROUP, PRIMARY
@@ -265,3 +266,23 @@
             assert _idle(holder) == 0
 
     asyncio.run(scenario())
+
+
+def test_unclear_answers_to_begin_are_tried_again_within_bounds():
+    """Guards against a storm of connections to a target whose answers are always unclear.
+
+    Load pattern: each answer of the target is unclear.
+    """
+
+    async def scenario():
+        async with _borrowers() as (_, holder, _):
+            target = holder.targets[PRIMARY]
+            target.script.extend([AnswerUnclear("repeated")] * (UNCLEAR_ATTEMPTS - 1))
+            replies = await holder.run(holder.session(), *TRANSACTION)
+            assert _failures(replies) == [None] * 4
+            target.script.extend([AnswerUnclear("repeated")] * 1000)
+            _, reply = await holder.run(holder.session(), "BEGIN", "WRITE x 1")
+            assert reply.error.failure is Failure.OVERLOADED
+            assert 1000 - len(target.script) <= UNCLEAR_ATTEMPTS * ATTEMPT_ROUNDS
+
+    asyncio.run(scenario())
--- a/tests/core/sessions/test_answers.py
+++ b/tests/core/sessions/test_answers.py
@@ -89,6 +89,7 @@
     assert not _history(step, (Question.SIGNED, _signed(2)), step).must_end
     assert _history((Question.SIGNED, _error(2))).must_end
     assert _history((Question.SIGNED, _signed(1)), (None, _signed(1))).must_end
+    assert not _history((Question.STATUS, _error(2))).must_end
     assert not _history(rollback).must_end
     assert _history(step, rollback).must_end
 
