Count the connections that are refused, and those that end between two uses

The events connections-ended and connections-refused (at most one line a target in 5 s) and two metrics do now. No decision changes.

The tests of replaced connections compare the same numbers by name.

--- a/hibiscuspoint/components/sessions/groups.py
+++ b/hibiscuspoint/components/sessions/groups.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.components.sessions.balancing import ReadBalancing
+from hibiscuspoint.components.sessions.connection_records import ConnectionRecords
 from hibiscuspoint.components.sessions.own_connections import OwnConnections
 from hibiscuspoint.components.sessions.pool import TargetPool
 from hibiscuspoint.core.balancing import RoundTripSource
@@ -107,7 +108,7 @@
         self._state = state
         self._instance = instance
         self._borrowing = borrowing
-        self._metrics = metrics
+        self._connection_records = ConnectionRecords(metrics)
         self._quotas = quotas
         self._driver = driver
         self._clock = clock
@@ -490,15 +491,7 @@
         self._pools_due_at = now + POOL_TICK_SECONDS
         for pool in self._pools.values():
             pool.tick(now)
-            self._count_connections(pool)
-
-    def _count_connections(self, pool: TargetPool) -> None:
-        """Add what a pool has opened and replaced to the metrics."""
-        opened, replaced = pool.take_counts()
-        if self._metrics is not None and opened:
-            self._metrics.connections_opened.labels(pool.group).inc(opened)
-        if self._metrics is not None and replaced:
-            self._metrics.connections_replaced.labels(pool.group).inc(replaced)
+            self._connection_records.record(pool.group, pool.target, pool.take_counts(), now)
 
     def close(self) -> None:
         """Close all connections."""
@@ -544,5 +537,6 @@
             listed.update(member.target for member in route.members)
         for target in set(self._pools) - listed:
             self._pools.pop(target).close()
+            self._connection_records.forget(target)
             self.loads.pop(target, None)
         self.reads.keep_only(listed)
--- a/hibiscuspoint/components/sessions/pool.py
+++ b/hibiscuspoint/components/sessions/pool.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.components.sessions.connection import PooledConnection
+from hibiscuspoint.components.sessions.connection_records import ConnectionCounts
 from hibiscuspoint.components.sessions.wait_records import WaitRecords
 from hibiscuspoint.core.scheduling import ConnectionUse, RefusalReason, wait_queues
 from hibiscuspoint.core.sessions import ConnectionUseAverage
@@ -104,6 +105,7 @@
         self.refusals = 0
         self._opened = 0
         self._replaced = 0
+        self._refused = 0
 
     @property
     def group(self) -> GroupId:
@@ -125,13 +127,10 @@
         """Return the number of open connections."""
         return len(self._idle) + len(self._in_use)
 
-    def take_counts(self) -> tuple[int, int]:
-        """Return the connections opened since the last call, and those replaced.
-
-        A connection is replaced when it is closed for a statement of another organisation.
-        """
-        counts = self._opened, self._replaced
-        self._opened = self._replaced = 0
+    def take_counts(self) -> ConnectionCounts:
+        """Return what became of connections since the last call."""
+        counts = ConnectionCounts(self._opened, self._replaced, self._refused)
+        self._opened = self._replaced = self._refused = 0
         return counts
 
     @property
@@ -426,6 +425,7 @@
 
     def _open_failed(self, error: ConnectError) -> None:
         if error.failure is ConnectFailure.LIMITED:
+            self._refused += 1
             now = self._clock.monotonic()
             self._retry_at = now + self._retry_delay_seconds
             if self._waiting:
--- a/hibiscuspoint/core/sessions/__init__.py
+++ b/hibiscuspoint/core/sessions/__init__.py
@@ -6,6 +6,7 @@
     Answer,
     AnswerHistory,
     AnswerKind,
+    EndReason,
     Match,
     Question,
 )
@@ -64,6 +65,7 @@
     "ConnectionPlan",
     "ConnectionUseAverage",
     "DatabaseRoute",
+    "EndReason",
     "EntryPlace",
     "Failure",
     "GroupLimits",
--- a/hibiscuspoint/core/sessions/answers.py
+++ b/hibiscuspoint/core/sessions/answers.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from hibiscuspoint.core.sessions.statements import Reply
 
-__all__ = ["Answer", "AnswerHistory", "AnswerKind", "Match", "Question"]
+__all__ = ["Answer", "AnswerHistory", "AnswerKind", "EndReason", "Match", "Question"]
 
 #: Answers after which a connection ends between two uses, as it remembers a hash of each of them.
 MAX_ANSWERS = 1_000
@@ -86,6 +86,19 @@
     UNCLEAR = auto()
 
 
+class EndReason(Enum):
+    """Why a connection is closed when it is not in use any more."""
+
+    #: A statement had an error.
+    ERROR = "error"
+    #: An earlier answer came again.
+    REPETITION = "repetition"
+    #: A transaction was rolled back while an earlier answer may still come.
+    ROLLBACK = "rollback"
+    #: It has had as many answers as it may remember.
+    AGE = "age"
+
+
 class AnswerHistory:
     """Answers of one connection.
 
@@ -99,7 +112,7 @@
     def __init__(self) -> None:
         self._digests: set[int] = set()
         self._has_repetition = False
-        self._is_spent = False
+        self._spent: EndReason | None = None
         self._is_unproven = False
         self._state = SessionState.IDLE
 
@@ -114,13 +127,21 @@
 
     @property
     def must_end(self) -> bool:
-        """Tell whether the connection has to be closed when it is not in use any more.
+        """Tell whether the connection has to be closed when it is not in use any more."""
+        return self.end_reason is not None
+
+    @property
+    def end_reason(self) -> EndReason | None:
+        """Return why the connection has to be closed when it is not in use any more.
 
         After an error, the same one to the next statement could not be told from a repetition.
         Polls rely on no error, and a busy target must not open a connection for each of them.
         """
-        is_full = len(self._digests) >= MAX_ANSWERS
-        return self._is_spent or self._has_repetition or is_full
+        if self._has_repetition:
+            return EndReason.REPETITION
+        if len(self._digests) >= MAX_ANSWERS:
+            return EndReason.AGE
+        return self._spent
 
     def record_greeting(self, answer: Answer) -> None:
         """Record the answer to the startup of the connection."""
@@ -180,9 +201,9 @@
         elif is_known:
             self._is_unproven = True
         if answer.kind is AnswerKind.ERROR and question is not Question.STATUS:
-            self._is_spent = True
+            self._spent = EndReason.ERROR
         elif question is Question.ROLLBACK and self._is_unproven:
             # An answer from inside the transaction that is still to come looks like that to BEGIN.
-            self._is_spent = True
+            self._spent = EndReason.ROLLBACK
         self._digests.add(answer.digest)
         self._state = answer.reply.state
--- a/hibiscuspoint/platform/answer_stream.py
+++ b/hibiscuspoint/platform/answer_stream.py
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from hibiscuspoint.core.sessions import Answer, Question, Reply
+    from hibiscuspoint.core.sessions import Answer, EndReason, Question, Reply
 
 __all__ = ["AnswerStream", "ConnectionEnded", "StartupRefused"]
 
@@ -41,10 +41,11 @@
 class AnswerStream(asyncio.Protocol):
     """Sends one question at a time and accepts the answer that belongs to it.
 
-    :param report: is told of each answer that was not accepted, and the question in progress.
+    :param report: is told of each answer that was not accepted, and the question in progress, and
+        why the connection ended, if it did so between two uses.
     """
 
-    def __init__(self, report: Callable[[Match, Question | None], None]) -> None:
+    def __init__(self, report: Callable[[Match | EndReason, Question | None], None]) -> None:
         self._report = report
         self._transport: asyncio.Transport | None = None
         self._buffer = bytearray()
@@ -187,7 +188,8 @@
         if match is Match.UNCLEAR:
             self._fail(AnswerUnclear("an answer cannot be told from a repetition"))
         elif self._question is None and self._state is SessionState.IDLE:
-            if self._history.must_end:
+            if self._is_open and self._history.must_end:
+                self._report(self._history.end_reason, None)
                 self.close()
 
     def _fail(self, error: Exception) -> None:
--- a/hibiscuspoint/platform/database.py
+++ b/hibiscuspoint/platform/database.py
@@ -18,7 +18,7 @@
 
 if TYPE_CHECKING:
     from hibiscuspoint.core.position import LogPosition
-    from hibiscuspoint.core.sessions import Match, PreparedStatement, Reply, Statement
+    from hibiscuspoint.core.sessions import EndReason, Match, PreparedStatement, Reply, Statement
     from hibiscuspoint.drivers.answer_monitor import AnswerMonitor
     from hibiscuspoint.ids import GroupId, OrganisationId, TargetId
 
@@ -178,9 +178,9 @@
         return connection
 
     async def _open(self, target: TargetId, host: str, port: int) -> AnswerStream:
-        def report(match: Match, question: Question | None) -> None:
+        def report(event: Match | EndReason, question: Question | None) -> None:
             if self._monitor is not None:
-                self._monitor.record(target, match, question)
+                self._monitor.record(target, event, question)
 
         loop = asyncio.get_running_loop()
         transport, stream = await loop.create_connection(lambda: AnswerStream(report), host, port)
--- a/hibiscuspoint/telemetry/catalogue.py
+++ b/hibiscuspoint/telemetry/catalogue.py
@@ -428,6 +428,24 @@
     "in_progress",
     "count",
 )
+CONNECTIONS_ENDED = define_event(
+    419,
+    "connections-ended",
+    INFO,
+    "{count} connections to {target} were closed between two uses: {reason}.",
+    "target",
+    "reason",
+    "count",
+)
+CONNECTIONS_REFUSED = define_event(
+    420,
+    "connections-refused",
+    INFO,
+    "{target} refused {refused} connections as full and accepted {opened} since the last report.",
+    "target",
+    "refused",
+    "opened",
+)
 
 GROUP_FULL = define_event(
     430,
--- a/hibiscuspoint/telemetry/metrics.py
+++ b/hibiscuspoint/telemetry/metrics.py
@@ -164,6 +164,17 @@
             "Connections that this instance closed for a statement of another organisation.",
             "group",
         )
+        self.connections_refused = self._counter(
+            "connections_refused",
+            "Connections that targets refused to this instance because they had no room.",
+            "group",
+        )
+        self.connections_ended = self._counter(
+            "connections_ended",
+            "Connections that were closed between two uses. reason is error (a statement had one), "
+            "repetition, rollback (an earlier answer may still come) or age (too many answers).",
+            "reason",
+        )
         self.answers_rejected = self._counter(
             "answers_rejected",
             "Answers of targets that were not taken for that of the statement in progress. reason "
--- a/tests/components/sessions/test_pool_organisations.py
+++ b/tests/components/sessions/test_pool_organisations.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from hibiscuspoint.components.sessions.connection_records import ConnectionCounts
 from hibiscuspoint.components.sessions.pool import TargetPool
 from hibiscuspoint.core.sessions import ConnectionDemand, ConnectionPlan, OpeningRules
 from hibiscuspoint.ids import NO_ORGANISATION, OrganisationId
@@ -50,7 +51,7 @@
         for organisation in (A, B, A, NO_ORGANISATION, B, A):
             await _use(pool, organisation)
         assert _opened(driver) == [A, B, NO_ORGANISATION]
-        assert pool.take_counts() == (3, 0)
+        assert pool.take_counts() == ConnectionCounts(opened=3)
 
     asyncio.run(scenario())
 
@@ -64,7 +65,7 @@
         for organisation in (A, B, A, C):
             await _use(pool, organisation)
         assert _open(driver) == [A, C]
-        assert pool.take_counts() == (3, 1)
+        assert pool.take_counts() == ConnectionCounts(opened=3, replaced=1)
 
     asyncio.run(scenario())
 
