Do not start statements whose answer would come too late

A time-out closes its connection, and the next one costs a handshake in a slot, which makes the following statements late too.

The queue now refuses a statement when less time is left than two expected uses of a connection, and the pool when less than one is left, as the fair queue does. A refusal does not count as a use, as it comes at once and made uses look short.

--- a/hibiscuspoint/components/sessions/attempts.py
+++ b/hibiscuspoint/components/sessions/attempts.py
@@ -192,6 +192,7 @@
             expected_seconds=self._access.use_times.expected(
                 route, candidate.target, is_transaction=is_transaction
             ),
+            answer_until=candidate.answer_until,
             is_retry=self._is_retry,
             is_transaction=is_transaction,
         )
@@ -260,7 +261,7 @@
             self.record_failure(target, error)
             self._record_read_error(target, error, started, is_write)
             raise ConnectionLost(str(error), sent=False) from error
-        taken_at = self._clock.monotonic()
+        taken_at, is_refused = self._clock.monotonic(), False
         if not is_write:
             self.begin_read(route.group, candidate, connection)
         try:
@@ -272,13 +273,16 @@
                     prepared_statement=prepared_statement,
                     after=candidate.after,
                 )
+            is_refused = reply.error is not None and reply.error.failure.has_not_run
         except ConnectionLost as error:
             self.record_failure(target, error)
             self._record_read_error(target, error, started, is_write)
             raise
         finally:
             connection.give_back()
-            self.record_use(route, target, taken_at, is_transaction=False)
+            if not is_refused:
+                # A refusal comes at once and tells nothing about the time of a statement.
+                self.record_use(route, target, taken_at, is_transaction=False)
         self.record_answer(target, reply)
         if not is_write:
             now = self._clock.monotonic()
--- a/hibiscuspoint/components/sessions/pool.py
+++ b/hibiscuspoint/components/sessions/pool.py
@@ -10,7 +10,12 @@
 from hibiscuspoint.components.sessions.connection import PooledConnection
 from hibiscuspoint.components.sessions.connection_records import ConnectionCounts
 from hibiscuspoint.components.sessions.wait_records import WaitRecords
-from hibiscuspoint.core.scheduling import ConnectionUse, RefusalReason, wait_queues
+from hibiscuspoint.core.scheduling import (
+    ConnectionUse,
+    RefusalReason,
+    latest_start,
+    wait_queues,
+)
 from hibiscuspoint.core.sessions import ConnectionUseAverage
 from hibiscuspoint.drivers.errors import ConnectError, ConnectFailure
 from hibiscuspoint.telemetry import catalogue, log_event
@@ -142,8 +147,11 @@
         """Return a connection, preferably one whose values are those of the session.
 
         :raises ConnectError: the target cannot be reached, or has no connection in time; at once if
-            so many statements wait that this one would wait too long.
+            so many statements wait that this one would wait too long, or its answer would.
         """
+        if self._clock.monotonic() > latest_start(demand, demand.answer_until):
+            message = f"too little time for a statement at {self._target}"
+            raise self._refuse(demand, RefusalReason.DEADLINE, message, 0.0)
         if not self._waiting[demand.organisation]:
             pooled = self._take_idle(demand)
             if pooled is not None:
--- a/hibiscuspoint/core/scheduling/__init__.py
+++ b/hibiscuspoint/core/scheduling/__init__.py
@@ -11,6 +11,7 @@
     RefusalReason,
     Waiter,
     WaitQueue,
+    latest_start,
     wait_queues,
 )
 from hibiscuspoint.core.scheduling.uses import UseTimes
@@ -25,5 +26,6 @@
     "UseTimes",
     "WaitQueue",
     "Waiter",
+    "latest_start",
     "wait_queues",
 ]
--- a/hibiscuspoint/core/scheduling/fair.py
+++ b/hibiscuspoint/core/scheduling/fair.py
@@ -14,6 +14,7 @@
     Refusal,
     RefusalReason,
     Waiter,
+    latest_start,
     wait_queues,
 )
 
@@ -78,12 +79,12 @@
         service = self._service(demand)
         waiter = Waiter(demand, next(self._numbers), now, 0.0, service)
         self._rates.record(demand.priority, service, now)
-        if now > _latest_start(demand, demand.objective_at):
+        if now > latest_start(demand, demand.objective_at):
             self._add_late(waiter)
         else:
             self._classes.setdefault(demand.priority, ClassFlows()).push(waiter)
             due = min(demand.objective_at, demand.deadline)
-            self._schedule_check(waiter, _latest_start(demand, due))
+            self._schedule_check(waiter, latest_start(demand, due))
         return waiter
 
     def remove(self, waiter: Waiter) -> None:
@@ -141,18 +142,18 @@
         """Return why a demand cannot be in time; ``None`` when it may wait."""
         self._average_seconds = connections.average_seconds
         self._settle(now)
-        is_late = now > _latest_start(demand, demand.objective_at)
+        is_late = now > latest_start(demand, demand.objective_at)
         wait = 0.0
         if not connections.may_open:
             wait = self._expected_wait(demand, connections, now)
         retry_after = min(RETRY_MAX_SECONDS, max(RETRY_MIN_SECONDS, wait))
-        if now > _latest_start(demand, demand.deadline):
+        if now > latest_start(demand, demand.deadline):
             return Refusal("too little time for a statement", retry_after, RefusalReason.DEADLINE)
         if is_late and self._timely:
             text = "the objective has passed and others wait"
             return Refusal(text, retry_after, RefusalReason.LATE)
         due = demand.deadline if is_late else min(demand.objective_at, demand.deadline)
-        limit = min(_latest_start(demand, due) - now, demand.max_expected_wait_seconds)
+        limit = min(latest_start(demand, due) - now, demand.max_expected_wait_seconds)
         if wait <= limit:
             return None
         text = (
@@ -203,7 +204,7 @@
             if not waiter.is_waiting or waiter.check_at >= now:
                 continue
             self._take(waiter)
-            if now > _latest_start(waiter.demand, waiter.demand.deadline):
+            if now > latest_start(waiter.demand, waiter.demand.deadline):
                 self._dropped.append(waiter)
             else:
                 self._add_late(waiter)
@@ -229,7 +230,7 @@
     def _add_late(self, waiter: Waiter) -> None:
         waiter.is_waiting = True
         self._late[waiter] = None
-        self._schedule_check(waiter, _latest_start(waiter.demand, waiter.demand.deadline))
+        self._schedule_check(waiter, latest_start(waiter.demand, waiter.demand.deadline))
 
     def _schedule_check(self, waiter: Waiter, at: float) -> None:
         waiter.check_at = at
@@ -249,11 +250,3 @@
     def _drop_empty(self, priority: int) -> None:
         if not len(self._classes[priority]):
             del self._classes[priority]
-
-
-def _latest_start(demand: ConnectionDemand, due: float) -> float:
-    """Return the latest time at which a demand can start and end at a time.
-
-    The use of a transaction includes the pauses of its caller, which say nothing about its answers.
-    """
-    return due if demand.is_transaction else due - demand.expected_seconds
--- a/hibiscuspoint/core/scheduling/priority.py
+++ b/hibiscuspoint/core/scheduling/priority.py
@@ -6,7 +6,13 @@
 import itertools
 from typing import TYPE_CHECKING
 
-from hibiscuspoint.core.scheduling.queue import ConnectionUse, Refusal, Waiter, wait_queues
+from hibiscuspoint.core.scheduling.queue import (
+    ConnectionUse,
+    Refusal,
+    Waiter,
+    latest_start,
+    wait_queues,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -15,6 +21,10 @@
 
 __all__ = ["PriorityQueue"]
 
+#: Expected uses of a connection that must fit between the start of a waiting statement and the end
+#: of its time. In an overload each one starts at the last moment; many take longer than expected.
+USES_BEFORE_TIMEOUT = 2
+
 
 def _order(waiter: Waiter) -> tuple[int, int]:
     return waiter.demand.priority, waiter.number
@@ -33,7 +43,9 @@
 
     def push(self, demand: ConnectionDemand, now: float) -> Waiter:
         """Add a demand."""
-        waiter = Waiter(demand, next(self._numbers), now, demand.deadline)
+        start_until = latest_start(demand, demand.answer_until, USES_BEFORE_TIMEOUT)
+        check_at = min(demand.deadline, start_until)
+        waiter = Waiter(demand, next(self._numbers), now, check_at)
         bisect.insort(self._waiters, waiter, key=_order)
         return waiter
 
@@ -54,8 +66,14 @@
         return next((waiter for waiter in self._waiters if can_use(waiter.demand)), None)
 
     def expired(self, now: float) -> list[Waiter]:
-        """Return nothing: each waiter gives up at its deadline by itself."""
-        return []
+        """Remove and return the waiters whose answer would come too late.
+
+        Sent all the same, they would time out, which costs their connections.
+        """
+        late = [waiter for waiter in self._waiters if waiter.check_at < now]
+        for waiter in late:
+            self._waiters.remove(waiter)
+        return late
 
     def ahead_of(self, demand: ConnectionDemand) -> int:
         """Return the number of waiters of the same and of more urgent priorities."""
--- a/hibiscuspoint/core/scheduling/queue.py
+++ b/hibiscuspoint/core/scheduling/queue.py
@@ -13,7 +13,15 @@
 
     from hibiscuspoint.core.sessions import ConnectionDemand
 
-__all__ = ["ConnectionUse", "Refusal", "RefusalReason", "WaitQueue", "Waiter", "wait_queues"]
+__all__ = [
+    "ConnectionUse",
+    "Refusal",
+    "RefusalReason",
+    "WaitQueue",
+    "Waiter",
+    "latest_start",
+    "wait_queues",
+]
 
 
 @dataclass(eq=False)
@@ -112,5 +120,15 @@
         """Return why a demand is refused at once; ``None`` when it may wait."""
 
 
+def latest_start(demand: ConnectionDemand, due: float, uses: int = 1) -> float:
+    """Return the latest time at which a demand can start and end at a time.
+
+    The use of a transaction includes the pauses of its caller, which say nothing about its answers.
+
+    :param uses: multiple of the expected use of a connection that must fit in between.
+    """
+    return due if demand.is_transaction else due - uses * demand.expected_seconds
+
+
 #: Classes of queues without arguments by the name in the settings.
 wait_queues: Registry[Callable[[], WaitQueue]] = Registry("queue of waiting statements")
--- a/hibiscuspoint/core/sessions/waiting.py
+++ b/hibiscuspoint/core/sessions/waiting.py
@@ -28,6 +28,7 @@
     :param objective_at: monotonic time in seconds at which the answer stops being in time.
     :param expected_seconds: time for which the statement is expected to use a connection; 0 when
         nothing is known.
+    :param answer_until: monotonic time in seconds until which the answer is waited for.
     :param is_retry: whether an attempt of the same statement found no room before.
     :param is_transaction: whether the connection is used until the end of a transaction.
     """
@@ -39,6 +40,7 @@
     organisation: OrganisationId = NO_ORGANISATION
     objective_at: float = math.inf
     expected_seconds: float = 0.0
+    answer_until: float = math.inf
     is_retry: bool = False
     is_transaction: bool = False
 
--- a/tests/core/scheduling/test_priority.py
+++ b/tests/core/scheduling/test_priority.py
@@ -22,6 +22,19 @@
     assert queue.pop(0.0, lambda demand: True) is None
 
 
+def test_statement_is_not_started_when_its_answer_would_come_too_late():
+    """Load pattern: a burst in which each statement gets a connection right before its time ends.
+
+    Sent then, they time out, and each one that does costs a connection and its handshake.
+    """
+    queue = wait_queues.get("priority")()
+    waiter = queue.push(ConnectionDemand(1.0, expected_seconds=0.1, answer_until=1.0), 0.0)
+    queue.push(ConnectionDemand(1.0, expected_seconds=0.1, answer_until=2.0), 0.0)
+    assert queue.expired(0.75) == []
+    assert queue.expired(0.85) == [waiter]
+    assert len(queue) == 1
+
+
 def test_demand_that_would_wait_too_long_is_refused():
     """Load pattern: a burst at a target whose connections are all in use for long."""
     queue = wait_queues.get("priority")()
