Bound the connections that an instance opens to a target, whatever the cause

Only where organisations are in force did a pool open connections at a rate.

The rate of the connection plan now holds everywhere: handshakes take at most a quarter of the slots of a target, divided among the instances that open connections to it, a twentieth while they take three times as long as usual, after a burst of the connections that the instance may have. Refused openings count too. Statements that wait for the rate are refused at once if they would wait too long.

The three tests of the rate use OpeningBudget, which has taken the rate over from OpeningRules unchanged.

--- a/hibiscuspoint/components/sessions/groups.py
+++ b/hibiscuspoint/components/sessions/groups.py
@@ -23,6 +23,7 @@
     TargetLoad,
     TipLog,
     choose_holders,
+    openings_per_second,
     target_holders,
 )
 from hibiscuspoint.core.sessions.connection_plan import MINIMUM_LIMIT
@@ -345,12 +346,16 @@
             kept = usable // HELD_IDLE_DIVISOR if holders else usable
             pool.share = kept // (len(holders) or self.entries)
         pool.limit = min(usable, max(MINIMUM_LIMIT, BURST_FACTOR * pool.share))
+        slots = member.slots if member is not None else 1
+        sharing = len(self._group_holders(pool.group)) or self.entries
+        pool.budget.update(openings_per_second(slots, sharing), pool.limit)
 
     def _set_plan(self, pool: TargetPool, member: RouteMember, usable: int) -> None:
         """Divide the connections of a target where organisations are in force."""
         holders = target_holders(self._group_holders(pool.group), member.zone)
         plan = ConnectionPlan.divide(usable, holders, self._instance, self.entries, member.slots)
         pool.share, pool.limit = plan.kept, plan.limit
+        pool.budget.update(plan.openings_per_second, plan.limit)
         if pool.rules is None:
             pool.rules = OpeningRules(plan)
         else:
--- a/hibiscuspoint/components/sessions/pool.py
+++ b/hibiscuspoint/components/sessions/pool.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from collections import Counter
 from typing import TYPE_CHECKING
 
@@ -18,6 +19,7 @@
 )
 from hibiscuspoint.core.sessions import (
     ConnectionUseAverage,
+    OpeningBudget,
     RestingConnections,
     RestTimes,
 )
@@ -115,7 +117,9 @@
         self._timer: asyncio.TimerHandle | None = None
         self.share = 1
         self.limit = 1
-        #: Bounds on new connections where organisations are in force; ``None`` elsewhere.
+        #: Bound on new connections, whatever the cause.
+        self.budget = OpeningBudget(math.inf, self.limit)
+        #: Order of new connections where organisations are in force; ``None`` elsewhere.
         self.rules: OpeningRules | None = None
         #: Connections that the address refused since the last report.
         self.refusals = 0
@@ -306,14 +310,15 @@
         """Return why a statement would wait too long for one of the connections in use."""
         now = self._clock.monotonic()
         # A target that had no connection left may be asked again, but probably has none yet.
-        is_full = self._retry_delay_seconds > FULL_RETRY_MIN_SECONDS
+        budget_delay = self.budget.opening_delay(now)
+        is_full = self._retry_delay_seconds > FULL_RETRY_MIN_SECONDS or budget_delay > 0
         may_open = self._has_room and not is_full
         may_open = may_open and not self._is_kept_back(demand.organisation)
         may_open = may_open or bool(self._idle)
         held = [now - pooled.taken_at for pooled in self._in_use]
         # A connection that is kept back serves a statement soon, as one does that was just taken.
         held += [0.0] * (len(self._resting) + len(self._standing))
-        opens_in = max(0.0, self._retry_at - now, self._resting.next_in(now) or 0.0)
+        opens_in = max(budget_delay, self._retry_at - now, self._resting.next_in(now) or 0.0)
         use = ConnectionUse(tuple(held), self._use_times.average_seconds, may_open, opens_in)
         return self._queue.check(demand, use, now)
 
@@ -359,7 +364,7 @@
             )
             if waiter is None:
                 break
-            delay = self._opening_delay(now)
+            delay = self.budget.opening_delay(now)
             if delay <= 0:
                 if not self._make_room(now):
                     break
@@ -377,14 +382,9 @@
     def _start_opening(self, organisation: OrganisationId, now: float) -> None:
         self._has_made_room = False
         self._opening[organisation] += 1
-        if self.rules is not None:
-            self.rules.record_opening(now)
+        self.budget.record_opening(now)
         spawn(self._open(organisation), f"connection to {self._target}")
 
-    def _opening_delay(self, now: float) -> float:
-        """Return the seconds until the next connection may be opened."""
-        return self.rules.opening_delay(now) if self.rules is not None else 0.0
-
     def _decide_later(self, now: float) -> None:
         """Look again when statements have waited long enough for connections in use."""
         delay = self.rules.next_decision(now) if self.rules is not None else None
@@ -453,7 +453,7 @@
             return False
         is_full = now < self._retry_at and not self._has_made_room
         is_limited = self.size + 1 + self._opening.total() >= self.limit
-        may_open = self._opening.total() < OPENING_LIMIT and not self._opening_delay(now)
+        may_open = self._opening.total() < OPENING_LIMIT and not self.budget.opening_delay(now)
         if not (is_full or (is_limited and may_open)):
             return False
         has_its_part = self._has_its_part(pooled.organisation)
@@ -488,8 +488,7 @@
             connection.close()
             return
         self._opened += 1
-        if self.rules is not None:
-            self.rules.record_handshake(self._clock.monotonic() - started)
+        self.budget.record_handshake(self._clock.monotonic() - started)
         self._retry_delay_seconds = FULL_RETRY_MIN_SECONDS
         if self._is_failing:
             self._is_failing = False
--- a/hibiscuspoint/core/sessions/__init__.py
+++ b/hibiscuspoint/core/sessions/__init__.py
@@ -14,7 +14,9 @@
 from hibiscuspoint.core.sessions.choice import TargetLoad, rank_targets
 from hibiscuspoint.core.sessions.connection_plan import (
     ConnectionPlan,
+    OpeningBudget,
     OpeningRules,
+    openings_per_second,
     order_holders,
     target_holders,
 )
@@ -73,6 +75,7 @@
     "GroupLimits",
     "HolderRanking",
     "Match",
+    "OpeningBudget",
     "OpeningRules",
     "OperationGrant",
     "OperationRefusal",
@@ -94,6 +97,7 @@
     "TargetLoad",
     "TipLog",
     "choose_holders",
+    "openings_per_second",
     "order_holders",
     "rank_targets",
     "resolve_operation",
--- a/hibiscuspoint/core/sessions/connection_plan.py
+++ b/hibiscuspoint/core/sessions/connection_plan.py
@@ -17,6 +17,7 @@
 __all__ = [
     "MINIMUM_LIMIT",
     "ConnectionPlan",
+    "OpeningBudget",
     "OpeningRules",
     "order_holders",
     "target_holders",
@@ -69,6 +70,15 @@
     return [holder for _, holder in scored]
 
 
+def openings_per_second(slots: int, sharing: int) -> float:
+    """Return the connections that one instance may open to a target per second in the long run.
+
+    :param slots: statements and handshakes that the target executes at the same time.
+    :param sharing: number of instances that open connections to it.
+    """
+    return max(1, slots) * HANDSHAKE_SHARE / HANDSHAKE_SECONDS / max(1, sharing)
+
+
 @dataclass(frozen=True)
 class ConnectionPlan:
     """Connections of one instance to one target where organisations are in force.
@@ -100,7 +110,7 @@
         """
         sharing = max(1, len(holders) or entries)
         part = max(1, usable // sharing)
-        rate = max(1, slots) * HANDSHAKE_SHARE / HANDSHAKE_SECONDS / sharing
+        rate = openings_per_second(slots, sharing)
         if not holders:
             return cls(part, min(usable, max(MINIMUM_LIMIT, part)), rate)
         if any(holder.instance == instance for holder in holders):
@@ -108,33 +118,33 @@
         return cls(0, min(usable, MINIMUM_LIMIT), rate)
 
 
-class OpeningRules:
-    """Decides whether a pool opens a connection for an organisation now."""
+class OpeningBudget:
+    """Bounds the connections that one instance opens to a target, whatever the cause.
 
-    def __init__(self, plan: ConnectionPlan) -> None:
-        self._plan = plan
-        self._allowance = float(plan.limit)
+    :param rate: connections per second in the long run.
+    :param burst: connections that may be opened at once.
+    """
+
+    def __init__(self, rate: float, burst: int) -> None:
+        self._full_rate = rate
+        self._burst = burst
+        self._allowance = float(burst)
         self._counted_at = -math.inf
         self._handshake_seconds = HANDSHAKE_SECONDS
-        self._patient_until: dict[OrganisationId, float] = {}
-
-    @property
-    def organisation_limit(self) -> int:
-        """Return the connections that one organisation may take while others wait."""
-        return max(1, math.ceil(self._plan.limit * ORGANISATION_SHARE))
 
     @property
     def _rate(self) -> float:
         """Return the connections that may be opened per second at present."""
         is_busy = self._handshake_seconds > BUSY_HANDSHAKE_SECONDS
-        return self._plan.openings_per_second * (BUSY_RATE_FACTOR if is_busy else 1.0)
+        return self._full_rate * (BUSY_RATE_FACTOR if is_busy else 1.0)
 
-    def update(self, plan: ConnectionPlan) -> None:
-        """Take over another division of the connections."""
-        self._plan = plan
+    def update(self, rate: float, burst: int) -> None:
+        """Take over other bounds, like those of the constructor; a larger burst counts at once."""
+        self._allowance += max(0, burst - self._burst)
+        self._full_rate, self._burst = rate, burst
 
     def opening_delay(self, now: float) -> float:
-        """Return the seconds until the rate of the plan allows the next connection."""
+        """Return the seconds until the rate allows the next connection."""
         self._refill(now)
         return max(0.0, (1.0 - self._allowance) / self._rate)
 
@@ -147,6 +157,30 @@
         """Record how long a handshake took; it is long when the slots of the target are busy."""
         self._handshake_seconds += HANDSHAKE_WEIGHT * (seconds - self._handshake_seconds)
 
+    def _refill(self, now: float) -> None:
+        """Add what the rate allows since the last call; at most the burst."""
+        if now > self._counted_at > -math.inf:
+            self._allowance += (now - self._counted_at) * self._rate
+        self._allowance = min(self._allowance, float(self._burst))
+        self._counted_at = now
+
+
+class OpeningRules:
+    """Decides whether a pool opens a connection for an organisation now."""
+
+    def __init__(self, plan: ConnectionPlan) -> None:
+        self._plan = plan
+        self._patient_until: dict[OrganisationId, float] = {}
+
+    @property
+    def organisation_limit(self) -> int:
+        """Return the connections that one organisation may take while others wait."""
+        return max(1, math.ceil(self._plan.limit * ORGANISATION_SHARE))
+
+    def update(self, plan: ConnectionPlan) -> None:
+        """Take over another division of the connections."""
+        self._plan = plan
+
     def record_progress(self, organisation: OrganisationId, now: float) -> None:
         """Record that an organisation began to wait or that one of its statements was served."""
         self._patient_until[organisation] = now + HANDSHAKE_SECONDS
@@ -171,10 +205,3 @@
         """Return the seconds until an organisation no longer waits for its own connections."""
         ends = [until - now for until in self._patient_until.values() if until > now]
         return min(ends, default=None)
-
-    def _refill(self, now: float) -> None:
-        """Add what the rate allows since the last call; at most all connections at once."""
-        if self._counted_at > -math.inf:
-            self._allowance += (now - self._counted_at) * self._rate
-        self._allowance = min(self._allowance, float(self._plan.limit))
-        self._counted_at = now
--- a/tests/components/sessions/test_pool_organisations.py
+++ b/tests/components/sessions/test_pool_organisations.py
@@ -8,7 +8,12 @@
 
 from hibiscuspoint.components.sessions.connection_records import ConnectionCounts
 from hibiscuspoint.components.sessions.pool import TargetPool
-from hibiscuspoint.core.sessions import ConnectionDemand, ConnectionPlan, OpeningRules
+from hibiscuspoint.core.sessions import (
+    ConnectionDemand,
+    ConnectionPlan,
+    OpeningBudget,
+    OpeningRules,
+)
 from hibiscuspoint.ids import NO_ORGANISATION, OrganisationId
 from tests.builders_failover import GROUP, PRIMARY
 from tests.components.sessions.fakes import FakeDriver, LoopClock, ScriptedTarget
@@ -125,6 +130,7 @@
         target = driver.targets[PRIMARY] = ScriptedTarget(connect_delay=0.002)
         pool = _pool(driver, limit=6)
         pool.rules = OpeningRules(ConnectionPlan(6, 6, 60.0))
+        pool.budget = OpeningBudget(60.0, 6)
         started = asyncio.get_running_loop().time()
         names = [OrganisationId(f"o{number}") for number in range(24)]
         await asyncio.gather(*(_use(pool, name) for name in names))
@@ -142,6 +148,7 @@
         driver = FakeDriver()
         pool = _pool(driver, limit=4)
         pool.rules = OpeningRules(ConnectionPlan(4, 4, 100.0))
+        pool.budget = OpeningBudget(100.0, 4)
         flood = [asyncio.create_task(_use(pool, A, 0.03)) for _ in range(40)]
         await asyncio.sleep(0.05)
         assert _open(driver) == [A] * 4
@@ -161,6 +168,7 @@
         driver.targets[PRIMARY] = ScriptedTarget(connect_delay=0.012)
         pool = _pool(driver, limit=16)
         pool.rules = OpeningRules(ConnectionPlan(16, 16, 100.0))
+        pool.budget = OpeningBudget(100.0, 16)
         for _ in range(40):
             await _use(pool, A, 0.001)
         await asyncio.gather(*(_use(pool, A, 0.001) for _ in range(3)))
--- a/tests/components/sessions/test_pool_states.py
+++ b/tests/components/sessions/test_pool_states.py
@@ -9,7 +9,12 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
 from hibiscuspoint.components.sessions.pool import TargetPool
-from hibiscuspoint.core.sessions import ConnectionDemand, ConnectionPlan, OpeningRules
+from hibiscuspoint.core.sessions import (
+    ConnectionDemand,
+    ConnectionPlan,
+    OpeningBudget,
+    OpeningRules,
+)
 from hibiscuspoint.drivers.errors import ConnectError
 from hibiscuspoint.ids import OrganisationId
 from tests.builders_failover import GROUP, PRIMARY
@@ -47,6 +52,7 @@
         self._pool = TargetPool(GROUP, PRIMARY, "10.0.0.1:9000", self._driver, LoopClock())
         self._pool.limit = self._pool.share = limit
         self._pool.rules = OpeningRules(plan)
+        self._pool.budget = OpeningBudget(plan.openings_per_second, plan.limit)
 
     @rule(organisation=st.sampled_from(ORGANISATIONS), seconds=st.sampled_from([0.01, 0.1, 100.0]))
     def ask(self, organisation: OrganisationId, seconds: float) -> None:
--- a/tests/core/sessions/test_connection_plan.py
+++ b/tests/core/sessions/test_connection_plan.py
@@ -13,6 +13,7 @@
     ConnectionPlan,
     EntryPlace,
     HolderRanking,
+    OpeningBudget,
     OpeningRules,
     choose_holders,
     order_holders,
@@ -57,12 +58,12 @@
     """Load pattern: all organisations at once after a restart; handshakes fill the slots."""
     holders = _places("a", 4)
     plan = ConnectionPlan.divide(54, holders, holders[0].instance, 90, 4)
-    rules = OpeningRules(plan)
+    budget = OpeningBudget(plan.openings_per_second, plan.limit)
     now, opened = 0.0, 0
     while now < 20.0:
-        now += max(0.001, rules.opening_delay(now))
-        if not rules.opening_delay(now):
-            rules.record_opening(now)
+        now += max(0.001, budget.opening_delay(now))
+        if not budget.opening_delay(now):
+            budget.record_opening(now)
             opened += 1
     bound = 4 * HANDSHAKE_SHARE / HANDSHAKE_SECONDS / len(holders)
     assert opened <= plan.limit + 20.0 * bound + 1
@@ -70,15 +71,15 @@
 
 def test_busy_slots_are_left_to_statements():
     """Load pattern: demand above the capacity of the slots; handshakes would take a part of it."""
-    rules = OpeningRules(ConnectionPlan(1, 1, 10.0))
-    rules.record_opening(0.0)
-    usual = rules.opening_delay(0.0)
+    budget = OpeningBudget(10.0, 1)
+    budget.record_opening(0.0)
+    usual = budget.opening_delay(0.0)
     for _ in range(10):
-        rules.record_handshake(5 * HANDSHAKE_SECONDS)
-    assert rules.opening_delay(0.0) == pytest.approx(usual / BUSY_RATE_FACTOR)
+        budget.record_handshake(5 * HANDSHAKE_SECONDS)
+    assert budget.opening_delay(0.0) == pytest.approx(usual / BUSY_RATE_FACTOR)
     for _ in range(10):
-        rules.record_handshake(HANDSHAKE_SECONDS)
-    assert rules.opening_delay(0.0) == pytest.approx(usual)
+        budget.record_handshake(HANDSHAKE_SECONDS)
+    assert budget.opening_delay(0.0) == pytest.approx(usual)
 
 
 def test_statement_waits_for_a_connection_in_use_only_as_long_as_a_handshake_takes():
--- a/tests/platform/busy_database.py
+++ b/tests/platform/busy_database.py
@@ -24,6 +24,7 @@
     :param queue: statements that wait for a slot; more are refused.
     :param work_seconds: time of a statement in its slot.
     :param handshake_seconds: time of a handshake in its slot.
+    :param ends_connections: whether it ends each connection after one statement.
     :param commit_seconds: time between two commits of others, which move the log position; 0 for a
         database whose log stands still.
     """
@@ -33,6 +34,7 @@
     work_seconds: float = 0.005
     handshake_seconds: float = 0.012
     commit_seconds: float = 0.0
+    ends_connections: bool = False
     address: str = ""
     handshakes: int = 0
     refused: int = 0
@@ -63,7 +65,11 @@
                 request, _, text = rest.partition(" ")
                 answer, state = await self._answer(request, text, state)
                 writer.write(f"{answer}READY {state} {self._position()}\r\n".encode())
+                if self.ends_connections:
+                    break
         except (asyncio.IncompleteReadError, asyncio.CancelledError, OSError):
+            pass
+        finally:
             writer.close()
 
     async def _answer(self, request: str, text: str, state: str) -> tuple[str, str]:
--- a/tests/platform/test_full_target.py
+++ b/tests/platform/test_full_target.py
@@ -18,6 +18,9 @@
 #: Statements per second that a target serves well, and those of a burst; it serves 400.
 USUAL_RATE, BURST_RATE = 240, 1200
 
+#: Instances that share the target; only one of them has load.
+INSTANCES = 3
+
 #: Connections that the instance may have to the target at the same time.
 CONNECTIONS = 12
 
@@ -96,3 +99,21 @@
     assert opened <= CONNECTIONS + timed_out, seen
     assert burst[None] >= USUAL_RATE * BURST_SECONDS, seen
     assert after[None] >= USUAL_SHARE * after.total(), seen
+
+
+def test_openings_at_a_target_are_bounded_whatever_the_cause():
+    """Guards against handshakes that take the slots of a target where connections end all the time.
+
+    They may take a quarter of the slots that the three instances share, after a first connection
+    for each place.
+    """
+
+    async def scenario():
+        async with BusyDatabase(ends_connections=True).serve() as database:
+            started = asyncio.get_running_loop().time()
+            await _Load(database, "READ a").run(USUAL_RATE, BURST_SECONDS)
+            elapsed = asyncio.get_running_loop().time() - started
+            part = elapsed * database.slots / database.handshake_seconds / 4 / INSTANCES
+            assert CONNECTIONS < database.handshakes <= CONNECTIONS + part + 1
+
+    asyncio.run(scenario())
