Begin transactions that read first without a connection for each

In a group without commits the answer to BEGIN equals that to the last BEGIN on its connection, so that each transaction but the first reset its connection.

BEGIN must be certain only if the statement behind it has an effect, as a write would take effect outside of its transaction. Where the first statement reads, or the transaction is read-only, an equal answer is accepted: as a target answers in order, the refusal of BEGIN, if there is one, arrives before the answer to the read, leaves the session idle, and so resets the connection. A read that ran outside is not passed on. The entry tells a holder which it is; one of an earlier version does not, and BEGIN is then certain as before.

--- a/hibiscuspoint/components/sessions/borrow_messages.py
+++ b/hibiscuspoint/components/sessions/borrow_messages.py
@@ -68,6 +68,7 @@
         text=statement.text,
         operand=statement.operand,
         writes=statement.writes,
+        starts_without_effect=statement.starts_without_effect,
         **values_of(session),
     )
     if prepared_statement is not None:
@@ -116,6 +117,7 @@
         text=message.text,
         operand=message.operand,
         writes=message.writes,
+        starts_without_effect=message.starts_without_effect,
     )
     return BorrowedStatement(
         statement,
--- a/hibiscuspoint/components/sessions/transactions.py
+++ b/hibiscuspoint/components/sessions/transactions.py
@@ -96,7 +96,7 @@
     ) -> Reply:
         """Run a statement; the first one opens the transaction at a target."""
         if transaction.connection is None:
-            refusal = await self._bind(transaction)
+            refusal = await self._bind(transaction, starts_without_effect=not writes)
             if refusal is not None:
                 return refusal
         self._describe(transaction)
@@ -127,7 +127,7 @@
         if transaction.connection is None:
             if not is_commit:
                 return Reply()
-            refusal = await self._bind(transaction)
+            refusal = await self._bind(transaction, starts_without_effect=True)
             if refusal is not None:
                 return replace(refusal, state=SessionState.IDLE)
         target = transaction.member.target
@@ -207,9 +207,13 @@
         text = "the answer to the commit was lost"
         return Reply.failed(Failure.IN_DOUBT, text, SessionState.IDLE)
 
-    async def _bind(self, transaction: Transaction) -> Reply | None:
-        """Open the transaction at a target; returns the refusal when that is not possible."""
+    async def _bind(self, transaction: Transaction, *, starts_without_effect: bool) -> Reply | None:
+        """Open the transaction at a target; returns the refusal when that is not possible.
+
+        :param starts_without_effect: whether the first statement has no effect.
+        """
         route = transaction.route
+        transaction.begin = replace(transaction.begin, starts_without_effect=starts_without_effect)
         self._attempts.trace.group = route.group
         deadline = self._clock.monotonic() + route.timeout_seconds
         choose = (
--- a/hibiscuspoint/core/sessions/answers.py
+++ b/hibiscuspoint/core/sessions/answers.py
@@ -14,7 +14,7 @@
 
 if TYPE_CHECKING:
     from hibiscuspoint.core.position import LogPosition
-    from hibiscuspoint.core.sessions.statements import Reply
+    from hibiscuspoint.core.sessions.statements import Reply, Statement
 
 __all__ = ["Answer", "AnswerHistory", "AnswerKind", "EndReason", "Match", "Question", "Settlement"]
 
@@ -54,8 +54,11 @@
 
     #: Its success is signed.
     SIGNED = auto()
-    #: Begins a transaction; what follows relies on it.
+    #: Begins a transaction; the statement behind it would have its effect outside of one as well.
     BEGIN = auto()
+    #: Begins a transaction; the statement behind it has no effect, and its answer tells whether the
+    #: transaction is open.
+    BEGIN_WITHOUT_EFFECT = auto()
     #: Ends a transaction without a signature.
     ROLLBACK = auto()
     #: Sets values or prepares a statement, which a target does not refuse.
@@ -64,14 +67,16 @@
     STATUS = auto()
 
     @classmethod
-    def of(cls, kind: StatementKind) -> Question:
+    def of(cls, statement: Statement) -> Question:
         """Return the question that a statement of a caller is."""
-        return _QUESTIONS.get(kind, cls.SIGNED)
+        if statement.kind is StatementKind.BEGIN and statement.starts_without_effect:
+            return cls.BEGIN_WITHOUT_EFFECT
+        return _QUESTIONS.get(statement.kind, cls.SIGNED)
 
 
 _QUESTIONS = {
     StatementKind.BEGIN: Question.BEGIN,
-    StatementKind.BEGIN_READ_ONLY: Question.BEGIN,
+    StatementKind.BEGIN_READ_ONLY: Question.BEGIN_WITHOUT_EFFECT,
     StatementKind.ROLLBACK: Question.ROLLBACK,
     StatementKind.SET: Question.CONTEXT,
     StatementKind.PREPARE: Question.CONTEXT,
@@ -79,6 +84,9 @@
 }
 
 
+_BEGINNINGS = (Question.BEGIN, Question.BEGIN_WITHOUT_EFFECT)
+
+
 class Match(Enum):
     """Decision about an answer."""
 
@@ -129,6 +137,7 @@
         self._has_repetition = False
         self._spent: EndReason | None = None
         self._is_unproven = False
+        self._is_begin_unproven = False
         self._state = SessionState.IDLE
         self._refused_at: LogPosition | None = None
         self._plain_at: LogPosition | None = None
@@ -190,7 +199,7 @@
         That is so for an error that equals an earlier one, if no answer without a signature may
         still come that could be taken for the one to that question.
         """
-        if question not in (Question.SIGNED, Question.BEGIN):
+        if question is not Question.SIGNED and question not in _BEGINNINGS:
             return False
         is_known = answer.kind is AnswerKind.ERROR and answer.digest in self._digests
         is_open = answer.reply.state is self._state is not SessionState.FAILED
@@ -230,6 +239,9 @@
             return Match.ACCEPTED
         if answer.kind is AnswerKind.ERROR:
             is_certain = not is_known and not self._has_repetition
+            if self._is_begin_unproven and answer.reply.state is not SessionState.IN_TRANSACTION:
+                # It may be the answer to BEGIN.
+                is_certain = False
             return Match.ACCEPTED if is_certain else Match.UNCLEAR
         if question is Question.BEGIN and is_known:
             return Match.UNCLEAR
@@ -251,7 +263,7 @@
     def _has_form(self, question: Question, answer: Answer) -> bool:
         """Tell whether a success leaves the session in the state that its question leads to."""
         match question:
-            case Question.BEGIN:
+            case Question.BEGIN | Question.BEGIN_WITHOUT_EFFECT:
                 return answer.reply.state is SessionState.IN_TRANSACTION
             case Question.ROLLBACK:
                 return answer.reply.state is SessionState.IDLE
@@ -261,12 +273,14 @@
 
     def _accept(self, question: Question, answer: Answer, is_known: bool) -> None:
         is_refusal = answer.kind is AnswerKind.ERROR and question is not Question.STATUS
-        is_new_begin = question is Question.BEGIN and not is_known
+        is_new_begin = question in _BEGINNINGS and not is_known
         if answer.kind is AnswerKind.SIGNED or is_refusal or is_new_begin:
-            # Only steps of the context may be unproven, which a target does not refuse.
-            self._is_unproven = False
+            # Steps of the context may be unproven, which a target does not refuse, and BEGIN, whose
+            # refusal would leave the session idle.
+            self._is_unproven = self._is_begin_unproven = False
         elif is_known:
             self._is_unproven = True
+            self._is_begin_unproven = self._is_begin_unproven or question in _BEGINNINGS
         if question is Question.ROLLBACK and self._is_unproven:
             # An answer from inside the transaction that is still to come looks like that to BEGIN.
             self._spent = EndReason.ROLLBACK
--- a/hibiscuspoint/core/sessions/statements.py
+++ b/hibiscuspoint/core/sessions/statements.py
@@ -95,6 +95,8 @@
     :param operand: text after the name: a value, the text of a prepared statement, or arguments;
         ``None`` for a value without a field, which is not the same as an empty one.
     :param writes: whether it is a write or the preparation of one.
+    :param starts_without_effect: of ``BEGIN``, whether the first statement of the transaction has
+        no effect.
     """
 
     request_id: str
@@ -103,6 +105,7 @@
     name: str = ""
     operand: str | None = ""
     writes: bool = False
+    starts_without_effect: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/hibiscuspoint/platform/database.py
+++ b/hibiscuspoint/platform/database.py
@@ -73,7 +73,7 @@
         :raises AnswerDoubtful: a refusal equals an earlier one; ``settle`` must be the next call.
         :raises AnswerUnclear: an answer cannot be told from a repetition; the connection is closed.
         """
-        question = Question.of(statement.kind)
+        question = Question.of(statement)
         return await self._stream.ask(question, wire.format_query(statement, name, after), timeout)
 
     async def settle(self, timeout: float) -> Reply:
--- a/tests/core/sessions/test_answers.py
+++ b/tests/core/sessions/test_answers.py
@@ -82,6 +82,29 @@
     assert _history(begun, ended).match(Question.BEGIN, _plain(3, OPEN)) is Match.ACCEPTED
 
 
+@pytest.mark.parametrize(
+    ("answer", "expected"),
+    [
+        (_signed(4, OPEN), Match.ACCEPTED),
+        (replace(_error(4), reply=Reply.failed(Failure.OVERLOADED, "", OPEN)), Match.ACCEPTED),
+        (_error(4), Match.UNCLEAR),
+        (_plain(1, OPEN), Match.REPEATED),
+    ],
+    ids=["answer", "refusal", "refusal-of-begin", "begin"],
+)
+def test_begin_before_a_read_is_proven_by_the_answer_to_that(answer, expected):
+    """Guards against the refusal of a ``BEGIN``, late after a repetition, as that of a statement.
+
+    Nothing is lost if the read ran outside of the transaction, as its answer is not passed on then.
+    """
+    begun = Question.BEGIN_WITHOUT_EFFECT, _plain(1, OPEN)
+    history = _history(begun, (Question.SIGNED, _signed(2)))
+    assert history.match(*begun) is Match.ACCEPTED
+    assert history.is_unproven
+    assert history.match(Question.SIGNED, answer) is expected
+    assert history.is_unproven is (expected is not Match.ACCEPTED)
+
+
 def test_error_after_a_repetition_is_not_relied_on():
     """Guards against "not run" for a statement that runs, as the error answers another one."""
     history = _history((Question.SIGNED, _signed(1)), (Question.SIGNED, _signed(1)))
