--- a/tests/platform/test_full_target.py
+++ b/tests/platform/test_full_target.py
@@ -74,7 +74,7 @@
 
 
 @pytest.mark.parametrize("commit_seconds", [0.02, 0.0], ids=["log-moves", "log-stands"])
-@pytest.mark.parametrize("text", ["READ a", "WRITE a 1"])
+@pytest.mark.parametrize("text", ["READ a", "WRITE a 1"], ids=["read", "write"])
 def test_refusals_of_a_full_target_cost_no_connection(text, commit_seconds):
     """Guards against an overload that lasts when its cause is gone, as refusals cost handshakes.
 
