Settle a refusal only by what arrives after the question behind it

Found by reading the diff: an unsigned answer in the same packet as a refusal that equals an earlier one counted as the answer to RESET before that was sent, and the answer to RESET then as that of the statement. Between the refusal and the question behind it nothing is in progress now, and any answer resets the connection.

test_answer_in_front_of_the_question_behind_a_refusal_settles_nothing[step] did not raise before.

--- a/hibiscuspoint/components/sessions/connection.py
+++ b/hibiscuspoint/components/sessions/connection.py
@@ -199,10 +199,9 @@
         plan = self.context.preparation(session, prepared_statement)
         if plan.is_empty:
             return
-        timeout = max(0.0, min(CONTEXT_SECONDS, deadline - self.clock.monotonic()))
         if plan.needs_reset:
-            self._require(await self.connection.reset(timeout))
-            self.context.record_reset()
+            await self._reset(deadline)
+        timeout = max(0.0, min(CONTEXT_SECONDS, deadline - self.clock.monotonic()))
         for name, value in plan.values:
             self._require(await self.connection.set_value(name, value, timeout))
             self.context.record_value(name, value)
--- a/hibiscuspoint/core/sessions/answers.py
+++ b/hibiscuspoint/core/sessions/answers.py
@@ -215,7 +215,7 @@
         :param doubtful: question that the refusal may belong to.
         :param behind: question that was sent after the refusal.
         """
-        if answer.digest in self._digests:
+        if answer.digest in self._digests or answer.may_be_joined:
             return Settlement.UNCLEAR
         if answer.kind is AnswerKind.UNSIGNED and self._has_form(behind, answer):
             self._accept(behind, answer, is_known=False)
--- a/hibiscuspoint/platform/answer_stream.py
+++ b/hibiscuspoint/platform/answer_stream.py
@@ -158,7 +158,7 @@
         :param timeout: longest time in seconds until the answer is complete.
         :raises AnswerUnclear: it cannot be settled; the connection is closed.
         """
-        if not self._is_open or self._has_part:
+        if not self._is_open or self._has_part or self._doubt is None:
             self.reset()
             raise AnswerUnclear("the connection ended with a doubtful answer")
         try:
@@ -249,7 +249,7 @@
 
     def _take_unclear(self, answer: Answer) -> None:
         if self._history.can_settle(self._question, answer) and not self._waiter.done():
-            self._doubt = _Doubt(self._question, answer)
+            self._doubt, self._question = _Doubt(self._question, answer), None
             in_transaction = self._state is SessionState.IN_TRANSACTION
             self._waiter.set_exception(AnswerDoubtful(in_transaction=in_transaction))
         else:
--- a/tests/platform/test_answer_stream.py
+++ b/tests/platform/test_answer_stream.py
@@ -12,7 +12,7 @@
 from hibiscuspoint.components.sessions.connection import PooledConnection
 from hibiscuspoint.core.sessions import Failure, SessionContext, SessionState
 from hibiscuspoint.drivers.answer_monitor import AnswerMonitor
-from hibiscuspoint.drivers.errors import AnswerUnclear, ConnectionLost
+from hibiscuspoint.drivers.errors import AnswerDoubtful, AnswerUnclear, ConnectionLost
 from hibiscuspoint.ids import GroupId, TargetId
 from hibiscuspoint.platform import wire
 from hibiscuspoint.platform.database import DatabaseConnection, DatabaseDriver
@@ -115,6 +115,25 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("behind", [unsigned("I", "1.2"), signed("r2")], ids=["step", "own"])
+def test_answer_in_front_of_the_question_behind_a_refusal_settles_nothing(behind):
+    """Guards against an answer that came with a refusal, as that to the question behind it."""
+    refused = "ERROR BUSY i-0\r\nREADY I 1.1\r\n"
+    answers = {"WRITE a 1": refused, "WRITE a 2": refused + behind, "RESET": unsigned("I", "1.3")}
+
+    async def scenario():
+        async with ScriptedDatabase(lambda request, text: (answers[text], [])).serve() as database:
+            connection = await _connect(database)
+            await _run(connection, 1, "WRITE a 1")
+            with pytest.raises(AnswerDoubtful):
+                await _run(connection, 2, "WRITE a 2")
+            with pytest.raises(AnswerUnclear):
+                await connection.settle(TIMEOUT_SECONDS)
+            assert not connection.is_open
+
+    asyncio.run(scenario())
+
+
 def test_begin_is_not_taken_for_an_earlier_one():
     """Guards against writes that take effect by themselves after a ``BEGIN`` that was refused."""
     begun = iter([(unsigned("T"), [0.02]), ("", [])])
