Give connections that are kept back a module of their own

The pool asks KeptBackConnections for those that have rested. A connection that waited for the log no longer counts as a success when it comes back, which had made the next rests short.

--- a/hibiscuspoint/components/sessions/pool.py
+++ b/hibiscuspoint/components/sessions/pool.py
@@ -10,6 +10,7 @@
 
 from hibiscuspoint.components.sessions.connection import PooledConnection
 from hibiscuspoint.components.sessions.connection_records import ConnectionCounts
+from hibiscuspoint.components.sessions.kept_back import KeptBackConnections
 from hibiscuspoint.components.sessions.wait_records import WaitRecords
 from hibiscuspoint.core.scheduling import (
     ConnectionUse,
@@ -17,12 +18,7 @@
     latest_start,
     wait_queues,
 )
-from hibiscuspoint.core.sessions import (
-    ConnectionUseAverage,
-    OpeningBudget,
-    RestingConnections,
-    RestTimes,
-)
+from hibiscuspoint.core.sessions import ConnectionUseAverage, OpeningBudget
 from hibiscuspoint.drivers.errors import ConnectError, ConnectFailure
 from hibiscuspoint.telemetry import catalogue, log_event
 from hibiscuspoint.util.tasks import spawn
@@ -54,11 +50,6 @@
 #: target for its handshake.
 OPENING_LIMIT = 3
 
-#: Seconds for which a connection at which a refusal would be in doubt is kept back while the log
-#: stands, before it is replaced, and after which another one may be opened besides it.
-STANDING_LOG_SECONDS = 1.0
-STANDING_OPENING_SECONDS = 0.1
-
 #: Seconds after which an idle connection beyond the share of this instance is closed. Where there
 #: are fewer connections than instances, an idle one is missing elsewhere: 73 transactions a second
 #: at a primary with 34 connections leave no room for connections that are idle for a second.
@@ -100,8 +91,7 @@
         self._driver = driver
         self._clock = clock
         self._idle: list[PooledConnection] = []
-        self._resting: RestingConnections[PooledConnection] = RestingConnections()
-        self._standing: dict[PooledConnection, float] = {}
+        self._kept_back = KeptBackConnections(clock, self._use_again)
         self._queue = wait_queues.get(scheduling)()
         self._records = records or WaitRecords()
         self._futures: dict[Waiter, asyncio.Future[PooledConnection]] = {}
@@ -145,7 +135,7 @@
     @property
     def size(self) -> int:
         """Return the number of open connections."""
-        return len(self._idle) + len(self._resting) + len(self._standing) + len(self._in_use)
+        return len(self._idle) + len(self._kept_back) + len(self._in_use)
 
     def take_counts(self) -> ConnectionCounts:
         """Return what became of connections since the last call."""
@@ -200,9 +190,9 @@
             # The limit was lowered, as another holder takes a part.
             is_usable = False
         if is_usable and pooled.was_refused:
-            self._keep_back(pooled, now)
+            self._kept_back.add(pooled, now)
         elif is_usable and not self._is_needed_elsewhere(pooled, now):
-            self._resting.times.record_success()
+            self._kept_back.record_success()
             pooled.idle_since = now
             self._idle.append(pooled)
         else:
@@ -224,50 +214,25 @@
     def close(self) -> None:
         """Close the idle connections; those in use are closed when they are returned."""
         self._is_closed = True
-        for pooled in [*self._idle, *self._resting.clear(), *self._standing]:
+        self._kept_back.close()
+        for pooled in self._idle:
             pooled.connection.close()
         self._idle.clear()
         self._fail_waiters(ConnectError(ConnectFailure.LEAVING, f"{self._target} is gone"))
 
-    def _keep_back(self, pooled: PooledConnection, now: float) -> None:
-        """Keep a connection back whose target had no room for its last statement."""
-        pooled.was_refused = False
-        if pooled.connection.exhausted_at is not None:
-            self._standing[pooled] = now
-            spawn(self._await_log(pooled), f"log of {self._target}")
-        else:
-            self._resting.add(pooled, pooled.organisation, now)
-
-    def _is_kept_back(self, organisation: OrganisationId) -> bool:
-        """Tell whether a connection of an organisation is kept back and soon used again."""
-        latest = self._clock.monotonic() - STANDING_OPENING_SECONDS
-        return self._resting.has(organisation) or any(
-            pooled.organisation == organisation and since > latest
-            for pooled, since in self._standing.items()
-        )
+    def _use_again(self, pooled: PooledConnection) -> None:
+        """Take a connection that was kept back."""
+        if pooled.is_open and not self._is_closed:
+            pooled.idle_since = self._clock.monotonic()
+            self._idle.append(pooled)
+        self._serve_waiters()
 
     def _end_rests(self, now: float) -> None:
         """Let the connections be used again that have rested."""
-        for pooled in self._resting.take_rested(now):
+        for pooled in self._kept_back.take_rested(now):
             pooled.idle_since = now
             self._idle.append(pooled)
 
-    async def _await_log(self, pooled: PooledConnection) -> None:
-        """Keep a connection back at which a refusal would be in doubt until the log moves.
-
-        That takes some milliseconds in a group with commits. In another one it is replaced after a
-        while, as writes would never be sent over it.
-        """
-        until, times = self._clock.monotonic() + STANDING_LOG_SECONDS, RestTimes()
-        has_moved = False
-        while pooled.is_open and not has_moved and self._clock.monotonic() < until:
-            await asyncio.sleep(times.next())
-            has_moved = await pooled.has_log_moved()
-        if not has_moved:
-            pooled.close()
-        del self._standing[pooled]
-        self.release(pooled)
-
     async def _wait(self, waiter: Waiter, future: asyncio.Future[PooledConnection]) -> None:
         """Wait for a connection until the deadline, and look when the queue may refuse it."""
         deadline = waiter.demand.deadline
@@ -313,12 +278,12 @@
         budget_delay = self.budget.opening_delay(now)
         is_full = self._retry_delay_seconds > FULL_RETRY_MIN_SECONDS or budget_delay > 0
         may_open = self._has_room and not is_full
-        may_open = may_open and not self._is_kept_back(demand.organisation)
+        may_open = may_open and not self._kept_back.has(demand.organisation)
         may_open = may_open or bool(self._idle)
         held = [now - pooled.taken_at for pooled in self._in_use]
         # A connection that is kept back serves a statement soon, as one does that was just taken.
-        held += [0.0] * (len(self._resting) + len(self._standing))
-        opens_in = max(budget_delay, self._retry_at - now, self._resting.next_in(now) or 0.0)
+        held += [0.0] * len(self._kept_back)
+        opens_in = max(budget_delay, self._retry_at - now, self._kept_back.next_in(now) or 0.0)
         use = ConnectionUse(tuple(held), self._use_times.average_seconds, may_open, opens_in)
         return self._queue.check(demand, use, now)
 
@@ -390,7 +355,7 @@
         delay = self.rules.next_decision(now) if self.rules is not None else None
         if delay is not None:
             self._retry_later(delay)
-        delay = self._resting.next_in(now) if self._waiting else None
+        delay = self._kept_back.next_in(now) if self._waiting else None
         if delay is not None:
             self._retry_later(delay)
 
@@ -405,7 +370,7 @@
             for organisation in self._waiting
             if self._lacks_connection(organisation, now)
             and not self._has_its_part(organisation)
-            and not self._is_kept_back(organisation)
+            and not self._kept_back.has(organisation)
         }
 
     def _lacks_connection(self, organisation: OrganisationId, now: float) -> bool:
