--- a/hibiscuspoint/components/sessions/connection.py
+++ b/hibiscuspoint/components/sessions/connection.py
@@ -26,6 +26,7 @@
 
 __all__ = ["BorrowedConnection", "PooledConnection"]
 
+#: Failures with which a target has no room; ``ABORTED`` ends a transaction that it refused twice.
 _NO_ROOM = (Failure.OVERLOADED, Failure.ABORTED)
 
 #: Longest time in seconds of a step that only sets the context of a connection.
--- a/hibiscuspoint/core/sessions/answers.py
+++ b/hibiscuspoint/core/sessions/answers.py
@@ -117,7 +117,7 @@
     CONFIRMED = auto()
     #: It repeated an earlier answer; this one belongs to its question.
     REPLACED = auto()
-    #: Nothing; the connection must be reset.
+    #: It tells nothing; the connection must be reset.
     UNCLEAR = auto()
 
 
@@ -206,13 +206,13 @@
         return is_known and is_open and not self._has_repetition and not self._is_unproven
 
     def settle(self, doubtful: Question, behind: Question, answer: Answer) -> Settlement:
-        """Decide about a doubtful refusal by the answer that arrives after it.
+        """Decide whether a refusal was that of its question, by the answer that arrives after it.
 
         As a target answers in order, a new answer that only the question behind may have shows that
-        no earlier one is due. A new signature outside a transaction is the own answer that came
-        after a repetition.
+        no earlier one is due. A new signature outside a transaction is the answer to the question
+        in doubt, which came after a repetition.
 
-        :param doubtful: question that the refusal may belong to.
+        :param doubtful: question in doubt, that of the refusal.
         :param behind: question that was sent after the refusal.
         """
         if answer.digest in self._digests or answer.may_be_joined:
--- a/hibiscuspoint/core/sessions/connection_plan.py
+++ b/hibiscuspoint/core/sessions/connection_plan.py
@@ -19,6 +19,7 @@
     "ConnectionPlan",
     "OpeningBudget",
     "OpeningRules",
+    "openings_per_second",
     "order_holders",
     "target_holders",
 ]
--- a/hibiscuspoint/drivers/answer_monitor.py
+++ b/hibiscuspoint/drivers/answer_monitor.py
@@ -1,4 +1,4 @@
-"""Log lines and metrics about answers that belong to no statement in progress, and what follows."""
+"""Log lines and metrics about answers that were not accepted, and connections that they ended."""
 
 from __future__ import annotations
 
--- a/hibiscuspoint/platform/database.py
+++ b/hibiscuspoint/platform/database.py
@@ -79,8 +79,9 @@
     async def settle(self, timeout: float) -> Reply:
         """Return the answer to a statement whose refusal equals an earlier one.
 
-        Neither question takes a slot of the database.
+        The question behind the refusal takes no slot of the database.
 
+        :param timeout: longest time in seconds until the answer is complete.
         :raises AnswerUnclear: it cannot be told from a repetition; the connection is closed.
         """
         in_transaction = self._stream.state is SessionState.IN_TRANSACTION
