Test the parts of the fix that no test noticed when they were taken out

Four of twenty changes that take a part out left all tests green: a statement without time at an idle connection, a write at a connection whose refusal would be in doubt, the wait for the log, and the state after a transaction that was rolled back to settle a refusal. Each fails one test now.

--- a/tests/components/sessions/test_pool.py
+++ b/tests/components/sessions/test_pool.py
@@ -8,10 +8,11 @@
 import pytest
 
 from hibiscuspoint.components.sessions.pool import FULL_RETRY_MIN_SECONDS, TargetPool
-from hibiscuspoint.core.sessions import ConnectionDemand
-from hibiscuspoint.drivers.errors import ConnectError, ConnectFailure
-from tests.builders_failover import GROUP, PRIMARY
+from hibiscuspoint.core.sessions import ConnectionDemand, SessionContext
+from hibiscuspoint.drivers.errors import ConnectError, ConnectFailure, ConnectionLost
+from tests.builders_failover import GROUP, PRIMARY, position
 from tests.components.sessions.fakes import FakeDriver, LoopClock, ScriptedTarget
+from tests.components.sessions.harness import statement
 
 
 def _pool(driver: FakeDriver, limit: int = 4) -> TargetPool:
@@ -215,6 +216,40 @@
     asyncio.run(scenario())
 
 
+def test_statement_without_time_for_its_answer_gets_no_connection():
+    """Guards against a time-out, which costs a connection, where an idle one is there at once."""
+
+    async def scenario():
+        pool = _pool(FakeDriver())
+        pool.release(await pool.acquire(ConnectionDemand(_now() + 1)))
+        demand = ConnectionDemand(_now() + 1, expected_seconds=0.1, answer_until=_now() + 0.05)
+        with pytest.raises(ConnectError) as error:
+            await pool.acquire(demand)
+        assert error.value.failure is ConnectFailure.LIMITED
+
+    asyncio.run(scenario())
+
+
+def test_connection_at_which_a_refusal_would_be_in_doubt_waits_for_the_log():
+    """Guards against writes in doubt after refusals, and writes that are never sent again."""
+
+    async def scenario():
+        pool = _pool(FakeDriver(), limit=1)
+        pooled = await pool.acquire(ConnectionDemand(_now() + 1))
+        pooled.connection.exhausted_at = position(7)
+        with pytest.raises(ConnectionLost) as error:
+            await pooled.run(statement("WRITE x 1"), SessionContext(), _now() + 1)
+        assert not error.value.sent
+        pooled.give_back()
+        waiting = asyncio.create_task(pool.acquire(ConnectionDemand(_now() + 1)))
+        await asyncio.sleep(0.05)
+        assert not waiting.done()
+        pooled.connection.exhausted_at = None
+        assert await waiting is pooled
+
+    asyncio.run(scenario())
+
+
 def test_target_that_is_lost_and_regained_is_logged_once_each(caplog):
     """Load pattern: a target stops; each statement that cannot be sent must not add a line.
 
--- a/tests/components/sessions/test_session.py
+++ b/tests/components/sessions/test_session.py
@@ -111,6 +111,22 @@
     _run(scenario)
 
 
+def test_transaction_that_was_rolled_back_to_settle_a_refusal_has_failed():
+    """Guards against statements that run outside of a transaction whose caller has not ended it."""
+
+    async def scenario():
+        harness = SessionHarness()
+        session = harness.session()
+        await harness.run(session, "BEGIN", "READ a")
+        harness.targets[PRIMARY].script.append(refusal(Failure.ABORTED))
+        replies = await harness.run(session, "WRITE a x", "WRITE b x", "ROLLBACK", "READ a")
+        assert [reply.state for reply in replies][:2] == [SessionState.FAILED] * 2
+        assert [reply.error is None for reply in replies] == [False, False, True, True]
+        assert len(harness.targets[PRIMARY].connections) == 1
+
+    _run(scenario)
+
+
 def test_lost_transaction_before_its_commit_is_aborted():
     """Guards against an untrue promise, and against a success without the target."""
 
