Choose again when the chosen database has started again

A registration with a later start time marked the former log as lost, but left the choice as it was. It takes the choice back now, so that the next term is opened and every replica is paused and asked again.

test_chosen_replica_that_started_again_empty_is_not_promoted failed before.

--- a/hibiscuspoint/core/control/state.py
+++ b/hibiscuspoint/core/control/state.py
@@ -290,6 +290,9 @@
             return
         if known is not None and known.incarnation < registered.incarnation:
             record.lost_logs[registered.target] = known.incarnation
+            if record.phase is GroupPhase.CHOSEN and record.primary == registered.target:
+                # It was chosen for its log, which it may have lost.
+                record.primary = None
         record.targets[registered.target] = registered
 
     def _remove_target(self, body: record_pb2.RemoveTarget) -> None:
--- a/tests/core/failover/test_group.py
+++ b/tests/core/failover/test_group.py
@@ -609,6 +609,25 @@
     assert simulation.record.phase is GroupPhase.SEALING
 
 
+def test_chosen_replica_that_started_again_empty_is_not_promoted():
+    """Guards against a promotion that loses acknowledged commits (soak, seed 54).
+
+    The chosen database ended before its promotion took effect and came back under its id with
+    nothing of before. A later control leader requested its promotion again.
+    """
+    simulation = GroupSimulation()
+    now = _lose_primary(simulation, LATER)
+    simulation.record_pause(REPLICA_A, 20, now)
+    simulation.record_pause(REPLICA_B, 19, now)
+    simulation.tick(now)
+    assert simulation.record.primary == REPLICA_A
+    simulation.register(REPLICA_A, incarnation=2)
+    simulation.effects.clear()
+    simulation.poll({REPLICA_A: replica_status(0)}, now + 1.2)
+    simulation.tick(now + 1.2)
+    assert RequestPromotion(GROUP, REPLICA_A, TOKEN) not in simulation.effects
+
+
 def test_term_starts_only_when_no_other_promotion_can_take_effect():
     """Guards against a late promotion that takes acknowledged commits back."""
     simulation, now = _give_up_chosen()
