--- a/tests/core/failover/test_group.py
+++ b/tests/core/failover/test_group.py
@@ -586,14 +586,20 @@
     assert REPLICA_A in simulation.record.targets
 
 
-def _give_up_chosen() -> tuple[GroupSimulation, float]:
-    """Return a group whose chosen replica was lost before its term started, and the time."""
+def _choose_replica() -> tuple[GroupSimulation, float]:
+    """Return a group that has lost its primary and chosen a replica, and the time."""
     simulation = GroupSimulation()
     now = _lose_primary(simulation, LATER)
     simulation.record_pause(REPLICA_A, 20, now)
     simulation.record_pause(REPLICA_B, 19, now)
     simulation.tick(now)
     assert simulation.record.primary == REPLICA_A
+    return simulation, now
+
+
+def _give_up_chosen() -> tuple[GroupSimulation, float]:
+    """Return a group whose chosen replica was lost before its term started, and the time."""
+    simulation, now = _choose_replica()
     now += CHOSEN_SILENCE_SECONDS
     simulation.tick(now)
     assert simulation.record.phase is GroupPhase.SEALING
@@ -615,12 +621,7 @@
     The chosen database ended before its promotion took effect and came back under its id with
     nothing of before. A later control leader requested its promotion again.
     """
-    simulation = GroupSimulation()
-    now = _lose_primary(simulation, LATER)
-    simulation.record_pause(REPLICA_A, 20, now)
-    simulation.record_pause(REPLICA_B, 19, now)
-    simulation.tick(now)
-    assert simulation.record.primary == REPLICA_A
+    simulation, now = _choose_replica()
     simulation.register(REPLICA_A, incarnation=2)
     simulation.effects.clear()
     simulation.poll({REPLICA_A: replica_status(0)}, now + 1.2)
--- a/tests/platform/test_answer_service.py
+++ b/tests/platform/test_answer_service.py
@@ -5,23 +5,26 @@
 import asyncio
 import time
 from collections import Counter
+from typing import TYPE_CHECKING
 
 import pytest
 
 from hibiscuspoint.components.runtime import SystemClock
-from hibiscuspoint.components.sessions import GroupAccess
 from hibiscuspoint.components.sessions.connection import PooledConnection
 from hibiscuspoint.components.target_poller import TargetPoller
 from hibiscuspoint.core.position import LogPosition
-from hibiscuspoint.core.sessions import Failure, ReadMode, SessionContext
+from hibiscuspoint.core.sessions import Failure, SessionContext
 from hibiscuspoint.drivers.errors import ConnectionLost
 from hibiscuspoint.ids import GroupId, TargetId, Term
 from hibiscuspoint.platform import wire
 from hibiscuspoint.platform.database import DatabaseDriver
 from tests.builders_failover import PRIMARY, target
-from tests.components.sessions.harness import SessionHarness
+from tests.platform.one_database import OneDatabaseDriver, entry_at
 from tests.platform.scripted_database import ScriptedDatabase, signed, unsigned
 
+if TYPE_CHECKING:
+    from tests.components.sessions.harness import SessionHarness
+
 TIMEOUT_SECONDS = 1.0
 
 WORK_SECONDS = 0.003
@@ -30,23 +33,6 @@
 COMMIT_SECONDS = 0.03
 
 
-class _Driver:
-    """Connects to one database, whatever the address."""
-
-    def __init__(self, address: str) -> None:
-        self._address = address
-
-    async def connect(self, group, target, address, timeout, organisation=""):
-        return await DatabaseDriver().connect(group, target, self._address, timeout)
-
-
-def _harness(database: ScriptedDatabase) -> SessionHarness:
-    harness = SessionHarness(ReadMode.PRIMARY)
-    harness.access = GroupAccess(harness.state, _Driver(database.address), harness.clock)
-    harness.route(lease_ms=60_000)
-    return harness
-
-
 def _statement(request: str, text: str):
     return wire.parse_statement(f"QUERY {request} {text}\r\n".encode())
 
@@ -88,7 +74,7 @@
 
     async def scenario():
         async with ScriptedDatabase(script, work_seconds=WORK_SECONDS).serve() as database:
-            return await _operation(_harness(database), "r", *texts)
+            return await _operation(entry_at(database.address), "r", *texts)
 
     assert asyncio.run(scenario()) is not Failure.IN_DOUBT
 
@@ -123,7 +109,7 @@
 
     async def scenario():
         async with ScriptedDatabase(script).serve() as database:
-            harness = _harness(database)
+            harness = entry_at(database.address)
             results = []
             for number in range(12):
                 results.append(await _operation(harness, f"r{number}", *texts))
@@ -171,7 +157,7 @@
     async def scenario():
         script, repeats = lambda request, text: (signed(request), []), [0.0]
         async with ScriptedDatabase(script, repeats, WORK_SECONDS).serve() as database:
-            harness = _harness(database)
+            harness = entry_at(database.address)
             results = [await _operation(harness, f"r{n}", "READ a") for n in range(5)]
             return results, database.connections
 
@@ -189,7 +175,7 @@
 
     async def scenario():
         async with ScriptedDatabase(script, work_seconds=WORK_SECONDS).serve() as database:
-            harness, texts = _harness(database), ("BEGIN", "READ a", "COMMIT")
+            harness, texts = entry_at(database.address), ("BEGIN", "READ a", "COMMIT")
             await asyncio.gather(*(_operation(harness, f"b{n}", *texts) for n in range(8)))
             opened = database.connections
             results = [await _operation(harness, f"r{n}", *texts) for n in range(20)]
@@ -300,7 +286,7 @@
     async def scenario():
         row = "ROW primary 1 1.1 0 0 0 1\r\nCOMPLETE -\r\nREADY I 1.1\r\n"
         async with ScriptedDatabase(lambda request, text: (row, [])).serve() as database:
-            poller = TargetPoller(_Driver(database.address), Clock())
+            poller = TargetPoller(OneDatabaseDriver(database.address), Clock())
             poller.set_decision_runner(lambda decide: decide(Leader()))
             poller.set_targets([target(PRIMARY)], {PRIMARY}, set())
             await asyncio.sleep(4.0)
--- a/tests/platform/test_full_target.py
+++ b/tests/platform/test_full_target.py
@@ -8,12 +8,10 @@
 
 import pytest
 
-from hibiscuspoint.components.sessions import GroupAccess
-from hibiscuspoint.core.sessions import Failure, ReadMode
+from hibiscuspoint.core.sessions import Failure
 from hibiscuspoint.platform import wire
-from hibiscuspoint.platform.database import DatabaseDriver
-from tests.components.sessions.harness import SessionHarness
 from tests.platform.busy_database import BusyDatabase
+from tests.platform.one_database import entry_at
 
 #: Statements per second that a target serves well, and those of a burst; it serves 400.
 USUAL_RATE, BURST_RATE = 240, 1200
@@ -33,25 +31,11 @@
 USUAL_SHARE = 0.97
 
 
-class _Driver:
-    """Connects to one database, whatever the address."""
-
-    def __init__(self, address: str) -> None:
-        self._address = address
-
-    async def connect(self, group, target, address, timeout, organisation=""):
-        return await DatabaseDriver().connect(group, target, self._address, timeout)
-
-
 class _Load:
     """Sends statements at a rate, whatever becomes of the earlier ones."""
 
     def __init__(self, database: BusyDatabase, text: str) -> None:
-        self._harness = SessionHarness(ReadMode.PRIMARY)
-        self._harness.access = GroupAccess(
-            self._harness.state, _Driver(database.address), self._harness.clock
-        )
-        self._harness.route(lease_ms=60_000)
+        self._entry = entry_at(database.address)
         self._text = text
         self._numbers = itertools.count()
         self._tasks: set[asyncio.Task] = set()
@@ -66,7 +50,7 @@
         return Counter(await asyncio.gather(*tasks))
 
     async def _call(self):
-        session = self._harness.session()
+        session = self._entry.session()
         message = f"QUERY r{next(self._numbers)} {self._text}\r\n".encode()
         reply = await session.execute(wire.parse_statement(message))
         await session.close()
