Review: a cut-off second answer of a database puts a foreign row into the next

Cause: rows are joined to one answer until an outcome comes, and an answer is judged by its signature, which is that of the own statement.

--- a/review/stand_ins_2/databases.py
+++ b/review/stand_ins_2/databases.py
@@ -10,6 +10,7 @@
 import contextlib
 import itertools
 import json
+import random
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -51,6 +52,8 @@
 
     :param delay: seconds that a commit of the primary takes to arrive here.
     :param work_seconds: time that a statement takes.
+    :param stutter_share: share of the answers to clients that begin to come a second time, late,
+        while the next statement runs, and are cut off after their first row.
     """
 
     service: Service
@@ -70,6 +73,7 @@
     sequence: itertools.count = field(default_factory=lambda: itertools.count(1))
     asked_at: float = 0.0
     starts: int = 0
+    stutter_share: float = 0.0
     is_known: bool = False
     started: asyncio.Event = field(default_factory=asyncio.Event)
     writers: set[asyncio.StreamWriter] = field(default_factory=set)
@@ -343,6 +347,7 @@
         self._term = 0
         self._is_read_only = False
         self._starts = database.starts
+        self._former: list[str] = []
 
     async def run(self) -> None:
         """Answer messages until the connection ends."""
@@ -359,6 +364,9 @@
             elif word == "QUERY":
                 request, _, text = rest.partition(" ")
                 lines = await self._answer(request, text)
+                if request != "-":
+                    lines = self._repetition() + lines
+                    self._former = lines
             else:
                 return
             await self._database.wait_until_lit(self._starts)
@@ -366,6 +374,14 @@
             self._writer.write("".join(f"{line}\r\n" for line in lines).encode())
             await self._writer.drain()
 
+    def _repetition(self) -> list[str]:
+        """Return the part of the former answer that comes a second time; usually none."""
+        is_drawn = random.random() < self._database.stutter_share
+        if not is_drawn or not self._former or not self._former[0].startswith("ROW "):
+            return []
+        self._database.service.note(f"{self._database.name} repeats {self._former[0]}, cut off")
+        return self._former[:1]
+
     async def _answer(self, request: str, text: str) -> list[str]:
         verb, _, rest = text.partition(" ")
         after = None
