--- a/review/6/run.py
+++ b/review/6/run.py
@@ -9,14 +9,14 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import sys
-from pathlib import Path
 from typing import TYPE_CHECKING
 
-from review.stand_ins_2.deployment import DATABASE, CannotRunError, Client, Deployment
+from review.stand_ins_2.deployment import DATABASE, Client, Deployment, play
 
 if TYPE_CHECKING:
+    from pathlib import Path
+
     from review.stand_ins_2.databases import Database
 
 #: Instance whose client writes; it has no disk.
@@ -88,7 +88,7 @@
             client.close()
 
 
-async def run(folder: Path, *, has_trouble: bool) -> int:
+async def run(folder: Path, has_trouble: bool) -> int:
     """Play the case and return its exit status."""
     lost: list[str] = []
     acknowledged = Acknowledged()
@@ -129,14 +129,5 @@
     return int(bool(lost))
 
 
-def main() -> int:
-    """Run the case."""
-    try:
-        return asyncio.run(run(Path(sys.argv[1]), has_trouble=os.environ.get("TROUBLE") != "0"))
-    except (CannotRunError, OSError) as error:
-        print(f"the case did not run: {error!r}")
-        return 2
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(play(run))
--- a/review/stand_ins_2/deployment.py
+++ b/review/stand_ins_2/deployment.py
@@ -19,9 +19,10 @@
 from review.stand_ins_2.databases import Service, call
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
     from types import TracebackType
 
-__all__ = ["DATABASE", "SERVICE", "CannotRunError", "Client", "Deployment", "Record"]
+__all__ = ["DATABASE", "SERVICE", "CannotRunError", "Client", "Deployment", "Record", "play"]
 
 SERVICE = "huvo11a"
 
@@ -36,6 +37,21 @@
     """The case could not be set up."""
 
 
+def play(case: Callable[[Path, bool], Awaitable[int]]) -> int:
+    """Play a case in the folder of the first argument and return the exit status of its script.
+
+    :param case: gets the folder and whether to bring the disruption about; returns 1 if the rule
+        was broken and 0 if it held.
+    """
+    # The end of a script, also by SIGTERM, ends all processes that it started.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
+    try:
+        return asyncio.run(case(Path(sys.argv[1]), os.environ.get("TROUBLE") != "0"))
+    except (CannotRunError, OSError) as error:
+        print(f"the case did not run: {error!r}")
+        return 2
+
+
 class Record:
     """The file ``record.txt`` of a case: what was sent, answered and run, with times."""
 
