--- a/review/6/run.py
+++ b/review/6/run.py
@@ -12,7 +12,7 @@
 import sys
 from typing import TYPE_CHECKING
 
-from review.stand_ins_2.deployment import DATABASE, Client, Deployment, play
+from review.stand_ins_2.deployment import DATABASE, Client, Deployment, finish, play
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -121,9 +121,7 @@
             for database in (primary, near):
                 database.come_back()
         await asyncio.sleep(AFTER_SECONDS)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await finish(tasks)
         check(service.primary)
     print(f"{len(acknowledged)} writes acknowledged, {len(set(lost))} of them lost: {lost[:5]}")
     return int(bool(lost))
--- a/review/stand_ins_2/databases.py
+++ b/review/stand_ins_2/databases.py
@@ -11,6 +11,7 @@
 import itertools
 import json
 import random
+import time
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -22,6 +23,12 @@
 #: Longest message in bytes.
 MESSAGE_BYTES = 1_048_576
 
+#: Connections that a database accepts from all callers together.
+MAX_CONNECTIONS = 16
+
+#: Redirects that a caller of ``control`` follows.
+MAX_REDIRECTS = 2
+
 #: Seconds between two looks of a replica at the log of its primary.
 PULL_SECONDS = 0.002
 
@@ -67,7 +74,7 @@
     work_seconds: float = 0.001
     is_dark: bool = False
     state: str = "ready"
-    born: int = 1_780_000_000_000
+    born: int = field(default_factory=lambda: _unix_ms())
     log: list[Entry] = field(default_factory=list)
     items: dict[str, str] = field(default_factory=dict)
     sequence: itertools.count = field(default_factory=lambda: itertools.count(1))
@@ -97,6 +104,7 @@
         made_at = asyncio.get_running_loop().time()
         number = self.position[1] + 1
         entry = Entry(self.term, number, request, tuple(items.items()), made_at)
+        self.service.note(f"{self.name} commits {request} at {self.term}.{number}")
         self.log.append(entry)
         self.items.update(items)
         return entry
@@ -158,7 +166,7 @@
         self.starts += 1
         if is_empty:
             self.log, self.items, self.is_primary, self.term = [], {}, False, 0
-        self.born += 1
+        self.born = _unix_ms()
         self.sequence = itertools.count(1)
         self.is_known = False
         for writer in list(self.writers):
@@ -199,10 +207,6 @@
         self.note = note
         self.databases: list[Database] = []
         self.on_promoted: Callable[[Database], None] = lambda database: None
-        #: Called with the database, the request id and the text of each statement of a client.
-        self.on_statement: Callable[[Database, str, str], None] = lambda database, request, text: (
-            None
-        )
         self.acknowledged_drains: dict[str, float] = {}
         self._controls = controls
         self._beat_seconds = beat_seconds
@@ -307,7 +311,7 @@
             "addr": database.address,
             "zone": database.zone,
             "version": "v1",
-            "slots": 4,
+            "slots": 2,
             "state": state,
             "cold_left_ms": 0,
             "db_role": "primary" if database.is_primary else "replica",
@@ -360,11 +364,16 @@
                 if (service, name) != (self._database.service.name, self._database.name):
                     self._writer.write(b"ERROR WRONGNODE -\r\n")
                     return
+                if len(self._database.writers) > MAX_CONNECTIONS:
+                    self._writer.write(b"ERROR TOOMANY -\r\n")
+                    return
                 lines = []
             elif word == "QUERY":
                 request, _, text = rest.partition(" ")
                 lines = await self._answer(request, text)
                 if request != "-":
+                    name, outcome = self._database.name, lines[-1]
+                    self._database.service.note(f"{name} ran {request} {text}: {outcome}")
                     lines = self._repetition() + lines
                     self._former = lines
             else:
@@ -392,7 +401,6 @@
         if after is not None and self._database.position < after:
             return [f"ERROR LAGGING {self._database.name}"]
         if request != "-":
-            self._database.service.on_statement(self._database, request, text)
             await asyncio.sleep(self._database.work_seconds)
             await self._database.wait_until_lit(self._starts)
         if verb == "EXECUTE":
@@ -400,8 +408,18 @@
             if name not in self._prepared:
                 return [f"ERROR NOSTMT {name}"]
             verb = self._prepared[name][0]
+        if not self._allows(verb):
+            return ["ERROR MALFORMED -"]
         return await getattr(self, f"_{verb.lower()}")(request, rest)
 
+    def _allows(self, verb: str) -> bool:
+        """Tell whether the state of the session allows a statement."""
+        if self._state == "E":
+            return verb in ("COMMIT", "ROLLBACK")
+        if verb in ("BEGIN", "COMMIT", "ROLLBACK"):
+            return (verb == "BEGIN") is (self._state == "I")
+        return hasattr(self, f"_{verb.lower()}")
+
     @property
     def _leads(self) -> bool:
         return self._database.is_primary and self._database.term == self._term
@@ -496,8 +514,12 @@
     return f"{position[0]}.{position[1]}"
 
 
+def _unix_ms() -> int:
+    return int(time.time() * 1000)
+
+
 async def call(
-    address: str, method: str, path: str, body: object | None = None
+    address: str, method: str, path: str, body: object | None = None, redirects: int = 0
 ) -> tuple[int, bytes]:
     """Make one HTTP call on a connection of its own and return status and body."""
     host, _, port = address.rpartition(":")
@@ -512,7 +534,7 @@
         answer = await reader.read()
         head_bytes, _, content = answer.partition(b"\r\n\r\n")
         status = int(head_bytes.split(b" ", 2)[1])
-        if status == 307:
+        if status == 307 and redirects < MAX_REDIRECTS:
             location = next(
                 line.split(b":", 1)[1].strip().decode()
                 for line in head_bytes.split(b"\r\n")
--- a/review/stand_ins_2/deployment.py
+++ b/review/stand_ins_2/deployment.py
@@ -13,22 +13,35 @@
 import sys
 import tempfile
 import time
+import traceback
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from review.stand_ins_2.databases import Service, call
+from review.stand_ins_2.databases import MAX_CONNECTIONS, Service, call
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
     from types import TracebackType
 
-__all__ = ["DATABASE", "SERVICE", "CannotRunError", "Client", "Deployment", "Record", "play"]
+__all__ = [
+    "DATABASE",
+    "SERVICE",
+    "CannotRunError",
+    "Client",
+    "Deployment",
+    "Record",
+    "finish",
+    "play",
+]
 
 SERVICE = "huvo11a"
 
 #: Names of the databases on routes of each kind.
 DATABASE = {"primary": "lepu270", "read_your_writes": "fiti832", "bounded_staleness": "xapu221"}
 
+#: Signals that end a script.
+_END_SIGNALS = (signal.SIGINT, signal.SIGTERM, signal.SIGHUP)
+
 #: Longest time in seconds until all instances serve.
 START_SECONDS = 40.0
 
@@ -37,21 +50,45 @@
     """The case could not be set up."""
 
 
+def _end(number: int, frame: object) -> None:
+    """End the script and with it all processes that it started.
+
+    ``timeout`` sends its signal twice; the second one must not interrupt the end of the processes.
+    """
+    for ignored in _END_SIGNALS:
+        signal.signal(ignored, signal.SIG_IGN)
+    sys.exit(2)
+
+
 def play(case: Callable[[Path, bool], Awaitable[int]]) -> int:
     """Play a case in the folder of the first argument and return the exit status of its script.
 
     :param case: gets the folder and whether to bring the disruption about; returns 1 if the rule
         was broken and 0 if it held.
     """
-    # The end of a script, also by SIGTERM, ends all processes that it started.
-    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
+    for number in _END_SIGNALS:
+        signal.signal(number, _end)
     try:
         return asyncio.run(case(Path(sys.argv[1]), os.environ.get("TROUBLE") != "0"))
-    except (CannotRunError, OSError) as error:
+    except Exception as error:
+        # Status 1 is only for a broken rule, not for an error of the script.
+        traceback.print_exc()
         print(f"the case did not run: {error!r}")
         return 2
 
 
+async def finish(tasks: list[asyncio.Task[None]]) -> None:
+    """End the clients.
+
+    :raises CannotRunError: one of them had ended with an error of the script.
+    """
+    for task in tasks:
+        task.cancel()
+    for result in await asyncio.gather(*tasks, return_exceptions=True):
+        if not isinstance(result, asyncio.CancelledError):
+            raise CannotRunError(f"a client ended by itself: {result!r}")
+
+
 class Record:
     """The file ``record.txt`` of a case: what was sent, answered and run, with times."""
 
@@ -254,7 +291,7 @@
         service = {
             "name": SERVICE,
             "health_path": "/healthz",
-            "max_conns": 16,
+            "max_conns": MAX_CONNECTIONS,
             "protocol": "h1",
             "tls": False,
             "sync_replicas": 1,
