Log on what the choice of a primary rests

Cause: primary-chosen names the target and the term only, so that a choice by what the entries reported looks like one by the replies of all replicas.

Change: event 331, primary-proven, names the proof and the position; no change of decisions.

--- a/hibiscuspoint/components/failover_effects.py
+++ b/hibiscuspoint/components/failover_effects.py
@@ -9,6 +9,7 @@
 from hibiscuspoint.core.failover import (
     OverloadSwitchover,
     PauseReplica,
+    PrimaryProven,
     PromotionWaiting,
     RequestPromotion,
     ResumeReplica,
@@ -73,6 +74,16 @@
                     target=primary,
                     term=self._record(group).term,
                 )
+            case PrimaryProven(group, term, target, proof, position):
+                log_event(
+                    logger,
+                    catalogue.PRIMARY_PROVEN,
+                    group=group,
+                    target=target,
+                    term=term,
+                    proof=proof.value,
+                    position=f"{position.term}:{position.index}" if position is not None else "",
+                )
             case PromotionWaiting(group, term, missing, entries):
                 log_event(
                     logger,
--- a/hibiscuspoint/core/failover/__init__.py
+++ b/hibiscuspoint/core/failover/__init__.py
@@ -9,8 +9,10 @@
     __name__,
     submod_attrs={
         "effects": [
+            "ChoiceProof",
             "OverloadSwitchover",
             "PauseReplica",
+            "PrimaryProven",
             "PromotionWaiting",
             "RequestPromotion",
             "ResumeReplica",
--- a/hibiscuspoint/core/failover/effects.py
+++ b/hibiscuspoint/core/failover/effects.py
@@ -3,17 +3,21 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.core.control.effects import Effect
 
 if TYPE_CHECKING:
     from hibiscuspoint.core.control.effects import MemberAddress
+    from hibiscuspoint.core.position import LogPosition
     from hibiscuspoint.ids import GroupId, InstanceId, TargetId, Term
 
 __all__ = [
+    "ChoiceProof",
     "OverloadSwitchover",
     "PauseReplica",
+    "PrimaryProven",
     "PromotionWaiting",
     "RequestPromotion",
     "ResumeReplica",
@@ -70,6 +74,29 @@
     primary: TargetId
 
 
+class ChoiceProof(Enum):
+    """What proves that the chosen target holds every acknowledged commit."""
+
+    ACTING = "it leads the newest term"
+    REPORTED = "it reaches the position that all entries reported"
+    FORMER_END = "it reaches the end of the former primary"
+    ALL_REPLICAS = "every replica has replied and no lease is left"
+
+
+@dataclass(frozen=True)
+class PrimaryProven(Effect):
+    """Tell operators on what the choice of a primary rests.
+
+    :param position: end of its log when it was chosen; ``None`` if it acts as primary.
+    """
+
+    group: GroupId
+    term: Term
+    target: TargetId
+    proof: ChoiceProof
+    position: LogPosition | None
+
+
 @dataclass(frozen=True)
 class PromotionWaiting(Effect):
     """Tell operators for what the choice of a primary waits.
--- a/hibiscuspoint/core/failover/group.py
+++ b/hibiscuspoint/core/failover/group.py
@@ -14,7 +14,11 @@
     SwitchoverState,
 )
 from hibiscuspoint.core.failover.contacts import STATUS_MAX_AGE_SECONDS, TargetContacts
-from hibiscuspoint.core.failover.effects import OverloadSwitchover, PromotionWaiting
+from hibiscuspoint.core.failover.effects import (
+    OverloadSwitchover,
+    PrimaryProven,
+    PromotionWaiting,
+)
 from hibiscuspoint.core.failover.overload import OverloadDetector
 from hibiscuspoint.core.failover.promotion import Acknowledgements, PromotionRound
 from hibiscuspoint.core.failover.watch import PrimaryFailure, PrimaryFailureDetector
@@ -280,7 +284,7 @@
         status_of = self._contacts.recent_statuses(current_round.since, now)
         chosen = current_round.choose_target(status_of, self._known_acknowledgements(), now)
         if chosen is not None:
-            return self._propose_primary(chosen, now)
+            return self._propose_proven(current_round, chosen, status_of, now)
         if self._contacts.newest_term() >= record.term:
             # A target in this term or a later one would not be paused by an order with this one.
             return self._propose_term(now)
@@ -510,6 +514,21 @@
         body = record_pb2.ChoosePrimary(group=record.group, term=record.term, primary=chosen)
         return self._propose("choose_primary", record_pb2.Command(choose_primary=body), now)
 
+    def _propose_proven(
+        self,
+        current_round: PromotionRound,
+        chosen: TargetId,
+        status_of: dict[TargetId, TargetStatus],
+        now: float,
+    ) -> list[Effect]:
+        """Propose the chosen primary and report on what the choice rests."""
+        proposal = self._propose_primary(chosen, now)
+        if not proposal:
+            return []
+        record, position = self._record, current_round.position_of(chosen, status_of)
+        proven = PrimaryProven(record.group, record.term, chosen, current_round.proof, position)
+        return [proven, *proposal]
+
     def _propose_former_end(self, end: LogPosition, now: float) -> list[Effect]:
         """Propose the end of the former primary's log, so that a later leader knows it as well."""
         record = self._record
--- a/hibiscuspoint/core/failover/promotion.py
+++ b/hibiscuspoint/core/failover/promotion.py
@@ -8,6 +8,7 @@
 
 from hibiscuspoint.core.control.effects import MemberAddress
 from hibiscuspoint.core.failover.effects import (
+    ChoiceProof,
     PauseReplica,
     RequestPromotion,
     ResumeReplica,
@@ -92,6 +93,7 @@
     :param former_position: last position of the former primary, under its own or a new id, where
         its reply to the order to step down proves that.
     :param refused_at: when the platform last refused the promotion.
+    :param proof: what proves the last choice.
     """
 
     record: GroupRecord
@@ -101,6 +103,7 @@
     paused_positions: dict[TargetId, LogPosition] = field(default_factory=dict)
     former_position: LogPosition | None = None
     refused_at: float = -math.inf
+    proof: ChoiceProof | None = None
     _pause_replies: dict[TargetId, _PauseReply] = field(default_factory=dict)
     _ordered_at: dict[tuple[type, TargetId], float] = field(default_factory=dict)
     _sufficient_since: float = math.inf
@@ -196,6 +199,7 @@
         record = self.record
         acting = self._acting_primary(status_of)
         if acting is not None:
+            self.proof = ChoiceProof.ACTING
             return acting
         candidates = {
             t: position for t, position in self.paused_positions.items() if t in record.targets
@@ -211,7 +215,7 @@
         if not candidates:
             return None
         best = max(candidates, key=lambda target: (candidates[target], self._preference(target)))
-        holds_all_commits = self._holds_all_commits(
+        self.proof = self._proof(
             candidates[best],
             # A former primary that acts as primary again may have acknowledged more.
             record.former_end if former is None or has_stepped_down else None,
@@ -219,7 +223,7 @@
             now,
             has_every_reply=has_every_reply,
         )
-        if not holds_all_commits:
+        if self.proof is None:
             self._sufficient_since = math.inf
             return None
         self._sufficient_since = min(self._sufficient_since, now)
@@ -227,6 +231,17 @@
             return None
         return best
 
+    def position_of(
+        self, chosen: TargetId, status_of: dict[TargetId, TargetStatus]
+    ) -> LogPosition | None:
+        """Return the end of the log for which a target was chosen; ``None`` if it is a primary."""
+        if self.proof is ChoiceProof.ACTING:
+            return None
+        if chosen in self.paused_positions:
+            return self.paused_positions[chosen]
+        status = status_of.get(chosen)
+        return status.received if status is not None else None
+
     def promote(
         self, status_of: dict[TargetId, TargetStatus], token: int, now: float
     ) -> list[Effect]:
@@ -335,7 +350,7 @@
         others = set(self.record.requested) - {self.record.primary}
         return not others or now - self.since >= SETTLEMENT_SECONDS
 
-    def _holds_all_commits(
+    def _proof(
         self,
         position: LogPosition,
         former_end: LogPosition | None,
@@ -343,20 +358,21 @@
         now: float,
         *,
         has_every_reply: bool,
-    ) -> bool:
-        """Tell whether the longest log that replied certainly holds all acknowledged commits.
+    ) -> ChoiceProof | None:
+        """Return what proves that the longest log that replied holds all acknowledged commits.
 
         :param position: end of that log.
         :param former_end: end of the log of the former primary, if it has stepped down.
         :param has_every_reply: whether every replica has replied and none has lost a log.
         """
         if position < acknowledgements.seen:
-            return False
+            return None
         if acknowledgements.limit is not None and position >= acknowledgements.limit:
-            return True
+            return ChoiceProof.REPORTED
         if former_end is not None and position >= former_end:
-            return True
-        return has_every_reply and now >= acknowledgements.possible_until + REGISTRATION_SECONDS
+            return ChoiceProof.FORMER_END
+        is_complete = now >= acknowledgements.possible_until + REGISTRATION_SECONDS
+        return ChoiceProof.ALL_REPLICAS if has_every_reply and is_complete else None
 
     def _acting_primary(self, status_of: dict[TargetId, TargetStatus]) -> TargetId | None:
         """Return the target that acts as primary if it holds all acknowledged commits.
--- a/hibiscuspoint/telemetry/catalogue.py
+++ b/hibiscuspoint/telemetry/catalogue.py
@@ -293,6 +293,17 @@
     "missing",
     "entries",
 )
+PRIMARY_PROVEN = define_event(
+    331,
+    "primary-proven",
+    INFO,
+    "{target} of group {group} holds all acknowledged commits: {proof}.",
+    "group",
+    "target",
+    "term",
+    "proof",
+    "position",
+)
 TARGET_IGNORED = define_event(
     329,
     "target-ignored",
