Keep leases and their release under the process of an entry

Cause: the ledger knew an entry by its instance. The same cause on related paths: a release is repeated until the next lease arrives and then covered that lease too, which was still on its way; an update on the stream of a former process granted a lease in the name of the new one; after the clock of an instance was set back, the reports of its new process counted as those of an earlier one.

Change: EntryProcess (instance and incarnation) names the holder of a lease. The first report of a process ends the leases of former ones without releasing them: what they acknowledged is known with the next poll of the primary. A release states until when it covers leases, on the clock of the entry. A process that released for good gets no further lease, so that a planned stop leaves nothing to wait for. A process is told of a later incarnation and takes one above it.

--- a/hibiscuspoint/components/attachment.py
+++ b/hibiscuspoint/components/attachment.py
@@ -56,6 +56,8 @@
     :param silence_seconds: time without an update after which another instance is tried.
     :param on_detached: called when the stream to the leader ended.
     :param on_refused: called with the answer of an instance that does not lead.
+    :param on_later_start: called with the incarnation of a later start of this instance that the
+        leader knows.
     """
 
     channel = "attachment"
@@ -70,6 +72,7 @@
         on_update: Callable[[peer_pb2.ControlUpdate], None] = lambda update: None,
         on_detached: Callable[[], None] = lambda: None,
         on_refused: Callable[[peer_pb2.ControlUpdate], None] = lambda update: None,
+        on_later_start: Callable[[int], None] = lambda incarnation: None,
         silence_seconds: float = SILENCE_SECONDS,
         first_update_seconds: float = SILENCE_SECONDS,
     ) -> None:
@@ -80,6 +83,7 @@
         self._on_update = on_update
         self._on_detached = on_detached
         self._on_refused = on_refused
+        self._on_later_start = on_later_start
         self._runtime = runtime
         self._channels = channels
         self._search = LeaderSearch(members)
@@ -196,6 +200,8 @@
                 # The stream was given up but did not end; its updates are those of another leader.
                 return
             if update.redirect or not update.control_term:
+                if update.later_incarnation:
+                    self._on_later_start(update.later_incarnation)
                 self._on_refused(update)
                 self._redirect_to(update.redirect)
                 return
--- a/hibiscuspoint/components/control_service.py
+++ b/hibiscuspoint/components/control_service.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.core.control import DeliveredState
-from hibiscuspoint.ids import InstanceId
+from hibiscuspoint.ids import EntryProcess, Incarnation, InstanceId
 from hibiscuspoint.wire import peer_pb2, peer_pb2_grpc
 
 if TYPE_CHECKING:
@@ -71,7 +71,9 @@
             reader.cancel()
             stream.close()
         await self._control.wait_for_known_leader(LEADER_WAIT_SECONDS)
-        yield self._refusal()
+        refusal = self._refusal()
+        refusal.later_incarnation = stream.later_incarnation
+        yield refusal
 
     def _refusal(self) -> peer_pb2.ControlUpdate:
         """Return the answer of an instance that does not lead."""
@@ -86,19 +88,25 @@
         self._control = control
         self._due = asyncio.Event()
         self._ended = False
-        self._instance: InstanceId | None = None
+        self._process: EntryProcess | None = None
         self._echo = 0
         self._delivered = DeliveredState()
 
+    @property
+    def later_incarnation(self) -> int:
+        """Return the incarnation of a later start of the instance; 0 if none has reported."""
+        return self._control.later_incarnation(self._process) if self._process is not None else 0
+
     async def read(self, reports: AsyncIterator[peer_pb2.EntryReport]) -> None:
         """Take the reports of the entry until its stream ends."""
         try:
             async for report in reports:
                 if not self._control.handle_report(report):
                     break
-                if self._instance is None:
-                    self._instance = InstanceId(report.instance)
-                    self._control.attach(self._instance, self._due.set)
+                if self._process is None:
+                    instance = InstanceId(report.instance)
+                    self._process = EntryProcess(instance, Incarnation(report.incarnation))
+                    self._control.attach(instance, self._due.set)
                 if report.routes_missed:
                     self._delivered.forget_routes()
                 self._echo = report.sent_at_ns
@@ -112,9 +120,9 @@
         while True:
             await self._due.wait()
             self._due.clear()
-            if self._ended or self._instance is None:
+            if self._ended or self._process is None:
                 return
-            update = self._control.build_update(self._instance, self._delivered)
+            update = self._control.build_update(self._process, self._delivered)
             if update is None:
                 return
             update.echo_sent_at_ns = self._echo
@@ -122,5 +130,5 @@
 
     def close(self) -> None:
         """Forget the stream."""
-        if self._instance is not None:
-            self._control.detach(self._instance, self._due.set)
+        if self._process is not None:
+            self._control.detach(self._process.instance, self._due.set)
--- a/hibiscuspoint/components/failover_effects.py
+++ b/hibiscuspoint/components/failover_effects.py
@@ -91,7 +91,7 @@
                     group=group,
                     term=term,
                     missing=list(missing),
-                    entries=list(entries),
+                    entries=[f"{entry.instance} ({entry.incarnation})" for entry in entries],
                 )
             case RequestPromotion(group, target, token):
                 self._start(self._promote(group, target, token), "promotion")
--- a/hibiscuspoint/components/leading.py
+++ b/hibiscuspoint/components/leading.py
@@ -23,7 +23,7 @@
     from hibiscuspoint.core.control.delivery import DeliveredRoutes
     from hibiscuspoint.core.control.entries import EntryDirectory
     from hibiscuspoint.core.ports import Clock
-    from hibiscuspoint.ids import GroupId, InstanceId
+    from hibiscuspoint.ids import EntryProcess, GroupId, InstanceId
     from hibiscuspoint.telemetry.metrics import Metrics
     from hibiscuspoint.wire import peer_pb2, record_pb2
 
@@ -166,22 +166,31 @@
         self._wake([instance])
 
     def build_update(
-        self, instance: InstanceId, delivered: DeliveredState
+        self, process: EntryProcess, delivered: DeliveredState
     ) -> peer_pb2.ControlUpdate | None:
-        """Return the update for an entry; ``None`` when this instance does not lead.
+        """Return the update for an entry.
 
+        :param process: start of the instance whose stream the update is for.
         :param delivered: what was sent on the stream of the entry; updated.
+        :returns: ``None`` when this instance does not lead or a later start has reported.
         """
         leader = self.leader
-        entry = leader.entries.get(instance) if leader is not None else None
-        if entry is None:
+        entry = leader.entries.get(process.instance) if leader is not None else None
+        if entry is None or entry.process != process:
             return None
         now = self._clock.monotonic()
-        update = leader.build_update(instance, now, delivered.routes)
-        update.drain = instance in self._draining
+        update = leader.build_update(process.instance, now, delivered.routes)
+        update.drain = process.instance in self._draining
         self._delivery.add_to_update(update, entry.document_number, delivered.document, now)
         return update
 
+    def later_incarnation(self, process: EntryProcess) -> int:
+        """Return the incarnation of a later start that has reported; 0 if there is none."""
+        leader = self.leader
+        entry = leader.entries.get(process.instance) if leader is not None else None
+        is_later = entry is not None and entry.incarnation > process.incarnation
+        return entry.incarnation if is_later else 0
+
     def handle_report(self, report: peer_pb2.EntryReport) -> bool:
         """Handle a report of an entry; return false when this instance does not lead."""
         leader = self.leader
--- a/hibiscuspoint/components/reporting.py
+++ b/hibiscuspoint/components/reporting.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import logging
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Protocol
 
 from circuits import Component, handler
 
 from hibiscuspoint.components.events import report_due
 from hibiscuspoint.core.entry.drain import DrainPhase
+from hibiscuspoint.ids import Incarnation
 from hibiscuspoint.telemetry import catalogue, log_event
 from hibiscuspoint.util.units import NANOSECONDS_PER_SECOND
 from hibiscuspoint.wire import peer_pb2
@@ -20,7 +21,7 @@
     from hibiscuspoint.components.runtime import Runtime
     from hibiscuspoint.core.entry.drain import DrainState
     from hibiscuspoint.core.ports import Clock
-    from hibiscuspoint.ids import AvailabilityZone, Incarnation, InstanceId
+    from hibiscuspoint.ids import AvailabilityZone, InstanceId
     from hibiscuspoint.telemetry.metrics import Metrics
 
 __all__ = ["EntryIdentity", "LeaseUser", "Reporting"]
@@ -79,6 +80,16 @@
         self._last_document_number = 0
         self._usable_groups: set[str] = set()
 
+    def follow_incarnation(self, incarnation: int) -> None:
+        """Take a later incarnation than a known one of this instance.
+
+        The incarnation is the time of the start, so that it is too early after the clock was set
+        back. The process with the known one has ended, as this one serves at its address.
+        """
+        if incarnation >= self._identity.incarnation:
+            later = Incarnation(incarnation + 1)
+            self._identity = replace(self._identity, incarnation=later)
+
     def make_report(self) -> peer_pb2.EntryReport:
         """Build the report to be sent now; it returns the leases that are no longer needed."""
         now_ns = int(self._clock.monotonic() * NANOSECONDS_PER_SECOND)
--- a/hibiscuspoint/components/sessions/groups.py
+++ b/hibiscuspoint/components/sessions/groups.py
@@ -14,6 +14,7 @@
 from hibiscuspoint.components.sessions.pool import TargetPool
 from hibiscuspoint.core.balancing import RoundTripSource
 from hibiscuspoint.core.entry.retry import RetryBudget
+from hibiscuspoint.core.lease import release_time_ns
 from hibiscuspoint.core.position import ZERO_POSITION, LogPosition
 from hibiscuspoint.core.scheduling import UseTimes
 from hibiscuspoint.core.sessions import (
@@ -459,7 +460,8 @@
         if self._quotas is not None:
             self._quotas.fill_report(report, now)
         for group, term in self._released.items():
-            report.released.append(peer_pb2.RouteRelease(group=group, term=term))
+            until_ns = release_time_ns(self._state.routes.released_until(group))
+            report.released.append(peer_pb2.RouteRelease(group=group, term=term, until_ns=until_ns))
         for group, position in self._acknowledged.items():
             item = report.acknowledged.add(group=group)
             item.position.CopyFrom(position_message(position))
--- a/hibiscuspoint/core/control/entries.py
+++ b/hibiscuspoint/core/control/entries.py
@@ -7,7 +7,7 @@
 
 from hibiscuspoint.core.control.leases import LEASE_SECONDS
 from hibiscuspoint.core.lease import lease_end_at_grantor
-from hibiscuspoint.ids import AvailabilityZone, Incarnation, InstanceId
+from hibiscuspoint.ids import AvailabilityZone, EntryProcess, Incarnation, InstanceId
 
 if TYPE_CHECKING:
     from hibiscuspoint.wire import peer_pb2
@@ -41,6 +41,11 @@
     sent_at_ns: int
     seen_at: float
 
+    @property
+    def process(self) -> EntryProcess:
+        """The start of the instance that sent the report."""
+        return EntryProcess(self.instance, self.incarnation)
+
     @property
     def report_order(self) -> tuple[Incarnation, int]:
         """Sort key of the reports of an instance by the time at which it sent them."""
@@ -97,6 +102,11 @@
         """Return the last report of an entry, or ``None``."""
         return self._entries.get(instance)
 
+    def is_new_process(self, info: EntryInfo) -> bool:
+        """Tell whether the process that sent a report is not the one of the stored report."""
+        known = self._entries.get(info.instance)
+        return known is None or known.incarnation < info.incarnation
+
     def is_live(self, instance: InstanceId, now: float) -> bool:
         """Tell whether an entry has reported recently."""
         entry = self._entries.get(instance)
--- a/hibiscuspoint/core/control/leader.py
+++ b/hibiscuspoint/core/control/leader.py
@@ -13,7 +13,7 @@
 from hibiscuspoint.core.control.route_state import RouteState
 from hibiscuspoint.core.control.targets import TargetDirectory, TargetInfo
 from hibiscuspoint.core.control.updates import UpdateBuilder
-from hibiscuspoint.ids import GroupId, InstanceId, TargetId, Term
+from hibiscuspoint.ids import EntryProcess, GroupId, InstanceId, TargetId, Term
 from hibiscuspoint.wire import record_pb2
 
 if TYPE_CHECKING:
@@ -111,10 +111,10 @@
     def handle_report(self, message: peer_pb2.EntryReport, now: float) -> list[Effect]:
         """Record a report of an entry and return the effects; an outdated report has none."""
         info = EntryInfo.from_message(message, now)
-        if not self._entries.record_report(info):
+        if not self._record_entry(info):
             return []
         for released in message.released:
-            self._record_release(info.instance, released, message.control_term)
+            self._record_release(info.process, released, message.control_term)
         for share in message.shares:
             self._record_share_use(info.instance, share)
         for observation in message.observations:
@@ -269,15 +269,27 @@
             effects.append(Propose(record_pb2.Command(form_group=body)))
         return effects
 
+    def _record_entry(self, info: EntryInfo) -> bool:
+        """Store the report of an entry; tell whether it is not outdated.
+
+        The first report of a process ends the leases of the former one.
+        """
+        is_new_process = self._entries.is_new_process(info)
+        if not self._entries.record_report(info):
+            return False
+        if is_new_process:
+            self._ledger.record_start(info.process, info.seen_at)
+        return True
+
     def _record_release(
-        self, instance: InstanceId, released: peer_pb2.RouteRelease, control_term: int
+        self, process: EntryProcess, released: peer_pb2.RouteRelease, control_term: int
     ) -> None:
         group = GroupId(released.group)
-        self._ledger.release(group, instance, Term(released.term))
+        self._ledger.release(group, process, Term(released.term), released.until_ns)
         # An entry that has accepted no update of this leader may still accept one of the previous
         # leader, which can grant the lease again.
         if control_term == self._control_term:
-            self._ledger.release_inherited(group, instance)
+            self._ledger.release_inherited(group, process.instance)
 
     def _record_share_use(self, instance: InstanceId, share: peer_pb2.ShareUse) -> None:
         allocator = self._allocator_of(TargetId(share.target))
--- a/hibiscuspoint/core/control/updates.py
+++ b/hibiscuspoint/core/control/updates.py
@@ -73,7 +73,7 @@
         self._groups_by_instance.clear()
         for group, allocator in allocators.items():
             self.add_recipients(group, allocator.affected_instances)
-            self.add_recipients(group, self._ledger.leaseholders(group, now))
+            self.add_recipients(group, self._ledger.leasing_instances(group, now))
 
     def refresh_holders(
         self, allocators: dict[GroupId, ConnectionAllocator], serving: list[EntryInfo]
@@ -124,7 +124,7 @@
     def _is_recipient(
         self, group: GroupId, allocator: ConnectionAllocator, entry: EntryInfo, now: float
     ) -> bool:
-        is_leased = entry.instance in self._ledger.leaseholders(group, now)
+        is_leased = entry.process in self._ledger.leaseholders(group, now)
         return is_leased or entry.instance in allocator.affected_instances
 
     def _add_route(
@@ -152,7 +152,7 @@
             state, is_holder, record, entry, now
         ):
             route.lease_ms = int(LEASE_SECONDS * MILLISECONDS_PER_SECOND)
-            self._ledger.grant(record.group, entry.instance, record.term, now)
+            self._ledger.grant(record.group, entry.process, record.term, now, entry.sent_at_ns)
         self._add_members(route, record)
         for term, start in record.term_starts:
             route.history.append(peer_pb2.TermStart(term=term, start=start))
@@ -173,7 +173,7 @@
             return True
         if not self._ledger.is_complete(now) and entry.instance in record.holders:
             return True
-        return entry.instance in self._ledger.leaseholders(record.group, now)
+        return entry.process in self._ledger.leaseholders(record.group, now)
 
     def _add_members(self, route: peer_pb2.Route, record: GroupRecord) -> None:
         for member in record.members:
--- a/hibiscuspoint/core/entry/routes.py
+++ b/hibiscuspoint/core/entry/routes.py
@@ -210,6 +210,14 @@
         self.release_lease(group)
         return True
 
+    def released_until(self, group: GroupId) -> float:
+        """Return until when requested leases of the known term are void.
+
+        :returns: monotonic time in seconds; minus infinity if no lease was released.
+        """
+        release = self._releases.get(group)
+        return release.released_at if release is not None else -math.inf
+
     def pop_expired_routes(self, now: float) -> list[Route]:
         """Return the routes whose lease ended since the last call."""
         expired = [
--- a/hibiscuspoint/core/failover/effects.py
+++ b/hibiscuspoint/core/failover/effects.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from hibiscuspoint.core.control.effects import MemberAddress
     from hibiscuspoint.core.position import LogPosition
-    from hibiscuspoint.ids import GroupId, InstanceId, TargetId, Term
+    from hibiscuspoint.ids import EntryProcess, GroupId, TargetId, Term
 
 __all__ = [
     "ChoiceProof",
@@ -102,10 +102,10 @@
     """Tell operators for what the choice of a primary waits.
 
     :param missing: replicas that have not replied, or whose former log is lost.
-    :param entries: entries that have not reported what they acknowledged.
+    :param entries: processes of entries that have not reported what they acknowledged.
     """
 
     group: GroupId
     term: Term
     missing: tuple[TargetId, ...]
-    entries: tuple[InstanceId, ...]
+    entries: tuple[EntryProcess, ...]
--- a/hibiscuspoint/core/failover/group.py
+++ b/hibiscuspoint/core/failover/group.py
@@ -174,6 +174,7 @@
             self._raise_required_position(status.received)
             if self._ledger.is_complete(read_at):
                 self._covered_until = max(self._covered_until, read_at)
+                self._ledger.forget_ended(self._record.group, self._covered_until)
 
     def record_busy_reply(self, target: TargetId, now: float) -> None:
         """Record that a target replied but had no free slot or connection to report its status."""
--- a/hibiscuspoint/core/failover/leader.py
+++ b/hibiscuspoint/core/failover/leader.py
@@ -217,7 +217,7 @@
     def handle_report(self, message: peer_pb2.EntryReport, now: float) -> list[Effect]:
         """Record a report of an entry and return the resulting effects."""
         info = EntryInfo.from_message(message, now)
-        if not self._entries.record_report(info):
+        if not self._record_entry(info):
             return []
         if self._quotas is not None:
             self._quotas.record_report(info.instance, message, now)
@@ -231,7 +231,7 @@
         for released in message.released:
             group = GroupId(released.group)
             released_groups.add(group)
-            self._ledger.release(group, info.instance, Term(released.term))
+            self._ledger.release(group, info.process, Term(released.term), released.until_ns)
         for observation in message.observations:
             failover = self._failover_of(TargetId(observation.target))
             if failover is not None:
@@ -345,11 +345,23 @@
         if delivered.control_members != self.control_members:
             delivered.control_members = list(self.control_members)
             update.control_members.extend(self.control_members)
-        add_routes(update, self._groups, instance, self._ledger, delivered, LEASE_SECONDS, now)
+        add_routes(update, self._groups, entry, self._ledger, delivered, LEASE_SECONDS, now)
         if self._quotas is not None:
             self._quotas.fill_update(instance, update, now)
         return update
 
+    def _record_entry(self, info: EntryInfo) -> bool:
+        """Store the report of an entry; tell whether it is not outdated.
+
+        The first report of a process ends the leases of the former one.
+        """
+        is_new_process = self._entries.is_new_process(info)
+        if not self._entries.record_report(info):
+            return False
+        if is_new_process:
+            self._ledger.record_start(info.process, info.seen_at)
+        return True
+
     def _departure_command(
         self, registered: TargetRecord | None, message: peer_pb2.Announcement
     ) -> record_pb2.Command | None:
--- a/hibiscuspoint/core/failover/updates.py
+++ b/hibiscuspoint/core/failover/updates.py
@@ -13,10 +13,11 @@
 
 if TYPE_CHECKING:
     from hibiscuspoint.core.control.delivery import DeliveredRoutes
+    from hibiscuspoint.core.control.entries import EntryInfo
     from hibiscuspoint.core.control.leases import LeaseLedger
     from hibiscuspoint.core.control.state import TargetRecord
     from hibiscuspoint.core.failover.group import GroupFailover
-    from hibiscuspoint.ids import GroupId, InstanceId, TargetId, Term
+    from hibiscuspoint.ids import EntryProcess, GroupId, TargetId, Term
 
 __all__ = ["RouteContent", "add_routes"]
 
@@ -37,7 +38,7 @@
 
     @classmethod
     def of(
-        cls, failover: GroupFailover, instance: InstanceId, ledger: LeaseLedger, now: float
+        cls, failover: GroupFailover, process: EntryProcess, ledger: LeaseLedger, now: float
     ) -> RouteContent | None:
         """Return the route that an entry may have now; ``None`` while no term is started."""
         record = failover.record
@@ -46,8 +47,9 @@
         state = failover.route_state
         is_paused = state is RouteState.PAUSED
         has_lease = state is RouteState.GRANTED or (
-            is_paused and instance in ledger.leaseholders(record.group, now)
+            is_paused and process in ledger.leaseholders(record.group, now)
         )
+        has_lease = has_lease and not ledger.is_void(record.group, process, record.term)
         targets = tuple(record.targets[target] for target in failover.listed_targets(now))
         return cls(
             record.term,
@@ -74,7 +76,7 @@
 def add_routes(
     update: peer_pb2.ControlUpdate,
     groups: dict[GroupId, GroupFailover],
-    instance: InstanceId,
+    entry: EntryInfo,
     ledger: LeaseLedger,
     delivered: DeliveredRoutes,
     lease_seconds: float,
@@ -82,6 +84,7 @@
 ) -> None:
     """Add the routes that changed, renew the leases of the others and record all leases.
 
+    :param entry: last report of the entry, which the update answers.
     :param delivered: what was sent on the stream of the entry before; updated.
     :param now: monotonic time in seconds.
     """
@@ -90,13 +93,13 @@
     update.renewed_lease_ms = lease_ms
     delivered.is_started = True
     for group, failover in groups.items():
-        content = RouteContent.of(failover, instance, ledger, now)
+        content = RouteContent.of(failover, entry.process, ledger, now)
         if content is None:
             add_revocation(update, failover.record)
             delivered.contents.pop(group, None)
             continue
         if content.has_lease:
-            ledger.grant(group, instance, content.term, now)
+            ledger.grant(group, entry.process, content.term, now, entry.sent_at_ns)
         if delivered.contents.get(group) != content:
             delivered.contents[group] = content
             update.routes.append(content.to_message(group, lease_ms))
--- a/hibiscuspoint/core/lease.py
+++ b/hibiscuspoint/core/lease.py
@@ -2,7 +2,23 @@
 
 from __future__ import annotations
 
-__all__ = ["lease_end_at_grantor", "lease_end_at_holder"]
+import math
+
+from hibiscuspoint.util.units import NANOSECONDS_PER_SECOND
+
+__all__ = [
+    "ALL_GRANTS_NS",
+    "NO_LATER_GRANT_NS",
+    "lease_end_at_grantor",
+    "lease_end_at_holder",
+    "release_time_ns",
+]
+
+#: Time of a release that covers every lease granted so far; entries of earlier versions state none.
+ALL_GRANTS_NS = 0
+
+#: Time of a release that covers every lease of its term, also one that is still to be granted.
+NO_LATER_GRANT_NS = 2**63 - 1
 
 #: Greatest relative difference between the rates of two monotonic clocks. The holder shortens a
 #: lease by it and the grantor extends it, so that the holder stops first.
@@ -25,3 +41,13 @@
     :param seconds: duration of the lease.
     """
     return granted_at + seconds * (1 + _CLOCK_RATE_TOLERANCE)
+
+
+def release_time_ns(released_at: float) -> int:
+    """Return the time of a release for a report, in nanoseconds.
+
+    :param released_at: monotonic time of the holder in seconds; infinity if it covers all leases.
+    """
+    if math.isinf(released_at):
+        return NO_LATER_GRANT_NS
+    return int(released_at * NANOSECONDS_PER_SECOND)
--- a/hibiscuspoint/daemon/node.py
+++ b/hibiscuspoint/daemon/node.py
@@ -168,7 +168,11 @@
         ).register(self._runtime)
         members = list(settings.control.members.values())
         self._attachment = Attachment(
-            self._runtime, self._channels, members, self._reporting.make_report
+            self._runtime,
+            self._channels,
+            members,
+            self._reporting.make_report,
+            on_later_start=self._reporting.follow_incarnation,
         ).register(self._runtime)
 
     def _build_control(self) -> None:
--- a/hibiscuspoint/daemon/session_node.py
+++ b/hibiscuspoint/daemon/session_node.py
@@ -236,6 +236,7 @@
             on_update=self._on_attached,
             on_detached=self._on_detached,
             on_refused=self._on_refused,
+            on_later_start=self._reporting.follow_incarnation,
             silence_seconds=CONTROL_SILENCE_SECONDS,
             first_update_seconds=FIRST_UPDATE_SECONDS,
         ).register(self._runtime)
--- a/hibiscuspoint/ids.py
+++ b/hibiscuspoint/ids.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from typing import NewType
+from typing import NamedTuple, NewType
 
 __all__ = [
     "NO_ORGANISATION",
     "AvailabilityZone",
     "CallerId",
+    "EntryProcess",
     "GroupId",
     "Incarnation",
     "InstanceId",
@@ -30,3 +31,14 @@
 
 Incarnation = NewType("Incarnation", int)
 Term = NewType("Term", int)
+
+
+class EntryProcess(NamedTuple):
+    """One start of an instance.
+
+    What a promise rests on is kept under this and not under the instance alone: a process knows
+    nothing of what the former one did.
+    """
+
+    instance: InstanceId
+    incarnation: Incarnation
--- a/tests/builders_failover.py
+++ b/tests/builders_failover.py
@@ -6,7 +6,15 @@
 from hibiscuspoint.core.control.state import ControlState, GroupPhase, GroupRecord, TargetRecord
 from hibiscuspoint.core.failover import GroupFailover, TargetStatus
 from hibiscuspoint.core.position import LogPosition
-from hibiscuspoint.ids import AvailabilityZone, GroupId, Incarnation, InstanceId, TargetId, Term
+from hibiscuspoint.ids import (
+    AvailabilityZone,
+    EntryProcess,
+    GroupId,
+    Incarnation,
+    InstanceId,
+    TargetId,
+    Term,
+)
 from hibiscuspoint.wire import peer_pb2, record_pb2
 
 __all__ = [
@@ -29,7 +37,7 @@
 PRIMARY = TargetId("i-primary")
 REPLICA_A = TargetId("i-replica-a")
 REPLICA_B = TargetId("i-replica-b")
-ENTRY = InstanceId("10.0.0.1:7440")
+ENTRY = EntryProcess(InstanceId("10.0.0.1:7440"), Incarnation(1))
 
 #: Fencing token of the control leader in these tests.
 TOKEN = 3
--- a/tests/components/test_control_service.py
+++ b/tests/components/test_control_service.py
@@ -6,12 +6,15 @@
 from __future__ import annotations
 
 import asyncio
+from unittest.mock import MagicMock
 
 import pytest
 
 from hibiscuspoint.components import control_service
 from hibiscuspoint.components.control_service import ControlService
 from hibiscuspoint.components.leader_client import LeaderClient
+from hibiscuspoint.components.reporting import EntryIdentity, Reporting
+from hibiscuspoint.ids import Incarnation, InstanceId
 from hibiscuspoint.wire import peer_pb2
 
 CONTROL = ["10.0.0.1:7440", "10.0.0.2:7440"]
@@ -85,3 +88,49 @@
         return stream._delivered.routes.is_started
 
     assert asyncio.run(scenario()) is False
+
+
+def test_process_is_told_of_a_later_incarnation():
+    """Guards against an instance without a leader after its clock was set back and it restarted."""
+
+    class Control:
+        def handle_report(self, report):
+            return True
+
+        def attach(self, instance, wake):
+            pass
+
+        detach = attach
+
+        def build_update(self, process, delivered):
+            return None
+
+        def later_incarnation(self, process):
+            return process.incarnation + 5
+
+        async def wait_for_known_leader(self, timeout):
+            pass
+
+    class Leader:
+        def introduction(self):
+            return peer_pb2.Introduction(leader="10.0.0.1:7440")
+
+    async def reports():
+        yield peer_pb2.EntryReport(instance="10.0.0.2:7440", incarnation=7)
+        await asyncio.sleep(ANSWER_TIMEOUT_SECONDS)
+
+    async def scenario():
+        service = control_service.ControlService(Control(), Leader())
+        return [update async for update in service.Attach(reports(), None)]
+
+    (refusal,) = asyncio.run(scenario())
+    assert (refusal.later_incarnation, refusal.redirect) == (12, "10.0.0.1:7440")
+
+
+def test_entry_takes_a_later_incarnation_than_the_known_one():
+    """Guards against reports that the leader takes for those of a former process."""
+    identity = EntryIdentity(InstanceId("10.0.0.2:7440"), Incarnation(7), "z", "10.0.0.2:7440")
+    reporting = Reporting(identity, MagicMock(), MagicMock(), MagicMock(), MagicMock(), MagicMock())
+    for known, expected in ((3, 7), (12, 13)):
+        reporting.follow_incarnation(known)
+        assert reporting._identity.incarnation == expected
--- a/tests/core/control/test_leader.py
+++ b/tests/core/control/test_leader.py
@@ -37,15 +37,15 @@
     control = running_control()
     ledger = control.leader._ledger
     late = report("e1", control.now - 0.05, released=release(1))
-    assert "e1" in ledger.leaseholders(GROUP, control.now)
+    assert "e1" in ledger.leasing_instances(GROUP, control.now)
     control.leader.handle_report(late, control.now)
-    assert "e1" in ledger.leaseholders(GROUP, control.now)
+    assert "e1" in ledger.leasing_instances(GROUP, control.now)
     releasing = report("e1", control.now + 0.01, released=release(1))
     control.leader.handle_report(releasing, control.now)
-    assert "e1" not in ledger.leaseholders(GROUP, control.now)
+    assert "e1" not in ledger.leasing_instances(GROUP, control.now)
     assert control.leader.build_update("e1", control.now).routes[0].lease_ms > 0
     control.leader.handle_report(releasing, control.now)
-    assert "e1" in ledger.leaseholders(GROUP, control.now)
+    assert "e1" in ledger.leasing_instances(GROUP, control.now)
 
 
 def test_report_of_an_earlier_process_is_ignored():
@@ -55,7 +55,7 @@
     control.report("e1", incarnation=2)
     late = report("e1", control.now + 1.0, incarnation=1, released=release(1))
     control.leader.handle_report(late, control.now)
-    assert "e1" in control.leader._ledger.leaseholders(GROUP, control.now)
+    assert "e1" in control.leader._ledger.leasing_instances(GROUP, control.now)
 
 
 def lose_holder(control: Control) -> Terminate:
--- a/tests/core/failover/test_updates.py
+++ b/tests/core/failover/test_updates.py
@@ -12,17 +12,18 @@
 
 from hibiscuspoint.components.entry_state import EntryState
 from hibiscuspoint.core.control.delivery import DeliveredRoutes
+from hibiscuspoint.core.control.entries import EntryInfo
 from hibiscuspoint.core.control.leases import LeaseLedger
 from hibiscuspoint.core.control.route_state import RouteState
 from hibiscuspoint.core.control.state import GroupPhase, TargetRecord
 from hibiscuspoint.core.failover.updates import add_routes
 from hibiscuspoint.core.position import LogPosition
-from hibiscuspoint.ids import GroupId, InstanceId, Term
+from hibiscuspoint.ids import EntryProcess, GroupId, Incarnation, InstanceId, Term
 from hibiscuspoint.util.units import NANOSECONDS_PER_SECOND
 from hibiscuspoint.wire import peer_pb2
 from tests.builders_failover import PRIMARY, REPLICA_A, announcement
 
-ENTRY = InstanceId("10.0.0.2:7440")
+ENTRY = EntryProcess(InstanceId("10.0.0.2:7440"), Incarnation(1))
 LEASE_SECONDS = 2.0
 GROUPS = [GroupId("ledger"), GroupId("mill")]
 #: An update without news, however many groups there are.
@@ -73,7 +74,13 @@
             control_term=1, echo_sent_at_ns=int(self.now * NANOSECONDS_PER_SECOND)
         )
         chosen = self.delivered if delivered is None else delivered
-        add_routes(update, self.groups, ENTRY, self.ledger, chosen, LEASE_SECONDS, self.now)
+        report = peer_pb2.EntryReport(
+            instance=ENTRY.instance,
+            incarnation=ENTRY.incarnation,
+            sent_at_ns=update.echo_sent_at_ns,
+        )
+        entry = EntryInfo.from_message(report, self.now)
+        add_routes(update, self.groups, entry, self.ledger, chosen, LEASE_SECONDS, self.now)
         return update
 
 
