Count the reply of a replica for the start that gave it

Cause: a reply to PAUSE, and to a poll, counted for the incarnation that was registered when it arrived. A database that starts again replies under its id before its first heartbeat has registered the new start. primary-proven shows that the choice rested on "every replica has replied".

Change: a status carries the connection over which it came. A connection ends with the process at its other end; it leads to the registered incarnation if a heartbeat of that arrives after it was opened. Until then a reply does not count as one of every replica; its position still counts for the other proofs. A status over a connection to a former incarnation is ignored. The choice and the waiting are logged with the starts that they concern.

Measured: where the proof of the start is left out, the test of replies fails in the forms with an unregistered start (test_former_start.py).

--- a/hibiscuspoint/components/failover_effects.py
+++ b/hibiscuspoint/components/failover_effects.py
@@ -25,9 +25,9 @@
     from hibiscuspoint.components.control_state import ControlStateMachine
     from hibiscuspoint.components.target_poller import TargetPoller
     from hibiscuspoint.core.control import Effect
-    from hibiscuspoint.core.failover import FailoverLeader, GroupFailover
+    from hibiscuspoint.core.failover import FailoverLeader, GroupFailover, MissingLog
     from hibiscuspoint.core.ports import Clock, PromotionAuthority
-    from hibiscuspoint.ids import GroupId, Term
+    from hibiscuspoint.ids import EntryProcess, GroupId, Term
     from hibiscuspoint.wire import record_pb2
 
     #: Runs a decision with the leader if this instance still leads.
@@ -74,24 +74,16 @@
                     target=primary,
                     term=self._record(group).term,
                 )
-            case PrimaryProven(group, term, target, proof, position):
-                log_event(
-                    logger,
-                    catalogue.PRIMARY_PROVEN,
-                    group=group,
-                    target=target,
-                    term=term,
-                    proof=proof.value,
-                    position=f"{position.term}:{position.index}" if position is not None else "",
-                )
+            case PrimaryProven():
+                _log_proof(effect)
             case PromotionWaiting(group, term, missing, entries):
                 log_event(
                     logger,
                     catalogue.PROMOTION_WAITING,
                     group=group,
                     term=term,
-                    missing=list(missing),
-                    entries=[f"{entry.instance} ({entry.incarnation})" for entry in entries],
+                    missing=_missing_texts(missing),
+                    entries=_entry_texts(entries),
                 )
             case RequestPromotion(group, target, token):
                 self._start(self._promote(group, target, token), "promotion")
@@ -111,9 +103,10 @@
                 super()._log_command(command)
 
     async def _pause(self, group: GroupId, target: str, term: Term) -> None:
-        status = await self._poller.pause(target, term)
-        if status is None:
+        reply = await self._poller.pause(target, term)
+        if reply is None:
             return
+        status, source = reply.status, reply.source
         log_event(
             logger,
             catalogue.MEMBER_SEALED,
@@ -121,24 +114,26 @@
             target=target,
             term=term,
             position=f"{status.received.term}:{status.received.index}",
+            incarnation=source.incarnation,
         )
         self._tell(
-            group, lambda controller, now: controller.record_pause(target, status, term, now)
+            group,
+            lambda controller, now: controller.record_pause(target, status, source, term, now),
         )
 
     async def _resume(self, group: GroupId, target: str) -> None:
-        status = await self._poller.resume(target)
-        if status is None or status.paused_term:
+        reply = await self._poller.resume(target)
+        if reply is None or reply.status.paused_term:
             return
         log_event(logger, catalogue.REPLICA_RESUMED, group=group, target=target)
         self._tell(group, lambda controller, now: controller.record_resumption(target))
 
     async def _step_down(self, group: GroupId, target: str, term: Term) -> None:
-        status = await self._poller.step_down(target, term)
-        if status is None:
+        reply = await self._poller.step_down(target, term)
+        if reply is None:
             outcome = "no answer"
         else:
-            outcome = "still a primary" if status.is_primary else "a replica"
+            outcome = "still a primary" if reply.status.is_primary else "a replica"
         log_event(
             logger,
             catalogue.STEP_DOWN_ORDERED,
@@ -147,7 +142,8 @@
             term=term,
             outcome=outcome,
         )
-        if status is not None:
+        if reply is not None:
+            status = reply.status
             self._tell(
                 group,
                 lambda controller, now: controller.record_step_down(target, status, term, now),
@@ -180,3 +176,27 @@
     def _tell(self, group: GroupId, act: Callable[[GroupFailover, float], None]) -> None:
         now = self._clock.monotonic()
         self._decide(lambda leader: leader.update_group(group, lambda c: act(c, now), now))
+
+
+def _log_proof(proven: PrimaryProven) -> None:
+    position = proven.position
+    log_event(
+        logger,
+        catalogue.PRIMARY_PROVEN,
+        group=proven.group,
+        target=proven.target,
+        term=proven.term,
+        proof=proven.proof.value,
+        position=f"{position.term}:{position.index}" if position is not None else "",
+        seconds=round(proven.seconds, 3),
+        missing=_missing_texts(proven.missing),
+        entries=_entry_texts(proven.entries),
+    )
+
+
+def _missing_texts(missing: tuple[MissingLog, ...]) -> list[str]:
+    return [f"{log.target} ({log.incarnation}): {log.reason.value}" for log in missing]
+
+
+def _entry_texts(entries: tuple[EntryProcess, ...]) -> list[str]:
+    return [f"{entry.instance} ({entry.incarnation})" for entry in entries]
--- a/hibiscuspoint/components/target_poller.py
+++ b/hibiscuspoint/components/target_poller.py
@@ -6,6 +6,7 @@
 import logging
 from typing import TYPE_CHECKING
 
+from hibiscuspoint.core.failover import StatusReply, StatusSource
 from hibiscuspoint.drivers.errors import ConnectError, ConnectFailure, ConnectionLost
 from hibiscuspoint.telemetry import catalogue, log_event
 from hibiscuspoint.util.tasks import spawn
@@ -92,21 +93,21 @@
         """Close all connections."""
         self.set_targets([], set(), set())
 
-    async def pause(self, target: TargetId, term: Term) -> TargetStatus | None:
+    async def pause(self, target: TargetId, term: Term) -> StatusReply | None:
         """Pause a replica and return its state; ``None`` without an answer."""
         return await self._order(target, lambda c: c.pause(term, ANSWER_SECONDS))
 
-    async def step_down(self, target: TargetId, term: Term) -> TargetStatus | None:
+    async def step_down(self, target: TargetId, term: Term) -> StatusReply | None:
         """Make a primary step down and return its state; ``None`` without an answer."""
         return await self._order(target, lambda c: c.step_down(term, ANSWER_SECONDS))
 
-    async def resume(self, target: TargetId) -> TargetStatus | None:
+    async def resume(self, target: TargetId) -> StatusReply | None:
         """Let a paused replica receive again and return its state; ``None`` without an answer."""
         return await self._order(target, lambda c: c.resume(ANSWER_SECONDS))
 
     async def _order(
         self, target: TargetId, call: Callable[[SessionConnection], Awaitable[StatusAnswer]]
-    ) -> TargetStatus | None:
+    ) -> StatusReply | None:
         link = self._links.get(target)
         return await link.order(call, self._may_order) if link is not None else None
 
@@ -122,6 +123,7 @@
         self._clock = clock
         self._decide = decide
         self._connection: SessionConnection | None = None
+        self._connected_at = 0.0
         self._lock = asyncio.Lock()
         self._interval = ACTIVE_POLL_SECONDS
         self._wake = asyncio.Event()
@@ -154,18 +156,19 @@
         self,
         call: Callable[[SessionConnection], Awaitable[StatusAnswer]],
         may_send: Callable[[], bool],
-    ) -> TargetStatus | None:
+    ) -> StatusReply | None:
         """Send an order and return the status after it; ``None`` when there was no answer."""
         asked_at = self._clock.monotonic()
-        answer = await self._call(call, may_send, needs_proof=True)
-        if answer is None:
+        called = await self._call(call, may_send, needs_proof=True)
+        if called is None:
             return None
+        answer, source = called
         if not answer.is_new:
             # A repetition of an earlier answer does not prove that the order took effect.
             self._connection.close()
             return None
         self._record_status(answer.status, asked_at)
-        return answer.status
+        return StatusReply(answer.status, source) if answer.status is not None else None
 
     async def _call(
         self,
@@ -173,8 +176,8 @@
         may_send: Callable[[], bool] = lambda: True,
         *,
         needs_proof: bool = False,
-    ) -> StatusAnswer | None:
-        """Make a call over the connection; ``None`` when there was no answer.
+    ) -> tuple[StatusAnswer, StatusSource] | None:
+        """Make a call and return its answer with the connection; ``None`` without an answer.
 
         :param needs_proof: whether to replace a connection whose answers prove nothing any more.
         """
@@ -184,7 +187,8 @@
                 if needs_proof and not self._is_proven and self._connection is not None:
                     self._connection.close()
                 connection = await self._connected()
-                return await call(connection) if may_send() else None
+                source = StatusSource(self._record.incarnation, self._connected_at)
+                return (await call(connection), source) if may_send() else None
             except ConnectError as error:
                 self._note_loss(str(error))
                 if error.failure is ConnectFailure.REFUSED:
@@ -206,6 +210,7 @@
             self._connection = await self._driver.connect(
                 record.group, record.target, record.address, ANSWER_SECONDS
             )
+            self._connected_at = self._clock.monotonic()
             self._is_proven = True
         if self._is_stopped:
             # An order may have waited for the connection while the target moved.
@@ -218,9 +223,9 @@
             self._wake.clear()
             asked_at = self._clock.monotonic()
             try:
-                answer = await self._call(lambda c: c.status(ANSWER_SECONDS))
-                if answer is not None:
-                    self._take(answer, asked_at)
+                called = await self._call(lambda c: c.status(ANSWER_SECONDS))
+                if called is not None:
+                    self._take(*called, asked_at)
             except Exception:
                 # A target that is not polled any more would never be replaced.
                 logger.exception("the poll of %s failed", self._record.target)
@@ -230,7 +235,7 @@
             except TimeoutError:
                 continue
 
-    def _take(self, answer: StatusAnswer, asked_at: float) -> None:
+    def _take(self, answer: StatusAnswer, source: StatusSource, asked_at: float) -> None:
         """Take the answer to a poll.
 
         One that equals an earlier answer may repeat it. It tells that the target answers; its facts
@@ -251,7 +256,7 @@
                 self._connection.close()
             read_at = self._read_at
             self._decide(
-                lambda leader: leader.handle_status(target, status, asked_at, now, read_at)
+                lambda leader: leader.handle_status(target, status, source, asked_at, now, read_at)
             )
         else:
             self._connection.close()
--- a/hibiscuspoint/core/failover/__init__.py
+++ b/hibiscuspoint/core/failover/__init__.py
@@ -10,6 +10,7 @@
     submod_attrs={
         "effects": [
             "ChoiceProof",
+            "MissingLog",
             "OverloadSwitchover",
             "PauseReplica",
             "PrimaryProven",
@@ -17,10 +18,11 @@
             "RequestPromotion",
             "ResumeReplica",
             "StepDown",
+            "WaitReason",
         ],
         "group": ["GroupFailover"],
         "leader": ["FailoverLeader"],
-        "status": ["StatusAnswer", "TargetStatus"],
+        "status": ["StatusAnswer", "StatusReply", "StatusSource", "TargetStatus"],
         "voters": ["VoterChange", "choose_voter_change"],
     },
 )
--- a/hibiscuspoint/core/failover/contacts.py
+++ b/hibiscuspoint/core/failover/contacts.py
@@ -22,6 +22,10 @@
 #: restarts sends heartbeats again within this time.
 REMOVAL_SILENCE_SECONDS = 12.0
 
+#: Time that a heartbeat may be on its way, as an instance has 0.3 s to pass one on. One that
+#: arrives later than this after a connection was opened was sent after that.
+HEARTBEAT_DELAY_SECONDS = 0.3
+
 #: Time in which a target that has announced its end may still confirm commits.
 DEPARTURE_SECONDS = 0.4
 
@@ -32,6 +36,7 @@
 
     :param incarnation: incarnation that sent them.
     :param contacted_at: when the last message of any kind arrived.
+    :param heartbeat_at: when the last heartbeat of this incarnation arrived.
     :param known_since: when the incarnation became known.
     :param polled_at: when the poll that returned ``status`` was sent.
     :param read_at: when the target certainly had the position in ``status``.
@@ -43,6 +48,7 @@
     incarnation: Incarnation | None
     contacted_at: float
     known_since: float
+    heartbeat_at: float = -math.inf
     status: TargetStatus | None = None
     polled_at: float = -math.inf
     read_at: float = -math.inf
@@ -79,6 +85,11 @@
             contact.contacted_at = now
             contact.has_departed = False
 
+    def record_heartbeat(self, target: TargetId, now: float) -> None:
+        """Record a heartbeat of the registered incarnation of a target."""
+        self.record_contact(target, now)
+        self._contact(target, now).heartbeat_at = now
+
     def record_departure(self, target: TargetId, now: float) -> None:
         """Record that a target has announced its end."""
         contact = self._contact(target, now)
@@ -130,6 +141,19 @@
             return None
         return contact.status
 
+    def is_registered_start(self, target: TargetId, connected_at: float) -> bool:
+        """Tell whether a connection certainly leads to the registered incarnation of a target.
+
+        That ran before the connection was opened. If it sent a heartbeat after that, it ran when
+        the connection was opened, and only one start of a target runs at a time.
+
+        :param connected_at: monotonic time in seconds at which the connection was open.
+        """
+        contact = self._contacts.get(target)
+        if contact is None:
+            return False
+        return contact.heartbeat_at >= connected_at + HEARTBEAT_DELAY_SECONDS
+
     def recent_statuses(self, since: float, now: float) -> dict[TargetId, TargetStatus]:
         """Return the statuses that are not outdated and whose polls were sent after ``since``."""
         return {
--- a/hibiscuspoint/core/failover/effects.py
+++ b/hibiscuspoint/core/failover/effects.py
@@ -11,10 +11,11 @@
 if TYPE_CHECKING:
     from hibiscuspoint.core.control.effects import MemberAddress
     from hibiscuspoint.core.position import LogPosition
-    from hibiscuspoint.ids import EntryProcess, GroupId, TargetId, Term
+    from hibiscuspoint.ids import EntryProcess, GroupId, Incarnation, TargetId, Term
 
 __all__ = [
     "ChoiceProof",
+    "MissingLog",
     "OverloadSwitchover",
     "PauseReplica",
     "PrimaryProven",
@@ -22,6 +23,7 @@
     "RequestPromotion",
     "ResumeReplica",
     "StepDown",
+    "WaitReason",
 ]
 
 
@@ -88,6 +90,9 @@
     """Tell operators on what the choice of a primary rests.
 
     :param position: end of its log when it was chosen; ``None`` if it acts as primary.
+    :param seconds: time that the choice took.
+    :param missing: logs for which it waited on the way.
+    :param entries: processes of entries for which it waited on the way.
     """
 
     group: GroupId
@@ -95,17 +100,39 @@
     target: TargetId
     proof: ChoiceProof
     position: LogPosition | None
+    seconds: float
+    missing: tuple[MissingLog, ...] = ()
+    entries: tuple[EntryProcess, ...] = ()
+
+
+class WaitReason(Enum):
+    """Why the log of a replica is missing for a choice."""
+
+    NO_REPLY = "has not replied"
+    UNPROVEN = "its reply may be that of a later start"
+    LOST = "has lost its log"
+
+
+@dataclass(frozen=True)
+class MissingLog:
+    """A log that a choice by the replies of all replicas waits for.
+
+    :param incarnation: start of the replica whose log is missing.
+    """
+
+    target: TargetId
+    incarnation: Incarnation
+    reason: WaitReason
 
 
 @dataclass(frozen=True)
 class PromotionWaiting(Effect):
     """Tell operators for what the choice of a primary waits.
 
-    :param missing: replicas that have not replied, or whose former log is lost.
     :param entries: processes of entries that have not reported what they acknowledged.
     """
 
     group: GroupId
     term: Term
-    missing: tuple[TargetId, ...]
+    missing: tuple[MissingLog, ...]
     entries: tuple[EntryProcess, ...]
--- a/hibiscuspoint/core/failover/group.py
+++ b/hibiscuspoint/core/failover/group.py
@@ -30,9 +30,9 @@
     from hibiscuspoint.core.control.effects import Effect
     from hibiscuspoint.core.control.leases import LeaseLedger
     from hibiscuspoint.core.control.state import GroupRecord, TargetRecord
-    from hibiscuspoint.core.failover.status import TargetStatus
+    from hibiscuspoint.core.failover.status import StatusSource, TargetStatus
     from hibiscuspoint.core.position import LogPosition
-    from hibiscuspoint.ids import Incarnation, InstanceId, TargetId
+    from hibiscuspoint.ids import EntryProcess, Incarnation, InstanceId, TargetId
     from hibiscuspoint.wire import peer_pb2
 
 __all__ = ["GroupFailover"]
@@ -133,8 +133,8 @@
         return self._contacts.primary_tip()
 
     def record_heartbeat(self, target: TargetId, now: float) -> None:
-        """Record a heartbeat of a target."""
-        self._contacts.record_contact(target, now)
+        """Record a heartbeat of the registered incarnation of a target."""
+        self._contacts.record_heartbeat(target, now)
 
     def record_departure(self, target: TargetId, now: float) -> None:
         """Record that a target has announced its end."""
@@ -188,12 +188,17 @@
         if self._failure_detector is not None and self._failure_detector.primary == target:
             self._failure_detector.record_connection_refusal(now)
 
-    def record_pause(self, target: TargetId, status: TargetStatus, term: int, now: float) -> None:
-        """Record the reply of a replica that was paused at a term."""
+    def record_pause(
+        self, target: TargetId, status: TargetStatus, source: StatusSource, term: int, now: float
+    ) -> None:
+        """Record the reply of a replica that was paused at a term.
+
+        :param source: connection over which it came.
+        """
         self._contacts.record_order_reply(target, now)
         current_round = self._round
         if current_round is not None and current_round.term == term and not status.is_primary:
-            current_round.record_pause(target, status, now)
+            current_round.record_pause(target, status, source, now)
 
     def record_resumption(self, target: TargetId) -> None:
         """Record that a replica has resumed receiving log records."""
@@ -286,6 +291,7 @@
         chosen = current_round.choose_target(status_of, self._known_acknowledgements(), now)
         if chosen is not None:
             return self._propose_proven(current_round, chosen, status_of, now)
+        current_round.record_wait(self._unreported_entries())
         if self._contacts.newest_term() >= record.term:
             # A target in this term or a later one would not be paused by an order with this one.
             return self._propose_term(now)
@@ -300,14 +306,14 @@
         if now - max(current_round.since, self._wait_reported_at) < WAIT_REPORT_SECONDS:
             return []
         self._wait_reported_at = now
+        record, missing = self._record, current_round.missing_logs
+        entries = tuple(sorted(self._unreported_entries()))
+        return [PromotionWaiting(record.group, record.term, missing, entries)]
+
+    def _unreported_entries(self) -> set[EntryProcess]:
+        """Return the processes that have not reported what they acknowledged."""
         record = self._record
-        entries = self._ledger.unreleased_leaseholders(
-            record.group, record.term, self._covered_until
-        )
-        waiting = PromotionWaiting(
-            record.group, record.term, current_round.missing_replies, tuple(sorted(entries))
-        )
-        return [waiting]
+        return self._ledger.unreleased_leaseholders(record.group, record.term, self._covered_until)
 
     def _advance_promotion(self, current_round: PromotionRound, now: float) -> list[Effect]:
         record = self._record
@@ -368,7 +374,7 @@
         record = self._record
         replicas = record.targets.keys() - {record.primary}
         if self._round is None:
-            self._round = PromotionRound(record, record.term, now, keeps_former=True)
+            self._round = self._new_round(now, keeps_former=True)
         self._round.paused_positions.update({target: ZERO_POSITION for target in replicas})
 
     def _may_replace(self, failure: PrimaryFailure, now: float) -> bool:
@@ -485,10 +491,9 @@
         which the entries released their leases. So the position is unknown until all of them have
         released theirs.
         """
-        record = self._record
         if self._covered_until == -math.inf:
             return None
-        if self._ledger.unreleased_leaseholders(record.group, record.term, self._covered_until):
+        if self._unreported_entries():
             return None
         return self._required_position
 
@@ -527,7 +532,16 @@
         if not proposal:
             return []
         record, position = self._record, current_round.position_of(chosen, status_of)
-        proven = PrimaryProven(record.group, record.term, chosen, current_round.proof, position)
+        proven = PrimaryProven(
+            record.group,
+            record.term,
+            chosen,
+            current_round.proof,
+            position,
+            now - current_round.since,
+            tuple(current_round.awaited_logs),
+            tuple(current_round.awaited_entries),
+        )
         return [proven, *proposal]
 
     def _propose_former_end(self, end: LogPosition, now: float) -> list[Effect]:
@@ -552,9 +566,18 @@
     def _current_round(self, now: float) -> PromotionRound:
         record = self._record
         if self._round is None or self._round.term != record.term:
-            self._round = PromotionRound(record, record.term, now, self._keeps_former)
+            self._round = self._new_round(now, keeps_former=self._keeps_former)
         return self._round
 
+    def _new_round(self, now: float, *, keeps_former: bool) -> PromotionRound:
+        return PromotionRound(
+            self._record,
+            self._record.term,
+            now,
+            keeps_former,
+            is_registered_start=self._contacts.is_registered_start,
+        )
+
     def _publish(self) -> list[Effect]:
         """Publish the routes if the term, the route state or the leaving targets have changed."""
         leaving = sum(target.leaving for target in self._record.targets.values())
--- a/hibiscuspoint/core/failover/leader.py
+++ b/hibiscuspoint/core/failover/leader.py
@@ -23,7 +23,7 @@
     from hibiscuspoint.core.control.delivery import DeliveredRoutes
     from hibiscuspoint.core.control.effects import Effect
     from hibiscuspoint.core.control.state import ControlState, GroupRecord
-    from hibiscuspoint.core.failover.status import TargetStatus
+    from hibiscuspoint.core.failover.status import StatusSource, TargetStatus
     from hibiscuspoint.core.organisations import RateLimit
     from hibiscuspoint.core.quotas import FeedbackLedger, QuotaBounds, QuotaLedger
 
@@ -258,16 +258,19 @@
         self,
         target: TargetId,
         status: TargetStatus,
+        source: StatusSource,
         polled_at: float,
         now: float,
         read_at: float | None = None,
     ) -> list[Effect]:
         """Record the reply of a target to a poll that was sent at ``polled_at``.
 
+        :param source: connection over which it came; one that was opened to a former incarnation
+            tells nothing about the registered one.
         :param read_at: see ``GroupFailover.record_status``.
         """
-        failover = self._failover_of(target)
-        if failover is None:
+        failover, registered = self._failover_of(target), self._target_record(target)
+        if failover is None or source.incarnation != registered.incarnation:
             return []
         failover.record_status(target, status, polled_at, now, read_at)
         return failover.tick(now) if failover.is_active else []
--- a/hibiscuspoint/core/failover/promotion.py
+++ b/hibiscuspoint/core/failover/promotion.py
@@ -9,19 +9,23 @@
 from hibiscuspoint.core.control.effects import MemberAddress
 from hibiscuspoint.core.failover.effects import (
     ChoiceProof,
+    MissingLog,
     PauseReplica,
     RequestPromotion,
     ResumeReplica,
     StepDown,
+    WaitReason,
 )
 from hibiscuspoint.core.position import ZERO_POSITION
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from hibiscuspoint.core.control.effects import Effect
     from hibiscuspoint.core.control.state import GroupRecord, TargetRecord
-    from hibiscuspoint.core.failover.status import TargetStatus
+    from hibiscuspoint.core.failover.status import StatusSource, TargetStatus
     from hibiscuspoint.core.position import LogPosition
-    from hibiscuspoint.ids import Incarnation, TargetId, Term
+    from hibiscuspoint.ids import EntryProcess, TargetId, Term
 
 __all__ = ["Acknowledgements", "PromotionRound"]
 
@@ -70,17 +74,22 @@
 
 @dataclass(frozen=True)
 class _PauseReply:
-    """Reply of a replica that was paused, with the values that reveal a later restart.
+    """Reply of a replica that was paused, with the values that reveal another start of it.
 
+    :param source: connection over which it came.
     :param paused_term: term at which the replica reported to be paused.
     :param answered_at: monotonic time in seconds at which the reply arrived.
     """
 
-    incarnation: Incarnation
+    source: StatusSource
     paused_term: Term
     answered_at: float
 
 
+def _trust_all(target: TargetId, connected_at: float) -> bool:
+    return True
+
+
 @dataclass
 class PromotionRound:
     """Soft state of the promotion in one term; a new control leader starts with an empty one.
@@ -94,6 +103,10 @@
         its reply to the order to step down proves that.
     :param refused_at: when the platform last refused the promotion.
     :param proof: what proves the last choice.
+    :param awaited_logs: logs for which the choice has waited.
+    :param awaited_entries: processes of entries for which it has waited.
+    :param is_registered_start: tells whether a connection that was open at a time certainly leads
+        to the registered incarnation of a target.
     """
 
     record: GroupRecord
@@ -104,21 +117,46 @@
     former_position: LogPosition | None = None
     refused_at: float = -math.inf
     proof: ChoiceProof | None = None
+    awaited_logs: dict[MissingLog, None] = field(default_factory=dict)
+    awaited_entries: dict[EntryProcess, None] = field(default_factory=dict)
+    is_registered_start: Callable[[TargetId, float], bool] = _trust_all
     _pause_replies: dict[TargetId, _PauseReply] = field(default_factory=dict)
     _ordered_at: dict[tuple[type, TargetId], float] = field(default_factory=dict)
     _sufficient_since: float = math.inf
 
     @property
-    def missing_replies(self) -> tuple[TargetId, ...]:
-        """Replicas that have not replied, or whose former log is lost.
+    def missing_logs(self) -> tuple[MissingLog, ...]:
+        """Logs of replicas that may hold a commit which no known reply shows.
 
-        What a replica confirmed before it started again may be held by the former primary only.
+        What a replica confirmed before it started again may be held by the former primary only. A
+        reply of a start that is not registered yet tells nothing about the registered one.
+        """
+        missing = []
+        for target, known in self.record.targets.items():
+            if target == self.record.former_primary:
+                continue
+            if target not in self.paused_positions:
+                missing.append(MissingLog(target, known.incarnation, WaitReason.NO_REPLY))
+            elif not self._is_proven(target):
+                missing.append(MissingLog(target, known.incarnation, WaitReason.UNPROVEN))
+        missing += [
+            MissingLog(target, incarnation, WaitReason.LOST)
+            for target, incarnation in self.record.lost_logs.items()
+            if target != self.record.former_primary
+        ]
+        return tuple(missing)
+
+    def record_wait(self, entries: set[EntryProcess]) -> None:
+        """Record for what the choice waits at present.
+
+        :param entries: processes that have not reported what they acknowledged.
         """
-        replicas = self.record.targets.keys() - {self.record.former_primary}
-        lost = self.record.lost_logs.keys() - {self.record.former_primary}
-        return tuple(sorted((replicas - self.paused_positions.keys()) | lost))
+        self.awaited_logs.update(dict.fromkeys(self.missing_logs))
+        self.awaited_entries.update(dict.fromkeys(sorted(entries)))
 
-    def record_pause(self, target: TargetId, status: TargetStatus, now: float) -> None:
+    def record_pause(
+        self, target: TargetId, status: TargetStatus, source: StatusSource, now: float
+    ) -> None:
         """Record the reply of a replica that was ordered to pause at the term of this round.
 
         An order with a term that the replica already has, or a later one, is answered and ignored.
@@ -126,8 +164,10 @@
         known = self.record.targets.get(target)
         if known is None or status.paused_term != self.term:
             return
+        if source.incarnation != known.incarnation:
+            return
         self.paused_positions[target] = status.received
-        self._pause_replies[target] = _PauseReply(known.incarnation, status.paused_term, now)
+        self._pause_replies[target] = _PauseReply(source, status.paused_term, now)
 
     def record_status(self, target: TargetId, status: TargetStatus, polled_at: float) -> None:
         """Record the reply to a poll; a replica that is no longer paused must be paused again.
@@ -204,7 +244,7 @@
         candidates = {
             t: position for t, position in self.paused_positions.items() if t in record.targets
         }
-        has_every_reply = not self.missing_replies
+        has_every_reply = not self.missing_logs
         # Records that only the former primary holds were never acknowledged. So it is left out once
         # every replica has replied, as it may be partitioned from them.
         former = status_of.get(record.former_primary)
@@ -334,11 +374,20 @@
             return True
         return now - max(answered_at, self.since) >= CHOSEN_SILENCE_SECONDS
 
+    def _is_proven(self, target: TargetId) -> bool:
+        """Tell whether the registered start of a replica gave its reply.
+
+        A pause ends with the start that was paused. So the start that replied is the one that is
+        still paused at the term of this round, also if it is polled over another connection.
+        """
+        reply = self._pause_replies.get(target)
+        return reply is None or self.is_registered_start(target, reply.source.connected_at)
+
     def _discard_restarted(self) -> None:
         """Discard the pauses of replicas that have a new incarnation or were removed."""
         for target, pause in list(self._pause_replies.items()):
             known = self.record.targets.get(target)
-            if known is None or known.incarnation != pause.incarnation:
+            if known is None or known.incarnation != pause.source.incarnation:
                 self._discard_pause(target)
 
     def _discard_pause(self, target: TargetId) -> None:
--- a/hibiscuspoint/core/failover/status.py
+++ b/hibiscuspoint/core/failover/status.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from hibiscuspoint.ids import Term
+from hibiscuspoint.ids import Incarnation, Term
 
 if TYPE_CHECKING:
     from hibiscuspoint.core.position import LogPosition
@@ -50,3 +50,26 @@
 
     status: TargetStatus | None
     is_new: bool = True
+
+
+@dataclass(frozen=True)
+class StatusSource:
+    """Connection over which a target reports its status.
+
+    A connection ends with the process at its other end, so that all that arrives over it is the
+    word of one start of the target. A status names no start.
+
+    :param incarnation: incarnation that was registered when the connection was opened.
+    :param connected_at: monotonic time in seconds at which it was open.
+    """
+
+    incarnation: Incarnation
+    connected_at: float
+
+
+@dataclass(frozen=True)
+class StatusReply:
+    """Status of a target after an order, and the connection over which it came."""
+
+    status: TargetStatus
+    source: StatusSource
--- a/hibiscuspoint/telemetry/catalogue.py
+++ b/hibiscuspoint/telemetry/catalogue.py
@@ -196,6 +196,7 @@
     "target",
     "term",
     "position",
+    "incarnation",
 )
 PRIMARY_CHOSEN = define_event(
     313,
@@ -303,6 +304,9 @@
     "term",
     "proof",
     "position",
+    "seconds",
+    "missing",
+    "entries",
 )
 TARGET_IGNORED = define_event(
     329,
--- a/tests/builders_databases.py
+++ b/tests/builders_databases.py
@@ -11,11 +11,12 @@
     PauseReplica,
     RequestPromotion,
     ResumeReplica,
+    StatusSource,
     StepDown,
     TargetStatus,
 )
 from hibiscuspoint.core.position import ZERO_POSITION, LogPosition
-from hibiscuspoint.ids import TargetId, Term
+from hibiscuspoint.ids import Incarnation, TargetId, Term
 from hibiscuspoint.wire import record_pb2
 from tests.builders_failover import ENTRY, GROUP, GroupSimulation, started_group, target
 
@@ -204,7 +205,8 @@
         if isinstance(effect, PauseReplica):
             if not database.is_primary and effect.term > max(database.term, database.paused_term):
                 database.paused_term = effect.term
-            group.record_pause(name, database.status(), effect.term, now)
+            source = StatusSource(Incarnation(database.incarnation), now)
+            group.record_pause(name, database.status(), source, effect.term, now)
         elif isinstance(effect, ResumeReplica):
             database.paused_term = 0
             group.record_resumption(name)
--- a/tests/builders_failover.py
+++ b/tests/builders_failover.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import math
+
 from hibiscuspoint.core.control.leases import LeaseLedger
 from hibiscuspoint.core.control.state import ControlState, GroupPhase, GroupRecord, TargetRecord
-from hibiscuspoint.core.failover import GroupFailover, TargetStatus
+from hibiscuspoint.core.failover import GroupFailover, StatusSource, TargetStatus
 from hibiscuspoint.core.position import LogPosition
 from hibiscuspoint.ids import (
     AvailabilityZone,
@@ -26,6 +28,7 @@
     "TOKEN",
     "GroupSimulation",
     "announcement",
+    "known_source",
     "position",
     "primary_status",
     "replica_status",
@@ -60,6 +63,11 @@
     return TargetStatus(False, Term(term), position(index, term), Term(paused_term), lag)
 
 
+def known_source(incarnation: int = 1) -> StatusSource:
+    """Return a connection that was open before all heartbeats of a target."""
+    return StatusSource(Incarnation(incarnation), -math.inf)
+
+
 def target(
     name: TargetId, *, leaving: bool = False, incarnation: int = 1, address: str = ""
 ) -> TargetRecord:
@@ -152,9 +160,11 @@
             self.group.record_status(name, status, now - 0.001, now)
 
     def record_pause(self, name: TargetId, index: int, now: float) -> None:
-        """Record that a replica has paused at the term of the group."""
+        """Record that the registered start of a replica has paused at the term of the group."""
         term = self.record.term
-        self.group.record_pause(name, replica_status(index, paused_term=term), term, now)
+        status = replica_status(index, paused_term=term)
+        source = known_source(self.record.targets[name].incarnation)
+        self.group.record_pause(name, status, source, term, now)
 
     def register(self, name: TargetId, incarnation: int = 1) -> None:
         """Register a target or a later incarnation of it."""
--- a/tests/builders_leader.py
+++ b/tests/builders_leader.py
@@ -6,7 +6,7 @@
 
 from hibiscuspoint.core.control.delivery import DeliveredRoutes
 from hibiscuspoint.core.control.state import ControlState, GroupRecord
-from hibiscuspoint.core.failover import FailoverLeader, GroupFailover
+from hibiscuspoint.core.failover import FailoverLeader, GroupFailover, StatusSource
 from hibiscuspoint.core.failover.watch import PRIMARY_SILENCE_SECONDS
 from hibiscuspoint.core.lease import release_time_ns
 from hibiscuspoint.ids import InstanceId, Term
@@ -16,6 +16,8 @@
 from tests.builders_failover import (
     GROUP,
     PRIMARY,
+    announcement,
+    known_source,
     position,
     primary_status,
     replica_status,
@@ -41,6 +43,7 @@
         self.now = since
         #: Index that polls of the primary return; ``None`` while it does not answer.
         self.polled: int | None = 20
+        self.sequence = 0
         self.lead()
 
     @property
@@ -104,7 +107,8 @@
 
     def poll_primary(self, index: int) -> None:
         """Record a reply of the primary to a poll of now."""
-        self._apply(self.leader.handle_status(PRIMARY, primary_status(index), self.now, self.now))
+        status, source = primary_status(index), known_source()
+        self._apply(self.leader.handle_status(PRIMARY, status, source, self.now, self.now))
 
     def lose_primary(self) -> None:
         """Let the primary be silent until it is suspected and the next term is open."""
@@ -112,11 +116,24 @@
         while self.record.term == 1:
             self.run(PRIMARY_SILENCE_SECONDS / 4)
 
-    def pause(self, target: str, index: int, **source: object) -> None:
-        """Record the reply of a replica to an order to pause."""
+    def pause(self, target: str, index: int, connected_at: float = -math.inf) -> None:
+        """Record the reply of a replica to an order to pause.
+
+        :param connected_at: when the connection was opened over which it came.
+        """
         term = self.record.term
         status = replica_status(index, paused_term=term)
-        self.group.record_pause(target, status, term, self.now, **source)
+        source = StatusSource(self.record.targets[target].incarnation, connected_at)
+        self.group.record_pause(target, status, source, term, self.now)
+
+    def announce(self, target: str, incarnation: int = 1) -> None:
+        """Deliver a heartbeat of a target."""
+        self.sequence += 1
+        message = announcement(target, incarnation=incarnation, sequence=self.sequence)
+        command = self.leader.registration_command(message)
+        if command is not None:
+            self.state.apply(1, command)
+        self._apply(self.leader.handle_announcement(message, self.now))
 
     def _apply(self, effects: list[object]) -> None:
         for effect in effects:
--- a/tests/components/test_target_poller.py
+++ b/tests/components/test_target_poller.py
@@ -55,7 +55,7 @@
     def __init__(self) -> None:
         self.seen: list[tuple[int, bool]] = []
 
-    def handle_status(self, target, status, polled_at, now, read_at):
+    def handle_status(self, target, status, source, polled_at, now, read_at):
         self.seen.append((status.received.index, read_at == polled_at))
         return []
 
@@ -123,7 +123,7 @@
     first, was_open, second = asyncio.run(scenario())
     assert first is None
     assert not was_open
-    assert second.paused_term == 2
+    assert second.status.paused_term == 2
 
 
 @pytest.mark.parametrize("failure", [None, ConnectFailure.WRONG_TARGET])
--- a/tests/core/failover/test_former_start.py
+++ b/tests/core/failover/test_former_start.py
@@ -5,12 +5,27 @@
 import pytest
 
 from hibiscuspoint.core.control.state import GroupPhase
-from tests.builders_failover import REPLICA_A, REPLICA_B
+from hibiscuspoint.core.failover import WaitReason
+from hibiscuspoint.core.failover.leader import LEASE_SECONDS
+from hibiscuspoint.core.failover.promotion import REGISTRATION_SECONDS
+from hibiscuspoint.ids import Term
+from tests.builders_failover import (
+    PRIMARY,
+    REPLICA_A,
+    REPLICA_B,
+    known_source,
+    position,
+    replica_status,
+)
 from tests.builders_leader import LeaderSimulation
 
 #: Time at which the leases of an earlier control leader have expired.
 LATER = 5.0
 
+#: Time from the start of a leadership until no inherited lease is left and every replica that
+#: confirmed a commit is registered.
+CERTAIN = 1.1 * LEASE_SECONDS + REGISTRATION_SECONDS
+
 #: Time for further replies once those received suffice for a choice.
 GRACE = 0.3
 
@@ -91,3 +106,60 @@
     simulation.report(1, released=1, until=released_at, sent_ago=0.05)
     leaseholders = simulation.leader._ledger.leaseholders("ledger", simulation.now)
     assert len(leaseholders) == 1
+
+
+def _new_leader() -> LeaderSimulation:
+    """Return a new leader that opened a term as the primary was lost, after its predecessor."""
+    simulation = LeaderSimulation()
+    simulation.record.term, simulation.record.phase = Term(2), GroupPhase.SEALING
+    simulation.record.former_primary, simulation.record.primary = PRIMARY, None
+    simulation.polled = None
+    simulation.lead()
+    return simulation
+
+
+@pytest.mark.parametrize("index", [0, 22], ids=["empty", "part-of-its-log"])
+@pytest.mark.parametrize("replied_after", [0.0, CERTAIN])
+@pytest.mark.parametrize("registered_after", [0.1, 1.2])
+def test_reply_of_a_start_that_is_not_registered_is_no_reply_of_the_former_one(
+    index, replied_after, registered_after
+):
+    """Guards against a promotion without what a replica confirmed before it started again."""
+    simulation = _new_leader()
+    simulation.pause(REPLICA_B, 24)
+    simulation.announce(REPLICA_A)
+    simulation.run(replied_after)
+    simulation.pause(REPLICA_A, index, connected_at=simulation.now)
+    simulation.run(registered_after)
+    assert simulation.record.phase is GroupPhase.SEALING
+    simulation.announce(REPLICA_B)
+    simulation.announce(REPLICA_A, incarnation=2)
+    simulation.run(CERTAIN)
+    assert simulation.record.phase is GroupPhase.SEALING
+    reasons = {log.target: log.reason for log in simulation.group._round.missing_logs}
+    assert reasons[REPLICA_A] in (WaitReason.NO_REPLY, WaitReason.LOST)
+
+
+def test_replies_count_once_a_heartbeat_proves_their_start():
+    """Guards against a new leader that never chooses, and one that chooses before it is certain."""
+    simulation = _new_leader()
+    for name in (REPLICA_A, REPLICA_B):
+        simulation.pause(name, 24, connected_at=simulation.now)
+    simulation.announce(REPLICA_A)
+    simulation.run(CERTAIN)
+    assert simulation.record.phase is GroupPhase.SEALING
+    for name in (REPLICA_A, REPLICA_B):
+        simulation.announce(name)
+    simulation.run(GRACE)
+    assert simulation.record.requested
+
+
+def test_status_over_a_connection_to_a_former_incarnation_is_ignored():
+    """Guards against the position of a start that has ended, taken for that of the present one."""
+    simulation = LeaderSimulation()
+    simulation.announce(REPLICA_A, incarnation=2)
+    now = simulation.now
+    simulation.leader.handle_status(REPLICA_A, replica_status(20), known_source(1), now, now)
+    assert simulation.group._contacts.position_since(REPLICA_A, now - 1.0) is None
+    simulation.leader.handle_status(REPLICA_A, replica_status(3), known_source(2), now, now)
+    assert simulation.group._contacts.position_since(REPLICA_A, now - 1.0) == position(3)
--- a/tests/core/failover/test_group.py
+++ b/tests/core/failover/test_group.py
@@ -9,11 +9,13 @@
 from hibiscuspoint.core.control.route_state import RouteState
 from hibiscuspoint.core.control.state import ControlState, GroupPhase
 from hibiscuspoint.core.failover import (
+    MissingLog,
     PromotionWaiting,
     RequestPromotion,
     ResumeReplica,
     StepDown,
     TargetStatus,
+    WaitReason,
 )
 from hibiscuspoint.core.failover.group import COOLDOWN_SECONDS, LEAVING_LIMIT_SECONDS
 from hibiscuspoint.core.failover.promotion import (
@@ -22,7 +24,7 @@
     SETTLEMENT_SECONDS,
 )
 from hibiscuspoint.core.failover.watch import COMMIT_STALL_SECONDS, PRIMARY_SILENCE_SECONDS
-from hibiscuspoint.ids import TargetId, Term
+from hibiscuspoint.ids import Incarnation, TargetId, Term
 from hibiscuspoint.wire import peer_pb2, record_pb2
 from tests.builders_failover import (
     ENTRY,
@@ -32,6 +34,7 @@
     REPLICA_B,
     TOKEN,
     GroupSimulation,
+    known_source,
     position,
     primary_status,
     replica_status,
@@ -82,7 +85,7 @@
     simulation.ledger.grant(GROUP, ENTRY, Term(1), LATER)
     now = _lose_primary(simulation, LATER)
     status = replica_status(20, paused_term=simulation.record.term)
-    simulation.group.record_pause(REPLICA_A, status, simulation.record.term, now)
+    simulation.group.record_pause(REPLICA_A, status, known_source(), simulation.record.term, now)
     return simulation, now
 
 
@@ -548,7 +551,7 @@
     now = _lose_primary(simulation, LATER)
     term = simulation.record.term
     simulation.record_pause(REPLICA_A, 19, now)
-    simulation.group.record_pause(REPLICA_B, replica_status(19), term, now)
+    simulation.group.record_pause(REPLICA_B, replica_status(19), known_source(), term, now)
     simulation.tick(now)
     assert simulation.record.phase is GroupPhase.SEALING
     simulation.poll({REPLICA_B: replica_status(20, term=term)}, now)
@@ -735,7 +738,8 @@
     assert "PromotionWaiting" not in simulation.effect_names()
     simulation.tick(now + 5.1)
     term = simulation.record.term
-    assert PromotionWaiting(GROUP, term, (REPLICA_B,), (ENTRY,)) in simulation.effects
+    missing = MissingLog(REPLICA_B, Incarnation(1), WaitReason.NO_REPLY)
+    assert PromotionWaiting(GROUP, term, (missing,), (ENTRY,)) in simulation.effects
 
 
 def test_choice_below_an_acknowledged_position_waits():
--- a/tests/core/failover/test_overload.py
+++ b/tests/core/failover/test_overload.py
@@ -27,6 +27,7 @@
     REPLICA_B,
     TOKEN,
     GroupSimulation,
+    known_source,
     primary_status,
     replica_status,
     target,
@@ -74,7 +75,8 @@
     assert group.record.phase is GroupPhase.SEALING
     term = group.record.term
     for name in (REPLICA_A, REPLICA_B):
-        group.group.record_pause(name, replica_status(20, paused_term=term), term, group.now)
+        status = replica_status(20, paused_term=term)
+        group.group.record_pause(name, status, known_source(), term, group.now)
     group.tick(group.now)
     assert group.record.primary in (REPLICA_A, REPLICA_B)
     assert RequestPromotion(GROUP, group.record.primary, TOKEN) in group.effects
