Wait for inherited leases before a choice by the replies of all replicas

Cause: a new leader has granted no lease, so that nothing made it wait for the entries that still acknowledge commits under leases of its predecessor.

Change: inherited leases count as unreleased until they have ended. Routes of the next term wait for them already, so that only the promotion itself comes later.

--- a/hibiscuspoint/core/control/leases.py
+++ b/hibiscuspoint/core/control/leases.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
@@ -166,9 +165,13 @@
         }
 
     def unreleased_until(self, group: GroupId, term: Term) -> float:
-        """Return when the last lease of a term lower than ``term`` ends that was not released."""
+        """Return when the last lease of a term lower than ``term`` ends that was not released.
+
+        Inherited leases are not known, so that none of them counts as released.
+        """
         grants = self._grants.get(group, {}).values()
-        return max((g.expires_at for g in grants if g.term < term), default=-math.inf)
+        ends = [grant.expires_at for grant in grants if grant.term < term]
+        return max([self._inherited_until, *ends])
 
     def possible_leaseholders(self, group: GroupId, now: float) -> set[InstanceId]:
         """Return the entries that may have a valid lease, an inherited one included."""
--- a/tests/core/failover/test_former_start.py
+++ b/tests/core/failover/test_former_start.py
@@ -154,6 +154,20 @@
     assert simulation.record.requested
 
 
+def test_choice_by_all_replies_waits_for_inherited_leases():
+    """Guards against a commit that an entry acknowledges under a lease of the former leader.
+
+    The replica that confirmed it has just started and is not registered yet.
+    """
+    simulation = _new_leader()
+    for name in (REPLICA_A, REPLICA_B):
+        simulation.pause(name, 24)
+    simulation.run(LEASE_SECONDS)
+    assert simulation.record.phase is GroupPhase.SEALING
+    simulation.run(CERTAIN - LEASE_SECONDS)
+    assert simulation.record.requested
+
+
 def test_status_over_a_connection_to_a_former_incarnation_is_ignored():
     """Guards against the position of a start that has ended, taken for that of the present one."""
     simulation = LeaderSimulation()
