Require of the primary the position that it had in its term

Cause: a route names the primary by its id. Reads at the primary required no position, so that whatever answers under that id served them. Its answers were also recorded as positions of the primary, which lowers what reads at replicas require.

Change: PrimaryLog keeps the highest position that the primary of a term is known to have had, from control, from acknowledged commits and from its answers. Reads at the primary, and transactions that only read, require it; the start that leads the term has it. An answer below it is no position of the primary. test_position_and_refusals_are_passed_on now asks for that position instead of none.

--- a/hibiscuspoint/components/sessions/attempts.py
+++ b/hibiscuspoint/components/sessions/attempts.py
@@ -13,7 +13,7 @@
 from hibiscuspoint.core.balancing import ReadReason
 from hibiscuspoint.core.sessions import ConnectionDemand, Failure, SessionState
 from hibiscuspoint.drivers.errors import AnswerUnclear, ConnectError, ConnectionLost
-from hibiscuspoint.ids import NO_ORGANISATION
+from hibiscuspoint.ids import NO_ORGANISATION, Term
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -31,7 +31,7 @@
         SessionContext,
         Statement,
     )
-    from hibiscuspoint.ids import GroupId, TargetId, Term
+    from hibiscuspoint.ids import GroupId, TargetId
 
 __all__ = ["Admission", "Attempts", "Candidate", "RefusedError", "Trace"]
 
@@ -377,9 +377,14 @@
         # Inside a transaction the position may be that of its snapshot.
         is_idle = reply.state is SessionState.IDLE
         if self.trace.term and is_idle and reply.position is not None:
-            group = self.trace.group
-            if self._access.is_current(group, self.trace.term):
-                self._access.tip(group).add(self._last_started, reply.position)
+            self._record_position(self.trace.group, Term(self.trace.term), reply.position)
+
+    def _record_position(self, group: GroupId, term: Term, position: LogPosition) -> None:
+        """Take the position of the primary into account, unless its log ended later before."""
+        if not self._access.is_current(group, term):
+            return
+        if self._access.primary_log(group).record(term, position):
+            self._access.tip(group).add(self._last_started, position)
 
     def record_refusal(self, target: TargetId, reply: Reply) -> None:
         """Take an error of a target into account; it comes last for a moment."""
--- a/hibiscuspoint/components/sessions/candidates.py
+++ b/hibiscuspoint/components/sessions/candidates.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.components.sessions.attempts import Candidate, RefusedError
@@ -15,7 +16,7 @@
     from hibiscuspoint.core.ports import Clock
     from hibiscuspoint.core.position import LogPosition
     from hibiscuspoint.core.sessions import DatabaseRoute
-    from hibiscuspoint.ids import AvailabilityZone, GroupId
+    from hibiscuspoint.ids import AvailabilityZone, GroupId, Term
 
 __all__ = ["Candidates"]
 
@@ -78,7 +79,8 @@
         if known is not None and route.mode is not ReadMode.PRIMARY:
             required = self._access.tip(route.group).required(route.max_age_seconds, now)
         if required is None:
-            return await self.for_write(route, deadline, is_transaction=is_transaction)
+            (primary,) = await self.for_write(route, deadline, is_transaction=is_transaction)
+            return [replace(primary, after=self._primary_position(route.group, primary.term))]
         if route.mode is ReadMode.READ_YOUR_WRITES:
             required = max(required, self._written.get(route.group, ZERO_POSITION))
         primary = self._access.primary(route.group, is_transaction=is_transaction)
@@ -113,7 +115,7 @@
             candidates.append(
                 Candidate(
                     member,
-                    None if is_primary else required,
+                    self._primary_position(known.group, primary.term) if is_primary else required,
                     primary.term if is_primary else None,
                     connect,
                     answer,
@@ -123,6 +125,10 @@
             )
         return candidates
 
+    def _primary_position(self, group: GroupId, term: Term) -> LogPosition | None:
+        """Return the position that a target must have to be the primary of a term."""
+        return self._access.primary_log(group).required(term)
+
     def _attempt_deadlines(
         self, member: RouteMember, deadline: float, now: float, *, is_last: bool
     ) -> tuple[float, float]:
--- a/hibiscuspoint/components/sessions/groups.py
+++ b/hibiscuspoint/components/sessions/groups.py
@@ -21,6 +21,7 @@
     ConnectionPlan,
     EntryPlace,
     OpeningRules,
+    PrimaryLog,
     TargetLoad,
     TipLog,
     choose_holders,
@@ -129,6 +130,7 @@
         self.loads: dict[TargetId, TargetLoad] = {}
         self.reads = reads if reads is not None else ReadBalancing(AvailabilityZone(""))
         self.tips: dict[GroupId, TipLog] = {}
+        self._primary_logs: dict[GroupId, PrimaryLog] = {}
         self.entries = 1
         self._places: tuple[EntryPlace, ...] = ()
         self._places_version = 0
@@ -385,8 +387,13 @@
         """Return the positions read at the primary of a group."""
         return self.tips.setdefault(group, TipLog())
 
-    def record_acknowledgement(self, group: GroupId, position: LogPosition) -> None:
-        """Record the position of a commit that is acknowledged to a caller."""
+    def primary_log(self, group: GroupId) -> PrimaryLog:
+        """Return what is known of the log of the primary of a group."""
+        return self._primary_logs.setdefault(group, PrimaryLog())
+
+    def record_acknowledgement(self, group: GroupId, term: Term, position: LogPosition) -> None:
+        """Record the position of a commit at the primary of a term that a caller is told of."""
+        self.primary_log(group).record(term, position)
         self._acknowledged[group] = max(self._acknowledged.get(group, ZERO_POSITION), position)
 
     def update(self, update: peer_pb2.ControlUpdate) -> bool:
@@ -433,7 +440,9 @@
         requested_at = update.echo_sent_at_ns / NANOSECONDS_PER_SECOND
         for tip in update.tips:
             read_at = requested_at - tip.age_ms / MILLISECONDS_PER_SECOND
-            self.tip(GroupId(tip.group)).add(read_at, position_from(tip.position))
+            group, position = GroupId(tip.group), position_from(tip.position)
+            self.tip(group).add(read_at, position)
+            self.primary_log(group).record(self._state.routes.term(group), position)
 
     def _update_places(self, update: peer_pb2.ControlUpdate) -> None:
         """Take over which instances serve; a new control leader does not know it at once."""
--- a/hibiscuspoint/components/sessions/session.py
+++ b/hibiscuspoint/components/sessions/session.py
@@ -225,7 +225,7 @@
             self.trace.reason = "the primary was replaced before its answer arrived"
             return Reply.failed(Failure.IN_DOUBT, self.trace.reason, SessionState.IDLE)
         if reply.position is not None:
-            self._access.record_acknowledgement(group, reply.position)
+            self._access.record_acknowledgement(group, term, reply.position)
             self._candidates.record_write(group, reply.position)
         return reply
 
--- a/hibiscuspoint/core/sessions/__init__.py
+++ b/hibiscuspoint/core/sessions/__init__.py
@@ -26,7 +26,7 @@
     PreparedStatement,
     SessionContext,
 )
-from hibiscuspoint.core.sessions.freshness import TipLog
+from hibiscuspoint.core.sessions.freshness import PrimaryLog, TipLog
 from hibiscuspoint.core.sessions.holders import (
     EntryPlace,
     HolderRanking,
@@ -81,6 +81,7 @@
     "OperationRefusal",
     "Preparation",
     "PreparedStatement",
+    "PrimaryLog",
     "Question",
     "ReadMode",
     "Reply",
--- a/hibiscuspoint/core/sessions/freshness.py
+++ b/hibiscuspoint/core/sessions/freshness.py
@@ -7,8 +7,9 @@
 
 if TYPE_CHECKING:
     from hibiscuspoint.core.position import LogPosition
+    from hibiscuspoint.ids import Term
 
-__all__ = ["TipLog"]
+__all__ = ["PrimaryLog", "TipLog"]
 
 #: Age up to which samples are kept; larger than the maximum age of any route.
 RETENTION_SECONDS = 10.0
@@ -47,3 +48,33 @@
             if requested_at >= now - max_age + MARGIN_SECONDS:
                 return position
         return None
+
+
+class PrimaryLog:
+    """Highest known position of the log of the primary in the last known term of a group.
+
+    A read at the primary requires it: the start that leads the term has it, but one that started
+    again under the id of the primary, with nothing of before, does not.
+    """
+
+    def __init__(self) -> None:
+        self._term: Term | None = None
+        self._position: LogPosition | None = None
+
+    def record(self, term: Term, position: LogPosition) -> bool:
+        """Record a position that a target had as primary of a term.
+
+        :returns: false if the primary of that term had a higher one before, so that it has lost its
+            log or is replaced.
+        """
+        if self._term is None or term > self._term:
+            self._term, self._position = term, position
+        elif term == self._term and position < self._position:
+            return False
+        elif term == self._term:
+            self._position = position
+        return True
+
+    def required(self, term: Term) -> LogPosition | None:
+        """Return the position that the primary of a term has; ``None`` if none is known."""
+        return self._position if term == self._term else None
--- a/tests/components/sessions/test_borrowing.py
+++ b/tests/components/sessions/test_borrowing.py
@@ -36,7 +36,7 @@
 from hibiscuspoint.ids import AvailabilityZone, InstanceId, OrganisationId
 from hibiscuspoint.security import TlsMode, Transport
 from hibiscuspoint.wire import peer_pb2, peer_pb2_grpc
-from tests.builders_failover import GROUP, PRIMARY, REPLICA_A, REPLICA_B
+from tests.builders_failover import GROUP, PRIMARY, REPLICA_A, REPLICA_B, position
 from tests.components.sessions.fakes import LoopClock, refusal
 from tests.components.sessions.harness import SessionHarness, statement
 
@@ -200,7 +200,7 @@
             (reply,) = await entry.run(entry.session(), "READ x")
             assert reply.error is None
             required = [entry for target in holder.targets.values() for entry in target.log]
-            assert required == [("READ x", None)]
+            assert required == [("READ x", position(10))]
 
     asyncio.run(scenario())
 
--- a/tests/components/sessions/test_session.py
+++ b/tests/components/sessions/test_session.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
@@ -50,6 +51,52 @@
     _run(scenario)
 
 
+@pytest.mark.parametrize("mode", [ReadMode.PRIMARY, ReadMode.BOUNDED_STALENESS])
+@pytest.mark.parametrize("texts", [["READ a"], ["BEGIN READ", "READ a"]])
+def test_read_at_the_primary_requires_the_position_that_it_had(mode, texts):
+    """Guards against an answer of a primary that started again with nothing of before."""
+
+    async def scenario():
+        harness = SessionHarness(mode)
+        for name in (REPLICA_A, REPLICA_B):
+            harness.targets[name].is_refusing = True
+        await harness.run(harness.session(), "WRITE a x", *texts)
+        assert harness.targets[PRIMARY].log[1] == (texts[0], position(11))
+
+    _run(scenario)
+
+
+def test_position_of_an_earlier_term_is_not_required_of_the_next_primary():
+    """Guards against reads refused for a commit that was never acknowledged and was rolled back."""
+
+    async def scenario():
+        harness = SessionHarness(ReadMode.PRIMARY)
+        await harness.run(harness.session(), "WRITE a x")
+        harness.revoke()
+        harness.term, harness.primary = 2, REPLICA_A
+        harness.route(lease_ms=2500, tip=10)
+        await harness.run(harness.session(), "READ a")
+        assert harness.targets[REPLICA_A].log == [("READ a", position(10))]
+
+    _run(scenario)
+
+
+def test_answer_of_a_primary_without_its_log_is_no_position_of_the_primary():
+    """Guards against stale reads at replicas, which require what the primary answered last."""
+
+    async def scenario():
+        harness = SessionHarness(ReadMode.PRIMARY)
+        await harness.run(harness.session(), "WRITE a x")
+        empty = replace(refusal(Failure.LAGGING), position=position(0, term=0))
+        harness.targets[PRIMARY].script.extend([empty] * 20)
+        await asyncio.sleep(0.05)
+        await harness.run(harness.session(), "READ a")
+        required = harness.access.tip(GROUP).required(0.4, harness.clock.monotonic())
+        assert required is None or required >= position(10)
+
+    _run(scenario)
+
+
 def test_transaction_stays_on_one_connection():
     """Guards against statements of different transactions on one connection."""
 
--- a/tests/platform/test_answer_service.py
+++ b/tests/platform/test_answer_service.py
@@ -275,7 +275,7 @@
     ages = []
 
     class Leader:
-        def handle_status(self, target, status, asked_at, now, read_at):
+        def handle_status(self, target, status, source, asked_at, now, read_at):
             ages.append(now - read_at)
             return []
 
