Let the scripted databases of tests know required positions

Cause: reads at the primary require a position now. A scripted database took the statement behind AFTERLSN for an unknown one, so that scripts which compare the text of a read no longer matched it.

Change: a position that an answer has shown is taken off the text, any other one is left to the script; the busy database compares it with its log. The checks of the tests are unchanged.

--- a/tests/platform/busy_database.py
+++ b/tests/platform/busy_database.py
@@ -73,7 +73,12 @@
             writer.close()
 
     async def _answer(self, request: str, text: str, state: str) -> tuple[str, str]:
-        verb = text.split(" ")[0]
+        verb, _, rest = text.partition(" ")
+        if verb == "AFTERLSN":
+            required, _, text = rest.partition(" ")
+            if int(required.partition(".")[2]) > int(self._position().partition(".")[2]):
+                return "ERROR LAGGING i-0\r\n", state
+            verb = text.partition(" ")[0]
         if verb in _SLOT_VERBS:
             if self._waiting >= self.queue:
                 self.refused += 1
--- a/tests/platform/one_database.py
+++ b/tests/platform/one_database.py
@@ -22,8 +22,11 @@
 
 
 def entry_at(address: str) -> SessionHarness:
-    """Return an entry with a lease on the group whose primary is the database at an address."""
+    """Return an entry with a lease on the group whose primary is the database at an address.
+
+    Control has read the first position of its log.
+    """
     harness = SessionHarness(ReadMode.PRIMARY)
     harness.access = GroupAccess(harness.state, OneDatabaseDriver(address), harness.clock)
-    harness.route(lease_ms=60_000)
+    harness.route(lease_ms=60_000, tip=0)
     return harness
--- a/tests/platform/scripted_database.py
+++ b/tests/platform/scripted_database.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
@@ -30,6 +31,8 @@
 class ScriptedDatabase:
     """Records what it ran and answers as the script says.
 
+    The script gets the text of a statement without a required position that an answer has shown.
+
     :param greeting_repeats: seconds until each repetition of the answer to the startup.
     :param work_seconds: time that each statement takes.
     """
@@ -41,6 +44,7 @@
         self._work_seconds = work_seconds
         self._greeting_repeats = greeting_repeats
         self._tasks: set[asyncio.Task] = set()
+        self._position = _position(GREETING)
         self.address = ""
         self.texts: list[str] = []
         self.connections = 0
@@ -64,9 +68,11 @@
                 answer, repeats = GREETING, self._greeting_repeats
                 if word != "STARTUP":
                     request, _, text = rest.partition(" ")
+                    text = self._without_held_position(text)
                     self.texts.append(text)
                     await asyncio.sleep(self._work_seconds)
                     answer, repeats = self._script(request, text)
+                    self._position = max(self._position, _position(answer))
                 writer.write(answer.encode())
                 for seconds in repeats:
                     task = asyncio.create_task(_write_later(writer, answer, seconds))
@@ -75,6 +81,19 @@
         except (asyncio.IncompleteReadError, asyncio.CancelledError, OSError):
             writer.close()
 
+    def _without_held_position(self, text: str) -> str:
+        if not text.startswith("AFTERLSN "):
+            return text
+        _, position, statement = text.split(" ", 2)
+        is_held = tuple(map(int, position.split("."))) <= self._position
+        return statement if is_held else text
+
+
+def _position(answer: str) -> tuple[int, ...]:
+    """Return the position of the log that an answer ends with; the least one if it has none."""
+    word = answer.rstrip("\r\n").rpartition(" ")[2]
+    return tuple(map(int, word.split("."))) if re.fullmatch(r"\d+\.\d+", word) else (0, 0)
+
 
 async def _write_later(writer: asyncio.StreamWriter, answer: str, seconds: float) -> None:
     await asyncio.sleep(seconds)
