Take rows for doubtful that may begin with those of a repetition

Cause: a repetition that is cut off behind a row leaves no mark but that row; an answer was judged by its signature alone, which is that of the own execution.

Change: a connection remembers the first rows of its answers. An answer that begins with one of them and goes on, that of a write with such a row, and a row that contains the beginning of another message behind that of an earlier row are unclear: the connection is reset, a read is tried elsewhere. A single row of a read may repeat.

--- a/hibiscuspoint/components/sessions/connection.py
+++ b/hibiscuspoint/components/sessions/connection.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, Protocol
 
 from hibiscuspoint.core.balancing import HolderReport
@@ -125,6 +125,9 @@
             raise ConnectionLost(message, sent=False, is_silent=error.is_silent) from error
         name = self.context.name_of(prepared_statement) if prepared_statement is not None else None
         timeout = max(0.0, deadline - self.clock.monotonic())
+        if writes and not statement.writes:
+            # The executed statement writes, which its answer is judged by.
+            statement = replace(statement, writes=True)
         try:
             reply = await self.connection.run(statement, timeout=timeout, name=name, after=after)
         except AnswerDoubtful as doubt:
--- a/hibiscuspoint/core/sessions/answers.py
+++ b/hibiscuspoint/core/sessions/answers.py
@@ -22,6 +22,10 @@
 MAX_ANSWERS = 1_000
 
 
+#: Characters of each row that a connection remembers, to tell where a row was cut off.
+ROW_BEGINNING_LENGTH = 2
+
+
 class AnswerKind(Enum):
     """Form of an answer."""
 
@@ -41,12 +45,15 @@
     :param digest: hash of the signature, or of all bytes where there is none.
     :param may_be_joined: whether the text of an error or signature contains the beginning of
         another message, as that of a repetition does which was cut off before the next answer.
+    :param cut_row: what stands before the beginning of another message in the text of a row;
+        ``None`` if no row has one.
     """
 
     kind: AnswerKind
     reply: Reply
     digest: int
     may_be_joined: bool = False
+    cut_row: str | None = None
 
 
 class Question(Enum):
@@ -54,6 +61,8 @@
 
     #: Its success is signed.
     SIGNED = auto()
+    #: It writes or commits; its success is signed.
+    SIGNED_WRITE = auto()
     #: Begins a transaction; the statement behind it would have its effect outside of one as well.
     BEGIN = auto()
     #: Begins a transaction; the statement behind it has no effect, and its answer tells whether the
@@ -71,10 +80,12 @@
         """Return the question that a statement of a caller is."""
         if statement.kind is StatementKind.BEGIN and statement.starts_without_effect:
             return cls.BEGIN_WITHOUT_EFFECT
-        return _QUESTIONS.get(statement.kind, cls.SIGNED)
+        signed = cls.SIGNED_WRITE if statement.writes else cls.SIGNED
+        return _QUESTIONS.get(statement.kind, signed)
 
 
 _QUESTIONS = {
+    StatementKind.COMMIT: Question.SIGNED_WRITE,
     StatementKind.BEGIN: Question.BEGIN,
     StatementKind.BEGIN_READ_ONLY: Question.BEGIN_WITHOUT_EFFECT,
     StatementKind.ROLLBACK: Question.ROLLBACK,
@@ -84,6 +95,7 @@
 }
 
 
+_SIGNED = (Question.SIGNED, Question.SIGNED_WRITE)
 _BEGINNINGS = (Question.BEGIN, Question.BEGIN_WITHOUT_EFFECT)
 
 
@@ -133,6 +145,10 @@
 
     def __init__(self) -> None:
         self._digests: set[int] = set()
+        #: Hashes and beginnings of the first rows of answers.
+        self._first_rows: set[int] = set()
+        self._row_beginnings: set[str] = set()
+        self._do_writes_have_rows = False
         self._has_answer = False
         self._has_repetition = False
         self._spent: EndReason | None = None
@@ -199,7 +215,7 @@
         That is so for an error that equals an earlier one, if no answer without a signature may
         still come that could be taken for the one to that question.
         """
-        if question is not Question.SIGNED and question not in _BEGINNINGS:
+        if question not in _SIGNED and question not in _BEGINNINGS:
             return False
         is_known = answer.kind is AnswerKind.ERROR and answer.digest in self._digests
         is_open = answer.reply.state is self._state is not SessionState.FAILED
@@ -222,7 +238,7 @@
             self._is_unproven = False
             return Settlement.CONFIRMED
         is_idle = answer.reply.state is SessionState.IDLE
-        if answer.kind is AnswerKind.SIGNED and doubtful is Question.SIGNED and is_idle:
+        if answer.kind is AnswerKind.SIGNED and doubtful in _SIGNED and is_idle:
             self._has_repetition = True
             self._accept(doubtful, answer, is_known=False)
             return Settlement.REPLACED
@@ -233,8 +249,12 @@
             return Match.REPEATED if is_known else Match.UNCLEAR
         if answer.may_be_joined and self._has_answer:
             return Match.UNCLEAR
+        if answer.kind is AnswerKind.SIGNED and is_known:
+            return Match.REPEATED
+        if self._may_begin_with_repetition(question, answer):
+            return Match.UNCLEAR
         if answer.kind is AnswerKind.SIGNED:
-            return Match.REPEATED if is_known else Match.ACCEPTED
+            return Match.ACCEPTED
         if question is Question.STATUS:
             return Match.ACCEPTED
         if answer.kind is AnswerKind.ERROR:
@@ -247,6 +267,31 @@
             return Match.UNCLEAR
         return Match.ACCEPTED
 
+    def _may_begin_with_repetition(self, question: Question, answer: Answer) -> bool:
+        """Tell whether the rows may begin with those of a repetition that was cut off.
+
+        Such rows begin like those of an earlier answer, and rows of the own answer follow, or none
+        if it is that to a write. A single row of a read may be the same as before.
+        """
+        if answer.cut_row is not None and self._begins_row(answer.cut_row):
+            return True
+        rows = answer.reply.rows
+        if not rows or hash(rows[0]) not in self._first_rows:
+            return False
+        is_rowless = question is Question.SIGNED_WRITE and not self._do_writes_have_rows
+        return len(rows) > 1 or is_rowless
+
+    def _begins_row(self, text: str) -> bool:
+        """Tell whether a text may be the beginning of an earlier row."""
+        beginning = text[:ROW_BEGINNING_LENGTH]
+        return any(known.startswith(beginning) for known in self._row_beginnings)
+
+    def _remember_rows(self, question: Question, rows: tuple[str, ...]) -> None:
+        self._first_rows.add(hash(rows[0]))
+        self._row_beginnings.update(row[:ROW_BEGINNING_LENGTH] for row in rows)
+        if question is Question.SIGNED_WRITE:
+            self._do_writes_have_rows = True
+
     def _fits(self, question: Question | None, answer: Answer) -> bool:
         """Tell whether a question may have an answer of this form.
 
@@ -256,7 +301,7 @@
             return False
         if answer.kind is AnswerKind.ERROR:
             return True
-        if (answer.kind is AnswerKind.SIGNED) is not (question is Question.SIGNED):
+        if (answer.kind is AnswerKind.SIGNED) is not (question in _SIGNED):
             return False
         return self._has_form(question, answer)
 
@@ -289,6 +334,8 @@
                 self._refused_at = answer.reply.position
             elif answer.kind is AnswerKind.UNSIGNED:
                 self._plain_at = answer.reply.position
+        if answer.reply.rows and question in _SIGNED:
+            self._remember_rows(question, answer.reply.rows)
         self._has_answer = True
         self._digests.add(answer.digest)
         self._state = answer.reply.state
--- a/hibiscuspoint/platform/wire.py
+++ b/hibiscuspoint/platform/wire.py
@@ -63,6 +63,7 @@
 
 #: Beginnings of the messages of which an answer consists, but for the last one.
 _ANSWER_WORDS = (b"ROW", b"COMPLETE", b"ERROR")
+_ANSWER_TEXTS = tuple(f"{word.decode()} " for word in _ANSWER_WORDS)
 
 _FAILURES_BY_CODE = {
     "BUSY": Failure.OVERLOADED,
@@ -342,7 +343,7 @@
             verbatim=tuple(self._verbatim.items()),
         )
         identity = self._signature or b"".join([*self._lines, line])
-        answer = Answer(self._kind(), reply, hash(identity), self._may_be_joined())
+        answer = Answer(self._kind(), reply, hash(identity), self._may_be_joined(), self._cut_row())
         self._clear()
         return answer
 
@@ -351,6 +352,18 @@
         text = self._lines[-1][1:] if self._lines else b""
         return any(word in text for word in _ANSWER_WORDS)
 
+    def _cut_row(self) -> str | None:
+        """Return the text of a row up to the beginning of another message in it, if there is one.
+
+        Only a row that arrives behind part of another one has it, unless its text happens to.
+        """
+        for row in self._rows:
+            ends = [row.find(word) for word in _ANSWER_TEXTS]
+            found = [end for end in ends if end >= 0]
+            if found:
+                return row[: min(found)]
+        return None
+
     def _kind(self) -> AnswerKind:
         if self._error is not None:
             return AnswerKind.ERROR
--- a/tests/core/sessions/test_answers.py
+++ b/tests/core/sessions/test_answers.py
@@ -205,3 +205,33 @@
     """Guards against a connection that remembers answers without end."""
     history = _history(*((Question.SIGNED, _signed(n)) for n in range(MAX_ANSWERS)))
     assert history.must_end
+
+
+def _rows(number: int, *rows: str, cut: str | None = None) -> Answer:
+    reply = Reply(rows=rows, signature=f"s{number}", state=IDLE)
+    return Answer(AnswerKind.SIGNED, reply, number, cut_row=cut)
+
+
+@pytest.mark.parametrize(
+    ("question", "answer", "expected"),
+    [
+        (Question.SIGNED, _rows(2, "ab"), Match.ACCEPTED),
+        (Question.SIGNED, _rows(2, "cd", "ab"), Match.ACCEPTED),
+        (Question.SIGNED, _rows(2, "ab", "cd"), Match.UNCLEAR),
+        (Question.SIGNED, _rows(2, "aROW cd", cut="a"), Match.UNCLEAR),
+        (Question.SIGNED, _rows(2, "ROW cd", cut=""), Match.UNCLEAR),
+        (Question.SIGNED, _rows(2, "xyROW cd", cut="xy"), Match.ACCEPTED),
+        (Question.SIGNED_WRITE, _rows(2, "ab"), Match.UNCLEAR),
+        (Question.SIGNED_WRITE, _rows(2, "cd"), Match.ACCEPTED),
+    ],
+)
+def test_rows_of_a_repetition_that_was_cut_off_are_noticed(question, answer, expected):
+    """Guards against the row of another statement in an answer with a signature of its own."""
+    history = _history((Question.SIGNED, _rows(1, "ab")))
+    assert history.match(question, answer) is expected
+
+
+def test_writes_may_have_the_same_row_again():
+    """Guards against writes in doubt at targets that answer each one with the same row."""
+    history = _history((Question.SIGNED_WRITE, _rows(1, "1 row")))
+    assert history.match(Question.SIGNED_WRITE, _rows(2, "1 row")) is Match.ACCEPTED
