Promote a chosen target only while it has the log for which it was chosen

Cause: ChoosePrimary names an id. If the chosen database starts again with nothing of before and its first heartbeat is late, the leader and each later one go on requesting its promotion.

Change: the choice records the end of the log. A leader that did not choose itself polls the target before it requests the promotion, and a target behind that end is given up. Both compare the log, so that it does not matter which start answers.

Measured: test_chosen_replica_that_is_not_registered_again_is_not_promoted fails in both forms before.

--- a/hibiscuspoint/core/control/state.py
+++ b/hibiscuspoint/core/control/state.py
@@ -21,7 +21,7 @@
 
 if TYPE_CHECKING:
     from hibiscuspoint.core.position import LogPosition
-    from hibiscuspoint.wire import peer_pb2
+    from hibiscuspoint.wire import common_pb2, peer_pb2
 
 __all__ = ["AcceptedDocument", "ControlState", "GroupPhase", "GroupRecord", "TargetRecord"]
 
@@ -112,6 +112,8 @@
         confirmed are not known to be held elsewhere.
     :param former_end: end of the log of the former primary, once it has stepped down; ``None`` if
         that is not known to have happened.
+    :param chosen_position: end of the log for which the primary was chosen; ``None`` if it acted as
+        primary then, and once the term has started.
     :param targets: targets that registered themselves; only in a group without a fixed member list.
     """
 
@@ -129,6 +131,7 @@
     primary_term: Term = Term(0)
     lost_logs: dict[TargetId, Incarnation] = field(default_factory=dict)
     former_end: LogPosition | None = None
+    chosen_position: LogPosition | None = None
 
     @property
     def started_term(self) -> Term:
@@ -260,6 +263,7 @@
         if record is None or body.term != record.term or record.phase is not GroupPhase.SEALING:
             return
         record.primary = TargetId(body.primary)
+        record.chosen_position = position_from(body.position) if body.HasField("position") else None
         record.phase = GroupPhase.CHOSEN
         if record.primary not in record.requested:
             record.requested = (*record.requested, record.primary)
@@ -270,7 +274,7 @@
             return
         record.phase = GroupPhase.STARTED
         record.requested = ()
-        record.former_end = None
+        record.former_end = record.chosen_position = None
         record.primary_term = Term(body.target_term)
         record.term_starts.append((record.term, body.start))
         del record.term_starts[:-TERM_HISTORY_LIMIT]
@@ -343,10 +347,15 @@
         requested=record.requested,
         primary_term=record.primary_term,
         lost_logs=record.lost_logs,
-        former_end=position_message(record.former_end) if record.former_end else None,
+        former_end=_optional_position(record.former_end),
+        chosen_position=_optional_position(record.chosen_position),
     )
 
 
+def _optional_position(position: LogPosition | None) -> common_pb2.Position | None:
+    return position_message(position) if position is not None else None
+
+
 def _group_from_message(message: record_pb2.GroupState) -> GroupRecord:
     starts = zip(message.history_terms, message.history_starts, strict=True)
     return GroupRecord(
@@ -363,6 +372,9 @@
         primary_term=Term(message.primary_term),
         lost_logs={TargetId(t): Incarnation(i) for t, i in message.lost_logs.items()},
         former_end=position_from(message.former_end) if message.HasField("former_end") else None,
+        chosen_position=(
+            position_from(message.chosen_position) if message.HasField("chosen_position") else None
+        ),
     )
 
 
--- a/hibiscuspoint/core/failover/group.py
+++ b/hibiscuspoint/core/failover/group.py
@@ -286,7 +286,7 @@
         record = self._record
         if not record.term_starts:
             chosen = self._contacts.current_primary(now)
-            return self._propose_primary(chosen, now) if chosen is not None else []
+            return self._propose_primary(chosen, None, now) if chosen is not None else []
         status_of = self._contacts.recent_statuses(current_round.since, now)
         chosen = current_round.choose_target(status_of, self._known_acknowledgements(), now)
         if chosen is not None:
@@ -321,6 +321,10 @@
         if record.primary not in record.targets or current_round.is_chosen_lost(answered_at, now):
             self._keeps_former = True
             return self._propose_term(now)
+        since_choice = self._contacts.recent_statuses(current_round.since_choice(now), now)
+        if current_round.has_lost_choice(since_choice.get(record.primary)):
+            self._keeps_former = True
+            return self._propose_term(now)
         status_of = self._contacts.recent_statuses(current_round.since, now)
         status = status_of.get(record.primary)
         is_leading = status is not None and status.is_primary
@@ -515,9 +519,13 @@
         body = record_pb2.OpenTerm(group=record.group, term=term)
         return self._propose("open_term", record_pb2.Command(open_term=body), now)
 
-    def _propose_primary(self, chosen: TargetId, now: float) -> list[Effect]:
+    def _propose_primary(
+        self, chosen: TargetId, position: LogPosition | None, now: float
+    ) -> list[Effect]:
         record = self._record
         body = record_pb2.ChoosePrimary(group=record.group, term=record.term, primary=chosen)
+        if position is not None:
+            body.position.CopyFrom(position_message(position))
         return self._propose("choose_primary", record_pb2.Command(choose_primary=body), now)
 
     def _propose_proven(
@@ -528,10 +536,11 @@
         now: float,
     ) -> list[Effect]:
         """Propose the chosen primary and report on what the choice rests."""
-        proposal = self._propose_primary(chosen, now)
+        position = current_round.position_of(chosen, status_of)
+        proposal = self._propose_primary(chosen, position, now)
         if not proposal:
             return []
-        record, position = self._record, current_round.position_of(chosen, status_of)
+        record = self._record
         proven = PrimaryProven(
             record.group,
             record.term,
--- a/hibiscuspoint/core/failover/promotion.py
+++ b/hibiscuspoint/core/failover/promotion.py
@@ -123,6 +123,7 @@
     _pause_replies: dict[TargetId, _PauseReply] = field(default_factory=dict)
     _ordered_at: dict[tuple[type, TargetId], float] = field(default_factory=dict)
     _sufficient_since: float = math.inf
+    _chosen_since: float = math.inf
 
     @property
     def missing_logs(self) -> tuple[MissingLog, ...]:
@@ -282,6 +283,26 @@
         status = status_of.get(chosen)
         return status.received if status is not None else None
 
+    def since_choice(self, now: float) -> float:
+        """Return since when this leadership knows of the choice; a status from before is too old.
+
+        :param now: current time; the first call of a round determines the result.
+        """
+        self._chosen_since = min(self._chosen_since, now)
+        return self._chosen_since
+
+    def has_lost_choice(self, status: TargetStatus | None) -> bool:
+        """Tell whether the chosen target has lost the log for which it was chosen.
+
+        It may have started again and not be registered yet.
+
+        :param status: reply to a poll that was sent after the choice.
+        """
+        position = self.record.chosen_position
+        if status is None or status.is_primary or position is None:
+            return False
+        return status.received < position
+
     def promote(
         self, status_of: dict[TargetId, TargetStatus], token: int, now: float
     ) -> list[Effect]:
@@ -290,7 +311,7 @@
         chosen = record.primary
         status = status_of.get(chosen) if chosen else None
         if status is None or not status.is_primary:
-            if self._may_send_order(
+            if self._holds_choice(status) and self._may_send_order(
                 RequestPromotion, chosen, now, PROMOTION_REQUEST_INTERVAL_SECONDS
             ):
                 return [RequestPromotion(record.group, chosen, token)]
@@ -374,6 +395,15 @@
             return True
         return now - max(answered_at, self.since) >= CHOSEN_SILENCE_SECONDS
 
+    def _holds_choice(self, status: TargetStatus | None) -> bool:
+        """Tell whether the chosen target has the log for which it was chosen, as far as known.
+
+        The leader that chose it has its reply; another one polls it first.
+        """
+        if self.record.chosen_position is None or self.record.primary in self.paused_positions:
+            return True
+        return status is not None and not self.has_lost_choice(status)
+
     def _is_proven(self, target: TargetId) -> bool:
         """Tell whether the registered start of a replica gave its reply.
 
--- a/tests/core/failover/test_group.py
+++ b/tests/core/failover/test_group.py
@@ -632,6 +632,32 @@
     assert RequestPromotion(GROUP, REPLICA_A, TOKEN) not in simulation.effects
 
 
+@pytest.mark.parametrize("has_new_leader", [False, True])
+def test_chosen_replica_that_is_not_registered_again_is_not_promoted(has_new_leader):
+    """Guards against a promotion of a start that has not the log for which its id was chosen."""
+    simulation, now = _choose_replica()
+    assert simulation.record.chosen_position == position(20)
+    if has_new_leader:
+        simulation.lead_again(now)
+    simulation.effects.clear()
+    simulation.tick(now + 0.1)
+    simulation.poll({REPLICA_A: replica_status(7)}, now + 0.2)
+    for seconds in (0.2, 0.6, 1.0, 1.4):
+        simulation.tick(now + seconds)
+    token = TOKEN + 1 if has_new_leader else TOKEN
+    assert RequestPromotion(GROUP, REPLICA_A, token) not in simulation.effects
+
+
+def test_new_leader_requests_the_promotion_of_a_chosen_replica_with_its_log():
+    """Guards against a promotion that ends with the leader that chose."""
+    simulation, now = _choose_replica()
+    simulation.lead_again(now)
+    simulation.tick(now + 0.1)
+    simulation.poll({REPLICA_A: replica_status(20, paused_term=2)}, now + 0.2)
+    simulation.tick(now + 0.2)
+    assert RequestPromotion(GROUP, REPLICA_A, TOKEN + 1) in simulation.effects
+
+
 def test_term_starts_only_when_no_other_promotion_can_take_effect():
     """Guards against a late promotion that takes acknowledged commits back."""
     simulation, now = _give_up_chosen()
