--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -18,7 +18,15 @@
     from tests.platform.deployment import Deployment
     from tests.platform.standin import StandinDatabase
 
-__all__ = ["ALL_KINDS", "FIRST_KINDS", "KINDS", "Fault", "Faults", "draw_faults"]
+__all__ = [
+    "ALL_KINDS",
+    "FIRST_KINDS",
+    "KINDS",
+    "START_KINDS",
+    "Fault",
+    "Faults",
+    "draw_faults",
+]
 
 #: Faults of the first version of the soak. Its seeds that failed are drawn from these alone, so
 #: that they still give the same faults.
@@ -50,6 +58,14 @@
 #: With databases that answer twice, about once in four faults.
 ALL_KINDS = (*KINDS, *["stutter"] * 6)
 
+#: With starts of which the next process must not be taken for the former one.
+START_KINDS = (*ALL_KINDS, *["restart_together", "wipe_primary"] * 3)
+
+#: Time in which only the replica that is lost together with the primary receives commits, and time
+#: until a process is started again.
+BEHIND_SECONDS = 0.03
+RESTART_SECONDS = 0.05
+
 #: Faults of an instance.
 INSTANCE_KINDS = ("kill", "stop", "pause", "hang_up", "cut_platform")
 
@@ -181,6 +197,40 @@
         await database.restart()
         self._release(f"crash {database.service}")
 
+    async def _restart_together(self, fault: Fault) -> None:
+        """Kill an instance, or the leader, which starts at once, while two databases are lost.
+
+        These are the primary and the replica that has the last commits; both come back.
+        """
+        primary = self._choose(fault, is_primary=True)
+        if primary is None or not self._occupy(f"crash {primary.service}"):
+            return
+        replicas = primary.replicas
+        behind = replicas[1:]
+        for database in behind:
+            database.is_deaf = True
+        await asyncio.sleep(BEHIND_SECONDS)
+        lost = [primary, *replicas[:1]]
+        await asyncio.gather(*(database.crash() for database in lost))
+        number = fault.subject if fault.lasts < LONGEST_SECONDS / 2 else self._deployment.leader
+        kill = replace(fault, subject=number or 0, lasts=4 * RESTART_SECONDS)
+        await self._signal(kill, signal.SIGKILL)
+        for database in behind:
+            database.is_deaf = False
+        await asyncio.sleep(fault.lasts)
+        await asyncio.gather(*(database.restart() for database in lost))
+        self._release(f"crash {primary.service}")
+
+    async def _wipe_primary(self, fault: Fault) -> None:
+        """Start the primary again at once under its id with nothing of before."""
+        primary = self._choose(fault, is_primary=True)
+        if primary is None or not self._occupy(f"wipe {primary.service}"):
+            return
+        await primary.crash()
+        await asyncio.sleep(RESTART_SECONDS)
+        await primary.restart_empty()
+        self._release(f"wipe {primary.service}")
+
     async def _return_renamed(self, fault: Fault) -> None:
         """Crash a primary, which comes back with its log under a new id."""
         database = self._choose(fault, is_primary=True)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -10,7 +10,7 @@
 
 from tests.platform.deployment import OTHER_DATABASE, Deployment
 from tests.soak.caller import Caller
-from tests.soak.faults import ALL_KINDS, Fault, Faults, draw_faults
+from tests.soak.faults import ALL_KINDS, START_KINDS, Fault, Faults, draw_faults
 from tests.soak.history import ODD_TEXTS, PLAIN_TEXTS, History
 from tests.system.fault_proxy import FaultProxy
 
@@ -36,7 +36,7 @@
     network: str,
     directory: Path | None = None,
     connections: int = CONNECTIONS,
-    kinds: tuple[str, ...] = ALL_KINDS,
+    kinds: tuple[str, ...] = START_KINDS,
     instances: int = 3,
     callers: int = CALLERS,
 ) -> History:
@@ -45,7 +45,7 @@
     :param network: second and third octet of the loopback addresses.
     :param connections: connections that a database accepts; see ``Deployment``.
     :param directory: where logs are kept; a temporary one by default.
-    :param kinds: faults from which the seed draws; with all of them, callers write odd texts.
+    :param kinds: faults from which the seed draws; with repeated answers, callers write odd texts.
     :param callers: callers at each instance.
     """
     with contextlib.ExitStack() as stack:
@@ -64,7 +64,8 @@
     source = random.Random(seed)
     # Drawn first, so that the faults of a seed do not depend on the number of callers.
     drawn = draw_faults(source, seconds, kinds)
-    history = History(texts=ODD_TEXTS if kinds is ALL_KINDS else PLAIN_TEXTS)
+    has_odd_texts = kinds in (ALL_KINDS, START_KINDS)
+    history = History(texts=ODD_TEXTS if has_odd_texts else PLAIN_TEXTS)
     deployment.platform.on_request = history.promotion_requested
     deployment.platform.on_lead = history.check_promoted
     proxies: list[FaultProxy] = []
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,7 +10,7 @@
 from tests.platform.deployment import OTHER_SERVICE, SERVICE
 from tests.platform.standin import StandinDatabase, StandinPlatform
 from tests.platform.standin_connection import Run
-from tests.soak.faults import ALL_KINDS, FIRST_KINDS, KINDS
+from tests.soak.faults import ALL_KINDS, FIRST_KINDS, KINDS, START_KINDS
 from tests.soak.history import ODD_TEXTS, History
 from tests.soak.run import SCARCE_CONNECTIONS, run_seed
 
@@ -45,6 +45,7 @@
         *((seed, REGRESSION_SECONDS, KINDS) for seed in REGRESSIONS),
         *((seed, SHORT_SECONDS, FIRST_KINDS) for seed in FIRST_REGRESSIONS),
         (7, SHORT_SECONDS, ALL_KINDS),
+        (9, SHORT_SECONDS, START_KINDS),
     ],
 )
 def test_promises_hold_under_faults(seed, seconds, kinds, tmp_path):
