--- a/hibiscuspoint/components/sessions/pool.py
+++ b/hibiscuspoint/components/sessions/pool.py
@@ -190,6 +190,8 @@
             # The limit was lowered, as another holder takes a part.
             is_usable = False
         if is_usable and pooled.was_refused:
+            # The next use may end without a statement, and then has no refusal of its own.
+            pooled.was_refused = False
             self._kept_back.add(pooled, now)
         elif is_usable and not self._is_needed_elsewhere(pooled, now):
             self._kept_back.record_success()
--- a/tests/components/sessions/test_pool.py
+++ b/tests/components/sessions/test_pool.py
@@ -250,6 +250,21 @@
     asyncio.run(scenario())
 
 
+def test_connection_rests_once_for_a_refusal():
+    """Guards against a second rest after a use without a statement, as of a skipped read."""
+
+    async def scenario():
+        pool = _pool(FakeDriver(), limit=1)
+        pooled = await pool.acquire(ConnectionDemand(_now() + 1))
+        pooled.was_refused = True
+        for rests in (1, 0):
+            pooled.give_back()
+            assert len(pool._kept_back) == rests
+            assert await pool.acquire(ConnectionDemand(_now() + 1)) is pooled
+
+    asyncio.run(scenario())
+
+
 def test_target_that_is_lost_and_regained_is_logged_once_each(caplog):
     """Load pattern: a target stops; each statement that cannot be sent must not add a line.
 
