Wait until control has the leases of an instance that stops

Cause: the leases were handed back after the last report, which nobody sent: the attachment ended at once.

Change: the stop sends a report and waits for its answer, 0.3 s at most.

--- a/hibiscuspoint/components/attachment.py
+++ b/hibiscuspoint/components/attachment.py
@@ -14,6 +14,7 @@
 from hibiscuspoint.telemetry import catalogue, log_event
 from hibiscuspoint.util.messages import decoded
 from hibiscuspoint.util.tasks import run_until_first, spawn
+from hibiscuspoint.util.units import NANOSECONDS_PER_SECOND
 from hibiscuspoint.wire import peer_pb2, peer_pb2_grpc
 
 if TYPE_CHECKING:
@@ -96,6 +97,9 @@
         self._attempt_number = 0
         self._news = asyncio.Event()
         self._heard_at = 0.0
+        self._answered = asyncio.Event()
+        # When the last report was sent that an update answered.
+        self._answered_ns = 0
         self._task: asyncio.Task | None = None
 
     @handler("report_due", channel="*")
@@ -115,6 +119,18 @@
         if self._attempt is not None:
             self._attempt.cancel()
 
+    async def report(self, seconds: float) -> None:
+        """Send a report and wait for the update that answers it, for ``seconds`` at most."""
+        asked_at_ns = int(asyncio.get_running_loop().time() * NANOSECONDS_PER_SECOND)
+        self._news.set()
+        try:
+            async with asyncio.timeout(seconds):
+                while self._answered_ns < asked_at_ns:
+                    self._answered.clear()
+                    await self._answered.wait()
+        except TimeoutError:
+            logger.debug("the last report was not answered in time")
+
     def start(self) -> None:
         """Start to attach."""
         self._task = spawn(self._run(), "attachment")
@@ -216,6 +232,8 @@
                     leader=update.leader,
                     term=update.control_term,
                 )
+            self._answered_ns = update.echo_sent_at_ns
+            self._answered.set()
             self._on_update(update)
             self._runtime.dispatch(update_received(update))
 
--- a/hibiscuspoint/daemon/session_node.py
+++ b/hibiscuspoint/daemon/session_node.py
@@ -91,6 +91,10 @@
 #: Seconds that the gRPC server waits for calls when the process stops.
 STOP_GRACE_SECONDS = 0.2
 
+#: Longest time in seconds to wait until control has the leases back when the instance stops.
+#: Without them, a promotion would wait for what this process may have acknowledged.
+LEASE_RETURN_SECONDS = 0.3
+
 
 class SessionNode:
     """All components of one process, on one asyncio loop.
@@ -396,6 +400,7 @@
         self._callers.end_sessions()
         await self._wait_until_empty(started + grace - EXIT_MARGIN_SECONDS)
         self._access.release_all()
+        await self._attachment.report(LEASE_RETURN_SECONDS)
 
     async def _wait_until_empty(self, deadline: float) -> None:
         # The port of the callers has no event for its last session.
--- a/tests/components/test_attachment.py
+++ b/tests/components/test_attachment.py
@@ -233,3 +233,52 @@
         await entry.stop()
 
     asyncio.run(scenario())
+
+
+class _EchoingCall(_StuckCall):
+    """A call that answers each report."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._reports: asyncio.Queue[peer_pb2.EntryReport] = asyncio.Queue()
+
+    async def write(self, report: peer_pb2.EntryReport) -> None:
+        """Take a report."""
+        self._reports.put_nowait(report)
+
+    async def read(self) -> peer_pb2.ControlUpdate:
+        """Return an update that answers the next report."""
+        report = await self._reports.get()
+        return peer_pb2.ControlUpdate(
+            control_term=1, leader="127.0.0.1:1", echo_sent_at_ns=report.sent_at_ns
+        )
+
+    def cancel(self) -> None:
+        """End the stream."""
+
+
+def test_report_of_a_stop_is_answered_before_the_process_ends(monkeypatch):
+    """Guards against a lease that control does not get back from a process that stops."""
+
+    async def scenario():
+        monkeypatch.setattr(attachment, "REPORT_INTERVAL_SECONDS", PATIENCE_SECONDS)
+        monkeypatch.setattr(
+            attachment.peer_pb2_grpc,
+            "ControlStub",
+            lambda channel: type("Stub", (), {"Attach": lambda self: _EchoingCall()})(),
+        )
+        made: list[int] = []
+
+        def make_report() -> peer_pb2.EntryReport:
+            made.append(int(asyncio.get_running_loop().time() * 1e9))
+            return peer_pb2.EntryReport(sent_at_ns=made[-1])
+
+        entry = Attachment(_Runtime(), _Channels(), ["127.0.0.1:1"], make_report)
+        entry.start()
+        await asyncio.sleep(0.05)
+        released_at = int(asyncio.get_running_loop().time() * 1e9)
+        await entry.report(PATIENCE_SECONDS)
+        await entry.stop()
+        assert made[-1] >= released_at
+
+    asyncio.run(scenario())
