Leave the start out of member-sealed, which both kinds of groups log

Cause: added a field to the event for groups that register themselves; the other kind raised an error for each seal, so that its groups got no primary.

Change: the field is gone; primary-proven names the starts.

Measured: test_primary.py, three tests that failed before pass.

--- a/hibiscuspoint/components/failover_effects.py
+++ b/hibiscuspoint/components/failover_effects.py
@@ -114,7 +114,6 @@
             target=target,
             term=term,
             position=f"{status.received.term}:{status.received.index}",
-            incarnation=source.incarnation,
         )
         self._tell(
             group,
--- a/hibiscuspoint/telemetry/catalogue.py
+++ b/hibiscuspoint/telemetry/catalogue.py
@@ -196,7 +196,6 @@
     "target",
     "term",
     "position",
-    "incarnation",
 )
 PRIMARY_CHOSEN = define_event(
     313,
