Give the replies of paused replicas a module of their own

Change: PausedReplicas holds the positions, the replies and what is missing; no change of decisions.

--- a/hibiscuspoint/core/failover/group.py
+++ b/hibiscuspoint/core/failover/group.py
@@ -161,7 +161,7 @@
         read_at = polled_at if read_at is None else read_at
         self._contacts.record_status(target, status, polled_at, now, read_at)
         if self._round is not None and self._record.phase is GroupPhase.SEALING:
-            self._round.record_status(target, status, polled_at)
+            self._round.paused.record_status(target, status, polled_at)
         if target != self._record.primary:
             self._overload_detector.record_replica_status(target, status, now)
             return
@@ -306,7 +306,7 @@
         if now - max(current_round.since, self._wait_reported_at) < WAIT_REPORT_SECONDS:
             return []
         self._wait_reported_at = now
-        record, missing = self._record, current_round.missing_logs
+        record, missing = self._record, current_round.paused.missing_logs
         entries = tuple(sorted(self._unreported_entries()))
         return [PromotionWaiting(record.group, record.term, missing, entries)]
 
@@ -379,7 +379,7 @@
         replicas = record.targets.keys() - {record.primary}
         if self._round is None:
             self._round = self._new_round(now, keeps_former=True)
-        self._round.paused_positions.update({target: ZERO_POSITION for target in replicas})
+        self._round.paused.positions.update({target: ZERO_POSITION for target in replicas})
 
     def _may_replace(self, failure: PrimaryFailure, now: float) -> bool:
         """Tell whether a failed primary may be replaced in spite of the cooldown."""
--- a/hibiscuspoint/core/failover/promotion.py
+++ b/hibiscuspoint/core/failover/promotion.py
@@ -9,13 +9,12 @@
 from hibiscuspoint.core.control.effects import MemberAddress
 from hibiscuspoint.core.failover.effects import (
     ChoiceProof,
-    MissingLog,
     PauseReplica,
     RequestPromotion,
     ResumeReplica,
     StepDown,
-    WaitReason,
 )
+from hibiscuspoint.core.failover.pauses import PausedReplicas, trust_all_starts
 from hibiscuspoint.core.position import ZERO_POSITION
 
 if TYPE_CHECKING:
@@ -23,6 +22,7 @@
 
     from hibiscuspoint.core.control.effects import Effect
     from hibiscuspoint.core.control.state import GroupRecord, TargetRecord
+    from hibiscuspoint.core.failover.effects import MissingLog
     from hibiscuspoint.core.failover.status import StatusSource, TargetStatus
     from hibiscuspoint.core.position import LogPosition
     from hibiscuspoint.ids import EntryProcess, TargetId, Term
@@ -72,24 +72,6 @@
     possible_until: float = -math.inf
 
 
-@dataclass(frozen=True)
-class _PauseReply:
-    """Reply of a replica that was paused, with the values that reveal another start of it.
-
-    :param source: connection over which it came.
-    :param paused_term: term at which the replica reported to be paused.
-    :param answered_at: monotonic time in seconds at which the reply arrived.
-    """
-
-    source: StatusSource
-    paused_term: Term
-    answered_at: float
-
-
-def _trust_all(target: TargetId, connected_at: float) -> bool:
-    return True
-
-
 @dataclass
 class PromotionRound:
     """Soft state of the promotion in one term; a new control leader starts with an empty one.
@@ -98,61 +80,40 @@
     :param term: term that was opened for the promotion.
     :param since: monotonic time in seconds at which this leadership began to handle the term.
     :param keeps_former: whether the former primary is kept if it still acts as primary.
-    :param paused_positions: position of each replica that is paused.
+    :param is_registered_start: tells whether a connection that was open at a time certainly leads
+        to the registered incarnation of a target.
     :param former_position: last position of the former primary, under its own or a new id, where
         its reply to the order to step down proves that.
     :param refused_at: when the platform last refused the promotion.
     :param proof: what proves the last choice.
     :param awaited_logs: logs for which the choice has waited.
     :param awaited_entries: processes of entries for which it has waited.
-    :param is_registered_start: tells whether a connection that was open at a time certainly leads
-        to the registered incarnation of a target.
     """
 
     record: GroupRecord
     term: Term
     since: float
     keeps_former: bool
-    paused_positions: dict[TargetId, LogPosition] = field(default_factory=dict)
+    is_registered_start: Callable[[TargetId, float], bool] = trust_all_starts
     former_position: LogPosition | None = None
     refused_at: float = -math.inf
     proof: ChoiceProof | None = None
     awaited_logs: dict[MissingLog, None] = field(default_factory=dict)
     awaited_entries: dict[EntryProcess, None] = field(default_factory=dict)
-    is_registered_start: Callable[[TargetId, float], bool] = _trust_all
-    _pause_replies: dict[TargetId, _PauseReply] = field(default_factory=dict)
     _ordered_at: dict[tuple[type, TargetId], float] = field(default_factory=dict)
     _sufficient_since: float = math.inf
     _chosen_since: float = math.inf
 
-    @property
-    def missing_logs(self) -> tuple[MissingLog, ...]:
-        """Logs of replicas that may hold a commit which no known reply shows.
-
-        What a replica confirmed before it started again may be held by the former primary only. A
-        reply of a start that is not registered yet tells nothing about the registered one.
-        """
-        missing = []
-        for target, known in self.record.targets.items():
-            if target == self.record.former_primary:
-                continue
-            if target not in self.paused_positions:
-                missing.append(MissingLog(target, known.incarnation, WaitReason.NO_REPLY))
-            elif not self._is_proven(target):
-                missing.append(MissingLog(target, known.incarnation, WaitReason.UNPROVEN))
-        missing += [
-            MissingLog(target, incarnation, WaitReason.LOST)
-            for target, incarnation in self.record.lost_logs.items()
-            if target != self.record.former_primary
-        ]
-        return tuple(missing)
+    def __post_init__(self) -> None:
+        #: Replies of the replicas to the order to pause.
+        self.paused = PausedReplicas(self.record, self.is_registered_start)
 
     def record_wait(self, entries: set[EntryProcess]) -> None:
         """Record for what the choice waits at present.
 
         :param entries: processes that have not reported what they acknowledged.
         """
-        self.awaited_logs.update(dict.fromkeys(self.missing_logs))
+        self.awaited_logs.update(dict.fromkeys(self.paused.missing_logs))
         self.awaited_entries.update(dict.fromkeys(sorted(entries)))
 
     def record_pause(
@@ -162,30 +123,8 @@
 
         An order with a term that the replica already has, or a later one, is answered and ignored.
         """
-        known = self.record.targets.get(target)
-        if known is None or status.paused_term != self.term:
-            return
-        if source.incarnation != known.incarnation:
-            return
-        self.paused_positions[target] = status.received
-        self._pause_replies[target] = _PauseReply(source, status.paused_term, now)
-
-    def record_status(self, target: TargetId, status: TargetStatus, polled_at: float) -> None:
-        """Record the reply to a poll; a replica that is no longer paused must be paused again.
-
-        A restart ends the pause of a replica. The replica may then have confirmed commits that the
-        others lack, or may have lost its log.
-
-        :param polled_at: monotonic time in seconds at which the poll was sent.
-        """
-        pause = self._pause_replies.get(target)
-        if pause is None or polled_at <= pause.answered_at:
-            return
-        if (
-            status.paused_term != pause.paused_term
-            or status.received < self.paused_positions[target]
-        ):
-            self._discard_pause(target)
+        if status.paused_term == self.term:
+            self.paused.record_reply(target, status, source, now)
 
     def pause_replicas(self, status_of: dict[TargetId, TargetStatus], now: float) -> list[Effect]:
         """Return the orders that pause the replicas.
@@ -195,7 +134,7 @@
 
         :param status_of: replies to polls that were sent in this round.
         """
-        self._discard_restarted()
+        self.paused.discard_restarted()
         record = self.record
         newest_term = self._newest_term(status_of)
         effects: list[Effect] = []
@@ -211,7 +150,7 @@
                 is_deposed = status.term < newest_term
                 if is_deposed and self._may_send_order(StepDown, target.target, now):
                     effects.append(StepDown(record.group, member, self.term))
-            elif target.target not in self.paused_positions and self._may_send_order(
+            elif target.target not in self.paused.positions and self._may_send_order(
                 PauseReplica, target.target, now
             ):
                 effects.append(PauseReplica(record.group, member, self.term))
@@ -236,16 +175,16 @@
         :param status_of: replies to polls that were sent in this round.
         :param acknowledgements: what is known of the commits that entries acknowledged.
         """
-        self._discard_restarted()
+        self.paused.discard_restarted()
         record = self.record
         acting = self._acting_primary(status_of)
         if acting is not None:
             self.proof = ChoiceProof.ACTING
             return acting
         candidates = {
-            t: position for t, position in self.paused_positions.items() if t in record.targets
+            t: position for t, position in self.paused.positions.items() if t in record.targets
         }
-        has_every_reply = not self.missing_logs
+        has_every_reply = not self.paused.missing_logs
         # Records that only the former primary holds were never acknowledged. So it is left out once
         # every replica has replied, as it may be partitioned from them.
         former = status_of.get(record.former_primary)
@@ -278,8 +217,8 @@
         """Return the end of the log for which a target was chosen; ``None`` if it is a primary."""
         if self.proof is ChoiceProof.ACTING:
             return None
-        if chosen in self.paused_positions:
-            return self.paused_positions[chosen]
+        if chosen in self.paused.positions:
+            return self.paused.positions[chosen]
         status = status_of.get(chosen)
         return status.received if status is not None else None
 
@@ -343,7 +282,7 @@
                 continue
             # The order is repeated: a replica without a free slot may reject it, and the reply may
             # be lost.
-            is_paused = target.target in self.paused_positions or (status and status.paused_term)
+            is_paused = target.target in self.paused.positions or (status and status.paused_term)
             if is_paused and self._may_send_order(
                 ResumeReplica, target.target, now, RESUME_INTERVAL_SECONDS
             ):
@@ -352,8 +291,7 @@
 
     def record_resumption(self, target: TargetId) -> None:
         """Record that a replica has resumed receiving log records."""
-        if target in self.paused_positions:
-            self._discard_pause(target)
+        self.paused.discard(target)
 
     def new_former_end(self, status_of: dict[TargetId, TargetStatus]) -> LogPosition | None:
         """Return the end of the log of the former primary, if it is to be recorded.
@@ -400,30 +338,10 @@
 
         The leader that chose it has its reply; another one polls it first.
         """
-        if self.record.chosen_position is None or self.record.primary in self.paused_positions:
+        if self.record.chosen_position is None or self.record.primary in self.paused.positions:
             return True
         return status is not None and not self.has_lost_choice(status)
 
-    def _is_proven(self, target: TargetId) -> bool:
-        """Tell whether the registered start of a replica gave its reply.
-
-        A pause ends with the start that was paused. So the start that replied is the one that is
-        still paused at the term of this round, also if it is polled over another connection.
-        """
-        reply = self._pause_replies.get(target)
-        return reply is None or self.is_registered_start(target, reply.source.connected_at)
-
-    def _discard_restarted(self) -> None:
-        """Discard the pauses of replicas that have a new incarnation or were removed."""
-        for target, pause in list(self._pause_replies.items()):
-            known = self.record.targets.get(target)
-            if known is None or known.incarnation != pause.source.incarnation:
-                self._discard_pause(target)
-
-    def _discard_pause(self, target: TargetId) -> None:
-        del self.paused_positions[target]
-        self._pause_replies.pop(target, None)
-
     def has_settled(self, now: float) -> bool:
         """Tell whether no request for another target's promotion can take effect any more."""
         others = set(self.record.requested) - {self.record.primary}
--- a/tests/core/failover/test_former_start.py
+++ b/tests/core/failover/test_former_start.py
@@ -136,7 +136,7 @@
     simulation.announce(REPLICA_A, incarnation=2)
     simulation.run(CERTAIN)
     assert not simulation.record.requested
-    reasons = {log.target: log.reason for log in simulation.group._round.missing_logs}
+    reasons = {log.target: log.reason for log in simulation.group._round.paused.missing_logs}
     assert reasons[REPLICA_A] in (WaitReason.NO_REPLY, WaitReason.LOST)
 
 
--- a/tests/core/failover/test_promotion.py
+++ b/tests/core/failover/test_promotion.py
@@ -45,7 +45,7 @@
     record.targets = {name: target(name) for name in (PRIMARY, *group["replicas"])}
     current = PromotionRound(record, Term(2), 0.0, keeps_former)
     for name in group["answering"]:
-        current.paused_positions[name] = position(group["replicas"][name])
+        current.paused.positions[name] = position(group["replicas"][name])
     return current
 
 
