Record in the control log which processes may have route leases

Cause: a new leader does not know the leases of its predecessor.

Change: RecordEntry is committed before a process gets its first lease. A new leader expects leases of these processes only, and of none any more that has taken over all of its routes or has been replaced by a later process. The start of a term no longer waits for the others either.

--- a/hibiscuspoint/components/attachment.py
+++ b/hibiscuspoint/components/attachment.py
@@ -14,7 +14,6 @@
 from hibiscuspoint.telemetry import catalogue, log_event
 from hibiscuspoint.util.messages import decoded
 from hibiscuspoint.util.tasks import run_until_first, spawn
-from hibiscuspoint.util.units import NANOSECONDS_PER_SECOND
 from hibiscuspoint.wire import peer_pb2, peer_pb2_grpc
 
 if TYPE_CHECKING:
@@ -98,8 +97,8 @@
         self._news = asyncio.Event()
         self._heard_at = 0.0
         self._answered = asyncio.Event()
-        # When the last report was sent that an update answered.
-        self._answered_ns = 0
+        # When the last report was made, and the last one that an update answered.
+        self._sent_ns = self._answered_ns = 0
         self._task: asyncio.Task | None = None
 
     @handler("report_due", channel="*")
@@ -121,11 +120,11 @@
 
     async def report(self, seconds: float) -> None:
         """Send a report and wait for the update that answers it, for ``seconds`` at most."""
-        asked_at_ns = int(asyncio.get_running_loop().time() * NANOSECONDS_PER_SECOND)
+        last_ns = self._sent_ns
         self._news.set()
         try:
             async with asyncio.timeout(seconds):
-                while self._answered_ns < asked_at_ns:
+                while self._answered_ns <= last_ns:
                     self._answered.clear()
                     await self._answered.wait()
         except TimeoutError:
@@ -255,7 +254,9 @@
                 return
             self._news.clear()
             async with asyncio.timeout(limit):
-                await call.write(self._make_report())
+                report = self._make_report()
+                self._sent_ns = report.sent_at_ns
+                await call.write(report)
             sent_at = loop.time()
             try:
                 async with asyncio.timeout(REPORT_INTERVAL_SECONDS):
--- a/hibiscuspoint/components/failover_control.py
+++ b/hibiscuspoint/components/failover_control.py
@@ -117,6 +117,7 @@
             self._authority,
             self.run_decision,
             self._clock,
+            lambda instance: self._wake([instance]),
         )
 
     def _make_leader(self, term: int, now: float) -> FailoverLeader:
--- a/hibiscuspoint/components/failover_effects.py
+++ b/hibiscuspoint/components/failover_effects.py
@@ -16,6 +16,7 @@
     StepDown,
 )
 from hibiscuspoint.core.ports import PromotionOutcome
+from hibiscuspoint.ids import InstanceId
 from hibiscuspoint.telemetry import catalogue, log_event
 
 if TYPE_CHECKING:
@@ -43,7 +44,10 @@
 
 
 class FailoverEffects(LeaderEffects["FailoverLeader"]):
-    """Carries out the effects of one leadership."""
+    """Carries out the effects of one leadership.
+
+    :param on_entry_recorded: called when an entry may get its first lease.
+    """
 
     def __init__(
         self,
@@ -53,8 +57,10 @@
         authority: PromotionAuthority,
         decide: Decide,
         clock: Clock,
+        on_entry_recorded: Callable[[InstanceId], None],
     ) -> None:
         super().__init__(log, machine, decide, clock)
+        self._on_entry_recorded = on_entry_recorded
         self._poller = poller
         self._authority = authority
 
@@ -99,6 +105,8 @@
             case "remove_target":
                 body = command.remove_target
                 log_event(logger, catalogue.TARGET_REMOVED, group=body.group, target=body.target)
+            case "record_entry":
+                self._on_entry_recorded(InstanceId(command.record_entry.instance))
             case _:
                 super()._log_command(command)
 
--- a/hibiscuspoint/core/control/entries.py
+++ b/hibiscuspoint/core/control/entries.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from hibiscuspoint.wire import peer_pb2
 
-__all__ = ["EntryDirectory", "EntryInfo"]
+__all__ = ["ENTRY_REMOVAL_SECONDS", "EntryDirectory", "EntryInfo"]
 
 #: Seconds without a report after which an entry is no longer a holder.
 ENTRY_LIVE_SECONDS = 1.0
--- a/hibiscuspoint/core/control/leases.py
+++ b/hibiscuspoint/core/control/leases.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
@@ -53,14 +54,21 @@
         # Highest term of which a process accepts no further lease.
         self._void: dict[GroupId, dict[EntryProcess, Term]] = {}
         self._inherited: dict[GroupId, set[InstanceId]] = {}
+        # When the last inherited lease of a group was released.
+        self._inherited_released_at: dict[GroupId, float] = {}
 
     def expect_inherited(self, group: GroupId, instances: Iterable[InstanceId]) -> None:
         """Set the entries that may have an inherited lease of a group; all others have none."""
         self._inherited[group] = set(instances)
 
-    def release_inherited(self, group: GroupId, instance: InstanceId) -> None:
+    def release_inherited(
+        self, group: GroupId, instance: InstanceId, now: float = math.inf
+    ) -> None:
         """Record that an entry has no inherited lease of a group and can no longer obtain one."""
-        self._inherited.get(group, set()).discard(instance)
+        inherited = self._inherited.get(group, set())
+        if instance in inherited:
+            inherited.discard(instance)
+            self._inherited_released_at[group] = min(now, self._inherited_until)
 
     def grant(
         self,
@@ -136,6 +144,10 @@
         grants = self._grants.get(group, {}).values()
         return all(grant.term >= term or grant.expires_at < now for grant in grants)
 
+    def is_group_complete(self, group: GroupId, now: float) -> bool:
+        """Tell whether every valid lease of a group is recorded."""
+        return self._has_no_inherited_lease(group, now)
+
     def is_complete(self, now: float) -> bool:
         """Tell whether all inherited leases have expired, so that every valid lease is recorded."""
         return now >= self._inherited_until
@@ -167,11 +179,14 @@
     def unreleased_until(self, group: GroupId, term: Term) -> float:
         """Return when the last lease of a term lower than ``term`` ends that was not released.
 
-        Inherited leases are not known, so that none of them counts as released.
+        Inherited leases end when the last of their entries has none, or after their duration.
         """
         grants = self._grants.get(group, {}).values()
         ends = [grant.expires_at for grant in grants if grant.term < term]
-        return max([self._inherited_until, *ends])
+        inherited_until = self._inherited_until
+        if self._inherited.get(group) == set():
+            inherited_until = self._inherited_released_at.get(group, inherited_until)
+        return max([inherited_until, *ends])
 
     def possible_leaseholders(self, group: GroupId, now: float) -> set[InstanceId]:
         """Return the entries that may have a valid lease, an inherited one included."""
--- a/hibiscuspoint/core/control/state.py
+++ b/hibiscuspoint/core/control/state.py
@@ -170,6 +170,7 @@
         self._groups: dict[GroupId, GroupRecord] = {}
         self._documents: list[AcceptedDocument] = []
         self._drains: dict[TargetId, record_pb2.DrainTarget] = {}
+        self._entries: dict[InstanceId, Incarnation] = {}
         self._handlers = {
             "form_group": self._form_group,
             "open_term": self._open_term,
@@ -181,6 +182,7 @@
             "register_target": self._register_target,
             "remove_target": self._remove_target,
             "record_former_end": self._record_former_end,
+            "record_entry": self._record_entry,
         }
 
     @property
@@ -188,6 +190,11 @@
         """Groups by id."""
         return self._groups
 
+    @property
+    def entries(self) -> dict[InstanceId, Incarnation]:
+        """Processes of entries that may have leases of groups without a fixed member list."""
+        return self._entries
+
     @property
     def documents(self) -> list[AcceptedDocument]:
         """Accepted documents that are kept, oldest first."""
@@ -225,6 +232,8 @@
         for record in self._groups.values():
             snapshot.targets.extend(target.to_message() for target in record.targets.values())
         snapshot.drains.extend(self._drains.values())
+        for instance, incarnation in self._entries.items():
+            snapshot.entries.add(instance=instance, incarnation=incarnation)
         return snapshot.SerializeToString()
 
     def restore(self, data: bytes) -> None:
@@ -237,6 +246,10 @@
         self._groups = {record.group: record for record in groups}
         self._documents = [_document_from_message(message) for message in snapshot.documents]
         self._drains = {TargetId(message.target): message for message in snapshot.drains}
+        self._entries = {
+            InstanceId(message.instance): Incarnation(message.incarnation)
+            for message in snapshot.entries
+        }
         for message in snapshot.targets:
             target = TargetRecord.from_message(message)
             self._groups[target.group].targets[target.target] = target
@@ -315,6 +328,12 @@
         if record is not None and body.started_term == record.started_term:
             record.former_end = max(record.former_end or ZERO_POSITION, position_from(body.end))
 
+    def _record_entry(self, body: record_pb2.RecordEntry) -> None:
+        if body.incarnation:
+            self._entries[InstanceId(body.instance)] = Incarnation(body.incarnation)
+        else:
+            self._entries.pop(InstanceId(body.instance), None)
+
     def _drain_target(self, body: record_pb2.DrainTarget) -> None:
         target = TargetId(body.target)
         self._drains.pop(target, None)
--- a/hibiscuspoint/core/failover/group.py
+++ b/hibiscuspoint/core/failover/group.py
@@ -172,7 +172,7 @@
             self._failure_detector.record_poll_reply(status.is_primary, now)
         if status.is_primary:
             self._raise_required_position(status.received)
-            if self._ledger.is_complete(read_at):
+            if self._ledger.is_group_complete(self._record.group, read_at):
                 self._covered_until = max(self._covered_until, read_at)
                 self._ledger.forget_ended(self._record.group, self._covered_until)
 
@@ -404,7 +404,8 @@
         effects: list[Effect] = []
         if self._switchover is None:
             is_overloaded = not primary.leaving and self._overload_detector.is_due(successors, now)
-            if not self._ledger.is_complete(now) or not (primary.leaving or is_overloaded):
+            is_complete = self._ledger.is_group_complete(self._record.group, now)
+            if not is_complete or not (primary.leaving or is_overloaded):
                 return []
             self._switchover = Switchover(record.primary, None, now, self._replace_by(now))
             if is_overloaded:
--- a/hibiscuspoint/core/failover/leader.py
+++ b/hibiscuspoint/core/failover/leader.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.core.control.detector import STALL_SECONDS
-from hibiscuspoint.core.control.entries import EntryDirectory, EntryInfo
+from hibiscuspoint.core.control.effects import Propose
+from hibiscuspoint.core.control.entries import (
+    ENTRY_REMOVAL_SECONDS,
+    EntryDirectory,
+    EntryInfo,
+)
 from hibiscuspoint.core.control.leases import LeaseLedger
 from hibiscuspoint.core.control.state import TargetRecord
 from hibiscuspoint.core.control.updates import add_document_identity
@@ -35,6 +41,9 @@
 #: takes an entry 0.5 s.
 LEASE_SECONDS = 2.0
 
+#: Time after which the record of an entry that was not applied is proposed again.
+ENTRY_PROPOSAL_SECONDS = 1.0
+
 #: Time after which a new leader publishes the list of serving entries at the latest. All entries
 #: attach to a new leader within a second, and a list that grows meanwhile would move connections
 #: back and forth between instances.
@@ -72,6 +81,10 @@
         self._known_groups: frozenset[GroupId] | None = None
         self._leader_since = now
         self._last_tick = now
+        # Processes that may have leases of an earlier leader.
+        self._inheriting = dict(state.entries)
+        # When the record of each entry was proposed last.
+        self._recorded_at: dict[InstanceId, float] = {}
         self._serving: list[peer_pb2.ServingEntry] = []
         self._serving_version = 0
         self._listed_places: list[EntryPlace] = []
@@ -236,7 +249,8 @@
             failover = self._failover_of(TargetId(observation.target))
             if failover is not None:
                 failover.record_observation(info.instance, observation, now)
-        effects: list[Effect] = []
+        self._record_inheritance(info, message, now)
+        effects = [] if self._is_recorded(info) else self._propose_new(info, now)
         for group in released_groups & self._groups.keys():
             effects += self._groups[group].tick(now)
         return effects
@@ -284,16 +298,42 @@
         self._update_serving_list(now)
         if self._quotas is not None:
             self._quotas.tick(now)
-        for record in self._records():
-            if record.group not in self._groups:
-                self._groups[record.group] = GroupFailover(
-                    record, self._ledger, self._control_term, now
-                )
-        effects: list[Effect] = []
+        self._add_groups(now)
+        effects = self._forget_entries(now)
         for failover in self._groups.values():
             effects += failover.tick(now)
         return effects
 
+    def _add_groups(self, now: float) -> None:
+        """Begin the failover of groups that are registered and in use."""
+        for record in self._records():
+            if record.group in self._groups:
+                continue
+            if self._inheriting:
+                self._ledger.expect_inherited(record.group, self._inheriting)
+            self._groups[record.group] = GroupFailover(
+                record, self._ledger, self._control_term, now
+            )
+
+    def _forget_entries(self, now: float) -> list[Effect]:
+        """Remove the records of entries that have not reported for long."""
+        if now - self._leader_since < ENTRY_REMOVAL_SECONDS:
+            return []
+        silent = [i for i in self._state.entries if self._entries.get(i) is None]
+        return [effect for i in silent for effect in self._propose_entry(i, Incarnation(0), now)]
+
+    def _propose_entry(
+        self, instance: InstanceId, incarnation: Incarnation, now: float
+    ) -> list[Effect]:
+        if now - self._recorded_at.get(instance, -math.inf) < ENTRY_PROPOSAL_SECONDS:
+            return []
+        self._recorded_at[instance] = now
+        body = record_pb2.RecordEntry(instance=instance, incarnation=incarnation)
+        return [Propose(record_pb2.Command(record_entry=body))]
+
+    def _is_recorded(self, info: EntryInfo) -> bool:
+        return self._state.entries.get(info.instance) == info.incarnation
+
     def _update_serving_list(self, now: float) -> None:
         """Update the list of serving entries, once all of them could attach to a new leader."""
         places = [
@@ -341,6 +381,7 @@
             serving_entries=len(self._serving),
             serving_version=self._serving_version,
         )
+        self._add_groups(now)
         entry = self._entries.get(instance)
         if entry.serving_version != self._serving_version:
             update.serving.extend(self._serving)
@@ -348,7 +389,16 @@
         if delivered.control_members != self.control_members:
             delivered.control_members = list(self.control_members)
             update.control_members.extend(self.control_members)
-        add_routes(update, self._groups, entry, self._ledger, delivered, LEASE_SECONDS, now)
+        add_routes(
+            update,
+            self._groups,
+            entry,
+            self._ledger,
+            delivered,
+            LEASE_SECONDS,
+            now,
+            is_recorded=self._is_recorded(entry),
+        )
         if self._quotas is not None:
             self._quotas.fill_update(instance, update, now)
         return update
@@ -365,6 +415,25 @@
             self._ledger.record_start(info.process, info.seen_at)
         return True
 
+    def _propose_new(self, info: EntryInfo, now: float) -> list[Effect]:
+        return self._propose_entry(info.instance, info.incarnation, now)
+
+    def _record_inheritance(
+        self, info: EntryInfo, message: peer_pb2.EntryReport, now: float
+    ) -> None:
+        """Record that an entry has no lease of an earlier leader any more.
+
+        That is so once it has taken all routes of this leader over: it accepts no update of an
+        earlier one, and each group was revoked or granted anew. A later process has none either.
+        """
+        has_all_routes = message.control_term == self._control_term and not message.routes_missed
+        former = self._inheriting.get(info.instance)
+        if former is None or not (has_all_routes or info.incarnation > former):
+            return
+        del self._inheriting[info.instance]
+        for group in self._groups:
+            self._ledger.release_inherited(group, info.instance, now)
+
     def _departure_command(
         self, registered: TargetRecord | None, message: peer_pb2.Announcement
     ) -> record_pb2.Command | None:
--- a/hibiscuspoint/core/failover/updates.py
+++ b/hibiscuspoint/core/failover/updates.py
@@ -81,12 +81,16 @@
     delivered: DeliveredRoutes,
     lease_seconds: float,
     now: float,
+    *,
+    is_recorded: bool = True,
 ) -> None:
     """Add the routes that changed, renew the leases of the others and record all leases.
 
     :param entry: last report of the entry, which the update answers.
     :param delivered: what was sent on the stream of the entry before; updated.
     :param now: monotonic time in seconds.
+    :param is_recorded: whether later leaders know that the entry may have leases; it gets none
+        before.
     """
     lease_ms = int(lease_seconds * MILLISECONDS_PER_SECOND)
     update.all_routes = not delivered.is_started
@@ -98,6 +102,8 @@
             add_revocation(update, failover.record)
             delivered.contents.pop(group, None)
             continue
+        if not is_recorded:
+            content = content._replace(has_lease=False)
         if content.has_lease:
             ledger.grant(group, entry.process, content.term, now, entry.sent_at_ns)
         if delivered.contents.get(group) != content:
--- a/tests/builders_leader.py
+++ b/tests/builders_leader.py
@@ -81,6 +81,7 @@
         until: float = math.inf,
         acknowledged: int = 0,
         sent_ago: float = 0.0,
+        control_term: int = 2,
     ) -> peer_pb2.ControlUpdate:
         """Deliver a report of an entry and return the update that answers it.
 
@@ -88,6 +89,7 @@
         :param until: when the entry released it; infinity if it accepts no later lease of the term.
         :param acknowledged: index of the last commit that it acknowledged; 0 for none.
         :param sent_ago: seconds that the report was on its way.
+        :param control_term: control term of the leader whose update it took last.
         """
         sent_at_ns = int((self.now - sent_ago) * NANOSECONDS_PER_SECOND)
         message = peer_pb2.EntryReport(
@@ -95,6 +97,7 @@
             incarnation=incarnation,
             availability_zone="zone-a",
             sent_at_ns=sent_at_ns,
+            control_term=control_term,
         )
         if released:
             until_ns = release_time_ns(until)
--- a/tests/core/failover/test_former_start.py
+++ b/tests/core/failover/test_former_start.py
@@ -4,11 +4,13 @@
 
 import pytest
 
-from hibiscuspoint.core.control.state import GroupPhase
+from hibiscuspoint.core.control.delivery import DeliveredRoutes
+from hibiscuspoint.core.control.state import ControlState, GroupPhase
 from hibiscuspoint.core.failover import WaitReason
 from hibiscuspoint.core.failover.leader import LEASE_SECONDS
 from hibiscuspoint.core.failover.promotion import REGISTRATION_SECONDS
-from hibiscuspoint.ids import Term
+from hibiscuspoint.ids import Incarnation, InstanceId, Term
+from hibiscuspoint.wire import peer_pb2
 from tests.builders_failover import (
     PRIMARY,
     REPLICA_A,
@@ -168,6 +170,40 @@
     assert simulation.record.requested
 
 
+@pytest.mark.parametrize(
+    ("incarnation", "control_term", "is_waiting"), [(1, 2, False), (1, 1, True), (2, 1, False)]
+)
+def test_choice_does_not_wait_for_entries_without_an_inherited_lease(
+    incarnation, control_term, is_waiting
+):
+    """Guards against a promotion that waits for leases of a former leader which nobody has."""
+    simulation = _new_leader()
+    simulation.state.entries["10.0.0.1:7440"] = Incarnation(1)
+    simulation.lead()
+    for name in (REPLICA_A, REPLICA_B):
+        simulation.pause(name, 24)
+    simulation.report(incarnation, control_term=control_term)
+    simulation.run(REGISTRATION_SECONDS + GRACE)
+    assert bool(simulation.record.requested) is not is_waiting
+
+
+def test_lease_is_granted_only_to_a_recorded_process():
+    """Guards against a lease that a later leader does not know of."""
+    simulation = LeaderSimulation()
+    simulation.run(LATER)
+    report = peer_pb2.EntryReport(instance="10.0.0.1:7440", incarnation=1, sent_at_ns=1)
+    (proposal,) = simulation.leader.handle_report(report, simulation.now)
+    for is_recorded in (False, True):
+        update = simulation.leader.build_update(
+            InstanceId("10.0.0.1:7440"), simulation.now, DeliveredRoutes()
+        )
+        assert [bool(route.lease_ms) for route in update.routes] == [is_recorded]
+        simulation.state.apply(1, proposal.command)
+    restored = ControlState()
+    restored.restore(simulation.state.snapshot())
+    assert restored.entries == {"10.0.0.1:7440": 1}
+
+
 def test_status_over_a_connection_to_a_former_incarnation_is_ignored():
     """Guards against the position of a start that has ended, taken for that of the present one."""
     simulation = LeaderSimulation()
