End the leases of the leader's own entry with its leadership

Cause: an instance that leads and is cut off or lost takes its own entry with it. The next leader then waited 2 s for the leases of that entry, the only one that does not report.

Change: a leader grants its own entry leases that end with its leadership lease, and removes the record of it once it has taken over all routes. No other instance leads before that end.

--- a/hibiscuspoint/components/consensus.py
+++ b/hibiscuspoint/components/consensus.py
@@ -146,6 +146,10 @@
         """
         return self.is_leader and self._node.is_leader(self._clock() + seconds)
 
+    def lease_left(self) -> float:
+        """Return the seconds for which no other instance leads; 0 unless this one does."""
+        return self._node.lease_left(self._clock()) if self.is_leader else 0.0
+
     @property
     def control_term(self) -> int:
         """Current term of this member; 0 while the log is not running."""
--- a/hibiscuspoint/components/failover_control.py
+++ b/hibiscuspoint/components/failover_control.py
@@ -122,7 +122,9 @@
 
     def _make_leader(self, term: int, now: float) -> FailoverLeader:
         self._is_document_inherited = True
-        return FailoverLeader(self._instance, term, self._machine.state, now)
+        return FailoverLeader(
+            self._instance, term, self._machine.state, now, lease_left=self._log.lease_left
+        )
 
     def _take_document(self) -> None:
         """Pass the groups in use and the limits of organisations to the leader object."""
--- a/hibiscuspoint/core/consensus/node.py
+++ b/hibiscuspoint/core/consensus/node.py
@@ -137,6 +137,10 @@
             return False
         return self._replication.has_lease(now) and self._replication.has_committed_in_own_term
 
+    def lease_left(self, now: float) -> float:
+        """Return the seconds for which no other member leads; 0 unless this member does."""
+        return max(0.0, self._replication.lease_left(now)) if self.is_leader(now) else 0.0
+
     def disk_of(self, instance: InstanceId) -> DiskId | None:
         """Return the disk in the latest message of an instance, or ``None`` before the first."""
         return self._state.disk_by_instance.get(instance)
--- a/hibiscuspoint/core/consensus/replication.py
+++ b/hibiscuspoint/core/consensus/replication.py
@@ -80,7 +80,11 @@
 
     def has_lease(self, now: float) -> bool:
         """Return whether the lease is valid at a monotonic time, so no other leader can exist."""
-        return now - self._quorum_contact_at(now) < self._state.timing.lease_seconds
+        return self.lease_left(now) > 0
+
+    def lease_left(self, now: float) -> float:
+        """Return the seconds until the lease ends, unless a quorum renews it."""
+        return self._state.timing.lease_seconds - (now - self._quorum_contact_at(now))
 
     def has_lost_quorum(self) -> bool:
         """Return whether no quorum has answered for the quorum timeout."""
--- a/hibiscuspoint/core/failover/leader.py
+++ b/hibiscuspoint/core/failover/leader.py
@@ -62,12 +62,20 @@
         token of every promotion.
     :param state: replicated state.
     :param now: monotonic time in seconds at which the leadership began.
+    :param lease_left: returns the seconds for which no other instance leads.
     """
 
     def __init__(
-        self, instance: InstanceId, control_term: int, state: ControlState, now: float
+        self,
+        instance: InstanceId,
+        control_term: int,
+        state: ControlState,
+        now: float,
+        *,
+        lease_left: Callable[[], float] = lambda: math.inf,
     ) -> None:
         self._instance = instance
+        self._lease_left = lease_left
         self._control_term = control_term
         self._state = state
         self._entries = EntryDirectory()
@@ -249,8 +257,9 @@
             failover = self._failover_of(TargetId(observation.target))
             if failover is not None:
                 failover.record_observation(info.instance, observation, now)
-        self._record_inheritance(info, message, now)
-        effects = [] if self._is_recorded(info) else self._propose_new(info, now)
+        has_all_routes = message.control_term == self._control_term and not message.routes_missed
+        self._record_inheritance(info, now, has_all_routes=has_all_routes)
+        effects = self._record_process(info, now, has_all_routes=has_all_routes)
         for group in released_groups & self._groups.keys():
             effects += self._groups[group].tick(now)
         return effects
@@ -332,6 +341,12 @@
         return [Propose(record_pb2.Command(record_entry=body))]
 
     def _is_recorded(self, info: EntryInfo) -> bool:
+        """Tell whether a later leader knows how long an entry may have leases.
+
+        Those of the leader's own entry end with the leadership.
+        """
+        if info.instance == self._instance:
+            return True
         return self._state.entries.get(info.instance) == info.incarnation
 
     def _update_serving_list(self, now: float) -> None:
@@ -395,7 +410,7 @@
             entry,
             self._ledger,
             delivered,
-            LEASE_SECONDS,
+            self._lease_seconds(instance),
             now,
             is_recorded=self._is_recorded(entry),
         )
@@ -415,18 +430,36 @@
             self._ledger.record_start(info.process, info.seen_at)
         return True
 
-    def _propose_new(self, info: EntryInfo, now: float) -> list[Effect]:
-        return self._propose_entry(info.instance, info.incarnation, now)
+    def _lease_seconds(self, instance: InstanceId) -> float:
+        """Return the duration of the leases for an entry.
 
-    def _record_inheritance(
-        self, info: EntryInfo, message: peer_pb2.EntryReport, now: float
-    ) -> None:
+        Those of the leader's own entry end with the leadership, so that the next leader does not
+        have to wait for an instance which is lost or cut off as a whole.
+        """
+        is_own = instance == self._instance
+        return min(LEASE_SECONDS, self._lease_left()) if is_own else LEASE_SECONDS
+
+    def _record_process(self, info: EntryInfo, now: float, *, has_all_routes: bool) -> list[Effect]:
+        """Have a process recorded that may get leases.
+
+        The record of the leader's own instance is removed once its leases are all of this leader.
+        """
+        if not self._is_recorded(info):
+            return self._propose_entry(info.instance, info.incarnation, now)
+        if (
+            info.instance == self._instance
+            and has_all_routes
+            and info.instance in self._state.entries
+        ):
+            return self._propose_entry(info.instance, Incarnation(0), now)
+        return []
+
+    def _record_inheritance(self, info: EntryInfo, now: float, *, has_all_routes: bool) -> None:
         """Record that an entry has no lease of an earlier leader any more.
 
         That is so once it has taken all routes of this leader over: it accepts no update of an
         earlier one, and each group was revoked or granted anew. A later process has none either.
         """
-        has_all_routes = message.control_term == self._control_term and not message.routes_missed
         former = self._inheriting.get(info.instance)
         if former is None or not (has_all_routes or info.incarnation > former):
             return
--- a/tests/builders_leader.py
+++ b/tests/builders_leader.py
@@ -44,6 +44,9 @@
         #: Index that polls of the primary return; ``None`` while it does not answer.
         self.polled: int | None = 20
         self.sequence = 0
+        self.leader_instance = InstanceId("10.0.0.9:7440")
+        #: Seconds for which no other instance leads.
+        self.lease_left = math.inf
         self.lead()
 
     @property
@@ -58,7 +61,9 @@
 
     def lead(self) -> None:
         """Begin a leadership, which knows only the replicated state."""
-        self.leader = FailoverLeader(InstanceId("10.0.0.9:7440"), 2, self.state, self.now)
+        self.leader = FailoverLeader(
+            self.leader_instance, 2, self.state, self.now, lease_left=lambda: self.lease_left
+        )
         self.run(0.0)
 
     def run(self, seconds: float) -> None:
--- a/tests/core/failover/test_former_start.py
+++ b/tests/core/failover/test_former_start.py
@@ -204,6 +204,21 @@
     assert restored.entries == {"10.0.0.1:7440": 1}
 
 
+def test_next_leader_does_not_wait_for_the_entry_of_the_former_one():
+    """Guards against a promotion that waits for an instance which is lost as a whole."""
+    simulation = LeaderSimulation()
+    own = simulation.leader_instance = InstanceId("10.0.0.1:7440")
+    simulation.state.entries[own] = Incarnation(1)
+    simulation.lease_left = 0.4
+    simulation.lead()
+    simulation.report(1, control_term=1)
+    assert own in simulation.state.entries
+    update = simulation.report(1, control_term=2, sent_ago=-0.01)
+    assert own not in simulation.state.entries
+    assert [route.lease_ms for route in update.routes] == [400]
+    assert update.renewed_lease_ms == 400
+
+
 def test_status_over_a_connection_to_a_former_incarnation_is_ignored():
     """Guards against the position of a start that has ended, taken for that of the present one."""
     simulation = LeaderSimulation()
