Do not add the time of registration to the leases of an earlier leader

Cause: a choice waited 0.5 s beyond inherited leases, which a split into halves leaves unreleased, for a replica that confirms commits and is not registered yet. It had time to register with the new leader while those leases ran.

--- a/hibiscuspoint/core/control/leases.py
+++ b/hibiscuspoint/core/control/leases.py
@@ -179,14 +179,15 @@
     def unreleased_until(self, group: GroupId, term: Term) -> float:
         """Return when the last lease of a term lower than ``term`` ends that was not released.
 
-        Inherited leases end when the last of their entries has none, or after their duration.
+        Inherited leases count until the last of their entries has released them.
         """
         grants = self._grants.get(group, {}).values()
         ends = [grant.expires_at for grant in grants if grant.term < term]
-        inherited_until = self._inherited_until
-        if self._inherited.get(group) == set():
-            inherited_until = self._inherited_released_at.get(group, inherited_until)
-        return max([inherited_until, *ends])
+        return max([self._inherited_released_at.get(group, -math.inf), *ends])
+
+    def inherited_until(self, group: GroupId) -> float:
+        """Return when the inherited leases that are not released end."""
+        return -math.inf if self._inherited.get(group) == set() else self._inherited_until
 
     def possible_leaseholders(self, group: GroupId, now: float) -> set[InstanceId]:
         """Return the entries that may have a valid lease, an inherited one included."""
--- a/hibiscuspoint/core/failover/group.py
+++ b/hibiscuspoint/core/failover/group.py
@@ -508,6 +508,7 @@
             self._known_required_position(),
             self._acknowledged_position,
             self._ledger.unreleased_until(record.group, record.term),
+            self._ledger.inherited_until(record.group),
         )
 
     def _propose_term(self, now: float) -> list[Effect]:
--- a/hibiscuspoint/core/failover/promotion.py
+++ b/hibiscuspoint/core/failover/promotion.py
@@ -65,11 +65,14 @@
     :param seen: highest position that an entry reported.
     :param possible_until: monotonic time in seconds at which the last lease ends that an entry has
         not released; minus infinity if there is none.
+    :param inherited_until: the same for leases of an earlier leader. A replica that confirmed
+        commits had time to register with this one until then.
     """
 
     limit: LogPosition | None = None
     seen: LogPosition = ZERO_POSITION
     possible_until: float = -math.inf
+    inherited_until: float = -math.inf
 
 
 @dataclass
@@ -368,7 +371,10 @@
             return ChoiceProof.REPORTED
         if former_end is not None and position >= former_end:
             return ChoiceProof.FORMER_END
-        is_complete = now >= acknowledgements.possible_until + REGISTRATION_SECONDS
+        is_complete = (
+            now >= acknowledgements.possible_until + REGISTRATION_SECONDS
+            and now >= acknowledgements.inherited_until
+        )
         return ChoiceProof.ALL_REPLICAS if has_every_reply and is_complete else None
 
     def _acting_primary(self, status_of: dict[TargetId, TargetStatus]) -> TargetId | None:
