Choose at once when every replica has replied, proven or not

Change: the grace time is for replicas that have not replied.

Measured: test_switchover_does_not_wait_for_the_proof_of_a_start fails before.

--- a/hibiscuspoint/core/failover/promotion.py
+++ b/hibiscuspoint/core/failover/promotion.py
@@ -13,6 +13,7 @@
     RequestPromotion,
     ResumeReplica,
     StepDown,
+    WaitReason,
 )
 from hibiscuspoint.core.failover.pauses import PausedReplicas, trust_all_starts
 from hibiscuspoint.core.position import ZERO_POSITION
@@ -187,7 +188,8 @@
         candidates = {
             t: position for t, position in self.paused.positions.items() if t in record.targets
         }
-        has_every_reply = not self.paused.missing_logs
+        missing = self.paused.missing_logs
+        has_every_reply = not missing
         # Records that only the former primary holds were never acknowledged. So it is left out once
         # every replica has replied, as it may be partitioned from them.
         former = status_of.get(record.former_primary)
@@ -210,7 +212,8 @@
             self._sufficient_since = math.inf
             return None
         self._sufficient_since = min(self._sufficient_since, now)
-        if not has_every_reply and now - self._sufficient_since < CHOICE_GRACE_SECONDS:
+        may_reply = any(log.reason is WaitReason.NO_REPLY for log in missing)
+        if may_reply and now - self._sufficient_since < CHOICE_GRACE_SECONDS:
             return None
         return best
 
--- a/tests/core/failover/test_former_start.py
+++ b/tests/core/failover/test_former_start.py
@@ -204,6 +204,20 @@
     assert restored.entries == {"10.0.0.1:7440": 1}
 
 
+def test_switchover_does_not_wait_for_the_proof_of_a_start():
+    """Guards against a group without a primary while an idle replica has no proven connection.
+
+    Found by test_leaving_primary_hands_over: the old primary stepped down before the choice.
+    """
+    simulation = _restarted_entry(0)
+    simulation.lose_primary()
+    simulation.report(1, released=1)
+    for name in (REPLICA_A, REPLICA_B):
+        simulation.pause(name, 25, connected_at=simulation.now)
+    simulation.run(0.0)
+    assert simulation.record.primary is not None
+
+
 def test_next_leader_does_not_wait_for_the_entry_of_the_former_one():
     """Guards against a promotion that waits for an instance which is lost as a whole."""
     simulation = LeaderSimulation()
