Count a poll as complete only from the end of the inherited leases on

Cause: since the position of the primary counts for all acknowledged commits once no entry has an inherited lease any more, also a position that was read before. A process that was killed before it reported to the new leader may have acknowledged a commit in between.

Change: the time at which the position was read must lie behind the end of the last inherited lease.

--- a/hibiscuspoint/core/control/leader.py
+++ b/hibiscuspoint/core/control/leader.py
@@ -13,7 +13,7 @@
 from hibiscuspoint.core.control.route_state import RouteState
 from hibiscuspoint.core.control.targets import TargetDirectory, TargetInfo
 from hibiscuspoint.core.control.updates import UpdateBuilder
-from hibiscuspoint.ids import EntryProcess, GroupId, InstanceId, TargetId, Term
+from hibiscuspoint.ids import GroupId, InstanceId, TargetId, Term
 from hibiscuspoint.wire import record_pb2
 
 if TYPE_CHECKING:
@@ -114,7 +114,7 @@
         if not self._record_entry(info):
             return []
         for released in message.released:
-            self._record_release(info.process, released, message.control_term)
+            self._record_release(info, released, message.control_term)
         for share in message.shares:
             self._record_share_use(info.instance, share)
         for observation in message.observations:
@@ -282,14 +282,14 @@
         return True
 
     def _record_release(
-        self, process: EntryProcess, released: peer_pb2.RouteRelease, control_term: int
+        self, info: EntryInfo, released: peer_pb2.RouteRelease, control_term: int
     ) -> None:
         group = GroupId(released.group)
-        self._ledger.release(group, process, Term(released.term), released.until_ns)
+        self._ledger.release(group, info.process, Term(released.term), released.until_ns)
         # An entry that has accepted no update of this leader may still accept one of the previous
         # leader, which can grant the lease again.
         if control_term == self._control_term:
-            self._ledger.release_inherited(group, process.instance)
+            self._ledger.release_inherited(group, info.instance, info.seen_at)
 
     def _record_share_use(self, instance: InstanceId, share: peer_pb2.ShareUse) -> None:
         allocator = self._allocator_of(TargetId(share.target))
--- a/hibiscuspoint/core/control/leases.py
+++ b/hibiscuspoint/core/control/leases.py
@@ -61,9 +61,7 @@
         """Set the entries that may have an inherited lease of a group; all others have none."""
         self._inherited[group] = set(instances)
 
-    def release_inherited(
-        self, group: GroupId, instance: InstanceId, now: float = math.inf
-    ) -> None:
+    def release_inherited(self, group: GroupId, instance: InstanceId, now: float) -> None:
         """Record that an entry has no inherited lease of a group and can no longer obtain one."""
         inherited = self._inherited.get(group, set())
         if instance in inherited:
@@ -144,9 +142,9 @@
         grants = self._grants.get(group, {}).values()
         return all(grant.term >= term or grant.expires_at < now for grant in grants)
 
-    def is_group_complete(self, group: GroupId, now: float) -> bool:
-        """Tell whether every valid lease of a group is recorded."""
-        return self._has_no_inherited_lease(group, now)
+    def is_group_complete(self, group: GroupId, at: float) -> bool:
+        """Tell whether every lease of a group that was valid at a time or later is recorded."""
+        return self._has_no_inherited_lease(group, at)
 
     def is_complete(self, now: float) -> bool:
         """Tell whether all inherited leases have expired, so that every valid lease is recorded."""
@@ -194,5 +192,8 @@
         held = self.leasing_instances(group, now)
         return held if self.is_complete(now) else held | self._inherited.get(group, set())
 
-    def _has_no_inherited_lease(self, group: GroupId, now: float) -> bool:
-        return self.is_complete(now) or self._inherited.get(group) == set()
+    def _has_no_inherited_lease(self, group: GroupId, at: float) -> bool:
+        """Tell whether no entry had an inherited lease of a group at a time or later."""
+        is_released = self._inherited.get(group) == set()
+        released_at = self._inherited_released_at.get(group, -math.inf)
+        return self.is_complete(at) or (is_released and at >= released_at)
--- a/tests/core/failover/test_former_start.py
+++ b/tests/core/failover/test_former_start.py
@@ -17,6 +17,7 @@
     REPLICA_B,
     known_source,
     position,
+    primary_status,
     replica_status,
 )
 from tests.builders_leader import LeaderSimulation
@@ -187,6 +188,25 @@
     assert bool(simulation.record.requested) is not is_waiting
 
 
+def test_poll_before_the_end_of_an_inherited_lease_covers_nothing():
+    """Guards against a promotion without what a process acknowledged before the next one reported.
+
+    It had its lease from the former leader, and was killed before it reported to the new one.
+    """
+    simulation = LeaderSimulation()
+    simulation.state.entries["10.0.0.1:7440"] = Incarnation(1)
+    simulation.polled = None
+    simulation.lead()
+    polled_at = simulation.now
+    simulation.run(0.1)
+    simulation.report(2)
+    status, source = primary_status(24), known_source()
+    simulation.leader.handle_status(PRIMARY, status, source, polled_at, simulation.now)
+    assert simulation.group._known_required_position() is None
+    simulation.poll_primary(25)
+    assert simulation.group._known_required_position() == position(25)
+
+
 def test_lease_is_granted_only_to_a_recorded_process():
     """Guards against a lease that a later leader does not know of."""
     simulation = LeaderSimulation()
