Grant no lease while the record of an entry is being removed

Cause: found by reading the diff. An entry that returns after a minute, while the removal of its record is proposed and not applied yet, got a lease that the next leader would not know of. And the leader's own entry, whose route was sent when the leadership lease had less than 1 ms left, was only renewed from then on, and stayed without a lease until its routes changed.

Change: an entry whose record is being removed is recorded again only after that; a route without time counts as sent without a lease.

--- a/hibiscuspoint/core/failover/leader.py
+++ b/hibiscuspoint/core/failover/leader.py
@@ -91,8 +91,10 @@
         self._last_tick = now
         # Processes that may have leases of an earlier leader.
         self._inheriting = dict(state.entries)
-        # When the record of each entry was proposed last.
-        self._recorded_at: dict[InstanceId, float] = {}
+        # Incarnation that was proposed last for the record of each entry, and when.
+        self._proposed_entries: dict[InstanceId, tuple[Incarnation, float]] = {}
+        # Entries whose record is being removed.
+        self._removing: set[InstanceId] = set()
         self._serving: list[peer_pb2.ServingEntry] = []
         self._serving_version = 0
         self._listed_places: list[EntryPlace] = []
@@ -329,14 +331,16 @@
         if now - self._leader_since < ENTRY_REMOVAL_SECONDS:
             return []
         silent = [i for i in self._state.entries if self._entries.get(i) is None]
+        self._removing.update(silent)
         return [effect for i in silent for effect in self._propose_entry(i, Incarnation(0), now)]
 
     def _propose_entry(
         self, instance: InstanceId, incarnation: Incarnation, now: float
     ) -> list[Effect]:
-        if now - self._recorded_at.get(instance, -math.inf) < ENTRY_PROPOSAL_SECONDS:
+        last, proposed_at = self._proposed_entries.get(instance, (None, -math.inf))
+        if last == incarnation and now - proposed_at < ENTRY_PROPOSAL_SECONDS:
             return []
-        self._recorded_at[instance] = now
+        self._proposed_entries[instance] = incarnation, now
         body = record_pb2.RecordEntry(instance=instance, incarnation=incarnation)
         return [Propose(record_pb2.Command(record_entry=body))]
 
@@ -347,7 +351,8 @@
         """
         if info.instance == self._instance:
             return True
-        return self._state.entries.get(info.instance) == info.incarnation
+        is_removing = info.instance in self._removing
+        return not is_removing and self._state.entries.get(info.instance) == info.incarnation
 
     def _update_serving_list(self, now: float) -> None:
         """Update the list of serving entries, once all of them could attach to a new leader."""
@@ -443,7 +448,12 @@
         """Have a process recorded that may get leases.
 
         The record of the leader's own instance is removed once its leases are all of this leader.
+        An entry that returns while its record is being removed is recorded after that.
         """
+        if info.instance in self._removing:
+            if info.instance in self._state.entries:
+                return self._propose_entry(info.instance, Incarnation(0), now)
+            self._removing.discard(info.instance)
         if not self._is_recorded(info):
             return self._propose_entry(info.instance, info.incarnation, now)
         if (
--- a/hibiscuspoint/core/failover/updates.py
+++ b/hibiscuspoint/core/failover/updates.py
@@ -102,7 +102,8 @@
             add_revocation(update, failover.record)
             delivered.contents.pop(group, None)
             continue
-        if not is_recorded:
+        if not is_recorded or not lease_ms:
+            # A route that was sent with a lease is only renewed, which needs one to begin with.
             content = content._replace(has_lease=False)
         if content.has_lease:
             ledger.grant(group, entry.process, content.term, now, entry.sent_at_ns)
--- a/tests/core/failover/test_former_start.py
+++ b/tests/core/failover/test_former_start.py
@@ -5,6 +5,7 @@
 import pytest
 
 from hibiscuspoint.core.control.delivery import DeliveredRoutes
+from hibiscuspoint.core.control.entries import ENTRY_REMOVAL_SECONDS
 from hibiscuspoint.core.control.state import ControlState, GroupPhase
 from hibiscuspoint.core.failover import WaitReason
 from hibiscuspoint.core.failover.leader import LEASE_SECONDS
@@ -253,6 +254,36 @@
     assert update.renewed_lease_ms == 400
 
 
+def test_entry_whose_record_is_being_removed_gets_no_lease():
+    """Guards against a lease that a later leader does not know of, as its record is removed."""
+    simulation = LeaderSimulation()
+    simulation.report(1)
+    simulation.run(2 * ENTRY_REMOVAL_SECONDS)
+    simulation.state.entries["10.0.0.1:7440"] = Incarnation(1)
+    removal = simulation.leader.tick(simulation.now)
+    assert removal
+    report = peer_pb2.EntryReport(instance="10.0.0.1:7440", incarnation=1, sent_at_ns=2**60)
+    simulation.leader.handle_report(report, simulation.now)
+    update = simulation.leader.build_update(
+        InstanceId("10.0.0.1:7440"), simulation.now, DeliveredRoutes()
+    )
+    assert [route.lease_ms for route in update.routes] == [0]
+
+
+def test_entry_of_the_leader_gets_a_lease_again_after_one_that_was_too_short():
+    """Guards against an instance that leads and serves no write until its routes change."""
+    simulation = LeaderSimulation()
+    own, delivered = InstanceId("10.0.0.1:7440"), DeliveredRoutes()
+    simulation.leader_instance = own
+    simulation.lead()
+    for seconds, lease_ms in ((0.0001, 0), (0.5, 500)):
+        simulation.lease_left = seconds
+        simulation.run(0.1)
+        simulation.report(1)
+        update = simulation.leader.build_update(own, simulation.now, delivered)
+        assert [route.lease_ms for route in update.routes] == [lease_ms]
+
+
 def test_status_over_a_connection_to_a_former_incarnation_is_ignored():
     """Guards against the position of a start that has ended, taken for that of the present one."""
     simulation = LeaderSimulation()
