Let the same rows again cost no connection

A read of several rows, or of a text that contains the word of a message, looked doubtful each time that it was repeated on a connection, so that each one cost a handshake: at full load a guard that adds to its own cause. An error behind the row of a repetition was not noticed.

Change: rows that equal all rows of an earlier answer count as the same read again; an error with a known first row is unclear.

Measured: the new tests of test_answers.py fail before; the tests of answers and of full targets pass.

--- a/hibiscuspoint/core/sessions/answers.py
+++ b/hibiscuspoint/core/sessions/answers.py
@@ -145,8 +145,9 @@
 
     def __init__(self) -> None:
         self._digests: set[int] = set()
-        #: Hashes and beginnings of the first rows of answers.
+        #: Hashes of the first row and of all rows of each answer, and beginnings of rows.
         self._first_rows: set[int] = set()
+        self._all_rows: set[int] = set()
         self._row_beginnings: set[str] = set()
         self._do_writes_have_rows = False
         self._has_answer = False
@@ -271,15 +272,24 @@
         """Tell whether the rows may begin with those of a repetition that was cut off.
 
         Such rows begin like those of an earlier answer, and rows of the own answer follow, or none
-        if it is that to a write. A single row of a read may be the same as before.
+        if it is an error or that to a write. All rows of a read may be the same as before: the same
+        one is repeated, and would cost a connection each time.
         """
-        if answer.cut_row is not None and self._begins_row(answer.cut_row):
-            return True
         rows = answer.reply.rows
-        if not rows or hash(rows[0]) not in self._first_rows:
+        if not rows:
             return False
-        is_rowless = question is Question.SIGNED_WRITE and not self._do_writes_have_rows
-        return len(rows) > 1 or is_rowless
+        is_write = question is Question.SIGNED_WRITE and not self._do_writes_have_rows
+        if is_write or answer.kind is AnswerKind.ERROR:
+            is_doubtful = hash(rows[0]) in self._first_rows
+        else:
+            has_known_row = len(rows) > 1 and hash(rows[0]) in self._first_rows
+            is_doubtful = has_known_row or self._continues_row(answer)
+            is_doubtful = is_doubtful and hash(rows) not in self._all_rows
+        return is_doubtful
+
+    def _continues_row(self, answer: Answer) -> bool:
+        """Tell whether a row may consist of the beginning of an earlier one and another message."""
+        return answer.cut_row is not None and self._begins_row(answer.cut_row)
 
     def _begins_row(self, text: str) -> bool:
         """Tell whether a text may be the beginning of an earlier row."""
@@ -288,6 +298,7 @@
 
     def _remember_rows(self, question: Question, rows: tuple[str, ...]) -> None:
         self._first_rows.add(hash(rows[0]))
+        self._all_rows.add(hash(rows))
         self._row_beginnings.update(row[:ROW_BEGINNING_LENGTH] for row in rows)
         if question is Question.SIGNED_WRITE:
             self._do_writes_have_rows = True
--- a/tests/core/sessions/test_answers.py
+++ b/tests/core/sessions/test_answers.py
@@ -231,6 +231,24 @@
     assert history.match(question, answer) is expected
 
 
+@pytest.mark.parametrize("answer", [_rows(2, "ab", "cd"), _rows(2, "aROW cd", cut="a")])
+def test_same_rows_cost_no_connection_for_each_read(answer):
+    """Guards against a handshake for each read at targets whose usual answers look doubtful.
+
+    Load pattern: a read of several rows, or of a text that contains the word of a message, is
+    repeated all the time.
+    """
+    history = _history((Question.SIGNED, answer), (Question.SIGNED, _rows(3, "ab")))
+    assert history.match(Question.SIGNED, replace(answer, digest=4)) is Match.ACCEPTED
+
+
+def test_row_of_a_repetition_in_front_of_an_error_is_noticed():
+    """Guards against the row of another statement that a caller gets with its error."""
+    history = _history((Question.SIGNED, _rows(1, "ab")))
+    refused = replace(_error(2), reply=replace(_error(2).reply, rows=("ab",)))
+    assert history.match(Question.SIGNED, refused) is Match.UNCLEAR
+
+
 def test_writes_may_have_the_same_row_again():
     """Guards against writes in doubt at targets that answer each one with the same row."""
     history = _history((Question.SIGNED_WRITE, _rows(1, "1 row")))
