Name the processes whose inherited leases a choice waits for

Change: the ledger keeps the incarnation of each inheriting process, and both events list them. No change of decisions.

--- a/hibiscuspoint/core/control/leader.py
+++ b/hibiscuspoint/core/control/leader.py
@@ -13,7 +13,7 @@
 from hibiscuspoint.core.control.route_state import RouteState
 from hibiscuspoint.core.control.targets import TargetDirectory, TargetInfo
 from hibiscuspoint.core.control.updates import UpdateBuilder
-from hibiscuspoint.ids import GroupId, InstanceId, TargetId, Term
+from hibiscuspoint.ids import GroupId, Incarnation, InstanceId, TargetId, Term
 from hibiscuspoint.wire import record_pb2
 
 if TYPE_CHECKING:
@@ -244,7 +244,8 @@
             return
         record = self._state.groups[group]
         self._updates.add_recipients(group, record.holders)
-        self._ledger.expect_inherited(group, record.holders)
+        # The control log names instances only.
+        self._ledger.expect_inherited(group, dict.fromkeys(record.holders, Incarnation(0)))
         self._groups[group] = GroupController(record, self._targets, self._ledger, now)
         self._allocators[group] = ConnectionAllocator(
             record, rules, self._targets, self._ledger, self._control_term, self._leader_since
--- a/hibiscuspoint/core/control/leases.py
+++ b/hibiscuspoint/core/control/leases.py
@@ -7,11 +7,12 @@
 from typing import TYPE_CHECKING
 
 from hibiscuspoint.core.lease import ALL_GRANTS_NS, NO_LATER_GRANT_NS, lease_end_at_grantor
+from hibiscuspoint.ids import EntryProcess
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Mapping
 
-    from hibiscuspoint.ids import EntryProcess, GroupId, InstanceId, Term
+    from hibiscuspoint.ids import GroupId, Incarnation, InstanceId, Term
 
 __all__ = ["LEASE_SECONDS", "LeaseLedger"]
 
@@ -53,19 +54,17 @@
         self._grants: dict[GroupId, dict[EntryProcess, _Grant]] = {}
         # Highest term of which a process accepts no further lease.
         self._void: dict[GroupId, dict[EntryProcess, Term]] = {}
-        self._inherited: dict[GroupId, set[InstanceId]] = {}
+        self._inherited: dict[GroupId, dict[InstanceId, Incarnation]] = {}
         # When the last inherited lease of a group was released.
         self._inherited_released_at: dict[GroupId, float] = {}
 
-    def expect_inherited(self, group: GroupId, instances: Iterable[InstanceId]) -> None:
-        """Set the entries that may have an inherited lease of a group; all others have none."""
-        self._inherited[group] = set(instances)
+    def expect_inherited(self, group: GroupId, processes: Mapping[InstanceId, Incarnation]) -> None:
+        """Set the processes that may have an inherited lease of a group; all others have none."""
+        self._inherited[group] = dict(processes)
 
     def release_inherited(self, group: GroupId, instance: InstanceId, now: float) -> None:
         """Record that an entry has no inherited lease of a group and can no longer obtain one."""
-        inherited = self._inherited.get(group, set())
-        if instance in inherited:
-            inherited.discard(instance)
+        if self._inherited.get(group, {}).pop(instance, None) is not None:
             self._inherited_released_at[group] = min(now, self._inherited_until)
 
     def grant(
@@ -185,15 +184,20 @@
 
     def inherited_until(self, group: GroupId) -> float:
         """Return when the inherited leases that are not released end."""
-        return -math.inf if self._inherited.get(group) == set() else self._inherited_until
+        return -math.inf if self._inherited.get(group) == {} else self._inherited_until
+
+    def inheriting(self, group: GroupId, now: float) -> set[EntryProcess]:
+        """Return the processes known to have an inherited lease, for the log."""
+        inherited = {} if self.is_complete(now) else self._inherited.get(group, {})
+        return {EntryProcess(*item) for item in inherited.items()}
 
     def possible_leaseholders(self, group: GroupId, now: float) -> set[InstanceId]:
         """Return the entries that may have a valid lease, an inherited one included."""
         held = self.leasing_instances(group, now)
-        return held if self.is_complete(now) else held | self._inherited.get(group, set())
+        return held if self.is_complete(now) else held | self._inherited.get(group, {}).keys()
 
     def _has_no_inherited_lease(self, group: GroupId, at: float) -> bool:
         """Tell whether no entry had an inherited lease of a group at a time or later."""
-        is_released = self._inherited.get(group) == set()
+        is_released = self._inherited.get(group) == {}
         released_at = self._inherited_released_at.get(group, -math.inf)
         return self.is_complete(at) or (is_released and at >= released_at)
--- a/hibiscuspoint/core/failover/group.py
+++ b/hibiscuspoint/core/failover/group.py
@@ -291,7 +291,7 @@
         chosen = current_round.choose_target(status_of, self._known_acknowledgements(), now)
         if chosen is not None:
             return self._propose_proven(current_round, chosen, status_of, now)
-        current_round.record_wait(self._unreported_entries())
+        current_round.record_wait(self._awaited_entries(now))
         if self._contacts.newest_term() >= record.term:
             # A target in this term or a later one would not be paused by an order with this one.
             return self._propose_term(now)
@@ -307,9 +307,13 @@
             return []
         self._wait_reported_at = now
         record, missing = self._record, current_round.paused.missing_logs
-        entries = tuple(sorted(self._unreported_entries()))
+        entries = tuple(sorted(self._awaited_entries(now)))
         return [PromotionWaiting(record.group, record.term, missing, entries)]
 
+    def _awaited_entries(self, now: float) -> set[EntryProcess]:
+        """Return the processes whose leases a choice may wait for, inherited ones included."""
+        return self._unreported_entries() | self._ledger.inheriting(self._record.group, now)
+
     def _unreported_entries(self) -> set[EntryProcess]:
         """Return the processes that have not reported what they acknowledged."""
         record = self._record
--- a/tests/core/failover/test_former_start.py
+++ b/tests/core/failover/test_former_start.py
@@ -10,7 +10,7 @@
 from hibiscuspoint.core.failover import WaitReason
 from hibiscuspoint.core.failover.leader import LEASE_SECONDS
 from hibiscuspoint.core.failover.promotion import REGISTRATION_SECONDS
-from hibiscuspoint.ids import Incarnation, InstanceId, Term
+from hibiscuspoint.ids import EntryProcess, Incarnation, InstanceId, Term
 from hibiscuspoint.wire import peer_pb2
 from tests.builders_failover import (
     PRIMARY,
@@ -187,6 +187,8 @@
     simulation.report(incarnation, control_term=control_term)
     simulation.run(REGISTRATION_SECONDS + GRACE)
     assert bool(simulation.record.requested) is not is_waiting
+    awaited = simulation.group._awaited_entries(simulation.now)
+    assert awaited == ({EntryProcess("10.0.0.1:7440", 1)} if is_waiting else set())
 
 
 def test_poll_before_the_end_of_an_inherited_lease_covers_nothing():
