Log a raised incarnation, and pause before the next attempt

Cause: found by reading the diff. An instance that was told of a later start of itself attached again at once and without a log line, so that two processes with one address, by mistake, would replace each other in a tight loop.

Measured: test_entry_pauses_before_it_attaches_with_a_later_incarnation fails before.

--- a/hibiscuspoint/components/attachment.py
+++ b/hibiscuspoint/components/attachment.py
@@ -216,7 +216,10 @@
                 return
             if update.redirect or not update.control_term:
                 if update.later_incarnation:
+                    # Attached again after the usual pause: two processes that use one address by
+                    # mistake would else replace each other without end.
                     self._on_later_start(update.later_incarnation)
+                    return
                 self._on_refused(update)
                 self._redirect_to(update.redirect)
                 return
--- a/hibiscuspoint/components/reporting.py
+++ b/hibiscuspoint/components/reporting.py
@@ -89,6 +89,7 @@
         if incarnation >= self._identity.incarnation:
             later = Incarnation(incarnation + 1)
             self._identity = replace(self._identity, incarnation=later)
+            log_event(logger, catalogue.INCARNATION_RAISED, known=incarnation, incarnation=later)
 
     def make_report(self) -> peer_pb2.EntryReport:
         """Build the report to be sent now; it returns the leases that are no longer needed."""
--- a/hibiscuspoint/telemetry/catalogue.py
+++ b/hibiscuspoint/telemetry/catalogue.py
@@ -171,6 +171,15 @@
     "address",
     "reason",
 )
+INCARNATION_RAISED = define_event(
+    252,
+    "incarnation-raised",
+    WARNING,
+    "Control knows a later start of this instance ({known}): the clock was set back, or another "
+    "process uses its address.",
+    "known",
+    "incarnation",
+)
 
 # 300: groups and promotion
 GROUP_FORMED = define_event(301, "group-formed", INFO, "Group {group} formed.", "group", "members")
--- a/tests/components/test_attachment.py
+++ b/tests/components/test_attachment.py
@@ -282,3 +282,35 @@
         assert made[-1] >= released_at
 
     asyncio.run(scenario())
+
+
+def test_entry_pauses_before_it_attaches_with_a_later_incarnation(monkeypatch):
+    """Guards against two processes of one address that replace each other in a tight loop."""
+    opened = []
+
+    class _SupersededCall(_StuckCall):
+        async def read(self) -> peer_pb2.ControlUpdate:
+            return peer_pb2.ControlUpdate(redirect="127.0.0.1:1", later_incarnation=7)
+
+    def attach(stub: object) -> _SupersededCall:
+        opened.append(stub)
+        return _SupersededCall()
+
+    async def scenario():
+        stub = type("Stub", (), {"Attach": attach})
+        monkeypatch.setattr(attachment.peer_pb2_grpc, "ControlStub", lambda channel: stub())
+        known = []
+        entry = Attachment(
+            _Runtime(),
+            _Channels(),
+            ["127.0.0.1:1"],
+            peer_pb2.EntryReport,
+            on_later_start=known.append,
+        )
+        entry.start()
+        await asyncio.sleep(5 * attachment.RETRY_SECONDS)
+        await entry.stop()
+        assert set(known) == {7}
+        assert len(opened) <= 6
+
+    asyncio.run(scenario())
