Take the first report of a process in one place

Cause: both leaders had the same lines for it.

Change: EntryDirectory.take_report stores the report and ends the leases of former processes. No change of decisions.

Measured: tests/core and tests/components pass.

--- a/hibiscuspoint/core/control/entries.py
+++ b/hibiscuspoint/core/control/entries.py
@@ -10,6 +10,7 @@
 from hibiscuspoint.ids import AvailabilityZone, EntryProcess, Incarnation, InstanceId
 
 if TYPE_CHECKING:
+    from hibiscuspoint.core.control.leases import LeaseLedger
     from hibiscuspoint.wire import peer_pb2
 
 __all__ = ["ENTRY_REMOVAL_SECONDS", "EntryDirectory", "EntryInfo"]
@@ -102,10 +103,18 @@
         """Return the last report of an entry, or ``None``."""
         return self._entries.get(instance)
 
-    def is_new_process(self, info: EntryInfo) -> bool:
-        """Tell whether the process that sent a report is not the one of the stored report."""
+    def take_report(self, info: EntryInfo, leases: LeaseLedger) -> bool:
+        """Store a report like :meth:`record_report`; the first one of a process ends leases.
+
+        :param leases: ledger in which the leases of former processes of the instance end.
+        """
         known = self._entries.get(info.instance)
-        return known is None or known.incarnation < info.incarnation
+        is_new_process = known is None or known.incarnation < info.incarnation
+        if not self.record_report(info):
+            return False
+        if is_new_process:
+            leases.record_start(info.process, info.seen_at)
+        return True
 
     def is_live(self, instance: InstanceId, now: float) -> bool:
         """Tell whether an entry has reported recently."""
--- a/hibiscuspoint/core/control/leader.py
+++ b/hibiscuspoint/core/control/leader.py
@@ -111,7 +111,7 @@
     def handle_report(self, message: peer_pb2.EntryReport, now: float) -> list[Effect]:
         """Record a report of an entry and return the effects; an outdated report has none."""
         info = EntryInfo.from_message(message, now)
-        if not self._record_entry(info):
+        if not self._entries.take_report(info, self._ledger):
             return []
         for released in message.released:
             self._record_release(info, released, message.control_term)
@@ -270,18 +270,6 @@
             effects.append(Propose(record_pb2.Command(form_group=body)))
         return effects
 
-    def _record_entry(self, info: EntryInfo) -> bool:
-        """Store the report of an entry; tell whether it is not outdated.
-
-        The first report of a process ends the leases of the former one.
-        """
-        is_new_process = self._entries.is_new_process(info)
-        if not self._entries.record_report(info):
-            return False
-        if is_new_process:
-            self._ledger.record_start(info.process, info.seen_at)
-        return True
-
     def _record_release(
         self, info: EntryInfo, released: peer_pb2.RouteRelease, control_term: int
     ) -> None:
--- a/hibiscuspoint/core/failover/leader.py
+++ b/hibiscuspoint/core/failover/leader.py
@@ -240,7 +240,7 @@
     def handle_report(self, message: peer_pb2.EntryReport, now: float) -> list[Effect]:
         """Record a report of an entry and return the resulting effects."""
         info = EntryInfo.from_message(message, now)
-        if not self._record_entry(info):
+        if not self._entries.take_report(info, self._ledger):
             return []
         if self._quotas is not None:
             self._quotas.record_report(info.instance, message, now)
@@ -423,18 +423,6 @@
             self._quotas.fill_update(instance, update, now)
         return update
 
-    def _record_entry(self, info: EntryInfo) -> bool:
-        """Store the report of an entry; tell whether it is not outdated.
-
-        The first report of a process ends the leases of the former one.
-        """
-        is_new_process = self._entries.is_new_process(info)
-        if not self._entries.record_report(info):
-            return False
-        if is_new_process:
-            self._ledger.record_start(info.process, info.seen_at)
-        return True
-
     def _lease_seconds(self, instance: InstanceId) -> float:
         """Return the duration of the leases for an entry.
 
